--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds as ratios within one run."""
--- /dev/null
+++ b/dogwoodhook/__init__.py
@@ -0,0 +1,1 @@
+"""A proxy fleet for targets with gray failures."""
--- /dev/null
+++ b/dogwoodhook/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/dogwoodhook/coordination/messages.py
@@ -0,0 +1,81 @@
+"""Messages between daemons.
+
+``dogwoodhook.protocol.peer_codec`` turns them into CBOR. Each message is
+complete in itself and safe to receive twice, late, or out of order.
+"""
+
+from dataclasses import dataclass
+from typing import Literal
+
+from dogwoodhook.coordination.rows import QuarantineRow
+from dogwoodhook.state.model import Change
+from dogwoodhook.state.outcomes import TargetEvidence
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """A daemon's configuration version and the age of its last confirmation.
+
+    ``head_age_ms`` is the time since the daemon read the head from the table,
+    ``None`` if it never did.
+    """
+
+    daemon: str
+    configuration_version: int
+    head_age_ms: int | None
+    is_ready: bool
+    kind: Literal["heartbeat"] = "heartbeat"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationNews:
+    """Accepted changes, contiguous and in order of version."""
+
+    changes: tuple[Change, ...]
+    kind: Literal["configuration-news"] = "configuration-news"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationRequest:
+    """Asks a peer for the changes after a version."""
+
+    after_version: int
+    kind: Literal["configuration-request"] = "configuration-request"
+
+
+@dataclass(frozen=True, slots=True)
+class EvidenceReport:
+    """Evidence of one daemon; ``sequence`` grows, so a late copy is dropped."""
+
+    daemon: str
+    sequence: int
+    entries: tuple[TargetEvidence, ...]
+    kind: Literal["evidence-report"] = "evidence-report"
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineNews:
+    """Fingerprints put in quarantine."""
+
+    entries: tuple[QuarantineRow, ...]
+    kind: Literal["quarantine-news"] = "quarantine-news"
+
+
+@dataclass(frozen=True, slots=True)
+class CrashNews:
+    """A request fingerprint was in flight when a target crashed."""
+
+    service: str
+    fingerprint: str
+    target: str
+    kind: Literal["crash-news"] = "crash-news"
+
+
+Message = (
+    Heartbeat
+    | ConfigurationNews
+    | ConfigurationRequest
+    | EvidenceReport
+    | QuarantineNews
+    | CrashNews
+)
--- /dev/null
+++ b/dogwoodhook/coordination/rows.py
@@ -0,0 +1,141 @@
+"""Rows of the platform's table and the keys they live under.
+
+Configuration rows hold ``dogwoodhook.state.model`` documents: ``head``,
+``change/<version>`` and the documents themselves. Every accepted change and
+every planned stop advances the head, so one condition on the head covers both.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from dogwoodhook.state.model import (
+    Change,
+    DocumentKey,
+    PlannedStop,
+    ServiceDefinition,
+    Template,
+)
+
+HEAD_KEY = "head"
+CHANGE_PREFIX = "change/"
+DOCUMENT_PREFIX = "document/"
+EJECTION_PREFIX = "ejection/"
+CLAIM_PREFIX = "claim/"
+QUARANTINE_PREFIX = "quarantine/"
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The version of the configuration in force."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentRow:
+    """A document with the head version at which it last changed."""
+
+    document: Template | ServiceDefinition | PlannedStop
+    version: int
+
+
+class EjectionPhase(StrEnum):
+    """Phase of an entry; either one takes capacity from the service."""
+
+    EJECTED = "ejected"
+    RELEASING = "releasing"
+
+
+@dataclass(frozen=True, slots=True)
+class EjectionEntry:
+    """One target taken out of service, fleet-wide.
+
+    ``sequence`` is the row sequence at which the entry entered its phase;
+    ``relapses`` counts ejections in a row and doubles the holding time.
+    """
+
+    target: str
+    phase: EjectionPhase
+    sequence: int
+    reason: str
+    relapses: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EjectionRow:
+    """The ejections of one service; ``sequence`` grows by one with each write."""
+
+    service: str
+    sequence: int = 0
+    entries: tuple[EjectionEntry, ...] = ()
+
+
+class ClaimPhase(StrEnum):
+    """Phase of an idempotency key."""
+
+    IN_PROGRESS = "in-progress"
+    SETTLED = "settled"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class StoredAnswer:
+    """An answer kept for later requests with the same key."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRow:
+    """An idempotency key, claimed before the request is sent.
+
+    ``fingerprint`` is the digest of the request that claimed the key.
+    ``answer`` is ``None`` where the answer was too large to keep.
+    """
+
+    claimant: str
+    fingerprint: str
+    phase: ClaimPhase
+    claimed_at_s: float
+    status: int | None = None
+    answer: StoredAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineRow:
+    """A request fingerprint that crashed targets, with its expiry in wall time."""
+
+    fingerprint: str
+    service: str
+    expires_at_s: float
+    crashes: int
+
+
+Row = Head | Change | DocumentRow | EjectionRow | ClaimRow | QuarantineRow
+
+
+def change_key(version: int) -> str:
+    """Return the key of a change; keys sort by version."""
+    return f"{CHANGE_PREFIX}{version:012d}"
+
+
+def document_row_key(key: DocumentKey) -> str:
+    """Return the key of a document's row."""
+    return f"{DOCUMENT_PREFIX}{key.kind}/{key.name}"
+
+
+def ejection_key(service: str) -> str:
+    """Return the key of a service's ejection row."""
+    return f"{EJECTION_PREFIX}{service}"
+
+
+def claim_key(service: str, workspace: str, key_digest: str) -> str:
+    """Return the key of an idempotency claim."""
+    return f"{CLAIM_PREFIX}{service}/{workspace}/{key_digest}"
+
+
+def quarantine_key(service: str, fingerprint: str) -> str:
+    """Return the key of a quarantined fingerprint."""
+    return f"{QUARANTINE_PREFIX}{service}/{fingerprint}"
--- /dev/null
+++ b/dogwoodhook/events.py
@@ -0,0 +1,213 @@
+"""Numbered log events and the logger that writes them.
+
+Every line of the log is one event: its number, its name, and its fields as
+``key=value``. ``docs/events.md`` is generated from ``CATALOGUE`` and checked in
+CI. Numbers are never reused.
+
+Number ranges: 100 daemon, 200 configuration, 300 target health, 400 ejection
+and planned stops, 500 forwarding, 600 idempotency keys, 700 quarantine, 800
+peers, 900 platform.
+"""
+
+import json
+import sys
+from dataclasses import dataclass
+from enum import IntEnum
+
+import logbook
+
+_logger = logbook.Logger("dogwoodhook")
+
+
+class Level(IntEnum):
+    """Severity of an event, with logbook's numbers."""
+
+    DEBUG = logbook.DEBUG
+    INFO = logbook.INFO
+    NOTICE = logbook.NOTICE
+    WARNING = logbook.WARNING
+    ERROR = logbook.ERROR
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """A kind of log line; ``meaning`` is its entry in the catalogue."""
+
+    number: int
+    name: str
+    level: Level
+    meaning: str
+
+
+CATALOGUE: dict[int, Event] = {}
+
+
+def _event(number: int, name: str, level: Level, meaning: str) -> Event:
+    if number in CATALOGUE:
+        raise ValueError(f"event number {number} is taken by {CATALOGUE[number].name}")
+    event = Event(number, name, level, meaning)
+    CATALOGUE[number] = event
+    return event
+
+
+# 100: daemon
+DAEMON_STARTED = _event(
+    101, "daemon-started", Level.INFO, "The listeners are open and the tasks run."
+)
+DAEMON_READY = _event(
+    102, "daemon-ready", Level.NOTICE, "The readiness endpoint answers 200 from now on."
+)
+DAEMON_UNREADY = _event(
+    103,
+    "daemon-unready",
+    Level.WARNING,
+    "The readiness endpoint answers 503; `reason` tells why.",
+)
+DAEMON_DRAINING = _event(
+    104,
+    "daemon-draining",
+    Level.NOTICE,
+    "A stop was asked for: no new requests; those in flight run out.",
+)
+DAEMON_STOPPED = _event(
+    105, "daemon-stopped", Level.NOTICE, "The daemon has ended its last request."
+)
+TASK_FAILED = _event(
+    106,
+    "task-failed",
+    Level.ERROR,
+    "A background task raised an error that it does not handle; it is restarted.",
+)
+
+# 200: configuration
+CONFIGURATION_ADOPTED = _event(
+    201,
+    "configuration-adopted",
+    Level.NOTICE,
+    "A higher configuration version is in force on this daemon.",
+)
+CONFIGURATION_UNCONFIRMED = _event(
+    202,
+    "configuration-unconfirmed",
+    Level.WARNING,
+    "The head has not been confirmed for longer than the propagation bound.",
+)
+
+# 300: target health
+TARGET_SUSPECTED = _event(
+    301,
+    "target-suspected",
+    Level.NOTICE,
+    "Evidence against a target passed its threshold; it is avoided from now on.",
+)
+TARGET_CLEARED = _event(
+    302, "target-cleared", Level.NOTICE, "A suspected target serves as usual again."
+)
+
+# 400: ejection and planned stops
+TARGET_EJECTED = _event(
+    401, "target-ejected", Level.NOTICE, "This daemon wrote a target's ejection."
+)
+EJECTION_REFUSED = _event(
+    402,
+    "ejection-refused",
+    Level.INFO,
+    "An ejection was not written; `reason` names the rule that forbids it.",
+)
+TARGET_RELEASED = _event(
+    403, "target-released", Level.NOTICE, "This daemon wrote an ejection's release."
+)
+STOP_IN_FORCE = _event(
+    404, "stop-in-force", Level.NOTICE, "A planned stop keeps a target from new work."
+)
+
+# 500: forwarding
+REQUEST_UNKNOWN = _event(
+    501,
+    "request-unknown",
+    Level.WARNING,
+    "A request was sent and its outcome is not known.",
+)
+REQUEST_RETRIED = _event(
+    502, "request-retried", Level.DEBUG, "A request goes to another target."
+)
+ANSWER_CUT = _event(
+    503,
+    "answer-cut",
+    Level.WARNING,
+    "A target's answer broke off; the caller's connection is closed unfinished.",
+)
+
+# 600: idempotency keys
+CLAIM_FAILED = _event(
+    601,
+    "claim-failed",
+    Level.WARNING,
+    "An idempotency key could not be claimed because the table did not answer.",
+)
+CLAIM_UNSETTLED = _event(
+    602,
+    "claim-unsettled",
+    Level.WARNING,
+    "A request with an idempotency key ended, and its outcome could not be stored.",
+)
+
+# 700: quarantine
+REQUEST_QUARANTINED = _event(
+    701,
+    "request-quarantined",
+    Level.WARNING,
+    "A request crashed targets and is refused for a while.",
+)
+
+# 800: peers
+PEER_CONNECTED = _event(
+    801, "peer-connected", Level.INFO, "A link to a peer is up and authenticated."
+)
+PEER_LOST = _event(802, "peer-lost", Level.INFO, "A link to a peer ended.")
+PEER_REFUSED = _event(
+    803,
+    "peer-refused",
+    Level.WARNING,
+    "A peer did not prove that it knows the fleet secret.",
+)
+
+# 900: platform
+PLATFORM_UNAVAILABLE = _event(
+    901,
+    "platform-unavailable",
+    Level.WARNING,
+    "A call to the platform failed; `operation` names it.",
+)
+PLATFORM_AVAILABLE = _event(
+    902, "platform-available", Level.NOTICE, "The platform answers again."
+)
+
+
+def log(event: Event, **values: object) -> None:
+    """Write one line for an event.
+
+    >>> log(PEER_LOST, peer="vm-3")  # doctest: +SKIP
+    2026-12-04T08:00:00.000Z INFO 802 peer-lost peer=vm-3
+    """
+    details = " ".join(f"{name}={_format(value)}" for name, value in values.items())
+    _logger.log(event.level, "{} {} {}", event.number, event.name, details)
+
+
+def _format(value: object) -> str:
+    text = str(value)
+    if text and not any(character.isspace() or character in '"=' for character in text):
+        return text
+    return json.dumps(text)
+
+
+def make_handler(level_name: str) -> logbook.Handler:
+    """Return the handler that writes events to standard error, one line each."""
+    logbook.set_datetime_format("utc")
+    return logbook.StreamHandler(
+        sys.stderr,
+        level=level_name.upper(),
+        format_string=(
+            "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.message}"
+        ),
+    )
--- /dev/null
+++ b/dogwoodhook/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Formats: header contract, peer codec, table rows, documents in TOML."""
--- /dev/null
+++ b/dogwoodhook/state/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions over data classes; clock and random source are arguments."""
--- /dev/null
+++ b/dogwoodhook/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and targets, and the demo."""
--- /dev/null
+++ b/dogwoodhook/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: listeners, target connections, peer links, the platform client."""
