--- a/dogwoodhook/coordination/messages.py
+++ b/dogwoodhook/coordination/messages.py
@@ -8,7 +8,7 @@
 from typing import Literal
 
 from dogwoodhook.coordination.rows import QuarantineRow
-from dogwoodhook.state.model import Change
+from dogwoodhook.state.model import Change, Revision
 from dogwoodhook.state.outcomes import TargetEvidence
 
 
@@ -35,9 +35,28 @@
     kind: Literal["configuration-news"] = "configuration-news"
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationSnapshot:
+    """One part of a whole configuration, for a daemon too far behind for changes.
+
+    ``part`` counts from 0 to ``parts`` - 1. Parts may arrive in any order.
+    """
+
+    daemon: str
+    version: int
+    part: int
+    parts: int
+    revisions: tuple[Revision, ...]
+    kind: Literal["configuration-snapshot"] = "configuration-snapshot"
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationRequest:
-    """Asks a peer for the changes after a version."""
+    """Asks a peer for the changes after a version.
+
+    The answer is ``ConfigurationNews``, or every part of a
+    ``ConfigurationSnapshot`` where the peer no longer holds those changes.
+    """
 
     after_version: int
     kind: Literal["configuration-request"] = "configuration-request"
@@ -74,6 +93,7 @@
 Message = (
     Heartbeat
     | ConfigurationNews
+    | ConfigurationSnapshot
     | ConfigurationRequest
     | EvidenceReport
     | QuarantineNews
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -92,6 +92,24 @@
     Level.WARNING,
     "The head has not been confirmed for longer than the propagation bound.",
 )
+CONFIGURATION_REFUSED = _event(
+    203,
+    "configuration-refused",
+    Level.ERROR,
+    "A higher version failed validation and is not adopted; `finding` is the first.",
+)
+CONFIGURATION_SNAPSHOT_LOADED = _event(
+    204,
+    "configuration-snapshot-loaded",
+    Level.INFO,
+    "The object store's snapshot was read; it waits for the table or a peer.",
+)
+CONFIGURATION_SNAPSHOT_UNREADABLE = _event(
+    205,
+    "configuration-snapshot-unreadable",
+    Level.WARNING,
+    "The object store's snapshot could not be decoded and is not used.",
+)
 
 # 300: target health
 TARGET_SUSPECTED = _event(
--- a/dogwoodhook/state/model.py
+++ b/dogwoodhook/state/model.py
@@ -190,13 +190,22 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class DocumentVersion:
+    """A document at the head version at which it changed; 0 where it was absent."""
+
+    key: DocumentKey
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class Change:
     """One accepted change of the configuration, kept for ever.
 
     ``version`` is the head version the change made; ``changed_at_s`` is wall
     time. ``token`` is unique to the attempt, so that a writer whose answer was
-    lost recognises its own change.
+    lost recognises its own change. ``based_on`` names, for each document changed
+    or removed, the version that it replaces, which chains a document's history.
     """
 
     version: int
@@ -205,6 +214,7 @@
     token: str
     documents: tuple[Document, ...] = ()
     removed: tuple[DocumentKey, ...] = ()
+    based_on: tuple[DocumentVersion, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
