--- /dev/null
+++ b/dogwoodhook/state/quarantine.py
@@ -0,0 +1,260 @@
+"""Quarantine of requests that crash the targets that run them.
+
+A crash takes every request in flight on the target with it, so one crash only
+makes suspects. A suspect runs alone until it succeeds, which clears it, or
+until a second target crashes under it, which puts it in quarantine.
+
+A request that merely shared a target with the harmful one is told apart by
+three rules: a success clears it; when several fingerprints have the same
+number of crashes behind them, a third crash decides; and when very many have,
+the cause is the network or the service and nobody is put in quarantine.
+"""
+
+import hashlib
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+CRASHES_UNTIL_QUARANTINE = 2
+"""Different targets crashed before a sole suspect is put in quarantine."""
+
+CRASHES_WHEN_AMBIGUOUS = 3
+"""Different targets crashed where other suspects have as many crashes."""
+
+MAX_CANDIDATES = 8
+"""Fingerprints of one service with enough crashes, above which none is blamed."""
+
+SUSPICION_S = 120.0
+"""Time after a crash for which a fingerprint stays a suspect."""
+
+QUARANTINE_S = 30.0
+"""First quarantine; doubles with each crash that follows."""
+
+MAX_QUARANTINE_S = 3600.0
+"""Longest quarantine."""
+
+MAX_FINGERPRINTS = 4096
+"""Fingerprints remembered; the one longest unused goes first."""
+
+RUNNING_RETRY_S = 1.0
+"""Wait told to a caller whose suspect request is running already."""
+
+_DIGEST_BYTES = 16
+
+
+def body_digest(body: bytes) -> bytes:
+    """Return the digest of a body, for ``fingerprint``."""
+    return hashlib.blake2b(body, digest_size=_DIGEST_BYTES).digest()
+
+
+def fingerprint(
+    *, service: str, workspace: str, method: str, path: str, digest: bytes
+) -> str:
+    """Return the identity of a request across re-sendings.
+
+    >>> first = fingerprint(
+    ...     service="payouts", workspace="oulu", method="POST", path="/x", digest=b""
+    ... )
+    >>> len(first)
+    32
+    """
+    hasher = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for part in (service, workspace, method, path):
+        encoded = part.encode()
+        hasher.update(len(encoded).to_bytes(4, "big"))
+        hasher.update(encoded)
+    hasher.update(digest)
+    return hasher.hexdigest()
+
+
+@dataclass(frozen=True, slots=True)
+class Admit:
+    """The request runs as any other."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunAlone:
+    """The request is a suspect: one run at a time, away from other suspects.
+
+    ``avoid`` names the targets that crashed under it. The run is enclosed by
+    ``Quarantine.begin_alone`` and ``Quarantine.end_alone``.
+    """
+
+    avoid: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """The request is refused as not run, until a moment of the elapsed clock."""
+
+    until_s: float
+
+
+Admission = Admit | RunAlone | Refuse
+
+
+@dataclass(frozen=True, slots=True)
+class Quarantined:
+    """A fingerprint in quarantine until a moment of the elapsed clock."""
+
+    service: str
+    fingerprint: str
+    until_s: float
+    crashes: int
+
+
+@dataclass(slots=True)
+class _Suspect:
+    service: str
+    targets: set[str] = field(default_factory=set)
+    crashed_at_s: float = 0.0
+    quarantined_until_s: float = 0.0
+    crashes: int = 0
+    was_quarantined: bool = False
+
+
+class Quarantine:
+    """The suspects and quarantined fingerprints that one daemon knows.
+
+    >>> quarantine = Quarantine()
+    >>> quarantine.record_crash("payouts", "f", "t1", 0.0)
+    >>> quarantine.check("f", 0.1)
+    RunAlone(avoid=frozenset({'t1'}))
+    >>> quarantine.record_crash("payouts", "f", "t2", 0.2)
+    >>> quarantine.check("f", 0.3)
+    Refuse(until_s=30.3)
+    """
+
+    def __init__(self, *, max_fingerprints: int = MAX_FINGERPRINTS) -> None:
+        self._max_fingerprints = max_fingerprints
+        self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
+        self._running: dict[str, str] = {}
+        self._unpublished: list[Quarantined] = []
+
+    def record_crash(
+        self, service: str, fingerprint: str, target: str, now_s: float
+    ) -> None:
+        """Note that a target crashed with the request in flight."""
+        suspect = self._suspect(service, fingerprint, now_s)
+        suspect.targets.add(target)
+        suspect.crashed_at_s = now_s
+        if suspect.was_quarantined:
+            self._quarantine(fingerprint, suspect, now_s)
+
+    def record_peer_crash(
+        self, service: str, fingerprint: str, target: str, now_s: float
+    ) -> None:
+        """Note a crash that another daemon reported; safe to repeat."""
+        known = self._suspects.get(fingerprint)
+        if known and target in known.targets:
+            return
+        self.record_crash(service, fingerprint, target, now_s)
+
+    def record_success(self, fingerprint: str, now_s: float) -> None:
+        """Clear a suspect that a target answered."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or suspect.quarantined_until_s > now_s:
+            return
+        del self._suspects[fingerprint]
+
+    def adopt(self, quarantined: Quarantined, now_s: float) -> None:
+        """Take over a quarantine from a peer or the table; the longer one holds."""
+        if quarantined.until_s <= now_s:
+            return
+        suspect = self._suspect(quarantined.service, quarantined.fingerprint, now_s)
+        suspect.crashes = max(suspect.crashes, quarantined.crashes)
+        suspect.crashed_at_s = now_s
+        suspect.was_quarantined = True
+        suspect.quarantined_until_s = max(
+            suspect.quarantined_until_s, quarantined.until_s
+        )
+        self._explain_away(suspect)
+
+    def check(self, fingerprint: str, now_s: float) -> Admission:
+        """Decide how a request may run; asked before each attempt."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return Admit()
+        if suspect.quarantined_until_s > now_s:
+            return Refuse(suspect.quarantined_until_s)
+        if self._is_forgotten(suspect, now_s):
+            del self._suspects[fingerprint]
+            return Admit()
+        if not suspect.was_quarantined and self._is_culprit(suspect, now_s):
+            self._quarantine(fingerprint, suspect, now_s)
+            return Refuse(suspect.quarantined_until_s)
+        if fingerprint in self._running:
+            return Refuse(now_s + RUNNING_RETRY_S)
+        return RunAlone(frozenset(suspect.targets) | frozenset(self._running.values()))
+
+    def begin_alone(self, fingerprint: str, target: str) -> None:
+        """Note that a suspect is sent to a target."""
+        self._running[fingerprint] = target
+
+    def end_alone(self, fingerprint: str) -> None:
+        """Note that the suspect's run ended, whatever became of it."""
+        self._running.pop(fingerprint, None)
+
+    def take_unpublished(self) -> tuple[Quarantined, ...]:
+        """Return the quarantines decided here since the last call."""
+        taken = tuple(self._unpublished)
+        self._unpublished.clear()
+        return taken
+
+    def _suspect(self, service: str, fingerprint: str, now_s: float) -> _Suspect:
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or self._is_forgotten(suspect, now_s):
+            suspect = _Suspect(service)
+            self._suspects[fingerprint] = suspect
+        self._suspects.move_to_end(fingerprint)
+        while len(self._suspects) > self._max_fingerprints:
+            self._suspects.popitem(last=False)
+        return suspect
+
+    def _is_forgotten(self, suspect: _Suspect, now_s: float) -> bool:
+        lasting_s = SUSPICION_S
+        if suspect.was_quarantined:
+            lasting_s = MAX_QUARANTINE_S
+        last_s = max(suspect.crashed_at_s, suspect.quarantined_until_s)
+        return now_s > last_s + lasting_s
+
+    def _is_culprit(self, suspect: _Suspect, now_s: float) -> bool:
+        crashed = len(suspect.targets)
+        if crashed < CRASHES_UNTIL_QUARANTINE:
+            return False
+        rivals = self._rivals(suspect, now_s)
+        if rivals == 0:
+            return True
+        return crashed >= CRASHES_WHEN_AMBIGUOUS and rivals < MAX_CANDIDATES
+
+    def _rivals(self, suspect: _Suspect, now_s: float) -> int:
+        return sum(
+            1
+            for other in self._suspects.values()
+            if other is not suspect
+            and other.service == suspect.service
+            and len(other.targets) >= len(suspect.targets)
+            and other.quarantined_until_s <= now_s
+            and not self._is_forgotten(other, now_s)
+        )
+
+    def _quarantine(self, fingerprint: str, suspect: _Suspect, now_s: float) -> None:
+        lasting_s = min(QUARANTINE_S * 2**suspect.crashes, MAX_QUARANTINE_S)
+        suspect.crashes += 1
+        suspect.was_quarantined = True
+        suspect.quarantined_until_s = now_s + lasting_s
+        self._explain_away(suspect)
+        self._unpublished.append(
+            Quarantined(
+                suspect.service,
+                fingerprint,
+                suspect.quarantined_until_s,
+                suspect.crashes,
+            )
+        )
+
+    def _explain_away(self, culprit: _Suspect) -> None:
+        # Crashes that have found their cause say nothing about the bystanders.
+        for other in self._suspects.values():
+            if other is not culprit and other.service == culprit.service:
+                other.targets -= culprit.targets
+        culprit.targets.clear()
