--- /dev/null
+++ b/dogwoodhook/metrics.py
@@ -0,0 +1,107 @@
+"""Metrics by OpenTelemetry, exposed in the Prometheus format.
+
+Series are bounded: per service and request class, and per workspace for the
+first ``max_workspace_series`` workspaces; all later ones share ``other``. A
+histogram has ``len(LATENCY_BUCKETS_MS) + 3`` series for each set of attributes.
+"""
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+
+LATENCY_BUCKETS_MS = (1.0, 2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 1000.0, 5000.0)
+OTHER_WORKSPACE = "other"
+
+
+class WorkspaceLabels:
+    """Labels for workspaces, bounded in number.
+
+    >>> labels = WorkspaceLabels(limit=1)
+    >>> labels.label("physics"), labels.label("history"), labels.label("physics")
+    ('physics', 'other', 'physics')
+    """
+
+    def __init__(self, *, limit: int) -> None:
+        self._limit = limit
+        self._known: set[str] = set()
+
+    def label(self, workspace: str) -> str:
+        """Return the workspace's own label, or the shared one."""
+        if workspace in self._known:
+            return workspace
+        if len(self._known) >= self._limit:
+            return OTHER_WORKSPACE
+        self._known.add(workspace)
+        return workspace
+
+
+class Metrics:
+    """The daemon's instruments."""
+
+    def __init__(self, *, daemon: str, max_workspace_series: int) -> None:
+        self._registry = CollectorRegistry()
+        self._labels = WorkspaceLabels(limit=max_workspace_series)
+        reader = PrometheusMetricReader(registry=self._registry)
+        provider = MeterProvider(
+            metric_readers=[reader], resource=Resource({"service.name": daemon})
+        )
+        meter = provider.get_meter("dogwoodhook")
+        self._duration = meter.create_histogram(
+            "dogwoodhook_request_duration",
+            unit="ms",
+            description="time from a request's head to the end of its answer",
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_MS,
+        )
+        self._added = meter.create_histogram(
+            "dogwoodhook_added_latency",
+            unit="ms",
+            description="request duration less the time targets took",
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_MS,
+        )
+        self._workspace_duration = meter.create_histogram(
+            "dogwoodhook_workspace_request_duration",
+            unit="ms",
+            description="request duration by workspace",
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_MS,
+        )
+        self._queueing = meter.create_histogram(
+            "dogwoodhook_queueing",
+            unit="ms",
+            description="time requests waited for a target",
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_MS,
+        )
+        self._requests = meter.create_counter(
+            "dogwoodhook_requests", description="requests by outcome"
+        )
+        self._retries = meter.create_counter(
+            "dogwoodhook_retries", description="attempts after the first"
+        )
+
+    def record_request(
+        self,
+        *,
+        service: str,
+        workspace: str,
+        request_class: str,
+        outcome: str,
+        duration_ms: float,
+        target_ms: float,
+        queueing_ms: float,
+        retries: int,
+    ) -> None:
+        """Record one finished request."""
+        attributes = {"service": service, "class": request_class}
+        self._duration.record(duration_ms, attributes)
+        self._added.record(max(0.0, duration_ms - target_ms), attributes)
+        self._queueing.record(queueing_ms, attributes)
+        self._workspace_duration.record(
+            duration_ms, {"workspace": self._labels.label(workspace)}
+        )
+        self._requests.add(1, {**attributes, "outcome": outcome})
+        if retries:
+            self._retries.add(retries, attributes)
+
+    def exposition(self) -> bytes:
+        """Return all series in the Prometheus text format."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/dogwoodhook/state/admission.py
@@ -0,0 +1,251 @@
+"""Choice of a target for each request of one service, and the queue before it.
+
+A request gets the better of two random targets with headroom, in the daemon's
+own data centre first. Without headroom it waits in its workspace's queue; queues
+are served in turn, so a workspace with many requests does not delay others. A
+suspect target is used when a request would otherwise be refused, or when no
+other target is left.
+
+Example: a dispatcher with one free target grants at once.
+
+    dispatcher = ServiceDispatcher(
+        service, health, data_centre="kigali-1", rng=Random(7)
+    )
+    match dispatcher.submit(Ticket(1, "physics", is_idempotent=True), now_s=0.0):
+        case Granted(target=target):
+            ...
+"""
+
+from collections import Counter, OrderedDict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from dogwoodhook.state.health import ServiceHealth, TargetPhase
+from dogwoodhook.state.limits import TargetLimit
+from dogwoodhook.state.model import Service, Target
+from dogwoodhook.state.outcomes import NotRunReason
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """A request that wants a target; ``tried`` names targets it has been to."""
+
+    number: int
+    workspace: str
+    is_idempotent: bool
+    tried: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """The request may go to the target; end it with ``finish``."""
+
+    ticket: Ticket
+    target: Target
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """The request waits."""
+
+    ticket: Ticket
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The request is refused; it was not run."""
+
+    ticket: Ticket
+    reason: NotRunReason
+
+
+Admission = Granted | Queued | Rejected
+
+
+class ServiceDispatcher:
+    """Targets, limits and queues of one service in one daemon."""
+
+    def __init__(
+        self, service: Service, health: ServiceHealth, *, data_centre: str, rng: Random
+    ) -> None:
+        self.service = service
+        self.health = health
+        self._data_centre = data_centre
+        self._rng = rng
+        self._excluded: frozenset[str] = frozenset()
+        self._limits: dict[str, TargetLimit] = {}
+        self._queues: OrderedDict[str, deque[Ticket]] = OrderedDict()
+        self._in_flight: Counter[str] = Counter()
+        self.reconfigure(service)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests at targets now."""
+        return self._in_flight.total()
+
+    @property
+    def queued(self) -> int:
+        """Requests waiting now."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def reconfigure(self, service: Service) -> None:
+        """Take over a new definition; targets that stay keep their limits."""
+        self.service = service
+        slots = float(service.parameters.slots_per_target)
+        for target in service.targets:
+            limit = self._limits.setdefault(target.name, TargetLimit(slots))
+            limit.max_limit = slots
+        names = {target.name for target in service.targets}
+        for name in list(self._limits):
+            if name not in names and not self._limits[name].in_flight:
+                del self._limits[name]
+        self.health.reconfigure(
+            [target.name for target in service.targets],
+            false_ejection_interval_s=float(
+                service.parameters.false_ejection_interval_s
+            ),
+        )
+
+    def exclude(self, targets: Iterable[str]) -> None:
+        """Set the targets that get no work: ejected, stopping or leaving."""
+        self._excluded = frozenset(targets)
+
+    def in_flight_at(self, target: str) -> int:
+        """Return the requests at one target now."""
+        limit = self._limits.get(target)
+        return limit.in_flight if limit else 0
+
+    def submit(self, ticket: Ticket, *, now_s: float) -> Admission:
+        """Grant a target, queue the request or refuse it."""
+        if not self._has_target():
+            return Rejected(ticket, NotRunReason.NO_TARGET)
+        if not self._queues.get(ticket.workspace):
+            granted = self._try_grant(ticket, now_s=now_s)
+            if granted:
+                return granted
+        queue = self._queues.setdefault(ticket.workspace, deque())
+        if len(queue) >= self.service.parameters.workspace_queue_limit:
+            return self._grant_last_resort(ticket, NotRunReason.QUEUE_FULL, now_s=now_s)
+        queue.append(ticket)
+        return Queued(ticket)
+
+    def expire(self, ticket: Ticket, *, now_s: float) -> Granted | Rejected:
+        """End a wait that took too long."""
+        self.withdraw(ticket)
+        return self._grant_last_resort(ticket, NotRunReason.QUEUE_TIMEOUT, now_s=now_s)
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Remove a waiting request."""
+        queue = self._queues.get(ticket.workspace)
+        if queue is None:
+            return
+        if ticket in queue:
+            queue.remove(ticket)
+        if not queue:
+            del self._queues[ticket.workspace]
+
+    def grant_queued(self, *, now_s: float) -> list[Granted]:
+        """Grant targets to waiting requests, workspaces in turn."""
+        grants = []
+        for workspace in list(self._queues):
+            queue = self._queues[workspace]
+            granted = self._try_grant(queue[0], now_s=now_s)
+            if not granted:
+                continue
+            grants.append(granted)
+            queue.popleft()
+            if queue:
+                self._queues.move_to_end(workspace)
+            else:
+                del self._queues[workspace]
+        return grants
+
+    def finish(self, granted: Granted) -> None:
+        """Give back a target after a request's end."""
+        limit = self._limits.get(granted.target.name)
+        if limit:
+            limit.finish()
+        workspace = granted.ticket.workspace
+        self._in_flight[workspace] -= 1
+        if not self._in_flight[workspace]:
+            del self._in_flight[workspace]
+
+    def record_answer(self, target: str) -> None:
+        """Note that a target ran a request."""
+        if target in self._limits:
+            self._limits[target].record_answer()
+
+    def record_shed(self, target: str, *, now_s: float) -> None:
+        """Note that a target shed a request."""
+        if target in self._limits:
+            self._limits[target].record_shed(now_s=now_s, rng=self._rng)
+
+    def _has_target(self) -> bool:
+        return any(each.name not in self._excluded for each in self.service.targets)
+
+    def _try_grant(self, ticket: Ticket, *, now_s: float) -> Granted | None:
+        limit = self.service.parameters.workspace_in_flight_limit
+        if self._in_flight[ticket.workspace] >= limit:
+            return None
+        usable = [
+            target
+            for target in self.service.targets
+            if self._is_usable(target, ticket, now_s=now_s)
+        ]
+        if not usable and not self._has_unsuspected(ticket, now_s=now_s):
+            usable = self._last_resorts(now_s=now_s)
+        return self._grant_best(ticket, usable, now_s=now_s)
+
+    def _grant_last_resort(
+        self, ticket: Ticket, reason: NotRunReason, *, now_s: float
+    ) -> Granted | Rejected:
+        limit = self.service.parameters.workspace_in_flight_limit
+        if self._in_flight[ticket.workspace] >= limit:
+            return Rejected(ticket, reason)
+        granted = self._grant_best(
+            ticket, self._last_resorts(now_s=now_s), now_s=now_s
+        )
+        return granted or Rejected(ticket, reason)
+
+    def _is_usable(self, target: Target, ticket: Ticket, *, now_s: float) -> bool:
+        if target.name in self._excluded or target.name in ticket.tried:
+            return False
+        if self._limits[target.name].headroom(now_s=now_s) <= 0:
+            return False
+        status = self.health.status(target.name, now_s=now_s)
+        if status.phase is TargetPhase.HEALTHY:
+            return True
+        if status.phase is TargetPhase.PROBING and not ticket.is_idempotent:
+            return False
+        return self._rng.random() < status.weight
+
+    def _has_unsuspected(self, ticket: Ticket, *, now_s: float) -> bool:
+        return any(
+            target.name not in self._excluded
+            and target.name not in ticket.tried
+            and self.health.status(target.name, now_s=now_s).phase
+            is not TargetPhase.SUSPECT
+            for target in self.service.targets
+        )
+
+    def _last_resorts(self, *, now_s: float) -> list[Target]:
+        return [
+            target
+            for target in self.service.targets
+            if target.name not in self._excluded
+            and self._limits[target.name].headroom(now_s=now_s) > 0
+        ]
+
+    def _grant_best(
+        self, ticket: Ticket, usable: list[Target], *, now_s: float
+    ) -> Granted | None:
+        if not usable:
+            return None
+        local = [each for each in usable if each.data_centre == self._data_centre]
+        candidates = local or usable
+        pair = self._rng.sample(candidates, min(2, len(candidates)))
+        best = max(pair, key=lambda each: self._limits[each.name].headroom(now_s=now_s))
+        self._limits[best.name].start()
+        self._in_flight[ticket.workspace] += 1
+        return Granted(ticket, best)
--- /dev/null
+++ b/dogwoodhook/state/limits.py
@@ -0,0 +1,51 @@
+"""Adaptive limits of requests in flight, one for each target and daemon.
+
+Many daemons share a target's few slots without knowing each other's counts. Each
+one adapts its own limit: additive increase while answers come, multiplicative
+decrease on a shed. A limit of one still sheds where daemons outnumber slots, so a
+shed also starts a back-off with jitter, during which the target is not chosen.
+"""
+
+from dataclasses import dataclass
+from random import Random
+
+DECREASE_FACTOR = 0.5
+MIN_LIMIT = 1.0
+MIN_BACKOFF_S = 0.005
+MAX_BACKOFF_S = 0.5
+
+
+@dataclass(slots=True)
+class TargetLimit:
+    """Limit of requests in flight from this daemon to one target."""
+
+    max_limit: float
+    limit: float = MIN_LIMIT
+    in_flight: int = 0
+    backoff_s: float = MIN_BACKOFF_S
+    blocked_until_s: float = 0.0
+
+    def headroom(self, *, now_s: float) -> float:
+        """Return how many more requests may start, as a fraction of the limit."""
+        if now_s < self.blocked_until_s or self.in_flight + 1 > self.limit:
+            return 0.0
+        return (self.limit - self.in_flight) / self.max_limit
+
+    def start(self) -> None:
+        """Count a request."""
+        self.in_flight += 1
+
+    def finish(self) -> None:
+        """Count a request's end, whatever its outcome."""
+        self.in_flight -= 1
+
+    def record_answer(self) -> None:
+        """Widen the limit after an answer."""
+        self.limit = min(self.max_limit, self.limit + 1 / self.limit)
+        self.backoff_s = MIN_BACKOFF_S
+
+    def record_shed(self, *, now_s: float, rng: Random) -> None:
+        """Narrow the limit after a shed, and back off."""
+        self.limit = max(MIN_LIMIT, self.limit * DECREASE_FACTOR)
+        self.blocked_until_s = now_s + rng.uniform(0, self.backoff_s)
+        self.backoff_s = min(MAX_BACKOFF_S, self.backoff_s * 2)
--- a/dogwoodhook/state/outcomes.py
+++ b/dogwoodhook/state/outcomes.py
@@ -30,6 +30,7 @@
     BROKEN_ANSWER = "broken-answer"
     CALLER_BODY_BROKEN = "caller-body-broken"
     KEY_UNSETTLED = "key-unsettled"
+    EARLIER_ATTEMPT = "earlier-attempt"
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/dogwoodhook/transport/answers.py
@@ -0,0 +1,97 @@
+"""Answers to callers: those of targets, streamed, and the daemon's own."""
+
+import asyncio
+
+import aiohttp
+from aiohttp import web
+
+from dogwoodhook.protocol.headers import (
+    OUTCOME_HEADER,
+    TARGET_HEADER,
+    end_to_end_headers,
+    outcome_value,
+)
+from dogwoodhook.state.outcomes import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    UnknownReason,
+)
+
+_STATUS_BY_NOT_RUN_REASON = {
+    NotRunReason.NO_ROUTE: 404,
+    NotRunReason.BAD_REQUEST: 400,
+    NotRunReason.DEADLINE: 504,
+    NotRunReason.KEY_IN_PROGRESS: 409,
+    NotRunReason.KEY_REUSED: 422,
+}
+_DEFAULT_NOT_RUN_STATUS = 503
+_STATUS_BY_UNKNOWN_REASON = {UnknownReason.DEADLINE: 504}
+_DEFAULT_UNKNOWN_STATUS = 502
+
+
+def own_answer(outcome: NotRun | Unknown) -> web.Response:
+    """Return the daemon's own answer for a request without a target's."""
+    match outcome:
+        case NotRun(reason=reason):
+            status = _STATUS_BY_NOT_RUN_REASON.get(reason, _DEFAULT_NOT_RUN_STATUS)
+        case Unknown(reason=unknown_reason):
+            status = _STATUS_BY_UNKNOWN_REASON.get(
+                unknown_reason, _DEFAULT_UNKNOWN_STATUS
+            )
+    value = outcome_value(outcome)
+    return web.Response(
+        status=status, text=f"{value}\n", headers={OUTCOME_HEADER: value}
+    )
+
+
+async def stream_answer(
+    request: web.BaseRequest, source: aiohttp.ClientResponse, *, timeout_s: float
+) -> tuple[web.StreamResponse, Answered | Unknown]:
+    """Pass a target's answer on as it comes.
+
+    An answer that breaks off is broken off to the caller too. A caller that
+    leaves does not end the reading, so the target's work runs to its end; the
+    task is cancelled where that is not wanted.
+    """
+    headers = end_to_end_headers(source.headers)
+    headers.popall(TARGET_HEADER, None)
+    headers[OUTCOME_HEADER] = outcome_value(Answered(source.status))
+    answer = web.StreamResponse(
+        status=source.status, reason=source.reason, headers=headers
+    )
+    is_caller_present = await _prepare(request, answer)
+    try:
+        async with asyncio.timeout(timeout_s):
+            async for chunk in source.content.iter_any():
+                if is_caller_present:
+                    is_caller_present = await _write(answer, chunk)
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        source.close()
+        cut_caller(request)
+        return answer, Unknown(UnknownReason.BROKEN_ANSWER)
+    source.release()
+    return answer, Answered(source.status)
+
+
+def cut_caller(request: web.BaseRequest) -> None:
+    """Break the caller's connection, so that an unfinished answer shows as such."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+async def _prepare(request: web.BaseRequest, answer: web.StreamResponse) -> bool:
+    try:
+        await answer.prepare(request)
+    except ConnectionError:
+        return False
+    return True
+
+
+async def _write(answer: web.StreamResponse, chunk: bytes) -> bool:
+    try:
+        await answer.write(chunk)
+    except ConnectionError:
+        return False
+    return True
--- /dev/null
+++ b/dogwoodhook/transport/bodies.py
@@ -0,0 +1,60 @@
+"""Request bodies: whole where small, streamed where not."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from dogwoodhook.transport.exchange import CallerBodyError
+
+CHUNK_BYTES = 64 * 1024
+
+
+@dataclass(slots=True)
+class RequestBody:
+    """A caller's body.
+
+    ``prelude`` is what was read before a target was chosen. Where ``is_whole``,
+    that is all of it, and the request can be sent again.
+    """
+
+    prelude: bytes
+    is_whole: bool
+    _request: web.BaseRequest = field(repr=False)
+
+    def content(self) -> bytes | AsyncIterator[bytes]:
+        """Return what an attempt sends."""
+        return self.prelude if self.is_whole else self._stream()
+
+    async def _stream(self) -> AsyncIterator[bytes]:
+        yield self.prelude
+        try:
+            async for chunk in self._request.content.iter_chunked(CHUNK_BYTES):
+                yield chunk
+        except Exception as error:
+            raise CallerBodyError("the caller's upload broke off") from error
+
+
+async def read_prelude(request: web.BaseRequest, *, buffer_bytes: int) -> RequestBody:
+    """Read a body up to the replay buffer's size; the rest is left to stream."""
+    if not request.body_exists:
+        return RequestBody(b"", is_whole=True, _request=request)
+    await _answer_expectation(request)
+    parts: list[bytes] = []
+    size = 0
+    while size <= buffer_bytes:
+        chunk = await request.content.read(CHUNK_BYTES)
+        if not chunk:
+            return RequestBody(b"".join(parts), is_whole=True, _request=request)
+        parts.append(chunk)
+        size += len(chunk)
+    return RequestBody(b"".join(parts), is_whole=False, _request=request)
+
+
+async def _answer_expectation(request: web.BaseRequest) -> None:
+    if request.headers.get("Expect", "").lower() != "100-continue":
+        return
+    await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    # The library counts the interim answer as output, which would make it take
+    # the headers of the real answer for already sent.
+    request.writer.output_size = 0
--- /dev/null
+++ b/dogwoodhook/transport/calls.py
@@ -0,0 +1,101 @@
+"""A caller's request on its way through the daemon."""
+
+from dataclasses import dataclass, field
+
+from aiohttp import web
+from expression import Error, Ok, Result
+from multidict import CIMultiDict
+
+from dogwoodhook.protocol.headers import (
+    IDEMPOTENCY_KEY_HEADER,
+    TIMEOUT_HEADER,
+    WORKSPACE_HEADER,
+    end_to_end_headers,
+)
+from dogwoodhook.state.outcomes import NotRun, NotRunReason, Unknown
+from dogwoodhook.state.quarantine import body_digest, fingerprint
+from dogwoodhook.transport.bodies import RequestBody, read_prelude
+from dogwoodhook.transport.services import ServiceRegistry, ServiceRuntime
+
+
+@dataclass(slots=True)
+class Timing:
+    """Where a request's time went."""
+
+    queueing_ms: float = 0.0
+    target_ms: float = 0.0
+    retries: int = 0
+
+
+@dataclass(slots=True)
+class Call:
+    """A request with its service, body and deadline.
+
+    ``deadline_s`` is on the elapsed clock. ``doubt`` is the unknown outcome of an
+    earlier attempt: after it, the request can no longer be reported as not run.
+    """
+
+    request: web.BaseRequest
+    runtime: ServiceRuntime
+    workspace: str
+    headers: CIMultiDict[str]
+    body: RequestBody
+    is_idempotent: bool
+    fingerprint: str
+    idempotency_key: str | None
+    deadline_s: float
+    doubt: Unknown | None = None
+    timing: Timing = field(default_factory=Timing)
+
+    def settled(self, outcome: NotRun | Unknown) -> NotRun | Unknown:
+        """Return the outcome of the call, given that of its last attempt."""
+        if isinstance(outcome, NotRun) and self.doubt is not None:
+            return self.doubt
+        return outcome
+
+
+async def read_call(
+    request: web.BaseRequest, registry: ServiceRegistry, *, now_s: float
+) -> Result[Call, NotRun]:
+    """Match a request to its service and read the start of its body."""
+    match = registry.routes.match(request.host, request.path)
+    runtime = registry.get(match.service) if match else None
+    if match is None or runtime is None:
+        return Error(NotRun(NotRunReason.NO_ROUTE))
+    parameters = runtime.service.parameters
+    timeout_ms = _timeout_ms(request, default_ms=parameters.deadline_ms)
+    if timeout_ms is None:
+        return Error(NotRun(NotRunReason.BAD_REQUEST))
+    body = await read_prelude(request, buffer_bytes=parameters.replay_buffer_bytes)
+    workspace = request.headers.get(WORKSPACE_HEADER) or match.workspace
+    headers = end_to_end_headers(request.headers)
+    headers.popall("Expect", None)
+    headers[WORKSPACE_HEADER] = workspace
+    return Ok(
+        Call(
+            request=request,
+            runtime=runtime,
+            workspace=workspace,
+            headers=headers,
+            body=body,
+            is_idempotent=parameters.is_idempotent(request.method, request.path),
+            fingerprint=fingerprint(
+                service=runtime.service.name,
+                workspace=workspace,
+                method=request.method,
+                path=request.path_qs,
+                digest=body_digest(body.prelude),
+            ),
+            idempotency_key=request.headers.get(IDEMPOTENCY_KEY_HEADER),
+            deadline_s=now_s + timeout_ms / 1000,
+        )
+    )
+
+
+def _timeout_ms(request: web.BaseRequest, *, default_ms: int) -> int | None:
+    text = request.headers.get(TIMEOUT_HEADER)
+    if text is None:
+        return default_ms
+    if not text.isascii() or not text.isdigit():
+        return None
+    return min(int(text), default_ms)
--- /dev/null
+++ b/dogwoodhook/transport/exchange.py
@@ -0,0 +1,132 @@
+"""One attempt of a request at one target.
+
+``open_answer`` sends the request and waits for the answer's head. What it returns
+says whether the request was certainly not run: only where no connection was held,
+so that no byte left, or where the target declares it. Everything else without an
+answer is unknown.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import aiohttp
+from expression import Error, Ok, Result
+from multidict import CIMultiDict
+from yarl import URL
+
+from dogwoodhook.protocol.headers import (
+    TARGET_DRAINING,
+    TARGET_SHED,
+    TARGET_HEADER,
+)
+from dogwoodhook.state.model import Target
+from dogwoodhook.state.outcomes import (
+    FailureKind,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    UnknownReason,
+)
+from dogwoodhook.transport.resend_guard import AttemptTrace
+
+SHED_STATUS = 503
+
+
+class CallerBodyError(Exception):
+    """The caller's upload broke off."""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptRequest:
+    """What is sent to a target; a ``body`` of bytes can be sent again."""
+
+    method: str
+    path: str
+    headers: CIMultiDict[str]
+    body: bytes | AsyncIterator[bytes]
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TargetAnswer:
+    """An answer's head has come; the body is still to be read."""
+
+    response: aiohttp.ClientResponse
+    trace: AttemptTrace
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFailure:
+    """No answer came. ``failure`` is ``None`` where the target is not to blame."""
+
+    outcome: NotRun | Unknown
+    failure: FailureKind | None
+    is_reused: bool = False
+    is_draining: bool = False
+
+
+async def open_answer(
+    session: aiohttp.ClientSession, target: Target, request: AttemptRequest
+) -> Result[TargetAnswer, AttemptFailure]:
+    """Send a request and wait for the head of its answer."""
+    trace = AttemptTrace()
+    url = URL(f"http://{target.host}:{target.port}{request.path}", encoded=True)
+    try:
+        async with asyncio.timeout(request.timeout_s):
+            response = await session.request(
+                request.method,
+                url,
+                headers=request.headers,
+                data=request.body or None,
+                allow_redirects=False,
+                trace_request_ctx=trace,
+            )
+    except TimeoutError:
+        return Error(_timeout_failure(trace))
+    except CallerBodyError:
+        return Error(_caller_failure(trace))
+    except (aiohttp.ClientError, OSError) as error:
+        if isinstance(error.__cause__, CallerBodyError):
+            return Error(_caller_failure(trace))
+        return Error(_connection_failure(trace))
+    declared = _declared_not_run(response)
+    if declared is not None:
+        response.close()
+        return Error(declared)
+    return Ok(TargetAnswer(response, trace))
+
+
+def _declared_not_run(response: aiohttp.ClientResponse) -> AttemptFailure | None:
+    if response.status != SHED_STATUS:
+        return None
+    state = response.headers.get(TARGET_HEADER)
+    if state not in (TARGET_SHED, TARGET_DRAINING):
+        return None
+    return AttemptFailure(
+        NotRun(NotRunReason.TARGET_SHED), None, is_draining=state == TARGET_DRAINING
+    )
+
+
+def _timeout_failure(trace: AttemptTrace) -> AttemptFailure:
+    if not trace.is_connected:
+        return AttemptFailure(
+            NotRun(NotRunReason.CONNECT_FAILED), FailureKind.CONNECT
+        )
+    return AttemptFailure(
+        Unknown(UnknownReason.DEADLINE), FailureKind.DEADLINE, trace.is_reused
+    )
+
+
+def _caller_failure(trace: AttemptTrace) -> AttemptFailure:
+    return AttemptFailure(Unknown(UnknownReason.CALLER_BODY_BROKEN), None)
+
+
+def _connection_failure(trace: AttemptTrace) -> AttemptFailure:
+    if not trace.is_connected:
+        return AttemptFailure(
+            NotRun(NotRunReason.CONNECT_FAILED), FailureKind.CONNECT
+        )
+    return AttemptFailure(
+        Unknown(UnknownReason.CONNECTION_LOST), FailureKind.CRASH, trace.is_reused
+    )
--- /dev/null
+++ b/dogwoodhook/transport/forwarder.py
@@ -0,0 +1,300 @@
+"""Forwards requests to targets: admission, attempts, retries, outcomes.
+
+The forwarder asks the pure decisions in ``state`` at each step and carries them
+out. A request that is not idempotent is followed to its end once it was sent,
+even if its caller has left.
+"""
+
+import asyncio
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from expression import Result
+
+from dogwoodhook.events import ANSWER_CUT, REQUEST_RETRIED, REQUEST_UNKNOWN, log
+from dogwoodhook.protocol.headers import TIMEOUT_HEADER
+from dogwoodhook.state.admission import Granted, Rejected
+from dogwoodhook.state.outcomes import (
+    Answered,
+    Failure,
+    FailureKind,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Success,
+    Unknown,
+    UnknownReason,
+)
+from dogwoodhook.state.quarantine import Admit, Quarantine, Refuse, RunAlone
+from dogwoodhook.state.retries import RETRIED_STATUSES, Retry, decide_retry
+from dogwoodhook.transport.answers import own_answer, stream_answer
+from dogwoodhook.transport.calls import Call
+from dogwoodhook.transport.exchange import (
+    AttemptFailure,
+    AttemptRequest,
+    TargetAnswer,
+    open_answer,
+)
+from dogwoodhook.transport.target_pools import TargetPools
+
+if TYPE_CHECKING:
+    from dogwoodhook.clock import Clock
+
+FIRST_ATTEMPT_SHARE = 0.5
+"""Share of the time left that an attempt gets if it can be repeated."""
+
+BLAME_SHARE = 0.25
+"""Share of the service's deadline below which a timeout is the caller's choice."""
+
+SERVER_ERROR_STATUS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What the caller gets, and the outcome it stands for."""
+
+    answer: web.StreamResponse
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class _Again:
+    """The attempt is to be repeated."""
+
+
+class Forwarder:
+    """Carries calls to targets."""
+
+    def __init__(
+        self, pools: TargetPools, quarantine: Quarantine, clock: "Clock"
+    ) -> None:
+        self._pools = pools
+        self._quarantine = quarantine
+        self._clock = clock
+        self._followed: set[asyncio.Task[Reply]] = set()
+
+    async def forward(self, call: Call) -> Reply:
+        """Return the caller's reply; always exactly one outcome."""
+        call.runtime.budget.record_request(self._clock.now_s())
+        if call.is_idempotent:
+            return await self._run(call)
+        task = asyncio.ensure_future(self._run(call))
+        self._followed.add(task)
+        task.add_done_callback(self._followed.discard)
+        return await asyncio.shield(task)
+
+    async def finish(self) -> None:
+        """Wait for the requests whose callers have left."""
+        if self._followed:
+            await asyncio.wait(self._followed)
+
+    async def _run(self, call: Call) -> Reply:
+        tried: frozenset[str] = frozenset()
+        attempts = 0
+        while True:
+            attempts += 1
+            admission = self._quarantine.check(call.fingerprint, self._clock.now_s())
+            if isinstance(admission, Refuse):
+                return self._own_reply(call, NotRun(NotRunReason.QUARANTINED))
+            avoided = admission.avoid if isinstance(admission, RunAlone) else tried
+            queued_s = self._clock.now_s()
+            async with self._target(call, tried | avoided) as granted:
+                call.timing.queueing_ms += (self._clock.now_s() - queued_s) * 1000
+                if isinstance(granted, Rejected):
+                    return self._own_reply(call, NotRun(granted.reason))
+                reply = await self._attempt(
+                    call, granted, attempts, is_alone=not isinstance(admission, Admit)
+                )
+            if isinstance(reply, Reply):
+                return reply
+            tried |= {granted.target.name}
+            call.timing.retries += 1
+            log(
+                REQUEST_RETRIED,
+                service=call.runtime.service.name,
+                target=granted.target.name,
+            )
+
+    def _target(
+        self, call: Call, tried: frozenset[str]
+    ) -> AbstractAsyncContextManager[Granted | Rejected]:
+        queue_timeout_s = call.runtime.service.parameters.queue_timeout_ms / 1000
+        remaining_s = max(0.0, call.deadline_s - self._clock.now_s())
+        return call.runtime.dispatch.target(
+            call.workspace,
+            is_idempotent=call.is_idempotent,
+            tried=tried,
+            timeout_s=min(queue_timeout_s, remaining_s),
+        )
+
+    async def _attempt(
+        self, call: Call, granted: Granted, attempts: int, *, is_alone: bool
+    ) -> Reply | _Again:
+        now_s = self._clock.now_s()
+        if now_s >= call.deadline_s:
+            return self._own_reply(call, NotRun(NotRunReason.DEADLINE))
+        if is_alone:
+            self._quarantine.begin_alone(call.fingerprint, granted.target.name)
+        try:
+            return await self._exchange(call, granted, attempts, started_s=now_s)
+        finally:
+            call.timing.target_ms += (self._clock.now_s() - now_s) * 1000
+            if is_alone:
+                self._quarantine.end_alone(call.fingerprint)
+
+    async def _exchange(
+        self, call: Call, granted: Granted, attempts: int, *, started_s: float
+    ) -> Reply | _Again:
+        timeout_s = self._attempt_timeout_s(call, started_s)
+        session = self._pools.session(
+            granted.target,
+            may_reuse=call.is_idempotent and attempts == 1,
+            max_connections=call.runtime.service.parameters.connections_per_target,
+        )
+        result = await open_answer(
+            session, granted.target, _attempt_request(call, timeout_s)
+        )
+        match result:
+            case Result(tag="ok", ok=opened):
+                return await self._answer(call, granted, opened, attempts, started_s)
+            case Result(error=failure):
+                return await self._fail(call, granted, failure, attempts, timeout_s)
+
+    def _attempt_timeout_s(self, call: Call, now_s: float) -> float:
+        remaining_s = call.deadline_s - now_s
+        if call.is_idempotent and call.body.is_whole:
+            return remaining_s * FIRST_ATTEMPT_SHARE
+        return remaining_s
+
+    async def _answer(
+        self,
+        call: Call,
+        granted: Granted,
+        opened: TargetAnswer,
+        attempts: int,
+        started_s: float,
+    ) -> Reply | _Again:
+        response = opened.response
+        target = granted.target.name
+        now_s = self._clock.now_s()
+        if response.status >= SERVER_ERROR_STATUS:
+            self._observe_failure(call, target, FailureKind.SERVER_ERROR)
+        else:
+            latency_ms = (now_s - started_s) * 1000
+            call.runtime.health.observe(target, Success(latency_ms), now_s=now_s)
+        call.runtime.dispatch.dispatcher.record_answer(target)
+        answered = Answered(response.status)
+        if response.status in RETRIED_STATUSES and self._may_retry(
+            call, answered, attempts
+        ):
+            response.close()
+            return _Again()
+        answer, outcome = await stream_answer(
+            call.request, response, timeout_s=max(0.0, call.deadline_s - now_s)
+        )
+        if isinstance(outcome, Unknown):
+            self._record_crash(call, target)
+            log(ANSWER_CUT, service=call.runtime.service.name, target=target)
+        else:
+            self._quarantine.record_success(call.fingerprint, self._clock.now_s())
+        return Reply(answer, outcome)
+
+    async def _fail(
+        self,
+        call: Call,
+        granted: Granted,
+        failed: AttemptFailure,
+        attempts: int,
+        timeout_s: float,
+    ) -> Reply | _Again:
+        target = granted.target
+        if failed.is_reused:
+            # The connection may be at fault and not the target: a fresh one tells.
+            await self._pools.close_pool(target)
+        else:
+            self._blame(call, target.name, failed, timeout_s)
+        if failed.outcome == NotRun(NotRunReason.TARGET_SHED):
+            self._record_shed(call, target.name, failed)
+        if self._may_retry(call, failed.outcome, attempts):
+            return _Again()
+        return self._own_reply(call, failed.outcome)
+
+    def _blame(
+        self, call: Call, target: str, failed: AttemptFailure, timeout_s: float
+    ) -> None:
+        if failed.failure is None:
+            return
+        if failed.failure is FailureKind.CRASH:
+            self._record_crash(call, target)
+            return
+        deadline_s = call.runtime.service.parameters.deadline_ms / 1000
+        if (
+            failed.failure is FailureKind.DEADLINE
+            and timeout_s < deadline_s * BLAME_SHARE
+        ):
+            return
+        self._observe_failure(call, target, failed.failure)
+
+    def _record_shed(self, call: Call, target: str, failed: AttemptFailure) -> None:
+        now_s = self._clock.now_s()
+        call.runtime.dispatch.dispatcher.record_shed(target, now_s=now_s)
+        if failed.is_draining:
+            call.runtime.note_draining(target, now_s=now_s)
+
+    def _record_crash(self, call: Call, target: str) -> None:
+        self._observe_failure(call, target, FailureKind.CRASH)
+        self._quarantine.record_crash(
+            call.runtime.service.name, call.fingerprint, target, self._clock.now_s()
+        )
+
+    def _observe_failure(self, call: Call, target: str, kind: FailureKind) -> None:
+        identity = int(call.fingerprint[:16], 16)
+        call.runtime.health.observe(
+            target, Failure(kind, identity), now_s=self._clock.now_s()
+        )
+
+    def _may_retry(self, call: Call, outcome: Outcome, attempts: int) -> bool:
+        now_s = self._clock.now_s()
+        decision = decide_retry(
+            outcome,
+            is_idempotent=call.is_idempotent,
+            is_replayable=call.body.is_whole,
+            has_answer_started=False,
+            remaining_ms=(call.deadline_s - now_s) * 1000,
+            attempts=attempts,
+        )
+        if not isinstance(decision, Retry) or not call.runtime.budget.try_take(now_s):
+            return False
+        match outcome:
+            case Unknown():
+                call.doubt = outcome
+            case Answered():
+                call.doubt = Unknown(UnknownReason.EARLIER_ATTEMPT)
+            case NotRun():
+                pass
+        return True
+
+    def _own_reply(self, call: Call, outcome: NotRun | Unknown) -> Reply:
+        settled = call.settled(outcome)
+        if isinstance(settled, Unknown):
+            log(
+                REQUEST_UNKNOWN,
+                service=call.runtime.service.name,
+                workspace=call.workspace,
+                reason=settled.reason,
+            )
+        return Reply(own_answer(settled), settled)
+
+
+def _attempt_request(call: Call, timeout_s: float) -> AttemptRequest:
+    headers = call.headers.copy()
+    headers[TIMEOUT_HEADER] = str(max(1, int(timeout_s * 1000)))
+    return AttemptRequest(
+        method=call.request.method,
+        path=call.request.path_qs,
+        headers=headers,
+        body=call.body.content(),
+        timeout_s=timeout_s,
+    )
--- /dev/null
+++ b/dogwoodhook/transport/resend_guard.py
@@ -0,0 +1,77 @@
+"""Stops the HTTP client library from sending one request twice.
+
+aiohttp's client resends GET, HEAD, PUT and DELETE by itself when a connection
+breaks before an answer. What may be sent again is the operator's decision, so
+each attempt carries an ``AttemptTrace`` and may take one connection only.
+"""
+
+from dataclasses import dataclass
+from types import SimpleNamespace
+
+import aiohttp
+
+
+class ResendBlockedError(aiohttp.ClientError):
+    """The client library was about to send a request for the second time."""
+
+
+@dataclass(slots=True)
+class AttemptTrace:
+    """What one attempt did with connections.
+
+    ``is_connected`` is true once the attempt holds a connection: from then on
+    bytes of the request may have left. ``is_reused`` tells a pooled connection.
+    """
+
+    connections: int = 0
+    is_connected: bool = False
+    is_reused: bool = False
+
+    def count_connection(self) -> None:
+        """Count a connection; the second one raises ``ResendBlockedError``."""
+        self.connections += 1
+        if self.connections > 1:
+            raise ResendBlockedError("the connection broke before an answer")
+
+
+def make_trace_config() -> aiohttp.TraceConfig:
+    """Return the trace configuration for sessions that talk to targets."""
+    config = aiohttp.TraceConfig()
+    config.on_connection_create_start.append(_on_create_start)
+    config.on_connection_create_end.append(_on_create_end)
+    config.on_connection_reuseconn.append(_on_reuse)
+    return config
+
+
+def _trace_of(context: SimpleNamespace) -> AttemptTrace:
+    trace = context.trace_request_ctx
+    if not isinstance(trace, AttemptTrace):
+        raise TypeError(f"trace_request_ctx is {trace!r}, an AttemptTrace is needed")
+    return trace
+
+
+async def _on_create_start(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    params: aiohttp.TraceConnectionCreateStartParams,
+) -> None:
+    _trace_of(context).count_connection()
+
+
+async def _on_create_end(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    params: aiohttp.TraceConnectionCreateEndParams,
+) -> None:
+    _trace_of(context).is_connected = True
+
+
+async def _on_reuse(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    params: aiohttp.TraceConnectionReuseconnParams,
+) -> None:
+    trace = _trace_of(context)
+    trace.is_connected = True
+    trace.is_reused = True
+    trace.count_connection()
