Judge target health by CUSUMs over pooled outcomes

Cause: daemons had nothing that decides which targets to trust.

`Recovery` holds a suspect, lets a little work through after a good probe, and starts it slowly; holding times double on relapse up to a bound. A request fingerprint that fails on several targets counts once until it succeeds somewhere.

Interfaces: `Success.fingerprint` (default 0) and `TargetEvidence.requests` (default empty) are added. A forwarder that passes fingerprints of successes lets one request that is sent over and over accuse each bad target.

Ruled out: sums kept as one number; counts are kept instead, so that a baseline that moves while evidence comes in applies to all of it.

Conclusion: usable by the forwarder; parameters are to be chosen by measurement.

--- /dev/null
+++ b/dogwoodhook/state/baseline.py
@@ -0,0 +1,134 @@
+"""What is normal for a service: its failing share and its median latency.
+
+The share is taken over the targets that fail least, so a bad target does not
+raise it, and over two windows: a long one for what is usual and a short one for
+trouble that has just struck the whole service.
+"""
+
+import math
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+PRIOR_SHARE = 0.01
+"""Failing share assumed for a service without outcomes."""
+
+PRIOR_OUTCOMES = 100.0
+"""Outcomes of the service that weigh as much as the prior."""
+
+MIN_SHARE = 0.002
+MAX_SHARE = 0.9
+
+LONG_WINDOW_OUTCOMES = 400.0
+"""Outcomes per target after which the long window halves its counts."""
+
+SHORT_WINDOW_OUTCOMES = 30.0
+"""Outcomes per target after which the short window halves its counts."""
+
+SHORT_PRIOR_OUTCOMES = 20.0
+
+DROPPED_SHARE = 1 / 3
+"""Share of the targets, those that fail most, left out of the baseline."""
+
+
+@dataclass(slots=True)
+class _Counts:
+    failures: float = 0.0
+    outcomes: float = 0.0
+
+    def halve(self) -> None:
+        self.failures /= 2
+        self.outcomes /= 2
+
+
+@dataclass(slots=True)
+class _Window:
+    outcomes_per_target: float
+    counts: dict[str, _Counts] = field(default_factory=dict)
+    total: float = 0.0
+
+    def set_targets(self, targets: Iterable[str]) -> None:
+        self.counts = {each: self.counts.get(each, _Counts()) for each in targets}
+        self.total = sum(each.outcomes for each in self.counts.values())
+
+    def record(self, target: str, failures: float, outcomes: float) -> None:
+        counts = self.counts[target]
+        counts.failures += failures
+        counts.outcomes += outcomes
+        self.total += outcomes
+        if self.total > self.outcomes_per_target * len(self.counts):
+            self._halve()
+
+    def _halve(self) -> None:
+        for counts in self.counts.values():
+            counts.halve()
+        self.total /= 2
+
+    def share(self, prior_share: float, prior_outcomes: float) -> float:
+        dropped = math.ceil(len(self.counts) * DROPPED_SHARE)
+        kept = max(1, len(self.counts) - dropped)
+        ordered = sorted(
+            self.counts.values(),
+            key=lambda each: (each.failures + prior_share) / (each.outcomes + 1),
+        )
+        failures = sum(each.failures for each in ordered[:kept])
+        outcomes = sum(each.outcomes for each in ordered[:kept])
+        return (failures + prior_share * prior_outcomes) / (outcomes + prior_outcomes)
+
+
+class ShareBaseline:
+    """The share of a service's outcomes that fail when nothing is wrong."""
+
+    def __init__(self, targets: Sequence[str]) -> None:
+        self._long = _Window(LONG_WINDOW_OUTCOMES)
+        self._short = _Window(SHORT_WINDOW_OUTCOMES)
+        self.set_targets(targets)
+
+    def set_targets(self, targets: Iterable[str]) -> None:
+        """Keep the counts of targets that stay, forget the rest."""
+        names = tuple(targets)
+        self._long.set_targets(names)
+        self._short.set_targets(names)
+
+    def record(self, target: str, *, failures: float, outcomes: float) -> None:
+        """Count outcomes of a target, ``failures`` of them failing."""
+        self._long.record(target, failures, outcomes)
+        self._short.record(target, failures, outcomes)
+
+    def share(self) -> float:
+        """Return the failing share expected of any target at present."""
+        usual = self._long.share(PRIOR_SHARE, PRIOR_OUTCOMES)
+        present = self._short.share(usual, SHORT_PRIOR_OUTCOMES)
+        return min(MAX_SHARE, max(MIN_SHARE, usual, present))
+
+
+class LatencyBaseline:
+    """A running estimate of a service's median latency.
+
+    Each answer moves the estimate by a small factor up or down, so that half of
+    the answers lie above it in the long run and no single one can move it far.
+    """
+
+    SLOW_FACTOR = 3.0
+    SLOW_MARGIN_MS = 5.0
+    FIRST_STEP = 0.5
+    LAST_STEP = 0.01
+
+    def __init__(self) -> None:
+        self.median_ms: float | None = None
+        self._step = self.FIRST_STEP
+
+    def record(self, latency_ms: float) -> None:
+        """Move the estimate towards an answer's latency."""
+        if self.median_ms is None:
+            self.median_ms = max(latency_ms, 0.1)
+            return
+        factor = 1 + self._step
+        self.median_ms *= factor if latency_ms > self.median_ms else 1 / factor
+        self.median_ms = max(self.median_ms, 0.1)
+        self._step = max(self.LAST_STEP, self._step * 0.97)
+
+    def is_slow(self, latency_ms: float) -> bool:
+        """Tell whether an answer took several times the median."""
+        if self.median_ms is None:
+            return False
+        return latency_ms > self.median_ms * self.SLOW_FACTOR + self.SLOW_MARGIN_MS
--- /dev/null
+++ b/dogwoodhook/state/cusum.py
@@ -0,0 +1,93 @@
+"""CUSUM change detection over outcomes that either fail or do not.
+
+A CUSUM adds up log-likelihood ratios of "this target fails more than the rest
+of its service" against "it fails as often as they do" and starts again whenever
+the sum falls to zero. Among detectors with the same rate of false alarms it
+needs the fewest outcomes to notice a change (Page 1954).
+"""
+
+import math
+from dataclasses import dataclass
+
+EXCESS_FAILING_SHARE = 0.2
+"""Share of otherwise good outcomes that the alternative hypothesis takes as failing."""
+
+MIN_THRESHOLD = 6.0
+
+
+@dataclass(frozen=True, slots=True)
+class Likelihoods:
+    """Log-likelihood ratios of one failing and one good outcome.
+
+    >>> ratios = Likelihoods.against(0.01)
+    >>> round(ratios.failure, 2), round(ratios.success, 2)
+    (3.03, -0.22)
+    """
+
+    failure: float
+    success: float
+
+    @classmethod
+    def against(
+        cls, baseline_share: float, *, excess_share: float = EXCESS_FAILING_SHARE
+    ) -> "Likelihoods":
+        """Return the ratios for a service whose outcomes fail at a given share."""
+        failing_share = baseline_share + (1 - baseline_share) * excess_share
+        return cls(
+            failure=math.log(failing_share / baseline_share),
+            success=math.log((1 - failing_share) / (1 - baseline_share)),
+        )
+
+
+@dataclass(slots=True)
+class Cusum:
+    """Outcomes since the sum last stood at zero.
+
+    The counts are kept rather than the sum, so that a baseline that moves while
+    the evidence comes in applies to all of it.
+    """
+
+    failures: float = 0.0
+    successes: float = 0.0
+
+    def add(
+        self, *, failures: float, successes: float, likelihoods: Likelihoods
+    ) -> None:
+        """Add outcomes; successes on a sum of zero leave it there."""
+        self.failures += failures
+        self.successes += successes
+        if self.score(likelihoods) <= 0:
+            self.reset()
+
+    def score(self, likelihoods: Likelihoods) -> float:
+        """Return the sum under the baseline of this moment."""
+        score = (
+            self.failures * likelihoods.failure + self.successes * likelihoods.success
+        )
+        return max(0.0, score)
+
+    def reset(self) -> None:
+        """Start again from zero."""
+        self.failures = 0.0
+        self.successes = 0.0
+
+    @property
+    def is_zero(self) -> bool:
+        """Tell whether no failure stands in the sum."""
+        return self.failures == 0
+
+
+def alarm_threshold(
+    *, outcomes_per_s: float, false_alarm_interval_s: float, detectors: int
+) -> float:
+    """Return the sum at which false alarms come as seldom as accepted.
+
+    The mean number of outcomes between false alarms is at least ``exp`` of the
+    threshold (Lorden 1971).
+
+    >>> round(alarm_threshold(
+    ...     outcomes_per_s=60, false_alarm_interval_s=604800, detectors=2), 1)
+    18.1
+    """
+    outcomes = outcomes_per_s * false_alarm_interval_s * detectors
+    return max(MIN_THRESHOLD, math.log(max(1.0, outcomes)))
--- /dev/null
+++ b/dogwoodhook/state/failed_requests.py
@@ -0,0 +1,63 @@
+"""Tells failures of a request apart from failures of a target.
+
+A request that fails wherever it runs, for example one that crashes its target,
+says nothing about those targets. Its failures count against the first target
+only, until it succeeds somewhere.
+"""
+
+from dataclasses import dataclass
+
+MEMORY_S = 60.0
+MAX_REQUESTS = 1024
+
+
+@dataclass(slots=True)
+class _FailedRequest:
+    first_target: str
+    seen_at_s: float
+    has_spread: bool = False
+    has_succeeded: bool = False
+
+
+class FailedRequests:
+    """Request fingerprints that failed lately, bounded in number and age.
+
+    >>> requests = FailedRequests()
+    >>> requests.accuses(7, "target-a", now_s=0.0)
+    True
+    >>> requests.accuses(7, "target-b", now_s=1.0)
+    False
+    """
+
+    def __init__(self) -> None:
+        self._requests: dict[int, _FailedRequest] = {}
+
+    def accuses(self, fingerprint: int, target: str, *, now_s: float) -> bool:
+        """Note a failure; tell whether it speaks against its target."""
+        request = self._find(fingerprint, now_s)
+        if request is None:
+            self._add(fingerprint, target, now_s)
+            return True
+        if request.has_succeeded:
+            return True
+        if target != request.first_target:
+            request.has_spread = True
+        return not request.has_spread
+
+    def observe_success(self, fingerprint: int) -> None:
+        """Note that the request succeeded somewhere."""
+        request = self._requests.get(fingerprint)
+        if request is not None:
+            request.has_succeeded = True
+
+    def _find(self, fingerprint: int, now_s: float) -> _FailedRequest | None:
+        request = self._requests.get(fingerprint)
+        if request is None or now_s - request.seen_at_s <= MEMORY_S:
+            return request
+        del self._requests[fingerprint]
+        return None
+
+    def _add(self, fingerprint: int, target: str, now_s: float) -> None:
+        if len(self._requests) >= MAX_REQUESTS:
+            del self._requests[next(iter(self._requests))]
+        self._requests[fingerprint] = _FailedRequest(target, now_s)
--- /dev/null
+++ b/dogwoodhook/state/outcome_rate.py
@@ -0,0 +1,29 @@
+"""A running estimate of how many outcomes a service sees."""
+
+WINDOW_S = 60.0
+PRIOR_OUTCOMES_PER_S = 1.0
+
+
+class OutcomeRate:
+    """Outcomes per second, averaged over the last few minutes."""
+
+    def __init__(self) -> None:
+        self._outcomes_per_s = PRIOR_OUTCOMES_PER_S
+        self._count = 0
+        self._started_at_s: float | None = None
+
+    def record(self, now_s: float) -> None:
+        """Count one outcome."""
+        if self._started_at_s is None:
+            self._started_at_s = now_s
+        self._count += 1
+        elapsed_s = now_s - self._started_at_s
+        if elapsed_s < WINDOW_S:
+            return
+        self._outcomes_per_s = (self._outcomes_per_s + self._count / elapsed_s) / 2
+        self._count = 0
+        self._started_at_s = now_s
+
+    def outcomes_per_s(self) -> float:
+        """Return the present estimate."""
+        return self._outcomes_per_s
--- a/dogwoodhook/state/outcomes.py
+++ b/dogwoodhook/state/outcomes.py
@@ -69,9 +69,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Success:
-    """A target answered."""
+    """A target answered.
+
+    A ``fingerprint``, where known, proves that the request does not fail
+    everywhere, so its failures elsewhere speak against those targets.
+    """
 
     latency_ms: float
+    fingerprint: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,10 +99,12 @@
     """One daemon's outcomes with a target since it last told them.
 
     ``failures`` counts by kind. Ordering inside the interval
-    is lost; intervals are short.
+    is lost; intervals are short. ``requests`` names the request behind those
+    failures whose fingerprint is known; each of them is in ``failures`` too.
     """
 
     service: str
     target: str
     successes: int
     failures: tuple[tuple[FailureKind, int], ...]
+    requests: tuple[tuple[FailureKind, int], ...] = ()
--- /dev/null
+++ b/dogwoodhook/state/recovery.py
@@ -0,0 +1,169 @@
+"""How a suspected target gets its work back.
+
+A suspect is held for a while, then answers a probe, then proves itself on a
+small share of idempotent requests, then takes work again over a slow start. The
+holding time doubles with each relapse up to a bound, so that a target that
+flaps costs little. A good probe alone clears nothing.
+"""
+
+import random
+from enum import StrEnum
+
+from transitions import Machine
+
+FIRST_HOLDING_TIME_S = 5.0
+MAX_HOLDING_TIME_S = 600.0
+MAX_PROBE_INTERVAL_S = 30.0
+HOLDING_TIME_JITTER = 0.2
+RELAPSE_MEMORY_S = 1800.0
+"""Time a target must stay healthy before its holding time starts anew."""
+
+SLOW_START_S = 30.0
+PROBING_WEIGHT = 0.05
+SLOW_START_FIRST_WEIGHT = 0.1
+
+CLEARING_SCORE = 4.0
+RELAPSE_SCORE = -4.0
+
+
+class TargetPhase(StrEnum):
+    """Phase of a target, as one daemon sees it."""
+
+    HEALTHY = "healthy"
+    SUSPECT = "suspect"
+    PROBING = "probing"
+    SLOW_START = "slow-start"
+
+
+class Recovery:
+    """The phases of one target from its first suspicion on."""
+
+    phase: TargetPhase
+
+    def __init__(self, random_source: random.Random) -> None:
+        self.since_s = 0.0
+        self.relapses = 0
+        self.probe_failures = 0
+        self.work_score = 0.0
+        self.held_until_s = 0.0
+        self._healthy_since_s: float | None = None
+        self._random = random_source
+        _MACHINE.add_model(self, initial=TargetPhase.HEALTHY)
+
+    def suspect(self, now_s: float) -> None:
+        """Stop giving the target work; a relapse doubles the holding time."""
+        self._count_relapse(now_s)
+        _MACHINE.events["fail"].trigger(self)
+        self.since_s = now_s
+        self.probe_failures = 0
+        self.held_until_s = now_s + self.holding_time_s() * self._jitter()
+
+    def observe_probe(self, *, is_successful: bool, now_s: float) -> bool:
+        """Take a probe's result; tell whether the phase changed."""
+        if self.phase is not TargetPhase.SUSPECT:
+            return False
+        if is_successful and now_s >= self.held_until_s:
+            _MACHINE.events["admit"].trigger(self)
+            self.since_s = now_s
+            self.work_score = 0.0
+            return True
+        if not is_successful:
+            self.held_until_s = now_s + self._probe_interval_s() * self._jitter()
+            self.probe_failures += 1
+        return False
+
+    def observe_work(self, score: float, *, now_s: float) -> bool:
+        """Take evidence from work, positive for health; tell of a phase change."""
+        if self.phase is not TargetPhase.PROBING:
+            return False
+        self.work_score += score
+        if self.work_score <= RELAPSE_SCORE:
+            self.suspect(now_s)
+            return True
+        if self.work_score < CLEARING_SCORE:
+            return False
+        _MACHINE.events["clear"].trigger(self)
+        self.since_s = now_s
+        return True
+
+    def advance(self, now_s: float) -> bool:
+        """End a slow start whose time is over; tell whether it did."""
+        if self.phase is not TargetPhase.SLOW_START:
+            return False
+        if now_s - self.since_s < SLOW_START_S:
+            return False
+        _MACHINE.events["finish"].trigger(self)
+        self.since_s = now_s
+        self._healthy_since_s = now_s
+        return True
+
+    def holding_time_s(self) -> float:
+        """Return the holding time that the relapses so far call for."""
+        doublings = min(self.relapses, 32)
+        return min(MAX_HOLDING_TIME_S, FIRST_HOLDING_TIME_S * 2.0**doublings)
+
+    def wants_probe(self, now_s: float) -> bool:
+        """Tell whether the holding time is over and no probe has succeeded yet."""
+        return self.phase is TargetPhase.SUSPECT and now_s >= self.held_until_s
+
+    def weight(self, now_s: float) -> float:
+        """Return the share of a healthy target's work that this one may take."""
+        match self.phase:
+            case TargetPhase.HEALTHY:
+                return 1.0
+            case TargetPhase.SUSPECT:
+                return 0.0
+            case TargetPhase.PROBING:
+                return PROBING_WEIGHT
+            case TargetPhase.SLOW_START:
+                elapsed_share = min(1.0, (now_s - self.since_s) / SLOW_START_S)
+                return max(SLOW_START_FIRST_WEIGHT, elapsed_share)
+
+    def _count_relapse(self, now_s: float) -> None:
+        match self.phase:
+            case TargetPhase.PROBING | TargetPhase.SLOW_START:
+                self.relapses += 1
+            case TargetPhase.HEALTHY if self._is_remembered(now_s):
+                self.relapses += 1
+            case TargetPhase.HEALTHY:
+                self.relapses = 0
+
+    def _is_remembered(self, now_s: float) -> bool:
+        if self._healthy_since_s is None:
+            return False
+        memory_s = max(RELAPSE_MEMORY_S, 2 * self.holding_time_s())
+        return now_s - self._healthy_since_s < memory_s
+
+    def _probe_interval_s(self) -> float:
+        doublings = min(self.probe_failures, 32)
+        return min(MAX_PROBE_INTERVAL_S, FIRST_HOLDING_TIME_S * 2.0**doublings)
+
+    def _jitter(self) -> float:
+        return 1 + self._random.uniform(0, HOLDING_TIME_JITTER)
+
+
+_MACHINE = Machine(
+    model=None,
+    states=TargetPhase,
+    initial=TargetPhase.HEALTHY,
+    model_attribute="phase",
+    auto_transitions=False,
+    transitions=[
+        {"trigger": "fail", "source": "*", "dest": TargetPhase.SUSPECT},
+        {
+            "trigger": "admit",
+            "source": TargetPhase.SUSPECT,
+            "dest": TargetPhase.PROBING,
+        },
+        {
+            "trigger": "clear",
+            "source": TargetPhase.PROBING,
+            "dest": TargetPhase.SLOW_START,
+        },
+        {
+            "trigger": "finish",
+            "source": TargetPhase.SLOW_START,
+            "dest": TargetPhase.HEALTHY,
+        },
+    ],
+)
--- /dev/null
+++ b/dogwoodhook/state/target_evidence.py
@@ -0,0 +1,132 @@
+"""The evidence that one daemon holds about one target.
+
+Two views are kept apart: the daemon's own outcomes, which catch a target that
+only this daemon cannot reach, and those of all daemons together, which catch a
+target much sooner than any single daemon could.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from dogwoodhook.state.cusum import Cusum, Likelihoods
+from dogwoodhook.state.outcomes import FailureKind, TargetEvidence
+
+ERROR_KINDS = (
+    FailureKind.CONNECT,
+    FailureKind.CRASH,
+    FailureKind.SERVER_ERROR,
+    FailureKind.DEADLINE,
+)
+"""Kinds that count as an error; ``SLOW`` has a sum of its own."""
+
+SELF = ""
+"""Name under which a daemon's own failures are kept among the accusers."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceLikelihoods:
+    """Likelihood ratios for errors and for slow answers."""
+
+    errors: Likelihoods
+    slowness: Likelihoods
+
+
+@dataclass(slots=True)
+class OutcomeCounts:
+    """Outcomes of one interval; a slow answer is a success as to errors."""
+
+    successes: int = 0
+    slow: int = 0
+    errors: int = 0
+
+    @property
+    def answers(self) -> int:
+        """Return the number of answers, slow or not."""
+        return self.successes + self.slow
+
+
+@dataclass(slots=True)
+class View:
+    """The sums over one set of outcomes."""
+
+    errors: Cusum = field(default_factory=Cusum)
+    slowness: Cusum = field(default_factory=Cusum)
+
+    def add(self, counts: OutcomeCounts, likelihoods: ServiceLikelihoods) -> None:
+        """Add outcomes to both sums."""
+        self.errors.add(
+            failures=counts.errors,
+            successes=counts.answers,
+            likelihoods=likelihoods.errors,
+        )
+        self.slowness.add(
+            failures=counts.slow,
+            successes=counts.successes,
+            likelihoods=likelihoods.slowness,
+        )
+
+    def score(self, likelihoods: ServiceLikelihoods) -> float:
+        """Return the larger of the two sums."""
+        return max(
+            self.errors.score(likelihoods.errors),
+            self.slowness.score(likelihoods.slowness),
+        )
+
+    @property
+    def is_zero(self) -> bool:
+        """Tell whether no failure stands in either sum."""
+        return self.errors.is_zero and self.slowness.is_zero
+
+    def reset(self) -> None:
+        """Start both sums again from zero."""
+        self.errors.reset()
+        self.slowness.reset()
+
+
+@dataclass(slots=True)
+class Untold:
+    """Own outcomes that peers have not been told."""
+
+    successes: int = 0
+    failures: Counter[FailureKind] = field(default_factory=Counter)
+    requests: list[tuple[FailureKind, int]] = field(default_factory=list)
+
+    def take(self, service: str, target: str) -> TargetEvidence | None:
+        """Return the outcomes as a message and forget them."""
+        if not self.successes and not self.failures:
+            return None
+        evidence = TargetEvidence(
+            service=service,
+            target=target,
+            successes=self.successes,
+            failures=tuple(sorted(self.failures.items())),
+            requests=tuple(self.requests),
+        )
+        self.successes = 0
+        self.failures = Counter()
+        self.requests = []
+        return evidence
+
+
+@dataclass(slots=True)
+class TargetRecord:
+    """All evidence about one target."""
+
+    own: View = field(default_factory=View)
+    pooled: View = field(default_factory=View)
+    untold: Untold = field(default_factory=Untold)
+    accusers: set[str] = field(default_factory=set)
+    endpoint_score: float = 0.0
+
+    def views(self) -> Iterator[View]:
+        """Yield the own and the pooled view."""
+        yield self.own
+        yield self.pooled
+
+    def reset(self) -> None:
+        """Forget the evidence, but for what peers must still be told."""
+        self.own.reset()
+        self.pooled.reset()
+        self.accusers.clear()
+        self.endpoint_score = 0.0
