--- a/dogwoodhook/testing/memory_platform.py
+++ b/dogwoodhook/testing/memory_platform.py
@@ -60,7 +60,8 @@
 
     ``is_down`` refuses every call. ``lost_answers`` counts commits still to be
     applied with their answer lost; ``lost_requests`` counts commits still to be
-    dropped before they take effect.
+    dropped before they take effect; ``forced_conflicts`` counts commits still to
+    be refused as conflicts. ``refuses_objects`` takes the object store alone down.
     """
 
     table: MemoryTable = field(default_factory=MemoryTable)
@@ -69,6 +70,8 @@
     is_down: bool = False
     lost_answers: int = 0
     lost_requests: int = 0
+    forced_conflicts: int = 0
+    refuses_objects: bool = False
 
     async def read(
         self, keys: Sequence[str]
@@ -93,6 +96,9 @@
         if self.lost_requests > 0:
             self.lost_requests -= 1
             return Error(OutcomeUnknown("no answer"))
+        if self.forced_conflicts > 0 and transaction.conditions:
+            self.forced_conflicts -= 1
+            return Error(Conflict(transaction.conditions[0].key))
         result = self.table.commit(transaction)
         if self.lost_answers > 0:
             self.lost_answers -= 1
@@ -101,13 +107,13 @@
 
     async def get_object(self, name: str) -> Result[bytes | None, Unavailable]:
         """Read an object."""
-        if self.is_down:
+        if self.is_down or self.refuses_objects:
             return Error(Unavailable("the object store is down"))
         return Ok(self.objects.get(name))
 
     async def put_object(self, name: str, body: bytes) -> Result[None, Unavailable]:
         """Store an object."""
-        if self.is_down:
+        if self.is_down or self.refuses_objects:
             return Error(Unavailable("the object store is down"))
         self.objects[name] = body
         return Ok(None)
