Claim idempotency keys through the table

Cause: a keyed request re-sent through any daemon must not run a second time, whatever the table's answers do.

ClaimPhase gets WITHDRAWN: a withdrawn claim leaves a row, so that a delayed commit of it meets a broken condition.

Ruled out: taking over a claim in progress after a lease. The claimant's request may be running or on its way, which no observer can exclude; such a claim becomes unknown instead. Ruled out: deleting withdrawn claims, since a delayed commit conditional on absence would bring the claim back.

--- a/dogwoodhook/coordination/rows.py
+++ b/dogwoodhook/coordination/rows.py
@@ -71,11 +71,16 @@
 
 
 class ClaimPhase(StrEnum):
-    """Phase of an idempotency key."""
+    """Phase of an idempotency key.
+
+    A withdrawn key was certainly not run and may be claimed again. Its row stays,
+    so that a delayed commit of the withdrawn claim finds its condition broken.
+    """
 
     IN_PROGRESS = "in-progress"
     SETTLED = "settled"
     UNKNOWN = "unknown"
+    WITHDRAWN = "withdrawn"
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,8 +96,9 @@
 class ClaimRow:
     """An idempotency key, claimed before the request is sent.
 
-    ``fingerprint`` is the digest of the request that claimed the key.
-    ``answer`` is ``None`` where the answer was too large to keep.
+    ``claimant`` is unique to the claim, not only to the daemon. ``fingerprint``
+    is the digest of the request that claimed the key. ``answer`` is ``None``
+    where the answer was too large to keep.
     """
 
     claimant: str
--- a/dogwoodhook/state/quarantine.py
+++ b/dogwoodhook/state/quarantine.py
@@ -176,7 +176,8 @@
             return Admit()
         if suspect.quarantined_until_s > now_s:
             return Refuse(suspect.quarantined_until_s)
-        if self._is_forgotten(suspect, now_s):
+        is_explained = not suspect.targets and not suspect.was_quarantined
+        if is_explained or self._is_forgotten(suspect, now_s):
             del self._suspects[fingerprint]
             return Admit()
         if not suspect.was_quarantined and self._is_culprit(suspect, now_s):
