--- /dev/null
+++ b/dogwoodhook/control.py
@@ -0,0 +1,330 @@
+"""The daemon's background work: what it learns, and what it tells.
+
+Each loop is one task with one interval. A loop that raises is logged and goes on
+at its next interval, so a fault in one does not end the others.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from expression import Result
+
+from dogwoodhook.clock import Clock
+from dogwoodhook.coordination.claims import ClaimBook
+from dogwoodhook.coordination.configuration import ConfigurationStore
+from dogwoodhook.coordination.ejection import EjectionBoard, EjectionProposal
+from dogwoodhook.coordination.membership import HEARTBEAT_INTERVAL_S, Membership
+from dogwoodhook.coordination.messages import (
+    ConfigurationNews,
+    ConfigurationRequest,
+    CrashNews,
+    EvidenceReport,
+    Heartbeat,
+    Message,
+    QuarantineNews,
+)
+from dogwoodhook.coordination.platform import Platform
+from dogwoodhook.events import TARGET_CLEARED, TARGET_SUSPECTED, TASK_FAILED, log
+from dogwoodhook.readiness import Readiness, ReadinessFacts
+from dogwoodhook.state.health import TargetPhase, is_self_doubting
+from dogwoodhook.state.model import PlannedStop
+from dogwoodhook.state.stops import stopping_targets
+from dogwoodhook.transport.peers import PeerHub
+from dogwoodhook.transport.probes import Prober
+from dogwoodhook.transport.services import ServiceRegistry, ServiceRuntime
+
+CONFIGURATION_INTERVAL_S = 1.0
+VM_LIST_INTERVAL_S = 1.0
+EJECTION_INTERVAL_S = 1.0
+EXCLUSION_INTERVAL_S = 0.25
+EVIDENCE_INTERVAL_S = 0.15
+PROBE_INTERVAL_S = 0.5
+CLAIM_INTERVAL_S = 5.0
+MIN_ACCUSERS = 2
+
+
+@dataclass(slots=True)
+class Fleet:
+    """The parts that the control loops work on."""
+
+    daemon: str
+    clock: Clock
+    platform: Platform
+    store: ConfigurationStore
+    board: EjectionBoard
+    membership: Membership
+    claims: ClaimBook
+    registry: ServiceRegistry
+    hub: PeerHub
+    prober: Prober
+    readiness: Readiness
+
+
+class Control:
+    """Runs the loops and receives peers' messages."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._tasks: list[asyncio.Task[None]] = []
+        self._evidence_sequence = 0
+        self._heard_sequences: dict[str, int] = {}
+        self._version_in_force = 0
+
+    def start(self) -> None:
+        """Start every loop."""
+        loops: list[tuple[str, float, Callable[[], Awaitable[None]]]] = [
+            ("configuration", CONFIGURATION_INTERVAL_S, self.refresh_configuration),
+            ("vm-list", VM_LIST_INTERVAL_S, self.refresh_vms),
+            ("ejection", EJECTION_INTERVAL_S, self.refresh_ejections),
+            ("exclusion", EXCLUSION_INTERVAL_S, self.apply_exclusions),
+            ("evidence", EVIDENCE_INTERVAL_S, self.tell_evidence),
+            ("heartbeat", HEARTBEAT_INTERVAL_S, self.tell_heartbeat),
+            ("probe", PROBE_INTERVAL_S, self.probe_suspects),
+            ("claims", CLAIM_INTERVAL_S, self._fleet.claims.maintain),
+        ]
+        for name, interval_s, step in loops:
+            self._tasks.append(asyncio.create_task(_repeat(name, interval_s, step)))
+
+    async def stop(self) -> None:
+        """End every loop."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def refresh_configuration(self) -> None:
+        """Read the head, and put a higher version in force."""
+        before = self._fleet.store.current.version
+        await self._fleet.store.refresh()
+        self._put_in_force()
+        news = self._fleet.store.changes_after(before)
+        if before and news is not None and news.changes:
+            self._fleet.hub.broadcast(news)
+        self.update_readiness()
+
+    async def refresh_vms(self) -> None:
+        """Read the VM list, and dial the daemons on it."""
+        match await self._fleet.platform.list_vms():
+            case Result(tag="ok", ok=vms):
+                self._fleet.membership.replace_vms(vms)
+                self._fleet.hub.replace_peers(self._fleet.membership.peer_addresses())
+
+    async def refresh_ejections(self) -> None:
+        """Confirm the ejection rows, and propose ejections and releases."""
+        runtimes = list(self._fleet.registry)
+        await self._fleet.board.refresh([each.service.name for each in runtimes])
+        for runtime in runtimes:
+            await self._maintain_ejections(runtime)
+        await self.apply_exclusions()
+
+    async def apply_exclusions(self) -> None:
+        """Keep work from ejected, stopping and leaving targets."""
+        for runtime in self._fleet.registry:
+            excluded = self.exclusions(runtime)
+            runtime.exclude(excluded, now_s=self._fleet.clock.now_s())
+
+    def exclusions(self, runtime: ServiceRuntime) -> dict[str, str]:
+        """Return the excluded targets of a service, each with the reason."""
+        service = runtime.service
+        stops = self._stops(runtime)
+        leaving = self.leaving(runtime)
+        reasons: dict[str, str] = {}
+        ejected = self._fleet.board.excluded(service, stops, leaving=leaving)
+        stopping = stopping_targets(
+            service, stops, wall_s=self._fleet.clock.wall_s()
+        )
+        for name in ejected:
+            reasons[name] = "ejected"
+        for name in leaving:
+            reasons[name] = "leaving"
+        for name in stopping:
+            reasons[name] = "planned stop"
+        return reasons
+
+    def leaving(self, runtime: ServiceRuntime) -> frozenset[str]:
+        """Return the targets that leave, by the VM list or their own answers."""
+        addresses = self._fleet.membership.leaving_addresses()
+        listed = frozenset(
+            target.name
+            for target in runtime.service.targets
+            if f"{target.host}:{target.port}" in addresses
+        )
+        return listed | runtime.draining(now_s=self._fleet.clock.now_s())
+
+    async def tell_evidence(self) -> None:
+        """Tell peers of outcomes that bear on suspicions, and log changes."""
+        entries = []
+        for runtime in self._fleet.registry:
+            entries += runtime.health.take_evidence()
+            _log_transitions(runtime)
+        if entries:
+            self._evidence_sequence += 1
+            self._fleet.hub.broadcast(
+                EvidenceReport(
+                    self._fleet.daemon, self._evidence_sequence, tuple(entries)
+                )
+            )
+
+    async def tell_heartbeat(self) -> None:
+        """Tell peers this daemon's version and readiness."""
+        age_s = self._fleet.store.head_age_s(self._fleet.clock.now_s())
+        self._fleet.hub.broadcast(
+            Heartbeat(
+                daemon=self._fleet.daemon,
+                configuration_version=self._fleet.store.current.version,
+                head_age_ms=None if age_s is None else int(age_s * 1000),
+                is_ready=self._fleet.readiness.is_ready,
+            )
+        )
+        self.update_readiness()
+
+    async def probe_suspects(self) -> None:
+        """Probe the suspects whose holding time is over."""
+        now_s = self._fleet.clock.now_s()
+        probes = [
+            self._probe(runtime, target.name)
+            for runtime in self._fleet.registry
+            for target in runtime.service.targets
+            if runtime.health.wants_probe(target.name, now_s=now_s)
+        ]
+        await asyncio.gather(*probes)
+
+    def update_readiness(self) -> None:
+        """Decide anew whether the balancer should send requests."""
+        fleet = self._fleet
+        now_s = fleet.clock.now_s()
+        peers = fleet.membership.live_peers(now_s=now_s)
+        fleet.readiness.update(
+            ReadinessFacts(
+                version=fleet.store.current.version,
+                highest_peer_version=fleet.membership.highest_version(now_s=now_s),
+                has_started_from_live_source=fleet.store.has_live_source,
+                is_head_confirmed=fleet.store.is_confirmed(now_s),
+                has_peer_confirmed=any(
+                    peer.head_age_ms is not None
+                    and peer.head_age_ms < CONFIRMED_PEER_AGE_MS
+                    for peer in peers
+                ),
+                is_self_doubting=is_self_doubting(
+                    [runtime.health for runtime in fleet.registry], now_s=now_s
+                ),
+            )
+        )
+
+    async def receive(self, peer: str, message: Message) -> None:
+        """Take in a peer's message."""
+        match message:
+            case Heartbeat():
+                self._receive_heartbeat(peer, message)
+            case ConfigurationNews():
+                if self._fleet.store.adopt_news(message):
+                    self._put_in_force()
+                    self._fleet.hub.broadcast(message)
+            case ConfigurationRequest(after_version=version):
+                news = self._fleet.store.changes_after(version)
+                if news is not None and news.changes:
+                    self._fleet.hub.send(peer, news)
+            case EvidenceReport():
+                self._receive_evidence(message)
+            case QuarantineNews() | CrashNews():
+                pass
+
+    def _receive_heartbeat(self, peer: str, heartbeat: Heartbeat) -> None:
+        now_s = self._fleet.clock.now_s()
+        self._fleet.membership.record_heartbeat(heartbeat, now_s=now_s)
+        version = self._fleet.store.current.version
+        if heartbeat.configuration_version > version:
+            self._fleet.hub.send(peer, ConfigurationRequest(after_version=version))
+
+    def _receive_evidence(self, report: EvidenceReport) -> None:
+        if report.sequence <= self._heard_sequences.get(report.daemon, 0):
+            return
+        self._heard_sequences[report.daemon] = report.sequence
+        now_s = self._fleet.clock.now_s()
+        for entry in report.entries:
+            runtime = self._fleet.registry.get(entry.service)
+            if runtime is not None:
+                runtime.health.absorb(entry, reporter=report.daemon, now_s=now_s)
+
+    def _put_in_force(self) -> None:
+        configuration = self._fleet.store.current
+        if configuration.version == self._version_in_force:
+            return
+        self._version_in_force = configuration.version
+        self._fleet.registry.reconfigure(configuration)
+
+    def _stops(self, runtime: ServiceRuntime) -> tuple[PlannedStop, ...]:
+        return self._fleet.store.current.stops(runtime.service.name)
+
+    async def _maintain_ejections(self, runtime: ServiceRuntime) -> None:
+        now_s = self._fleet.clock.now_s()
+        service = runtime.service
+        version = self._fleet.store.current.version
+        stops = self._stops(runtime)
+        leaving = self.leaving(runtime)
+        await self._fleet.board.maintain(
+            service, stops, leaving=leaving, configuration_version=version
+        )
+        ejected = {entry.target for entry in self._fleet.board.entries(service.name)}
+        suspects = {
+            status.target: status
+            for status in runtime.health.statuses(now_s=now_s)
+            if status.phase is TargetPhase.SUSPECT
+        }
+        for name in ejected - suspects.keys():
+            await self._fleet.board.release(
+                service, name, configuration_version=version
+            )
+        if is_self_doubting([each.health for each in self._fleet.registry], now_s=now_s):
+            return
+        for status in suspects.values():
+            if status.target in ejected or status.accusers < MIN_ACCUSERS:
+                continue
+            await self._fleet.board.propose(
+                EjectionProposal(
+                    service=service,
+                    target=status.target,
+                    reason=status.reason,
+                    stops=stops,
+                    leaving=leaving,
+                    unserving=frozenset(suspects) - {status.target},
+                    configuration_version=version,
+                )
+            )
+
+    async def _probe(self, runtime: ServiceRuntime, name: str) -> None:
+        target = runtime.service.target(name)
+        if target is None:
+            return
+        is_successful = await self._fleet.prober.probe(target)
+        runtime.health.observe_probe(
+            name, is_successful=is_successful, now_s=self._fleet.clock.now_s()
+        )
+
+
+CONFIRMED_PEER_AGE_MS = 5_000
+
+
+async def _repeat(
+    name: str, interval_s: float, step: Callable[[], Awaitable[None]]
+) -> None:
+    while True:
+        try:
+            await step()
+        except Exception as error:
+            log(TASK_FAILED, task=name, error=repr(error))
+        await asyncio.sleep(interval_s)
+
+
+def _log_transitions(runtime: ServiceRuntime) -> None:
+    for status in runtime.health.take_transitions():
+        if status.phase is TargetPhase.SUSPECT:
+            log(
+                TARGET_SUSPECTED,
+                service=runtime.service.name,
+                target=status.target,
+                score=f"{status.score:.1f}",
+                reason=status.reason,
+            )
+        elif status.phase is TargetPhase.HEALTHY:
+            log(TARGET_CLEARED, service=runtime.service.name, target=status.target)
--- a/dogwoodhook/transport/answers.py
+++ b/dogwoodhook/transport/answers.py
@@ -5,6 +5,8 @@
 import aiohttp
 from aiohttp import web
 
+from dogwoodhook.coordination.claims import MAX_STORED_BODY_BYTES
+from dogwoodhook.coordination.rows import StoredAnswer
 from dogwoodhook.protocol.headers import (
     OUTCOME_HEADER,
     TARGET_HEADER,
@@ -29,6 +31,9 @@
 _DEFAULT_NOT_RUN_STATUS = 503
 _STATUS_BY_UNKNOWN_REASON = {UnknownReason.DEADLINE: 504}
 _DEFAULT_UNKNOWN_STATUS = 502
+_UNSTORED_HEADERS = frozenset(
+    {"content-length", "transfer-encoding", "connection", "date", "server"}
+)
 
 
 def own_answer(outcome: NotRun | Unknown) -> web.Response:
@@ -46,8 +51,39 @@
     )
 
 
+class AnswerCapture:
+    """Keeps a copy of a small answer's body as it passes."""
+
+    def __init__(self) -> None:
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    def add(self, chunk: bytes) -> None:
+        """Keep a chunk, while the body is small enough."""
+        self._size += len(chunk)
+        if self._size <= MAX_STORED_BODY_BYTES:
+            self._chunks.append(chunk)
+        else:
+            self._chunks.clear()
+
+    def stored_answer(self, answer: web.StreamResponse) -> StoredAnswer | None:
+        """Return the whole answer, or ``None`` where it was too large."""
+        if self._size > MAX_STORED_BODY_BYTES:
+            return None
+        headers = tuple(
+            (name, value)
+            for name, value in answer.headers.items()
+            if name.lower() not in _UNSTORED_HEADERS
+        )
+        return StoredAnswer(answer.status, headers, b"".join(self._chunks))
+
+
 async def stream_answer(
-    request: web.BaseRequest, source: aiohttp.ClientResponse, *, timeout_s: float
+    request: web.BaseRequest,
+    source: aiohttp.ClientResponse,
+    *,
+    timeout_s: float,
+    capture: AnswerCapture | None = None,
 ) -> tuple[web.StreamResponse, Answered | Unknown]:
     """Pass a target's answer on as it comes.
 
@@ -65,6 +101,8 @@
     try:
         async with asyncio.timeout(timeout_s):
             async for chunk in source.content.iter_any():
+                if capture is not None:
+                    capture.add(chunk)
                 if is_caller_present:
                     is_caller_present = await _write(answer, chunk)
     except (aiohttp.ClientError, OSError, TimeoutError):
--- a/dogwoodhook/transport/calls.py
+++ b/dogwoodhook/transport/calls.py
@@ -6,6 +6,7 @@
 from expression import Error, Ok, Result
 from multidict import CIMultiDict
 
+from dogwoodhook.coordination.claims import Claimed
 from dogwoodhook.protocol.headers import (
     IDEMPOTENCY_KEY_HEADER,
     TIMEOUT_HEADER,
@@ -14,6 +15,7 @@
 )
 from dogwoodhook.state.outcomes import NotRun, NotRunReason, Unknown
 from dogwoodhook.state.quarantine import body_digest, fingerprint
+from dogwoodhook.transport.answers import AnswerCapture
 from dogwoodhook.transport.bodies import RequestBody, read_prelude
 from dogwoodhook.transport.services import ServiceRegistry, ServiceRuntime
 
@@ -45,8 +47,14 @@
     idempotency_key: str | None
     deadline_s: float
     doubt: Unknown | None = None
+    claim: Claimed | None = None
+    capture: AnswerCapture | None = None
     timing: Timing = field(default_factory=Timing)
 
+    def may_send(self, now_s: float) -> bool:
+        """Tell whether the claim of the request's key, if any, still allows it."""
+        return self.claim is None or self.claim.may_send(now_s)
+
     def settled(self, outcome: NotRun | Unknown) -> NotRun | Unknown:
         """Return the outcome of the call, given that of its last attempt."""
         if isinstance(outcome, NotRun) and self.doubt is not None:
--- a/dogwoodhook/transport/forwarder.py
+++ b/dogwoodhook/transport/forwarder.py
@@ -1,11 +1,9 @@
 """Forwards requests to targets: admission, attempts, retries, outcomes.
 
 The forwarder asks the pure decisions in ``state`` at each step and carries them
-out. A request that is not idempotent is followed to its end once it was sent,
-even if its caller has left.
+out.
 """
 
-import asyncio
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -73,24 +71,10 @@
         self._pools = pools
         self._quarantine = quarantine
         self._clock = clock
-        self._followed: set[asyncio.Task[Reply]] = set()
 
     async def forward(self, call: Call) -> Reply:
         """Return the caller's reply; always exactly one outcome."""
         call.runtime.budget.record_request(self._clock.now_s())
-        if call.is_idempotent:
-            return await self._run(call)
-        task = asyncio.ensure_future(self._run(call))
-        self._followed.add(task)
-        task.add_done_callback(self._followed.discard)
-        return await asyncio.shield(task)
-
-    async def finish(self) -> None:
-        """Wait for the requests whose callers have left."""
-        if self._followed:
-            await asyncio.wait(self._followed)
-
-    async def _run(self, call: Call) -> Reply:
         tried: frozenset[str] = frozenset()
         attempts = 0
         while True:
@@ -133,7 +117,7 @@
         self, call: Call, granted: Granted, attempts: int, *, is_alone: bool
     ) -> Reply | _Again:
         now_s = self._clock.now_s()
-        if now_s >= call.deadline_s:
+        if now_s >= call.deadline_s or not call.may_send(now_s):
             return self._own_reply(call, NotRun(NotRunReason.DEADLINE))
         if is_alone:
             self._quarantine.begin_alone(call.fingerprint, granted.target.name)
@@ -192,7 +176,10 @@
             response.close()
             return _Again()
         answer, outcome = await stream_answer(
-            call.request, response, timeout_s=max(0.0, call.deadline_s - now_s)
+            call.request,
+            response,
+            timeout_s=max(0.0, call.deadline_s - now_s),
+            capture=call.capture,
         )
         if isinstance(outcome, Unknown):
             self._record_crash(call, target)
--- /dev/null
+++ b/dogwoodhook/transport/probes.py
@@ -0,0 +1,35 @@
+"""Health probes of suspect targets."""
+
+import aiohttp
+
+from dogwoodhook.state.model import Target
+
+HEALTH_PATH = "/healthz"
+PROBE_TIMEOUT_S = 1.0
+_SERVER_ERROR_STATUS = 500
+
+
+class Prober:
+    """Probes targets over connections of their own."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def probe(self, target: Target) -> bool:
+        """Tell whether the target's health endpoint answers well."""
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(force_close=True, limit=0),
+                timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
+            )
+        url = f"http://{target.host}:{target.port}{HEALTH_PATH}"
+        try:
+            async with self._session.get(url) as response:
+                return response.status < _SERVER_ERROR_STATUS
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
