--- a/dogwoodhook/control.py
+++ b/dogwoodhook/control.py
@@ -130,9 +130,7 @@
         leaving = self.leaving(runtime)
         reasons: dict[str, str] = {}
         ejected = self._fleet.board.excluded(service, stops, leaving=leaving)
-        stopping = stopping_targets(
-            service, stops, wall_s=self._fleet.clock.wall_s()
-        )
+        stopping = stopping_targets(service, stops, wall_s=self._fleet.clock.wall_s())
         for name in ejected:
             reasons[name] = "ejected"
         for name in leaving:
@@ -275,7 +273,9 @@
             await self._fleet.board.release(
                 service, name, configuration_version=version
             )
-        if is_self_doubting([each.health for each in self._fleet.registry], now_s=now_s):
+        if is_self_doubting(
+            [each.health for each in self._fleet.registry], now_s=now_s
+        ):
             return
         for status in suspects.values():
             if status.target in ejected or status.accusers < MIN_ACCUSERS:
--- a/dogwoodhook/state/admission.py
+++ b/dogwoodhook/state/admission.py
@@ -203,9 +203,7 @@
         limit = self.service.parameters.workspace_in_flight_limit
         if self._in_flight[ticket.workspace] >= limit:
             return Rejected(ticket, reason)
-        granted = self._grant_best(
-            ticket, self._last_resorts(now_s=now_s), now_s=now_s
-        )
+        granted = self._grant_best(ticket, self._last_resorts(now_s=now_s), now_s=now_s)
         return granted or Rejected(ticket, reason)
 
     def _is_usable(self, target: Target, ticket: Ticket, *, now_s: float) -> bool:
--- a/dogwoodhook/transport/exchange.py
+++ b/dogwoodhook/transport/exchange.py
@@ -110,9 +110,7 @@
 
 def _timeout_failure(trace: AttemptTrace) -> AttemptFailure:
     if not trace.is_connected:
-        return AttemptFailure(
-            NotRun(NotRunReason.CONNECT_FAILED), FailureKind.CONNECT
-        )
+        return AttemptFailure(NotRun(NotRunReason.CONNECT_FAILED), FailureKind.CONNECT)
     return AttemptFailure(
         Unknown(UnknownReason.DEADLINE), FailureKind.DEADLINE, trace.is_reused
     )
@@ -124,9 +122,7 @@
 
 def _connection_failure(trace: AttemptTrace) -> AttemptFailure:
     if not trace.is_connected:
-        return AttemptFailure(
-            NotRun(NotRunReason.CONNECT_FAILED), FailureKind.CONNECT
-        )
+        return AttemptFailure(NotRun(NotRunReason.CONNECT_FAILED), FailureKind.CONNECT)
     return AttemptFailure(
         Unknown(UnknownReason.CONNECTION_LOST), FailureKind.CRASH, trace.is_reused
     )
--- a/dogwoodhook/transport/peer_handshake.py
+++ b/dogwoodhook/transport/peer_handshake.py
@@ -82,6 +82,8 @@
 async def _receive(connection: Connection, model: type[_Model]) -> _Model:
     frame = await connection.recv()
     try:
-        return model.model_validate(cbor2.loads(frame if isinstance(frame, bytes) else b""))
+        return model.model_validate(
+            cbor2.loads(frame if isinstance(frame, bytes) else b"")
+        )
     except (cbor2.CBORDecodeError, ValidationError) as error:
         raise HandshakeError(f"not a {model.__name__}: {error}") from None
--- a/dogwoodhook/transport/peers.py
+++ b/dogwoodhook/transport/peers.py
@@ -171,9 +171,7 @@
                 proxy=None,
             ) as connection:
                 async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                    await greet_listener(
-                        connection, self._secret, daemon=self._daemon
-                    )
+                    await greet_listener(connection, self._secret, daemon=self._daemon)
                 await self._serve(PeerLink(peer, connection), self._dialled)
                 return True
         except HandshakeError as error:
