--- a/dogwoodhook/control.py
+++ b/dogwoodhook/control.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from expression import Result
 
@@ -18,6 +19,7 @@
 from dogwoodhook.coordination.messages import (
     ConfigurationNews,
     ConfigurationRequest,
+    ConfigurationSnapshot,
     CrashNews,
     EvidenceReport,
     Heartbeat,
@@ -25,8 +27,9 @@
     QuarantineNews,
 )
 from dogwoodhook.coordination.platform import Platform
+from dogwoodhook.coordination.quarantine import QuarantineBook
 from dogwoodhook.events import TARGET_CLEARED, TARGET_SUSPECTED, TASK_FAILED, log
-from dogwoodhook.readiness import Readiness, ReadinessFacts
+from dogwoodhook.readiness import Readiness
 from dogwoodhook.state.health import TargetPhase, is_self_doubting
 from dogwoodhook.state.model import PlannedStop
 from dogwoodhook.state.stops import stopping_targets
@@ -34,6 +37,9 @@
 from dogwoodhook.transport.probes import Prober
 from dogwoodhook.transport.services import ServiceRegistry, ServiceRuntime
 
+if TYPE_CHECKING:
+    from dogwoodhook.state.outcomes import TargetEvidence
+
 CONFIGURATION_INTERVAL_S = 1.0
 VM_LIST_INTERVAL_S = 1.0
 EJECTION_INTERVAL_S = 1.0
@@ -41,7 +47,10 @@
 EVIDENCE_INTERVAL_S = 0.15
 PROBE_INTERVAL_S = 0.5
 CLAIM_INTERVAL_S = 5.0
+QUARANTINE_INTERVAL_S = 1.0
+CLEAN_UP_INTERVAL_S = 300.0
 MIN_ACCUSERS = 2
+SELF_DOUBT_REASON = "most targets of several services fail from here"
 
 
 @dataclass(slots=True)
@@ -55,6 +64,7 @@
     board: EjectionBoard
     membership: Membership
     claims: ClaimBook
+    quarantine: QuarantineBook
     registry: ServiceRegistry
     hub: PeerHub
     prober: Prober
@@ -70,6 +80,7 @@
         self._evidence_sequence = 0
         self._heard_sequences: dict[str, int] = {}
         self._version_in_force = 0
+        self._has_loaded_quarantines = False
 
     def start(self) -> None:
         """Start every loop."""
@@ -82,6 +93,8 @@
             ("heartbeat", HEARTBEAT_INTERVAL_S, self.tell_heartbeat),
             ("probe", PROBE_INTERVAL_S, self.probe_suspects),
             ("claims", CLAIM_INTERVAL_S, self._fleet.claims.maintain),
+            ("quarantine", QUARANTINE_INTERVAL_S, self._fleet.quarantine.publish),
+            ("clean-up", CLEAN_UP_INTERVAL_S, self.clean_up),
         ]
         for name, interval_s, step in loops:
             self._tasks.append(asyncio.create_task(_repeat(name, interval_s, step)))
@@ -94,6 +107,7 @@
 
     async def refresh_configuration(self) -> None:
         """Read the head, and put a higher version in force."""
+        await self._fleet.store.load_hint()
         before = self._fleet.store.current.version
         await self._fleet.store.refresh()
         self._put_in_force()
@@ -151,7 +165,7 @@
 
     async def tell_evidence(self) -> None:
         """Tell peers of outcomes that bear on suspicions, and log changes."""
-        entries = []
+        entries: list[TargetEvidence] = []
         for runtime in self._fleet.registry:
             entries += runtime.health.take_evidence()
             _log_transitions(runtime)
@@ -187,27 +201,21 @@
         ]
         await asyncio.gather(*probes)
 
+    async def clean_up(self) -> None:
+        """Load quarantines at the start; then delete rows that have expired."""
+        if not self._has_loaded_quarantines:
+            self._has_loaded_quarantines = await self._fleet.quarantine.load()
+            return
+        await self._fleet.claims.expire()
+        await self._fleet.quarantine.expire()
+
     def update_readiness(self) -> None:
         """Decide anew whether the balancer should send requests."""
-        fleet = self._fleet
-        now_s = fleet.clock.now_s()
-        peers = fleet.membership.live_peers(now_s=now_s)
-        fleet.readiness.update(
-            ReadinessFacts(
-                version=fleet.store.current.version,
-                highest_peer_version=fleet.membership.highest_version(now_s=now_s),
-                has_started_from_live_source=fleet.store.has_live_source,
-                is_head_confirmed=fleet.store.is_confirmed(now_s),
-                has_peer_confirmed=any(
-                    peer.head_age_ms is not None
-                    and peer.head_age_ms < CONFIRMED_PEER_AGE_MS
-                    for peer in peers
-                ),
-                is_self_doubting=is_self_doubting(
-                    [runtime.health for runtime in fleet.registry], now_s=now_s
-                ),
-            )
-        )
+        now_s = self._fleet.clock.now_s()
+        reason: str | None = self._fleet.store.unready_reason(now_s)
+        if reason is None and self._is_self_doubting():
+            reason = SELF_DOUBT_REASON
+        self._fleet.readiness.update(reason)
 
     async def receive(self, peer: str, message: Message) -> None:
         """Take in a peer's message."""
@@ -218,21 +226,30 @@
                 if self._fleet.store.adopt_news(message):
                     self._put_in_force()
                     self._fleet.hub.broadcast(message)
-            case ConfigurationRequest(after_version=version):
-                news = self._fleet.store.changes_after(version)
-                if news is not None and news.changes:
-                    self._fleet.hub.send(peer, news)
+            case ConfigurationSnapshot():
+                if self._fleet.store.adopt_snapshot(message):
+                    self._put_in_force()
+            case ConfigurationRequest():
+                for answer in self._fleet.store.answer(message):
+                    self._fleet.hub.send(peer, answer)
             case EvidenceReport():
                 self._receive_evidence(message)
             case QuarantineNews() | CrashNews():
-                pass
+                self._fleet.quarantine.receive(message)
 
     def _receive_heartbeat(self, peer: str, heartbeat: Heartbeat) -> None:
         now_s = self._fleet.clock.now_s()
         self._fleet.membership.record_heartbeat(heartbeat, now_s=now_s)
-        version = self._fleet.store.current.version
-        if heartbeat.configuration_version > version:
-            self._fleet.hub.send(peer, ConfigurationRequest(after_version=version))
+        self._fleet.store.note_heartbeat(heartbeat)
+        self._put_in_force()
+        if heartbeat.configuration_version > self._fleet.store.current.version:
+            self._fleet.hub.send(peer, self._fleet.store.request())
+
+    def _is_self_doubting(self) -> bool:
+        return is_self_doubting(
+            [runtime.health for runtime in self._fleet.registry],
+            now_s=self._fleet.clock.now_s(),
+        )
 
     def _receive_evidence(self, report: EvidenceReport) -> None:
         if report.sequence <= self._heard_sequences.get(report.daemon, 0):
@@ -273,9 +290,7 @@
             await self._fleet.board.release(
                 service, name, configuration_version=version
             )
-        if is_self_doubting(
-            [each.health for each in self._fleet.registry], now_s=now_s
-        ):
+        if self._is_self_doubting():
             return
         for status in suspects.values():
             if status.target in ejected or status.accusers < MIN_ACCUSERS:
@@ -302,9 +317,6 @@
         )
 
 
-CONFIRMED_PEER_AGE_MS = 5_000
-
-
 async def _repeat(
     name: str, interval_s: float, step: Callable[[], Awaitable[None]]
 ) -> None:
--- a/dogwoodhook/daemon.py
+++ b/dogwoodhook/daemon.py
@@ -11,6 +11,7 @@
 from contextlib import suppress
 from random import Random
 
+import aiohttp
 import uvloop
 
 from dogwoodhook.clock import Clock, SystemClock
@@ -20,6 +21,7 @@
 from dogwoodhook.coordination.ejection import EjectionBoard
 from dogwoodhook.coordination.membership import Membership
 from dogwoodhook.coordination.messages import Message
+from dogwoodhook.coordination.quarantine import QuarantineBook
 from dogwoodhook.events import DAEMON_STARTED, DAEMON_STOPPED, log, make_handler
 from dogwoodhook.findings import FindingsError
 from dogwoodhook.metrics import Metrics
@@ -47,7 +49,8 @@
 
     def __init__(self, settings: DaemonSettings, clock: Clock) -> None:
         self._settings = settings
-        self._platform = HttpPlatform(settings.platform_url)
+        self._platform_session = aiohttp.ClientSession()
+        self._platform = HttpPlatform(self._platform_session, settings.platform_url)
         self._pools = TargetPools()
         self._prober = Prober()
         self._followed = FollowedTasks()
@@ -57,7 +60,7 @@
         )
         self._fleet = self._make_fleet(clock)
         self._control = Control(self._fleet)
-        forwarder = Forwarder(self._pools, Quarantine(), clock)
+        forwarder = Forwarder(self._pools, self._fleet.quarantine, clock)
         self._callers = CallerHandler(
             self._fleet.registry,
             KeyedForwarder(forwarder, self._fleet.claims, self._followed),
@@ -117,11 +120,18 @@
         await self._admin_listener.close()
         await self._pools.close()
         await self._prober.close()
-        await self._platform.close()
+        await self._platform_session.close()
 
     def _make_fleet(self, clock: Clock) -> Fleet:
         settings = self._settings
         name = settings.daemon_name
+        hub = PeerHub(
+            self._receive,
+            daemon=name,
+            secret=settings.fleet_secret,
+            host=settings.listen_host,
+            port=settings.peer_port,
+        )
         return Fleet(
             daemon=name,
             clock=clock,
@@ -130,18 +140,15 @@
             board=EjectionBoard(self._platform, clock, daemon=name),
             membership=Membership(daemon=name),
             claims=ClaimBook(self._platform, clock, daemon=name),
+            quarantine=QuarantineBook(
+                self._platform, clock, Quarantine(), broadcast=hub.broadcast
+            ),
             registry=ServiceRegistry(
                 clock,
                 data_centre=settings.data_centre,
                 rng=Random(secrets.randbits(64)),
             ),
-            hub=PeerHub(
-                self._receive,
-                daemon=name,
-                secret=settings.fleet_secret,
-                host=settings.listen_host,
-                port=settings.peer_port,
-            ),
+            hub=hub,
             prober=self._prober,
             readiness=Readiness(),
         )
@@ -153,6 +160,10 @@
         return HttpListener(handler, host=self._settings.listen_host, port=port)
 
 
+async def _serve(settings: DaemonSettings) -> None:
+    await Daemon(settings, SystemClock()).run()
+
+
 def main() -> None:
     """Run ``dogwoodhookd``."""
     try:
@@ -163,7 +174,7 @@
         sys.exit(EXIT_BAD_SETTINGS)
     with make_handler(settings.log_level).applicationbound():
         run = uvloop.run if settings.use_uvloop else asyncio.run
-        run(Daemon(settings, SystemClock()).run())
+        run(_serve(settings))
 
 
 if __name__ == "__main__":
--- a/dogwoodhook/settings.py
+++ b/dogwoodhook/settings.py
@@ -155,7 +155,7 @@
     for name in model.model_fields:
         variable = ENVIRONMENT_PREFIX + name.upper()
         if flag_values[name].present:
-            values[name] = flag_values[name].value
+            values[name] = str(flag_values[name].value)
             places[name] = f"--{name}"
         elif variable in environment:
             values[name] = environment[variable]
--- /dev/null
+++ b/dogwoodhook/testing/demo.py
@@ -0,0 +1,240 @@
+"""The demo: both deployments, a gray target and a planned stop.
+
+It starts the stand-ins and three daemons as processes, applies the templates and
+services of ``examples/``, sends requests for half a minute while one target
+answers its health endpoint and fails its work and another has a planned stop,
+and prints what a person wants to see. It fails if an invariant broke.
+"""
+
+import asyncio
+import datetime
+import re
+import sys
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+import aiohttp
+
+from dogwoodhook.clock import SystemClock
+from dogwoodhook.testing.fleet import HOST, LocalFleet
+from dogwoodhook.testing.load import Callers, LoadPlan, RequestKind
+from dogwoodhook.testing.target_record import RecordBody
+from dogwoodhook.testing.verdict import (
+    TargetRun,
+    cut_runs,
+    find_violations,
+    last_start_s,
+)
+
+EXAMPLES = Path(__file__).parent.parent.parent / "examples"
+DEPLOYMENTS = ("mukamana", "tienvarsikassa")
+LOAD_S = 30.0
+GRAY_AFTER_S = 8.0
+STOP_AFTER_S = 16.0
+STOP_LASTS_S = 60.0
+GRAY_SERVICE = "allocations"
+STOP_SERVICE = "payouts"
+SHOWN_EVENTS = frozenset({"301", "302", "401", "402", "403", "404", "503"})
+SEED = 20261204
+
+_ADDRESS = re.compile(r'^(\S+) = "127\.0\.0\.1:(\d+)"', re.MULTILINE)
+_PREFIX = re.compile(r'^path_prefix = "(/[^/"]+)"', re.MULTILINE)
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceFile:
+    """A service's file with its targets' ports by name, and its first route."""
+
+    name: str
+    path: Path
+    ports: dict[str, int]
+    prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class Faults:
+    """The targets the demo disturbs, and when, in elapsed seconds."""
+
+    gray_port: int
+    gray_at_s: float
+    stopped_port: int
+    stopped_at_s: float
+
+
+def read_service_files() -> list[ServiceFile]:
+    """Return the services of the examples."""
+    files = []
+    for deployment in DEPLOYMENTS:
+        for path in sorted((EXAMPLES / deployment).glob("*.toml")):
+            text = path.read_text()
+            prefix = _PREFIX.search(text)
+            if path.name == "template.toml" or prefix is None:
+                continue
+            ports = {name: int(port) for name, port in _ADDRESS.findall(text)}
+            files.append(ServiceFile(path.stem, path, ports, prefix.group(1)))
+    return files
+
+
+def load_plan(service: ServiceFile) -> LoadPlan:
+    """Return a mix of look-ups, postings and uploads for a service."""
+    return LoadPlan(
+        service=service.name,
+        kinds=(
+            RequestKind("GET", f"{service.prefix}/7", is_idempotent=True, weight=6),
+            RequestKind(
+                "POST", service.prefix, is_idempotent=False, weight=2, body_bytes=500
+            ),
+            RequestKind(
+                "POST",
+                service.prefix,
+                is_idempotent=False,
+                body_bytes=300,
+                has_key=True,
+            ),
+            RequestKind(
+                "PUT",
+                f"{service.prefix}/file",
+                is_idempotent=False,
+                weight=0.5,
+                body_bytes=512 * 1024,
+            ),
+        ),
+        workspaces=tuple(f"{service.name}-workspace-{n}" for n in range(20)),
+    )
+
+
+class DemoError(Exception):
+    """A step of the demo failed."""
+
+
+async def run_demo() -> int:
+    """Run the demo; return the exit status."""
+    services = read_service_files()
+    ports = [
+        range(min(each.ports.values()), max(each.ports.values()) + 1)
+        for each in services
+    ]
+    print(f"{len(services)} services, {sum(map(len, ports))} targets, 3 daemons")
+    async with LocalFleet(daemons=3, target_ports=ports) as fleet:
+        await apply_examples(fleet, services)
+        await fleet.wait_ready()
+        callers = Callers([each.caller_url for each in fleet.daemons], Random(SEED))
+        load = asyncio.create_task(
+            callers.run([load_plan(each) for each in services], seconds=LOAD_S)
+        )
+        faults = await disturb(fleet, services)
+        await load
+        runs = await read_runs(services)
+        logs = [line for each in fleet.daemons for line in read_log(each.log_path)]
+        print_logs(logs)
+        return print_report(callers, runs, faults)
+
+
+async def apply_examples(fleet: LocalFleet, services: Sequence[ServiceFile]) -> None:
+    """Apply the examples' templates and services through the command line."""
+    for deployment in DEPLOYMENTS:
+        await run_command(
+            fleet, "template", "apply", str(EXAMPLES / deployment / "template.toml")
+        )
+    for service in services:
+        await run_command(fleet, "service", "apply", str(service.path))
+
+
+async def run_command(fleet: LocalFleet, *arguments: str) -> None:
+    """Run an operator's command, and print what it says."""
+    status, output = await fleet.run_cli(*arguments)
+    print(f"$ dogwoodhook {' '.join(arguments)}\n{output.rstrip()}")
+    if status:
+        raise DemoError(f"exit status {status}")
+
+
+async def disturb(fleet: LocalFleet, services: Sequence[ServiceFile]) -> Faults:
+    """Turn one target gray, and schedule another's stop."""
+    clock = SystemClock()
+    by_name = {service.name: service for service in services}
+    gray_name, gray_port = next(iter(by_name[GRAY_SERVICE].ports.items()))
+    stopped_name, stopped_port = next(iter(by_name[STOP_SERVICE].ports.items()))
+    stop_wall_s = clock.wall_s() + STOP_AFTER_S
+    stopped_at_s = clock.now_s() + STOP_AFTER_S
+    await run_command(
+        fleet,
+        "stop",
+        "schedule",
+        STOP_SERVICE,
+        stopped_name,
+        f"--start={iso_time(stop_wall_s)}",
+        f"--end={iso_time(stop_wall_s + STOP_LASTS_S)}",
+        "--reason=demo",
+    )
+    await asyncio.sleep(GRAY_AFTER_S)
+    await fleet.put_target_faults(gray_port, failing_share=1.0, health="good")
+    print(f"{gray_name} answers its health endpoint and fails its work from now on")
+    return Faults(gray_port, clock.now_s(), stopped_port, stopped_at_s)
+
+
+def iso_time(wall_s: float) -> str:
+    """Return a moment as the command line takes it."""
+    return datetime.datetime.fromtimestamp(wall_s, datetime.UTC).isoformat()
+
+
+async def read_runs(services: Sequence[ServiceFile]) -> list[TargetRun]:
+    """Return what every target ran."""
+    runs = []
+    async with aiohttp.ClientSession() as session:
+        for port in (port for each in services for port in each.ports.values()):
+            async with session.get(f"http://{HOST}:{port}/_record") as response:
+                record = RecordBody.model_validate_json(await response.read())
+            runs += [TargetRun(port, run) for run in record.runs]
+    return runs
+
+
+def read_log(path: Path) -> list[str]:
+    """Return the lines of a daemon's log that tell what it did and why."""
+    lines = path.read_text().splitlines()
+    return [
+        line
+        for line in lines
+        if len(line.split()) > 2 and line.split()[2] in SHOWN_EVENTS
+    ]
+
+
+def print_logs(lines: Sequence[str]) -> None:
+    """Print what the daemons did, and why."""
+    print("\nWhat the daemons did, and why:")
+    for line in sorted(lines):
+        print(f"  {line}")
+
+
+def print_report(callers: Callers, runs: Sequence[TargetRun], faults: Faults) -> int:
+    """Print the figures; return the exit status."""
+    outcomes = Counter(record.outcome for record in callers.records)
+    print(f"\nRequests by outcome ({len(callers.records)} in all):")
+    for outcome, count in outcomes.most_common():
+        print(f"  {count:6d}  {outcome}")
+    failed = sum(1 for record in callers.records if record.status >= 500)
+    print(f"  {failed:6d}  of them with a status of 500 or above")
+    last_gray_s = last_start_s(runs, faults.gray_port) or faults.gray_at_s
+    print(f"\nDetection time: {max(0.0, last_gray_s - faults.gray_at_s):.2f} s")
+    last_stop_s = last_start_s(runs, faults.stopped_port) or 0.0
+    is_late = last_stop_s > faults.stopped_at_s
+    print(
+        f"Last work before the planned stop: {faults.stopped_at_s - last_stop_s:.2f} s"
+    )
+    cut = cut_runs(runs, faults.stopped_port)
+    print(f"In flight cut by the planned stop: {len(cut)}")
+    violations = find_violations(callers.records, runs)
+    for violation in violations:
+        print(f"BROKEN: {violation.invariant}: request {violation.nonce}")
+    if is_late:
+        print("BROKEN: a target in a planned stop receives no new work")
+    is_whole = not violations and not is_late and not cut
+    print("\nEvery invariant held." if is_whole else "\nAn invariant broke.")
+    return 0 if is_whole else 1
+
+
+def main(arguments: Sequence[str]) -> None:
+    """Run the demo as a program."""
+    sys.exit(asyncio.run(run_demo()))
--- a/dogwoodhook/transport/exchange.py
+++ b/dogwoodhook/transport/exchange.py
@@ -17,8 +17,8 @@
 
 from dogwoodhook.protocol.headers import (
     TARGET_DRAINING,
-    TARGET_SHED,
     TARGET_HEADER,
+    TARGET_SHED,
 )
 from dogwoodhook.state.model import Target
 from dogwoodhook.state.outcomes import (
--- a/dogwoodhook/transport/forwarder.py
+++ b/dogwoodhook/transport/forwarder.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from expression import Result
 
+from dogwoodhook.coordination.quarantine import QuarantineBook
 from dogwoodhook.events import ANSWER_CUT, REQUEST_RETRIED, REQUEST_UNKNOWN, log
 from dogwoodhook.protocol.headers import TIMEOUT_HEADER
 from dogwoodhook.state.admission import Granted, Rejected
@@ -25,7 +26,7 @@
     Unknown,
     UnknownReason,
 )
-from dogwoodhook.state.quarantine import Admit, Quarantine, Refuse, RunAlone
+from dogwoodhook.state.quarantine import Admit, Refuse, RunAlone
 from dogwoodhook.state.retries import RETRIED_STATUSES, Retry, decide_retry
 from dogwoodhook.transport.answers import own_answer, stream_answer
 from dogwoodhook.transport.calls import Call
@@ -66,10 +67,11 @@
     """Carries calls to targets."""
 
     def __init__(
-        self, pools: TargetPools, quarantine: Quarantine, clock: "Clock"
+        self, pools: TargetPools, quarantine: QuarantineBook, clock: "Clock"
     ) -> None:
         self._pools = pools
-        self._quarantine = quarantine
+        self._crashes = quarantine
+        self._quarantine = quarantine.quarantine
         self._clock = clock
 
     async def forward(self, call: Call) -> Reply:
@@ -232,8 +234,8 @@
 
     def _record_crash(self, call: Call, target: str) -> None:
         self._observe_failure(call, target, FailureKind.CRASH)
-        self._quarantine.record_crash(
-            call.runtime.service.name, call.fingerprint, target, self._clock.now_s()
+        self._crashes.record_crash(
+            call.runtime.service.name, call.fingerprint, target
         )
 
     def _observe_failure(self, call: Call, target: str, kind: FailureKind) -> None:
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,103 @@
+from random import Random
+
+from dogwoodhook.state.admission import (
+    Granted,
+    Queued,
+    Rejected,
+    ServiceDispatcher,
+    Ticket,
+)
+from dogwoodhook.state.health import ServiceHealth
+from dogwoodhook.state.model import Parameters, Service, Target
+from dogwoodhook.state.outcomes import Failure, FailureKind, NotRunReason
+
+
+def make_dispatcher(targets=2, **parameters):
+    service = Service(
+        name="balances",
+        workspace="oulu",
+        parameters=Parameters(**parameters),
+        targets=tuple(
+            Target(f"t{number}", "oulu-1", "127.0.0.1", 20000 + number)
+            for number in range(targets)
+        ),
+        routes=(),
+    )
+    health = ServiceHealth(
+        "balances",
+        [target.name for target in service.targets],
+        false_ejection_interval_s=86_400.0,
+    )
+    return ServiceDispatcher(service, health, data_centre="oulu-1", rng=Random(1))
+
+
+def ticket(number, workspace="oulu", **values):
+    return Ticket(number, workspace, is_idempotent=True, **values)
+
+
+def test_requests_over_the_limits_wait_and_are_granted_in_turn():
+    dispatcher = make_dispatcher(targets=1)
+    first = dispatcher.submit(ticket(1, "greedy"), now_s=0.0)
+    waiting = [
+        dispatcher.submit(ticket(number, "greedy"), now_s=0.0) for number in (2, 3)
+    ]
+    waiting.append(dispatcher.submit(ticket(4, "small"), now_s=0.0))
+    assert all(isinstance(each, Queued) for each in waiting)
+    order = []
+    while isinstance(first, Granted):
+        dispatcher.finish(first)
+        grants = dispatcher.grant_queued(now_s=0.0)
+        first = grants[0] if grants else None
+        order += [granted.ticket.number for granted in grants]
+    assert order == [2, 4, 3]
+
+
+def test_a_full_queue_refuses():
+    dispatcher = make_dispatcher(targets=1, workspace_queue_limit=1)
+    for number in (1, 2):
+        dispatcher.submit(ticket(number), now_s=0.0)
+    refused = dispatcher.submit(ticket(3), now_s=0.0)
+    assert refused == Rejected(ticket(3), NotRunReason.QUEUE_FULL)
+
+
+def test_excluded_targets_get_nothing_even_as_a_last_resort():
+    dispatcher = make_dispatcher(targets=1)
+    dispatcher.exclude(["t0"])
+    refused = dispatcher.submit(ticket(1), now_s=0.0)
+    assert refused == Rejected(ticket(1), NotRunReason.NO_TARGET)
+
+
+def test_a_suspect_is_avoided_until_nothing_else_is_left():
+    dispatcher = make_dispatcher(targets=2)
+    for fingerprint in range(200):
+        dispatcher.health.observe(
+            "t0", Failure(FailureKind.CRASH, fingerprint), now_s=fingerprint * 0.01
+        )
+    first = dispatcher.submit(ticket(1), now_s=2.0)
+    assert isinstance(first, Granted)
+    assert first.target.name == "t1"
+    second = dispatcher.submit(ticket(2), now_s=2.0)
+    assert isinstance(second, Queued)
+    last_resort = dispatcher.expire(ticket(2), now_s=3.0)
+    assert isinstance(last_resort, Granted)
+    assert last_resort.target.name == "t0"
+
+
+def test_a_shed_narrows_the_limit_and_backs_off():
+    dispatcher = make_dispatcher(targets=1)
+    granted = dispatcher.submit(ticket(1), now_s=0.0)
+    dispatcher.finish(granted)
+    for _ in range(20):
+        dispatcher.record_shed("t0", now_s=10.0)
+    assert isinstance(dispatcher.submit(ticket(2), now_s=10.0), Queued)
+    assert dispatcher.grant_queued(now_s=11.0)
+
+
+def test_a_target_that_was_removed_keeps_its_count_until_the_request_ends():
+    dispatcher = make_dispatcher(targets=2)
+    granted = [dispatcher.submit(ticket(number), now_s=0.0) for number in (1, 2)]
+    smaller = make_dispatcher(targets=1).service
+    dispatcher.reconfigure(smaller)
+    for each in granted:
+        dispatcher.finish(each)
+    assert dispatcher.in_flight == 0
