Suspect a request whose pooled connection broke

Cause: a poison request on pooled connections crashed one target unrecorded. Change: it is suspected, which makes it run alone; the target is not blamed.

--- a/dogwoodhook/transport/forwarder.py
+++ b/dogwoodhook/transport/forwarder.py
@@ -201,7 +201,10 @@
         target = granted.target
         if failed.is_reused:
             # The connection may be at fault and not the target: a fresh one tells.
+            # The request is suspected all the same, which only makes it run alone.
             await self._pools.close_pool(target)
+            if failed.failure is FailureKind.CRASH:
+                self._suspect(call, target.name)
         else:
             self._blame(call, target.name, failed, timeout_s)
         if failed.outcome == NotRun(NotRunReason.TARGET_SHED):
@@ -234,9 +237,10 @@
 
     def _record_crash(self, call: Call, target: str) -> None:
         self._observe_failure(call, target, FailureKind.CRASH)
-        self._crashes.record_crash(
-            call.runtime.service.name, call.fingerprint, target
-        )
+        self._suspect(call, target)
+
+    def _suspect(self, call: Call, target: str) -> None:
+        self._crashes.record_crash(call.runtime.service.name, call.fingerprint, target)
 
     def _observe_failure(self, call: Call, target: str, kind: FailureKind) -> None:
         identity = int(call.fingerprint[:16], 16)
