Add floor arithmetic, planned stops and the ejection board

Cause: the daemon needs ejections that never take a service below its floor.

Change: state/floors.py counts what may be out, state/stops.py tells when a planned stop keeps a target from new work and which stops are accepted, coordination/ejection.py keeps a service's ejection row through the platform.

EjectionBoard.excluded() and maintain() take `configuration_version`: the lease covers the head as well as the row. Without it a daemon that has not adopted a raised floor would go on confirming the row and act by the old floor without limit. An older daemon now stops within one lease of the acceptance.

check_stop() takes an optional `wall_s`; with it the notice is checked, so that every daemon counts the stop before the first one acts on it. The command that accepts stops should pass it.

Ruled out: tests/test_stops.py beside properties/test_stops.py; pytest refuses two test modules of one name, so the unit tests are tests/test_planned_stops.py.

New event: 405 ejection-dropped.

--- /dev/null
+++ b/dogwoodhook/coordination/confirmation.py
@@ -0,0 +1,81 @@
+"""What one daemon has read of the ejections, and until when it may act on it.
+
+A confirmation is counted from before the read that gave it was sent, and is
+compared with the clock at each use. A daemon that was paused, or cut off from
+the table, thus finds its confirmations expired and ejects nothing.
+"""
+
+from dataclasses import dataclass, field
+
+from dogwoodhook.coordination.platform import ABSENT_VERSION
+from dogwoodhook.coordination.rows import EjectionEntry, EjectionPhase, EjectionRow
+from dogwoodhook.state.floors import CONFIRMATION_LEASE_S, RELEASE_WAIT_S
+
+
+@dataclass(slots=True)
+class HeadConfirmations:
+    """When the configuration head was last read, for each version that was seen."""
+
+    _confirmed_at_s: dict[int, float] = field(default_factory=dict)
+
+    def confirm(self, head_version: int, *, sent_at_s: float) -> None:
+        """Note that a read sent at a time returned this head version."""
+        known_s = self._confirmed_at_s.get(head_version, sent_at_s)
+        self._confirmed_at_s[head_version] = max(known_s, sent_at_s)
+        expired = [
+            version
+            for version, confirmed_at_s in self._confirmed_at_s.items()
+            if sent_at_s - confirmed_at_s >= CONFIRMATION_LEASE_S
+        ]
+        for version in expired:
+            del self._confirmed_at_s[version]
+
+    def is_current(self, configuration_version: int, *, now_s: float) -> bool:
+        """Tell whether no configuration after this one can be older than the lease."""
+        return any(
+            version <= configuration_version
+            and now_s - confirmed_at_s < CONFIRMATION_LEASE_S
+            for version, confirmed_at_s in self._confirmed_at_s.items()
+        )
+
+
+@dataclass(slots=True)
+class RowView:
+    """One service's ejection row as this daemon last read it."""
+
+    row: EjectionRow
+    version: int = ABSENT_VERSION
+    confirmed_at_s: float = float("-inf")
+    due_since_s: float | None = None
+    _seen_at_s: dict[EjectionEntry, float] = field(default_factory=dict)
+
+    def absorb(
+        self, row: EjectionRow, version: int, *, sent_at_s: float, now_s: float
+    ) -> None:
+        """Take over an answer, unless a later row is known already."""
+        if version < self.version:
+            return
+        self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
+        if version == self.version:
+            return
+        self.row = row
+        self.version = version
+        self.due_since_s = None
+        self._seen_at_s = {
+            entry: self._seen_at_s.get(entry, now_s) for entry in row.entries
+        }
+
+    def is_confirmed(self, now_s: float) -> bool:
+        """Tell whether the row was read within the lease."""
+        return now_s - self.confirmed_at_s < CONFIRMATION_LEASE_S
+
+    def is_released(self, entry: EjectionEntry, now_s: float) -> bool:
+        """Tell whether no daemon can still act on the entry as an ejection.
+
+        The entry, its sequence included, was read longer ago than any lease that
+        was taken before its release.
+        """
+        if entry.phase is not EjectionPhase.RELEASING:
+            return False
+        seen_at_s = self._seen_at_s.get(entry)
+        return seen_at_s is not None and now_s - seen_at_s > RELEASE_WAIT_S
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -120,6 +120,12 @@
 STOP_IN_FORCE = _event(
     404, "stop-in-force", Level.NOTICE, "A planned stop keeps a target from new work."
 )
+EJECTION_DROPPED = _event(
+    405,
+    "ejection-dropped",
+    Level.INFO,
+    "A released entry left the row: no daemon can still act on it.",
+)
 
 # 500: forwarding
 REQUEST_UNKNOWN = _event(
--- /dev/null
+++ b/dogwoodhook/state/floors.py
@@ -0,0 +1,115 @@
+"""Arithmetic of the capacity floor.
+
+A service may be without some of its targets, never without so many that fewer
+than its floor remain. Several causes take a target out: an ejection, a planned
+stop, the target's own leaving. ``Allowance`` puts them into one count.
+
+Ejections are kept in the order in which they were made. An ejection counts
+together with all made before it, so every daemon that looks at the same
+ejections with the same allowance keeps the same ones, the oldest first, and one
+that looks at a later list never keeps one that an earlier look has cut off in
+favour of others.
+"""
+
+import datetime
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from zoneinfo import ZoneInfo
+
+from dogwoodhook.clock import CLOCK_RATE_ERROR, WALL_CLOCK_ERROR_S
+from dogwoodhook.state.model import Parameters, QuietHours, Service
+
+CONFIRMATION_LEASE_S = 4.0
+"""Time for which a read of the ejections and of the head may be acted upon."""
+
+RELEASE_WAIT_S = CONFIRMATION_LEASE_S * (1 + 2 * CLOCK_RATE_ERROR)
+"""Time after which no daemon acts on what it read before, on any clock."""
+
+LOOKAHEAD_S = CONFIRMATION_LEASE_S + WALL_CLOCK_ERROR_S
+"""Time before a known change at which the count follows it."""
+
+_OFFSET_CHANGE_STEP_S = 900
+"""Offsets of time zones change at multiples of this time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Allowance:
+    """How many targets a service may be without, and which are out already.
+
+    ``allowed`` is the number of listed targets above the floor. ``held`` names
+    the targets that planned stops and leaving take out.
+
+    >>> allowance = Allowance(allowed=2, held=frozenset({"t1"}))
+    >>> allowance.keep(["t4", "t5"])
+    ('t4',)
+    """
+
+    allowed: int
+    held: frozenset[str] = frozenset()
+
+    def keep(self, targets: Sequence[str]) -> tuple[str, ...]:
+        """Return the longest head of the ejected targets that the floor allows."""
+        out = set(self.held)
+        for position, target in enumerate(targets):
+            out.add(target)
+            if len(out) > self.allowed:
+                return tuple(targets[:position])
+        return tuple(targets)
+
+    def admits(self, targets: Iterable[str]) -> bool:
+        """Tell whether these targets may all be out, beside those held."""
+        return len(self.held.union(targets)) <= self.allowed
+
+
+def allowance_at(service: Service, held: Iterable[str], *, wall_s: float) -> Allowance:
+    """Return a service's allowance at a moment, under the strictest floor near it.
+
+    The floors that count are those from one wall-clock error before the moment
+    until ``LOOKAHEAD_S`` after it, so a daemon with a slow clock is not late for
+    a floor that rises, and one with a fast clock not early for one that falls.
+    """
+    listed = frozenset(target.name for target in service.targets)
+    floor = highest_floor(
+        service.parameters,
+        from_s=wall_s - WALL_CLOCK_ERROR_S,
+        until_s=wall_s + LOOKAHEAD_S,
+    )
+    return Allowance(allowed=len(listed) - floor, held=listed.intersection(held))
+
+
+def highest_floor(parameters: Parameters, *, from_s: float, until_s: float) -> int:
+    """Return the highest floor in force at any moment of a span, ends included."""
+    return max(
+        parameters.capacity_floor_at(moment_s)
+        for moment_s in floor_moments(parameters, from_s=from_s, until_s=until_s)
+    )
+
+
+def floor_moments(
+    parameters: Parameters, *, from_s: float, until_s: float
+) -> Iterator[float]:
+    """Return moments of a span that include each one at which the floor changes."""
+    yield from_s
+    yield until_s
+    if not parameters.quiet_hours:
+        return
+    step = int(from_s // _OFFSET_CHANGE_STEP_S + 1) * _OFFSET_CHANGE_STEP_S
+    yield from range(step, int(until_s) + 1, _OFFSET_CHANGE_STEP_S)
+    for period in parameters.quiet_hours:
+        for moment_s in _boundaries(period, from_s=from_s, until_s=until_s):
+            if from_s <= moment_s <= until_s:
+                yield moment_s
+
+
+def _boundaries(
+    period: QuietHours, *, from_s: float, until_s: float
+) -> Iterator[float]:
+    zone = ZoneInfo(period.time_zone)
+    day = datetime.datetime.fromtimestamp(from_s, zone).date()
+    last_day = datetime.datetime.fromtimestamp(until_s, zone).date()
+    while day <= last_day:
+        for clock_time in (period.start, period.end):
+            for fold in (0, 1):
+                moment = datetime.datetime.combine(day, clock_time, zone)
+                yield moment.replace(fold=fold).timestamp()
+        day += datetime.timedelta(days=1)
--- /dev/null
+++ b/tests/test_ejection.py
@@ -0,0 +1,172 @@
+import dataclasses
+
+import pytest
+from expression import Error, Ok
+
+from dogwoodhook.clock import ManualClock
+from dogwoodhook.coordination.ejection import (
+    EjectionBoard,
+    EjectionProposal,
+    RefusalRule,
+    Standing,
+)
+from dogwoodhook.coordination.platform import Transaction, Write
+from dogwoodhook.coordination.rows import HEAD_KEY, EjectionPhase, Head
+from dogwoodhook.state.floors import CONFIRMATION_LEASE_S, RELEASE_WAIT_S
+from dogwoodhook.state.model import Parameters, PlannedStop, Service, Target
+from dogwoodhook.testing.memory_platform import MemoryPlatform
+
+
+def service_of(*, targets=6, floor=5):
+    listed = tuple(
+        Target(f"t{number}", "kigali-1", "127.0.0.1", number)
+        for number in range(1, targets + 1)
+    )
+    return Service("postings", "ur", Parameters(capacity_floor=floor), listed, ())
+
+
+def proposal_of(service, target, **values):
+    plain = EjectionProposal(service, target, "crash", (), frozenset(), frozenset(), 1)
+    return dataclasses.replace(plain, **values)
+
+
+def accept(platform, version):
+    platform.table.commit(Transaction((), (Write(HEAD_KEY, Head(version)),), "cli"))
+
+
+def excluded(board, service, *, version=1, stops=(), leaving=frozenset()):
+    return board.excluded(
+        service, stops, leaving=leaving, configuration_version=version
+    )
+
+
+async def maintain(board, service, *, version=1):
+    return await board.maintain(
+        service, (), leaving=frozenset(), configuration_version=version
+    )
+
+
+@pytest.fixture
+def platform():
+    platform = MemoryPlatform()
+    accept(platform, 1)
+    return platform
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def board(platform, clock):
+    return EjectionBoard(platform, clock, daemon="d1", maintenance_spread_s=0)
+
+
+async def test_an_ejection_is_acted_on_within_the_lease_only(board, clock):
+    service = service_of()
+    result = await board.propose(proposal_of(service, "t1"))
+    assert result.ok.phase is EjectionPhase.EJECTED
+    assert excluded(board, service) == {"t1"}
+    clock.advance(CONFIRMATION_LEASE_S)
+    assert excluded(board, service) == frozenset()
+
+
+@pytest.mark.parametrize(
+    ("values", "rule"),
+    [
+        ({"unserving": frozenset({"t2"})}, RefusalRule.FLOOR),
+        ({"leaving": frozenset({"t2"})}, RefusalRule.FLOOR),
+        ({"target": "t9"}, RefusalRule.NOT_LISTED),
+        ({"configuration_version": 0}, RefusalRule.STALE_CONFIGURATION),
+    ],
+)
+async def test_a_refusal_names_its_rule(board, values, rule):
+    service = service_of()
+    proposal = dataclasses.replace(proposal_of(service, "t1"), **values)
+    result = await board.propose(proposal)
+    assert result.error.rule is rule
+    (line,) = board.explain(service.name)
+    assert (line.standing, line.rule) == (Standing.REFUSED, rule)
+
+
+async def test_a_releasing_entry_keeps_its_place_until_the_wait_is_over(board, clock):
+    service = service_of()
+    await board.propose(proposal_of(service, "t1"))
+    assert await board.release(service, "t1", configuration_version=1) == Ok(None)
+    clock.advance(RELEASE_WAIT_S)
+    assert (await maintain(board, service)).ok.is_idle
+    refused = await board.propose(proposal_of(service, "t2"))
+    assert refused.error.rule is RefusalRule.FLOOR
+    clock.advance(0.1)
+    assert (await maintain(board, service)).ok.dropped == ("t1",)
+    assert (await board.propose(proposal_of(service, "t2"))).is_ok()
+
+
+async def test_a_raised_floor_cuts_the_youngest_at_once_and_releases_it(board):
+    await board.propose(proposal_of(service_of(floor=4), "t1"))
+    await board.propose(proposal_of(service_of(floor=4), "t2"))
+    assert excluded(board, service_of(floor=5)) == {"t1"}
+    assert (await maintain(board, service_of(floor=5))).ok.released == ("t2",)
+
+
+async def test_a_stop_takes_the_place_of_an_ejection_before_it_begins(board, clock):
+    service = service_of()
+    await board.propose(proposal_of(service, "t1"))
+    start_s = clock.wall_s() + 30
+    stop = PlannedStop("s", service.name, "t2", start_s, start_s + 60)
+    assert excluded(board, service, stops=(stop,)) == {"t1"}
+    clock.advance(12.5)
+    await board.refresh([service.name])
+    assert excluded(board, service, stops=(stop,)) == frozenset()
+
+
+async def test_an_ejection_whose_answer_was_lost_is_known(board, platform):
+    platform.lost_answers = 1
+    result = await board.propose(proposal_of(service_of(), "t1"))
+    assert result.ok.target == "t1"
+    assert excluded(board, service_of()) == {"t1"}
+
+
+async def test_without_the_table_nothing_is_ejected(board, platform):
+    platform.is_down = True
+    result = await board.propose(proposal_of(service_of(), "t1"))
+    assert result.error.rule is RefusalRule.TABLE_UNAVAILABLE
+    released = await board.release(service_of(), "t1", configuration_version=1)
+    assert isinstance(released, type(Error(None)))
+
+
+async def test_a_newer_head_ends_what_rests_on_the_older(board, platform, clock):
+    service = service_of()
+    await board.propose(proposal_of(service, "t1"))
+    accept(platform, 2)
+    for _ in range(5):
+        clock.advance(1)
+        await board.refresh([service.name])
+    assert excluded(board, service, version=1) == frozenset()
+    assert excluded(board, service, version=2) == {"t1"}
+
+
+async def test_a_target_ejected_again_while_releasing_counts_a_relapse(board):
+    service = service_of()
+    await board.propose(proposal_of(service, "t1"))
+    await board.release(service, "t1", configuration_version=1)
+    entry = (await board.propose(proposal_of(service, "t1"))).ok
+    assert (entry.phase, entry.relapses) == (EjectionPhase.EJECTED, 1)
+
+
+async def test_upkeep_is_shared_out_between_daemons(platform, clock):
+    service = service_of()
+    boards = [EjectionBoard(platform, clock, daemon=f"d{n}") for n in range(20)]
+    await boards[0].propose(proposal_of(service, "t1"))
+    for board in boards:
+        await board.refresh([service.name])
+    shrunken = service_of(targets=5)
+    acted = [(await maintain(board, shrunken)).ok for board in boards]
+    assert sum(not upkeep.is_idle for upkeep in acted) <= 2
+    clock.advance(5)
+    for board in boards:
+        await board.refresh([service.name])
+        await maintain(board, shrunken)
+    (entry,) = boards[0].entries(service.name)
+    assert entry.phase is EjectionPhase.RELEASING
--- /dev/null
+++ b/tests/test_planned_stops.py
@@ -0,0 +1,105 @@
+import datetime
+
+import pytest
+
+from dogwoodhook.state.model import (
+    Parameters,
+    PlannedStop,
+    QuietHours,
+    Service,
+    Target,
+)
+from dogwoodhook.state.stops import (
+    check_stop,
+    counted_stops,
+    minimum_notice_s,
+    stopping_targets,
+)
+
+NOON_S = datetime.datetime(2026, 12, 4, 12, tzinfo=datetime.UTC).timestamp()
+HOUR_S = 3600.0
+WEEKEND = QuietHours(
+    "Africa/Kigali", (5,), datetime.time(18), datetime.time(6), capacity_floor=2
+)
+
+
+def service_of(*, floor=3, quiet_hours=()):
+    listed = tuple(Target(f"t{n}", "kigali-1", "127.0.0.1", n) for n in range(4))
+    return Service("postings", "ur", Parameters(floor, quiet_hours), listed, ())
+
+
+def stop_of(target="t1", *, name="s1", start_s=NOON_S, hours=1.0):
+    return PlannedStop(name, "postings", target, start_s, start_s + hours * HOUR_S)
+
+
+def places(findings):
+    return [finding.place for finding in findings]
+
+
+def test_new_work_ends_one_deadline_before_the_start():
+    service, stops = service_of(), (stop_of(),)
+    assert not stopping_targets(service, stops, wall_s=NOON_S - 12.1)
+    assert stopping_targets(service, stops, wall_s=NOON_S - 12) == {"t1"}
+    assert stopping_targets(service, stops, wall_s=NOON_S + HOUR_S - 1) == {"t1"}
+    assert not stopping_targets(service, stops, wall_s=NOON_S + HOUR_S)
+
+
+def test_the_floor_counts_a_stop_on_both_sides_of_it():
+    service, stops = service_of(), (stop_of(),)
+    assert not counted_stops(service, stops, wall_s=NOON_S - 18.1)
+    assert counted_stops(service, stops, wall_s=NOON_S - 18) == {"t1"}
+    assert counted_stops(service, stops, wall_s=NOON_S + HOUR_S + 1) == {"t1"}
+
+
+def test_a_stop_that_the_floor_allows_is_accepted():
+    assert check_stop(service_of(), (), stop_of()) == ()
+
+
+def test_two_stops_at_once_break_the_floor():
+    (finding,) = check_stop(service_of(), (stop_of("t2", name="s2"),), stop_of())
+    assert "leaves 2 of 4" in finding.message
+
+
+def test_two_stops_of_one_target_count_once():
+    assert check_stop(service_of(), (stop_of(name="s2"),), stop_of()) == ()
+
+
+def test_a_stop_may_replace_its_older_self():
+    assert check_stop(service_of(), (stop_of("t2"),), stop_of()) == ()
+
+
+@pytest.mark.parametrize(
+    ("minutes_past_start", "is_accepted"), [(-30, False), (0, False), (1, True)]
+)
+def test_quiet_hours_allow_a_second_stop(minutes_past_start, is_accepted):
+    service = service_of(quiet_hours=(WEEKEND,))
+    start_s = NOON_S + 4 * HOUR_S + 60 * minutes_past_start
+    first = stop_of("t2", name="s2", start_s=start_s, hours=2)
+    second = stop_of(start_s=start_s, hours=2)
+    assert (check_stop(service, (first,), second) == ()) is is_accepted
+
+
+def test_a_stop_past_the_end_of_quiet_hours_is_refused():
+    service = service_of(quiet_hours=(WEEKEND,))
+    start_s = NOON_S + 8 * HOUR_S
+    first = stop_of("t2", name="s2", start_s=start_s, hours=12)
+    (finding,) = check_stop(service, (first,), stop_of(start_s=start_s, hours=8.1))
+    assert "2026-12-05T04:00:00" in finding.message
+    assert check_stop(service, (first,), stop_of(start_s=start_s, hours=7.9)) == ()
+
+
+def test_every_fault_of_the_input_is_reported():
+    stop = PlannedStop("s1", "uploads", "t9", NOON_S, NOON_S)
+    findings = check_stop(service_of(), (), stop)
+    assert places(findings) == ["stop.s1.service", "stop.s1.target", "stop.s1.end"]
+
+
+def test_a_stop_needs_notice_unless_its_target_is_stopping_already():
+    service = service_of()
+    notice_s = minimum_notice_s(service)
+    late_s, early_s = NOON_S - notice_s + 1, NOON_S - notice_s
+    findings = check_stop(service, (), stop_of(), wall_s=late_s)
+    assert places(findings) == ["stop.s1.start"]
+    assert check_stop(service, (), stop_of(), wall_s=early_s) == ()
+    longer = stop_of(hours=2)
+    assert check_stop(service, (stop_of(),), longer, wall_s=NOON_S + 60) == ()
