Block the client library's resend before it takes a connection

Cause: aiohttp's client sends GET, HEAD, PUT and DELETE again when a connection breaks.

Taken: a client middleware for each request, called once for each sending, that raises before the pool is asked. The hooks stay as a second guard and tell whether a connection was held.

--- a/dogwoodhook/protocol/headers.py
+++ b/dogwoodhook/protocol/headers.py
@@ -13,6 +13,12 @@
     Dogwoodhook-Outcome: not-run; reason=queue-full
 """
 
+from collections.abc import Iterable, Mapping
+
+from multidict import CIMultiDict
+
+from dogwoodhook.state.outcomes import Answered, NotRun, Outcome, Unknown
+
 WORKSPACE_HEADER = "Dogwoodhook-Workspace"
 """Request header: the workspace on whose behalf the caller asks."""
 
@@ -40,3 +46,54 @@
 
 The latter two carry a reason, as in ``not-run; reason=target-shed``.
 """
+
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def end_to_end_headers(headers: Mapping[str, str]) -> CIMultiDict[str]:
+    """Return the headers that a proxy passes on (RFC 9110, section 7.6.1)."""
+    dropped = _HOP_BY_HOP | _connection_options(headers)
+    kept: CIMultiDict[str] = CIMultiDict()
+    for name, value in headers.items():
+        if name.lower() not in dropped:
+            kept.add(name, value)
+    return kept
+
+
+def _connection_options(headers: Mapping[str, str]) -> frozenset[str]:
+    value = headers.get("Connection")
+    if not value:
+        return frozenset()
+    return frozenset(_stripped(value.lower().split(",")))
+
+
+def _stripped(parts: Iterable[str]) -> Iterable[str]:
+    return (part.strip() for part in parts)
+
+
+def outcome_value(outcome: Outcome) -> str:
+    """Return the outcome header's value.
+
+    >>> from dogwoodhook.state.outcomes import NotRunReason
+    >>> outcome_value(NotRun(NotRunReason.QUEUE_FULL))
+    'not-run; reason=queue-full'
+    """
+    match outcome:
+        case Answered():
+            return "answered"
+        case NotRun(reason=reason):
+            return f"not-run; reason={reason}"
+        case Unknown(reason=unknown_reason):
+            return f"unknown; reason={unknown_reason}"
--- /dev/null
+++ b/dogwoodhook/transport/resend_guard.py
@@ -0,0 +1,100 @@
+"""Stops the HTTP client library from sending one request twice.
+
+aiohttp's client resends GET, HEAD, PUT and DELETE by itself when a connection
+breaks before an answer. What may be sent again is the operator's decision, so
+each attempt carries an ``AttemptTrace`` and may take one connection only::
+
+    trace = AttemptTrace()
+    await session.request(
+        "PUT", url, trace_request_ctx=trace, middlewares=(trace.block_resend,)
+    )
+
+The middleware blocks a resend before it takes a connection from the pool. The
+trace hooks count connections: a request sent without the middleware is blocked
+there, at the price of a pooled connection that stays open until its target
+closes it.
+"""
+
+from dataclasses import dataclass
+from types import SimpleNamespace
+
+import aiohttp
+
+
+class ResendBlockedError(aiohttp.ClientError):
+    """The client library was about to send a request for the second time."""
+
+    def __init__(self) -> None:
+        super().__init__("the connection broke before an answer")
+
+
+@dataclass(slots=True)
+class AttemptTrace:
+    """What one attempt did with connections.
+
+    ``is_connected`` is true once the attempt holds a connection: from then on
+    bytes of the request may have left. ``is_reused`` tells a pooled connection.
+    """
+
+    sendings: int = 0
+    connections: int = 0
+    is_connected: bool = False
+    is_reused: bool = False
+
+    async def block_resend(
+        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        """Send the request; a client middleware that lets it pass once."""
+        self.sendings += 1
+        if self.sendings > 1:
+            raise ResendBlockedError
+        return await handler(request)
+
+    def count_connection(self) -> None:
+        """Count a connection; the second one raises ``ResendBlockedError``."""
+        self.connections += 1
+        if self.connections > 1:
+            raise ResendBlockedError
+
+
+def make_trace_config() -> aiohttp.TraceConfig:
+    """Return the trace configuration for sessions that talk to targets."""
+    config = aiohttp.TraceConfig()
+    config.on_connection_create_start.append(_on_create_start)
+    config.on_connection_create_end.append(_on_create_end)
+    config.on_connection_reuseconn.append(_on_reuse)
+    return config
+
+
+def _trace_of(context: SimpleNamespace) -> AttemptTrace:
+    trace = context.trace_request_ctx
+    if not isinstance(trace, AttemptTrace):
+        raise TypeError(f"trace_request_ctx is {trace!r}, an AttemptTrace is needed")
+    return trace
+
+
+async def _on_create_start(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    params: aiohttp.TraceConnectionCreateStartParams,
+) -> None:
+    _trace_of(context).count_connection()
+
+
+async def _on_create_end(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    params: aiohttp.TraceConnectionCreateEndParams,
+) -> None:
+    _trace_of(context).is_connected = True
+
+
+async def _on_reuse(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    params: aiohttp.TraceConnectionReuseconnParams,
+) -> None:
+    trace = _trace_of(context)
+    trace.is_connected = True
+    trace.is_reused = True
+    trace.count_connection()
