--- a/dogwoodhook/transport/exchange.py
+++ b/dogwoodhook/transport/exchange.py
@@ -81,6 +81,7 @@
                 data=request.body or None,
                 allow_redirects=False,
                 trace_request_ctx=trace,
+                middlewares=(trace.block_resend,),
             )
     except TimeoutError:
         return Error(_timeout_failure(trace))
--- a/dogwoodhook/transport/resend_guard.py
+++ b/dogwoodhook/transport/resend_guard.py
@@ -2,7 +2,17 @@
 
 aiohttp's client resends GET, HEAD, PUT and DELETE by itself when a connection
 breaks before an answer. What may be sent again is the operator's decision, so
-each attempt carries an ``AttemptTrace`` and may take one connection only.
+each attempt carries an ``AttemptTrace`` and may take one connection only::
+
+    trace = AttemptTrace()
+    await session.request(
+        "PUT", url, trace_request_ctx=trace, middlewares=(trace.block_resend,)
+    )
+
+The middleware blocks a resend before it takes a connection from the pool. The
+trace hooks count connections: a request sent without the middleware is blocked
+there, at the price of a pooled connection that stays open until its target
+closes it.
 """
 
 from dataclasses import dataclass
@@ -14,6 +24,9 @@
 class ResendBlockedError(aiohttp.ClientError):
     """The client library was about to send a request for the second time."""
 
+    def __init__(self) -> None:
+        super().__init__("the connection broke before an answer")
+
 
 @dataclass(slots=True)
 class AttemptTrace:
@@ -23,15 +36,25 @@
     bytes of the request may have left. ``is_reused`` tells a pooled connection.
     """
 
+    sendings: int = 0
     connections: int = 0
     is_connected: bool = False
     is_reused: bool = False
 
+    async def block_resend(
+        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        """Send the request; a client middleware that lets it pass once."""
+        self.sendings += 1
+        if self.sendings > 1:
+            raise ResendBlockedError
+        return await handler(request)
+
     def count_connection(self) -> None:
         """Count a connection; the second one raises ``ResendBlockedError``."""
         self.connections += 1
         if self.connections > 1:
-            raise ResendBlockedError("the connection broke before an answer")
+            raise ResendBlockedError
 
 
 def make_trace_config() -> aiohttp.TraceConfig:
