--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -28,7 +28,13 @@
         [target.name for target in service.targets],
         false_ejection_interval_s=86_400.0,
     )
-    return ServiceDispatcher(service, health, data_centre="oulu-1", rng=Random(1), exclusions=lambda: frozenset(excluded))
+    return ServiceDispatcher(
+        service,
+        health,
+        data_centre="oulu-1",
+        rng=Random(1),
+        exclusions=lambda: frozenset(excluded),
+    )
 
 
 def ticket(number, workspace="oulu", **values):
