Name the readiness flag apart from the state machine's own methods

Cause: the daemon did not start: transitions sets is_ready() on its model, over a property of that name. Change: accepts_requests; a local fleet reports the log of a daemon that does not start.

--- a/dogwoodhook/control.py
+++ b/dogwoodhook/control.py
@@ -186,7 +186,7 @@
                 daemon=self._fleet.daemon,
                 configuration_version=self._fleet.store.current.version,
                 head_age_ms=None if age_s is None else int(age_s * 1000),
-                is_ready=self._fleet.readiness.is_ready,
+                is_ready=self._fleet.readiness.accepts_requests,
             )
         )
         self.update_readiness()
--- a/dogwoodhook/readiness.py
+++ b/dogwoodhook/readiness.py
@@ -35,7 +35,7 @@
         )
 
     @property
-    def is_ready(self) -> bool:
+    def accepts_requests(self) -> bool:
         """True while the balancer should send requests."""
         return self.state == READY
 
--- a/dogwoodhook/reporting.py
+++ b/dogwoodhook/reporting.py
@@ -31,7 +31,7 @@
 
     def readiness(self) -> tuple[bool, str]:
         """Return whether the daemon is ready, and why not."""
-        return self._fleet.readiness.is_ready, self._fleet.readiness.reason
+        return self._fleet.readiness.accepts_requests, self._fleet.readiness.reason
 
     def status(self) -> StatusReport:
         """Return the daemon's state."""
--- a/dogwoodhook/testing/fleet.py
+++ b/dogwoodhook/testing/fleet.py
@@ -31,6 +31,10 @@
 DATA_CENTRES = ("kigali-1", "kigali-2", "kigali-3")
 
 
+class StartError(Exception):
+    """A daemon did not start; carries its log."""
+
+
 @dataclass(slots=True)
 class DaemonProcess:
     """One ``dogwoodhookd`` with its ports and log file."""
@@ -128,7 +132,10 @@
                 stderr=log_file,
             )
         self._processes.append(daemon.process)
-        await wait_for_answer(f"{daemon.admin_url}/healthz")
+        try:
+            await wait_for_answer(f"{daemon.admin_url}/healthz")
+        except TimeoutError:
+            raise StartError(daemon.log_path.read_text()) from None
 
     async def wait_ready(self) -> None:
         """Wait until every daemon is ready."""
