--- /dev/null
+++ b/dogwoodhook/transport/services.py
@@ -0,0 +1,108 @@
+"""The services a daemon forwards for, with everything it keeps for each."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from random import Random
+
+from dogwoodhook.clock import Clock
+from dogwoodhook.state.admission import ServiceDispatcher
+from dogwoodhook.state.health import ServiceHealth
+from dogwoodhook.state.model import Configuration, Service
+from dogwoodhook.state.retries import RetryBudget
+from dogwoodhook.state.routing import RouteTable
+from dogwoodhook.transport.dispatch import Dispatch
+
+DRAIN_ANSWER_S = 30.0
+"""Time for which a target that answered that it drains gets no work."""
+
+
+@dataclass(slots=True)
+class ServiceRuntime:
+    """One service's health, targets, queue and retry budget."""
+
+    health: ServiceHealth
+    dispatch: Dispatch
+    budget: RetryBudget
+    drained_until_s: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def service(self) -> Service:
+        """The definition in force."""
+        return self.dispatch.dispatcher.service
+
+    def note_draining(self, target: str, *, now_s: float) -> None:
+        """Keep work from a target that answered that it drains."""
+        self.drained_until_s[target] = now_s + DRAIN_ANSWER_S
+
+    def draining(self, *, now_s: float) -> frozenset[str]:
+        """Return the targets that lately answered that they drain."""
+        return frozenset(
+            name for name, until_s in self.drained_until_s.items() if now_s < until_s
+        )
+
+    def reconfigure(self, service: Service) -> None:
+        """Take over a new definition."""
+        self.dispatch.dispatcher.reconfigure(service)
+        self.budget.retry_budget_percent = service.parameters.retry_budget_percent
+        self.dispatch.wake()
+
+
+class ServiceRegistry:
+    """All services of the configuration in force, and their routes.
+
+    ``exclusions`` returns the targets of a service that get no work now.
+    """
+
+    def __init__(self, clock: Clock, *, data_centre: str, rng: Random) -> None:
+        self.routes = RouteTable(())
+        self.exclusions: Callable[[ServiceRuntime], frozenset[str]] = _no_exclusions
+        self._clock = clock
+        self._data_centre = data_centre
+        self._rng = rng
+        self._runtimes: dict[str, ServiceRuntime] = {}
+
+    def __iter__(self) -> Iterator[ServiceRuntime]:
+        return iter(list(self._runtimes.values()))
+
+    def get(self, name: str) -> ServiceRuntime | None:
+        """Return a service by name."""
+        return self._runtimes.get(name)
+
+    def reconfigure(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+        services = configuration.services()
+        for service in services:
+            runtime = self._runtimes.get(service.name)
+            if runtime is None:
+                self._runtimes[service.name] = self._make(service)
+            elif runtime.service != service:
+                runtime.reconfigure(service)
+        for name in self._runtimes.keys() - {service.name for service in services}:
+            del self._runtimes[name]
+        self.routes = RouteTable(services)
+
+    def _make(self, service: Service) -> ServiceRuntime:
+        health = ServiceHealth(
+            service.name,
+            [target.name for target in service.targets],
+            false_ejection_interval_s=float(
+                service.parameters.false_ejection_interval_s
+            ),
+        )
+        dispatcher = ServiceDispatcher(
+            service,
+            health,
+            data_centre=self._data_centre,
+            rng=self._rng,
+            exclusions=lambda: self.exclusions(runtime),
+        )
+        budget = RetryBudget(
+            retry_budget_percent=service.parameters.retry_budget_percent,
+            now_s=self._clock.now_s(),
+        )
+        runtime = ServiceRuntime(health, Dispatch(dispatcher, self._clock), budget)
+        return runtime
+
+
+def _no_exclusions(runtime: ServiceRuntime) -> frozenset[str]:
+    return frozenset()
