Count own successes whenever the own sum is not zero

Cause: a success was dropped where the pooled sum stood at zero although the own sum did not, so the own sum held failures only and rose to an alarm. Slow answers had the same alternative hypothesis as errors, 20% in excess, which links that lose 5% of their packets reach by themselves. A trial of a suspect was judged by both symptoms at once.

Change: the own sum takes its successes; slow answers are tested against 50% in excess; a trial is judged by the symptom that brought the suspicion; the threshold takes into account that a sum leaves zero on a failure only. The baseline is taken anew every 8 records rather than on each.

Test: test_own_successes_count_while_the_pooled_sum_is_zero, red before.

Ruled out: noise of the median latency as the cause (it stayed within 20%).

Trouble of the whole service still accuses targets: 5 of 6 at 30% failing and an accepted interval of 600 s.

--- a/dogwoodhook/state/cusum.py
+++ b/dogwoodhook/state/cusum.py
@@ -7,11 +7,9 @@
 """
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 
-EXCESS_FAILING_SHARE = 0.2
-"""Share of otherwise good outcomes that the alternative hypothesis takes as failing."""
-
 MIN_THRESHOLD = 6.0
 
 
@@ -19,7 +17,7 @@
 class Likelihoods:
     """Log-likelihood ratios of one failing and one good outcome.
 
-    >>> ratios = Likelihoods.against(0.01)
+    >>> ratios = Likelihoods.against(0.01, excess_share=0.2)
     >>> round(ratios.failure, 2), round(ratios.success, 2)
     (3.03, -0.22)
     """
@@ -28,10 +26,12 @@
     success: float
 
     @classmethod
-    def against(
-        cls, baseline_share: float, *, excess_share: float = EXCESS_FAILING_SHARE
-    ) -> "Likelihoods":
-        """Return the ratios for a service whose outcomes fail at a given share."""
+    def against(cls, baseline_share: float, *, excess_share: float) -> "Likelihoods":
+        """Return the ratios for a service whose outcomes fail at a given share.
+
+        ``excess_share`` is the share of otherwise good outcomes that a target
+        spoils under the alternative hypothesis.
+        """
         failing_share = baseline_share + (1 - baseline_share) * excess_share
         return cls(
             failure=math.log(failing_share / baseline_share),
@@ -78,16 +78,22 @@
 
 
 def alarm_threshold(
-    *, outcomes_per_s: float, false_alarm_interval_s: float, detectors: int
+    *,
+    outcomes_per_s: float,
+    false_alarm_interval_s: float,
+    excess_shares: Sequence[float],
 ) -> float:
     """Return the sum at which false alarms come as seldom as accepted.
 
-    The mean number of outcomes between false alarms is at least ``exp`` of the
-    threshold (Lorden 1971).
+    A sum leaves zero on a failure only, and then reaches the threshold ``h``
+    with a probability of at most ``exp(first step - h)``. Together that is at
+    most ``exp(-h)`` times the failing share of the alternative hypothesis, for
+    each outcome. ``excess_shares`` holds one share for each sum that is kept.
 
     >>> round(alarm_threshold(
-    ...     outcomes_per_s=60, false_alarm_interval_s=604800, detectors=2), 1)
-    18.1
+    ...     outcomes_per_s=60, false_alarm_interval_s=604800,
+    ...     excess_shares=(0.2, 0.5)), 1)
+    17.0
     """
-    outcomes = outcomes_per_s * false_alarm_interval_s * detectors
+    outcomes = outcomes_per_s * false_alarm_interval_s * sum(excess_shares)
     return max(MIN_THRESHOLD, math.log(max(1.0, outcomes)))
--- a/dogwoodhook/state/health.py
+++ b/dogwoodhook/state/health.py
@@ -29,7 +29,9 @@
     SELF,
     OutcomeCounts,
     ServiceLikelihoods,
+    Symptom,
     TargetRecord,
+    View,
 )
 
 __all__ = [
@@ -44,7 +46,13 @@
 MAX_HEALTH_ENDPOINT_FACTOR = 0.3
 """Largest part of the threshold that a bad health endpoint may add."""
 
-DETECTORS = 2
+EXCESS_ERROR_SHARE = 0.2
+EXCESS_SLOW_SHARE = 0.5
+"""Shares of otherwise good outcomes that a failing target is taken to spoil."""
+
+OUTCOMES_PER_BASELINE = 8
+"""Records after which the baseline is taken anew."""
+
 SELF_DOUBT_SERVICES = 2
 SELF_DOUBT_TARGET_SHARE = 0.5
 MAX_TOLD_REQUESTS = 16
@@ -75,6 +83,7 @@
     record: TargetRecord
     recovery: Recovery | None = None
     reason: str = ""
+    symptom: Symptom = Symptom.ERRORS
     score: float = 0.0
     accusers: int = 0
 
@@ -105,6 +114,8 @@
         self._rate = OutcomeRate()
         self._reporters: dict[str, float] = {}
         self._transitions: list[TargetStatus] = []
+        self._recorded = 0
+        self._cached_likelihoods = self._compute_likelihoods()
 
     def reconfigure(
         self, targets: Sequence[str], *, false_ejection_interval_s: float
@@ -235,14 +246,13 @@
         self._record_baseline(
             target, counts, peers=0 if is_told else len(self._reporters)
         )
-        if not is_told:
-            return
         if is_slow:
             record.untold.failures[FailureKind.SLOW] += 1
             record.accusers.add(SELF)
-        else:
+        elif is_told:
             record.untold.successes += 1
-        self._add(target, counts, now_s, is_own=True)
+        if is_told or not record.own.is_zero:
+            self._add(target, counts, now_s, is_own=True)
 
     def _accuses(
         self, kind: FailureKind, fingerprint: int, target: str, now_s: float
@@ -269,6 +279,7 @@
     ) -> None:
         outcomes = counts.answers + counts.errors
         scale = 1 + peers
+        self._recorded += 1
         self._errors.record(
             target, failures=counts.errors * scale, outcomes=outcomes * scale
         )
@@ -305,13 +316,7 @@
         now_s: float,
     ) -> None:
         state = self._states[target]
-        errors = likelihoods.errors
-        slowness = likelihoods.slowness
-        error_score = counts.errors * errors.failure + counts.answers * errors.success
-        slow_score = (
-            counts.slow * slowness.failure + counts.successes * slowness.success
-        )
-        score = error_score if counts.errors else max(error_score, slow_score)
+        score = likelihoods.score(state.symptom, counts)
         if state.recovery is None:
             return
         if not state.recovery.observe_work(-score, now_s=now_s):
@@ -340,22 +345,23 @@
         if state.recovery is None:
             state.recovery = Recovery(self._random)
         state.accusers = 1 if pooled_score < threshold else len(record.accusers)
-        state.reason = self._describe(record, likelihoods)
+        view = max(record.views(), key=lambda each: each.score(likelihoods))
+        state.symptom = view.symptom(likelihoods)
+        state.reason = self._describe(view, state.symptom)
         state.recovery.suspect(now_s)
         self._note_transition(target, now_s)
 
-    def _describe(self, record: TargetRecord, likelihoods: ServiceLikelihoods) -> str:
-        view = max(record.views(), key=lambda each: each.score(likelihoods))
-        is_error = view.errors.score(likelihoods.errors) >= view.slowness.score(
-            likelihoods.slowness
-        )
-        cusum = view.errors if is_error else view.slowness
-        word = "failed" if is_error else "were slow"
+    def _describe(self, view: View, symptom: Symptom) -> str:
+        cusum = view.cusum(symptom)
         outcomes = cusum.failures + cusum.successes
-        baseline = self._errors if is_error else self._slowness
+        match symptom:
+            case Symptom.ERRORS:
+                word, share = "failed", self._errors.share()
+            case Symptom.SLOWNESS:
+                word, share = "were slow", self._slowness.share()
         return (
             f"{cusum.failures:.0f} of {outcomes:.0f} outcomes {word},"
-            f" {baseline.share():.1%} expected"
+            f" {share:.1%} expected"
         )
 
     def _advance(self, target: str, now_s: float) -> None:
@@ -385,16 +391,26 @@
         )
 
     def _likelihoods(self) -> ServiceLikelihoods:
+        if self._recorded >= OUTCOMES_PER_BASELINE:
+            self._cached_likelihoods = self._compute_likelihoods()
+            self._recorded = 0
+        return self._cached_likelihoods
+
+    def _compute_likelihoods(self) -> ServiceLikelihoods:
         return ServiceLikelihoods(
-            errors=Likelihoods.against(self._errors.share()),
-            slowness=Likelihoods.against(self._slowness.share()),
+            errors=Likelihoods.against(
+                self._errors.share(), excess_share=EXCESS_ERROR_SHARE
+            ),
+            slowness=Likelihoods.against(
+                self._slowness.share(), excess_share=EXCESS_SLOW_SHARE
+            ),
         )
 
     def _threshold(self) -> float:
         return alarm_threshold(
             outcomes_per_s=self._rate.outcomes_per_s() * (1 + len(self._reporters)),
             false_alarm_interval_s=self._interval_s,
-            detectors=DETECTORS,
+            excess_shares=(EXCESS_ERROR_SHARE, EXCESS_SLOW_SHARE),
         )
 
 
--- a/dogwoodhook/state/target_evidence.py
+++ b/dogwoodhook/state/target_evidence.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from dogwoodhook.state.cusum import Cusum, Likelihoods
 from dogwoodhook.state.outcomes import FailureKind, TargetEvidence
@@ -24,12 +25,11 @@
 """Name under which a daemon's own failures are kept among the accusers."""
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceLikelihoods:
-    """Likelihood ratios for errors and for slow answers."""
+class Symptom(StrEnum):
+    """What is wrong with a suspect's answers."""
 
-    errors: Likelihoods
-    slowness: Likelihoods
+    ERRORS = "errors"
+    SLOWNESS = "slowness"
 
 
 @dataclass(slots=True)
@@ -46,6 +46,25 @@
         return self.successes + self.slow
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceLikelihoods:
+    """Likelihood ratios for errors and for slow answers."""
+
+    errors: Likelihoods
+    slowness: Likelihoods
+
+    def score(self, symptom: Symptom, counts: OutcomeCounts) -> float:
+        """Return what outcomes add to the sum of one symptom."""
+        match symptom:
+            case Symptom.ERRORS:
+                failures, successes = counts.errors, counts.answers
+                ratios = self.errors
+            case Symptom.SLOWNESS:
+                failures, successes = counts.slow, counts.successes
+                ratios = self.slowness
+        return failures * ratios.failure + successes * ratios.success
+
+
 @dataclass(slots=True)
 class View:
     """The sums over one set of outcomes."""
@@ -73,6 +92,20 @@
             self.slowness.score(likelihoods.slowness),
         )
 
+    def symptom(self, likelihoods: ServiceLikelihoods) -> Symptom:
+        """Return the symptom whose sum is the larger."""
+        errors = self.errors.score(likelihoods.errors)
+        slowness = self.slowness.score(likelihoods.slowness)
+        return Symptom.ERRORS if errors >= slowness else Symptom.SLOWNESS
+
+    def cusum(self, symptom: Symptom) -> Cusum:
+        """Return the sum of one symptom."""
+        match symptom:
+            case Symptom.ERRORS:
+                return self.errors
+            case Symptom.SLOWNESS:
+                return self.slowness
+
     @property
     def is_zero(self) -> bool:
         """Tell whether no failure stands in either sum."""
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,7 +1,7 @@
 import pytest
 
 from dogwoodhook.state.health import ServiceHealth, TargetPhase
-from dogwoodhook.state.outcomes import Failure, FailureKind, Success
+from dogwoodhook.state.outcomes import Failure, FailureKind, Success, TargetEvidence
 
 TARGETS = ("a", "b", "c", "d", "e", "f")
 DAY_S = 86_400.0
@@ -105,3 +105,14 @@
 def test_an_unknown_target_is_named_with_those_allowed():
     with pytest.raises(KeyError, match=r"no target 'z'.*targets are a, b"):
         make_health(("a", "b")).status("z", now_s=0.0)
+
+
+def test_own_successes_count_while_the_pooled_sum_is_zero():
+    health = make_health()
+    succeed(health, TARGETS, count=20)
+    peer = TargetEvidence("payouts", "a", successes=200, failures=())
+    for index in range(20):
+        fail(health, "a", count=1, now_s=float(index))
+        health.absorb(peer, reporter="vm-1", now_s=float(index))
+        succeed(health, ("a",), count=20, now_s=float(index))
+    assert phase(health, "a", 20.0) is TargetPhase.HEALTHY
