Let the short window of the baseline lean less on the long one

Cause: when a whole service fails, its baseline lagged behind its failing share (62% against 80%), and targets were accused for the difference.

Change: the long window weighs 6 outcomes in the short one instead of 20.

--- a/dogwoodhook/state/baseline.py
+++ b/dogwoodhook/state/baseline.py
@@ -24,7 +24,7 @@
 SHORT_WINDOW_OUTCOMES = 30.0
 """Outcomes per target after which the short window halves its counts."""
 
-SHORT_PRIOR_OUTCOMES = 20.0
+SHORT_PRIOR_OUTCOMES = 6.0
 
 DROPPED_SHARE = 1 / 3
 """Share of the targets, those that fail most, left out of the baseline."""
