Follow the service's failing share over three windows

Cause: between 15 s and 60 s after a whole service began to fail neither the short window (noisy) nor the long one (late) gave its failing share.

Change: windows of 30, 120 and 480 outcomes a target; each leans on the next longer one, and the largest share counts.

--- a/dogwoodhook/state/baseline.py
+++ b/dogwoodhook/state/baseline.py
@@ -1,8 +1,8 @@
 """What is normal for a service: its failing share and its median latency.
 
 The share is taken over the targets that fail least, so a bad target does not
-raise it, and over two windows: a long one for what is usual and a short one for
-trouble that has just struck the whole service.
+raise it, and over windows of several lengths: long ones for what is usual, short
+ones for trouble that has just struck the whole service.
 """
 
 import math
@@ -18,13 +18,11 @@
 MIN_SHARE = 0.002
 MAX_SHARE = 0.9
 
-LONG_WINDOW_OUTCOMES = 400.0
-"""Outcomes per target after which the long window halves its counts."""
+WINDOWS_OUTCOMES = (480.0, 120.0, 30.0)
+"""Outcomes per target after which each window halves its counts, longest first."""
 
-SHORT_WINDOW_OUTCOMES = 30.0
-"""Outcomes per target after which the short window halves its counts."""
-
-SHORT_PRIOR_OUTCOMES = 6.0
+WINDOW_PRIOR_OUTCOMES = 6.0
+"""Outcomes of a window that weigh as much as the next longer window."""
 
 DROPPED_SHARE = 1 / 3
 """Share of the targets, those that fail most, left out of the baseline."""
@@ -79,26 +77,28 @@
     """The share of a service's outcomes that fail when nothing is wrong."""
 
     def __init__(self, targets: Sequence[str]) -> None:
-        self._long = _Window(LONG_WINDOW_OUTCOMES)
-        self._short = _Window(SHORT_WINDOW_OUTCOMES)
+        self._windows = [_Window(each) for each in WINDOWS_OUTCOMES]
         self.set_targets(targets)
 
     def set_targets(self, targets: Iterable[str]) -> None:
         """Keep the counts of targets that stay, forget the rest."""
         names = tuple(targets)
-        self._long.set_targets(names)
-        self._short.set_targets(names)
+        for window in self._windows:
+            window.set_targets(names)
 
     def record(self, target: str, *, failures: float, outcomes: float) -> None:
         """Count outcomes of a target, ``failures`` of them failing."""
-        self._long.record(target, failures, outcomes)
-        self._short.record(target, failures, outcomes)
+        for window in self._windows:
+            window.record(target, failures, outcomes)
 
     def share(self) -> float:
         """Return the failing share expected of any target at present."""
-        usual = self._long.share(PRIOR_SHARE, PRIOR_OUTCOMES)
-        present = self._short.share(usual, SHORT_PRIOR_OUTCOMES)
-        return min(MAX_SHARE, max(MIN_SHARE, usual, present))
+        longest, *shorter = self._windows
+        share = largest = longest.share(PRIOR_SHARE, PRIOR_OUTCOMES)
+        for window in shorter:
+            share = window.share(share, WINDOW_PRIOR_OUTCOMES)
+            largest = max(largest, share)
+        return min(MAX_SHARE, max(MIN_SHARE, largest))
 
 
 class LatencyBaseline:
