Let peers' suspicions lower the threshold of daemons that lag

Cause: most daemons pass the threshold within two seconds, then the failing target gets so little work that the rest, whose baselines are a little higher, starve of evidence and keep sending to it.

Change: evidence tells when its reporter came to suspect the target by pooled evidence (`TargetEvidence.is_suspected`, default false); where two peers did, half the threshold is enough. A suspicion at half the threshold is not told on, so suspicions can't feed each other.

Ruled out: adopting a peer's suspicion without evidence of one's own; a single mistaken daemon would then speak for all.

--- a/dogwoodhook/state/health.py
+++ b/dogwoodhook/state/health.py
@@ -46,6 +46,10 @@
 MAX_HEALTH_ENDPOINT_FACTOR = 0.3
 """Largest part of the threshold that a bad health endpoint may add."""
 
+MIN_SUSPECTING_PEERS = 2
+CONFIRMED_THRESHOLD_FACTOR = 0.5
+"""Part of the threshold that is enough where several peers passed all of it."""
+
 EXCESS_ERROR_SHARE = 0.2
 EXCESS_SLOW_SHARE = 0.5
 """Shares of otherwise good outcomes that a failing target is taken to spoil."""
@@ -151,6 +155,8 @@
         counts = self._count(evidence, now_s)
         if counts.errors or counts.slow:
             state.record.accusers.add(reporter)
+        if evidence.is_suspected:
+            state.record.suspecting_peers.add(reporter)
         self._record_baseline(evidence.target, counts, peers=1)
         self._add(evidence.target, counts, now_s, is_own=False)
 
@@ -306,6 +312,7 @@
         state.record.pooled.add(counts, likelihoods)
         if all(view.is_zero for view in state.record.views()):
             state.record.accusers.clear()
+            state.record.suspecting_peers.clear()
         self._judge(target, likelihoods, now_s)
 
     def _add_trial(
@@ -340,6 +347,10 @@
         threshold = self._threshold()
         if state.phase is TargetPhase.SLOW_START:
             threshold *= SLOW_START_THRESHOLD_FACTOR
+        if pooled_score >= threshold:
+            record.untold.is_suspected = True
+        elif len(record.suspecting_peers) >= MIN_SUSPECTING_PEERS:
+            threshold *= CONFIRMED_THRESHOLD_FACTOR
         if state.score < threshold:
             return
         if state.recovery is None:
--- a/dogwoodhook/state/outcomes.py
+++ b/dogwoodhook/state/outcomes.py
@@ -101,6 +101,7 @@
     ``failures`` counts by kind. Ordering inside the interval
     is lost; intervals are short. ``requests`` names the request behind those
     failures whose fingerprint is known; each of them is in ``failures`` too.
+    ``is_suspected`` tells that the reporter came to suspect the target since.
     """
 
     service: str
@@ -108,3 +109,4 @@
     successes: int
     failures: tuple[tuple[FailureKind, int], ...]
     requests: tuple[tuple[FailureKind, int], ...] = ()
+    is_suspected: bool = False
--- a/dogwoodhook/state/target_evidence.py
+++ b/dogwoodhook/state/target_evidence.py
@@ -124,10 +124,11 @@
     successes: int = 0
     failures: Counter[FailureKind] = field(default_factory=Counter)
     requests: list[tuple[FailureKind, int]] = field(default_factory=list)
+    is_suspected: bool = False
 
     def take(self, service: str, target: str) -> TargetEvidence | None:
         """Return the outcomes as a message and forget them."""
-        if not self.successes and not self.failures:
+        if not self.successes and not self.failures and not self.is_suspected:
             return None
         evidence = TargetEvidence(
             service=service,
@@ -135,10 +136,12 @@
             successes=self.successes,
             failures=tuple(sorted(self.failures.items())),
             requests=tuple(self.requests),
+            is_suspected=self.is_suspected,
         )
         self.successes = 0
         self.failures = Counter()
         self.requests = []
+        self.is_suspected = False
         return evidence
 
 
@@ -150,6 +153,7 @@
     pooled: View = field(default_factory=View)
     untold: Untold = field(default_factory=Untold)
     accusers: set[str] = field(default_factory=set)
+    suspecting_peers: set[str] = field(default_factory=set)
     endpoint_score: float = 0.0
 
     def views(self) -> Iterator[View]:
@@ -162,4 +166,5 @@
         self.own.reset()
         self.pooled.reset()
         self.accusers.clear()
+        self.suspecting_peers.clear()
         self.endpoint_score = 0.0
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -116,3 +116,23 @@
         health.absorb(peer, reporter="vm-1", now_s=float(index))
         succeed(health, ("a",), count=20, now_s=float(index))
     assert phase(health, "a", 20.0) is TargetPhase.HEALTHY
+
+
+def test_two_peers_that_suspect_a_target_halve_the_threshold():
+    lone, told = make_health(), make_health()
+    verdict = TargetEvidence("payouts", "a", 0, (), is_suspected=True)
+    for health in (lone, told):
+        succeed(health, TARGETS, count=20)
+        fail(health, "a", count=3)
+    for reporter in ("vm-1", "vm-2"):
+        told.absorb(verdict, reporter=reporter, now_s=0.0)
+    assert phase(lone, "a") is TargetPhase.HEALTHY
+    assert phase(told, "a") is TargetPhase.SUSPECT
+
+
+def test_peers_alone_suspecting_a_target_is_not_enough():
+    health = make_health()
+    verdict = TargetEvidence("payouts", "a", 0, (), is_suspected=True)
+    for index in range(40):
+        health.absorb(verdict, reporter=f"vm-{index}", now_s=0.0)
+    assert phase(health, "a") is TargetPhase.HEALTHY
