--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,7 +1,7 @@
 import pytest
 
 from dogwoodhook.state.health import ServiceHealth, TargetPhase
-from dogwoodhook.state.outcomes import Failure, FailureKind, Success
+from dogwoodhook.state.outcomes import Failure, FailureKind, Success, TargetEvidence
 
 TARGETS = ("a", "b", "c", "d", "e", "f")
 DAY_S = 86_400.0
@@ -105,3 +105,34 @@
 def test_an_unknown_target_is_named_with_those_allowed():
     with pytest.raises(KeyError, match=r"no target 'z'.*targets are a, b"):
         make_health(("a", "b")).status("z", now_s=0.0)
+
+
+def test_own_successes_count_while_the_pooled_sum_is_zero():
+    health = make_health()
+    succeed(health, TARGETS, count=20)
+    peer = TargetEvidence("payouts", "a", successes=200, failures=())
+    for index in range(20):
+        fail(health, "a", count=1, now_s=float(index))
+        health.absorb(peer, reporter="vm-1", now_s=float(index))
+        succeed(health, ("a",), count=20, now_s=float(index))
+    assert phase(health, "a", 20.0) is TargetPhase.HEALTHY
+
+
+def test_two_peers_that_suspect_a_target_halve_the_threshold():
+    lone, told = make_health(), make_health()
+    verdict = TargetEvidence("payouts", "a", 0, (), is_suspected=True)
+    for health in (lone, told):
+        succeed(health, TARGETS, count=20)
+        fail(health, "a", count=3)
+    for reporter in ("vm-1", "vm-2"):
+        told.absorb(verdict, reporter=reporter, now_s=0.0)
+    assert phase(lone, "a") is TargetPhase.HEALTHY
+    assert phase(told, "a") is TargetPhase.SUSPECT
+
+
+def test_peers_alone_suspecting_a_target_is_not_enough():
+    health = make_health()
+    verdict = TargetEvidence("payouts", "a", 0, (), is_suspected=True)
+    for index in range(40):
+        health.absorb(verdict, reporter=f"vm-{index}", now_s=0.0)
+    assert phase(health, "a") is TargetPhase.HEALTHY
