Close a target's connection when its caller leaves mid-answer

Cause: a caller that left while an idempotent answer streamed cancelled the handler, and the target's connection stayed open (still held after 5 s) until the garbage collector found it: the slot at the target stayed taken.

--- /dev/null
+++ b/dogwoodhook/testing/local_proxy.py
@@ -0,0 +1,116 @@
+"""The caller's path of a daemon inside the test's process.
+
+The configuration is fixed and no control loop runs: no ejection, no probes, no
+peers. Everything between the caller's socket and the target's is real.
+"""
+
+from collections.abc import Sequence
+from random import Random
+
+from dogwoodhook.clock import Clock, SystemClock
+from dogwoodhook.coordination.claims import ClaimBook
+from dogwoodhook.coordination.messages import Message
+from dogwoodhook.coordination.platform import Platform
+from dogwoodhook.coordination.quarantine import QuarantineBook
+from dogwoodhook.metrics import Metrics
+from dogwoodhook.state.model import (
+    Change,
+    Configuration,
+    Parameters,
+    RequestPattern,
+    Route,
+    ServiceDefinition,
+    Target,
+    Template,
+    apply_change,
+)
+from dogwoodhook.state.quarantine import Quarantine
+from dogwoodhook.testing.fleet import free_port
+from dogwoodhook.testing.memory_platform import MemoryPlatform
+from dogwoodhook.testing.serving import LOOPBACK
+from dogwoodhook.transport.caller import CallerHandler
+from dogwoodhook.transport.following import FollowedTasks
+from dogwoodhook.transport.forwarder import Forwarder
+from dogwoodhook.transport.keyed import KeyedForwarder
+from dogwoodhook.transport.listening import HttpListener
+from dogwoodhook.transport.services import ServiceRegistry
+from dogwoodhook.transport.target_pools import TargetPools
+
+DAEMON = "daemon-1"
+DATA_CENTRE = "kigali-1"
+GET_IS_IDEMPOTENT = Parameters(idempotent=(RequestPattern("GET", "/*"),))
+
+
+class LocalProxy:
+    """Forwards for one service to targets on loopback ports.
+
+    >>> async def show(port):
+    ...     async with LocalProxy([port]) as proxy:
+    ...         print(proxy.url)
+    """
+
+    def __init__(
+        self,
+        target_ports: Sequence[int],
+        *,
+        parameters: Parameters = GET_IS_IDEMPOTENT,
+        platform: Platform | None = None,
+        clock: Clock | None = None,
+        seed: int = 7,
+        max_in_flight: int = 1_000,
+    ) -> None:
+        clock = clock or SystemClock()
+        platform = platform or MemoryPlatform()
+        self.port = free_port()
+        self.pools = TargetPools()
+        self.followed = FollowedTasks()
+        self.registry = ServiceRegistry(
+            clock, data_centre=DATA_CENTRE, rng=Random(seed)
+        )
+        self.registry.reconfigure(_configuration(target_ports, parameters))
+        quarantine = QuarantineBook(
+            platform, clock, Quarantine(), broadcast=_tell_nobody
+        )
+        self.callers = CallerHandler(
+            self.registry,
+            KeyedForwarder(
+                Forwarder(self.pools, quarantine, clock),
+                ClaimBook(platform, clock, daemon=DAEMON),
+                self.followed,
+            ),
+            Metrics(daemon=DAEMON, max_workspace_series=10),
+            clock,
+            max_in_flight=max_in_flight,
+        )
+        self._listener = HttpListener(
+            self.callers.handle, host=LOOPBACK, port=self.port
+        )
+
+    @property
+    def url(self) -> str:
+        """Address for callers."""
+        return f"http://{LOOPBACK}:{self.port}"
+
+    async def __aenter__(self) -> "LocalProxy":
+        await self._listener.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._listener.close()
+        await self.pools.close()
+
+
+def _configuration(
+    target_ports: Sequence[int], parameters: Parameters
+) -> Configuration:
+    targets = tuple(
+        Target(f"t{number}", DATA_CENTRE, LOOPBACK, port)
+        for number, port in enumerate(target_ports, start=1)
+    )
+    service = ServiceDefinition("work", "local", "office", targets, (Route("/"),))
+    change = Change(1, "test", 0.0, "t-1", (Template("local", parameters), service))
+    return apply_change(Configuration(), change)
+
+
+def _tell_nobody(message: Message) -> None:
+    pass
--- a/dogwoodhook/transport/answers.py
+++ b/dogwoodhook/transport/answers.py
@@ -97,22 +97,32 @@
     answer = web.StreamResponse(
         status=source.status, reason=source.reason, headers=headers
     )
-    is_caller_present = await _prepare(request, answer)
     try:
         async with asyncio.timeout(timeout_s):
-            async for chunk in source.content.iter_any():
-                if capture is not None:
-                    capture.add(chunk)
-                if is_caller_present:
-                    is_caller_present = await _write(answer, chunk)
+            await _pass_on(request, source, answer, capture)
     except (aiohttp.ClientError, OSError, TimeoutError):
-        source.close()
         cut_caller(request)
         return answer, Unknown(UnknownReason.BROKEN_ANSWER)
-    source.release()
+    finally:
+        # Closes the connection unless the whole answer has been read.
+        source.close()
     return answer, Answered(source.status)
 
 
+async def _pass_on(
+    request: web.BaseRequest,
+    source: aiohttp.ClientResponse,
+    answer: web.StreamResponse,
+    capture: AnswerCapture | None,
+) -> None:
+    is_caller_present = await _prepare(request, answer)
+    async for chunk in source.content.iter_any():
+        if capture is not None:
+            capture.add(chunk)
+        if is_caller_present:
+            is_caller_present = await _write(answer, chunk)
+
+
 def cut_caller(request: web.BaseRequest) -> None:
     """Break the caller's connection, so that an unfinished answer shows as such."""
     if request.transport is not None:
