Keep a stray answer, and a broken neighbour, from other callers

Two faults of the pooled connections, each seen in a test first:

A target that sends a second answer after the first one, while the connection is idle, had it taken for the answer to the next request: another caller got it with outcome answered (test_bytes_after_an_answer_reach_no_other_caller[late-answer]). Left: bytes that cross the next request on the wire cannot be told from its answer; only connections used once are free of that.

A broken pooled connection closed the session of its target, and with it the answers in flight on its other connections (test_a_broken_connection_cuts_no_other_answer_of_its_pool). Change: the pool is retired; it takes no new attempt and closes after the last one.

Ruled out: looking at the idle connection from the tracing hook, which gets no connection; the connector's own reuse check, which looks only whether it is open.

--- a/dogwoodhook/transport/forwarder.py
+++ b/dogwoodhook/transport/forwarder.py
@@ -134,19 +134,19 @@
         self, call: Call, granted: Granted, attempts: int, *, started_s: float
     ) -> Reply | _Again:
         timeout_s = self._attempt_timeout_s(call, started_s)
-        session = self._pools.session(
+        async with self._pools.session(
             granted.target,
             may_reuse=call.is_idempotent and attempts == 1,
             max_connections=call.runtime.service.parameters.connections_per_target,
-        )
-        result = await open_answer(
-            session, granted.target, _attempt_request(call, timeout_s)
-        )
-        match result:
-            case Result(tag="ok", ok=opened):
-                return await self._answer(call, granted, opened, attempts, started_s)
-            case Result(error=failure):
-                return await self._fail(call, granted, failure, attempts, timeout_s)
+        ) as session:
+            request = _attempt_request(call, timeout_s)
+            match await open_answer(session, granted.target, request):
+                case Result(tag="ok", ok=opened):
+                    return await self._answer(
+                        call, granted, opened, attempts, started_s
+                    )
+                case Result(error=failure):
+                    return self._fail(call, granted, failure, attempts, timeout_s)
 
     def _attempt_timeout_s(self, call: Call, now_s: float) -> float:
         remaining_s = call.deadline_s - now_s
@@ -190,7 +190,7 @@
             self._quarantine.record_success(call.fingerprint, self._clock.now_s())
         return Reply(answer, outcome)
 
-    async def _fail(
+    def _fail(
         self,
         call: Call,
         granted: Granted,
@@ -201,7 +201,7 @@
         target = granted.target
         if failed.is_reused:
             # The connection may be at fault and not the target: a fresh one tells.
-            await self._pools.close_pool(target)
+            self._pools.retire_pool(target)
         else:
             self._blame(call, target.name, failed, timeout_s)
         if failed.outcome == NotRun(NotRunReason.TARGET_SHED):
--- a/dogwoodhook/transport/resend_guard.py
+++ b/dogwoodhook/transport/resend_guard.py
@@ -15,6 +15,7 @@
 closes it.
 """
 
+from contextvars import ContextVar
 from dataclasses import dataclass
 from types import SimpleNamespace
 
@@ -48,14 +49,29 @@
         self.sendings += 1
         if self.sendings > 1:
             raise ResendBlockedError
+        _current_attempt.set(self)
         return await handler(request)
 
+    @staticmethod
+    def current() -> "AttemptTrace":
+        """Return the attempt whose request this task is sending."""
+        return _current_attempt.get()
+
     def count_connection(self) -> None:
         """Count a connection; the second one raises ``ResendBlockedError``."""
         self.connections += 1
         if self.connections > 1:
             raise ResendBlockedError
 
+    def discard_connection(self) -> None:
+        """Take back a connection that was closed before anything was sent on it."""
+        self.connections -= 1
+        self.is_connected = False
+        self.is_reused = False
+
+
+_current_attempt: ContextVar[AttemptTrace] = ContextVar("current_attempt")
+
 
 def make_trace_config() -> aiohttp.TraceConfig:
     """Return the trace configuration for sessions that talk to targets."""
--- a/dogwoodhook/transport/target_pools.py
+++ b/dogwoodhook/transport/target_pools.py
@@ -3,12 +3,17 @@
 Requests that are not idempotent always get a fresh connection: a pooled one may
 have been closed by the target, or gone silent, and the outcome would be unknown.
 A fresh connection costs about 1 ms. Idempotent requests use a pool for each
-target, which can be closed alone when one of its connections proves bad.
+target, which is retired alone when one of its connections proves bad.
 """
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
 import aiohttp
 
 from dogwoodhook.state.model import Target
+from dogwoodhook.transport.quiet_connector import QuietConnector
 from dogwoodhook.transport.resend_guard import make_trace_config
 
 KEEPALIVE_S = 10.0
@@ -17,46 +22,77 @@
 CONNECT_TIMEOUT_S = 1.0
 
 
+@dataclass(slots=True)
+class _Pool:
+    """A session with the attempts that use it now."""
+
+    session: aiohttp.ClientSession
+    attempts: int = 0
+    is_retired: bool = False
+
+
 class TargetPools:
     """The sessions over which a daemon reaches its targets."""
 
     def __init__(self) -> None:
-        self._pooled: dict[tuple[str, int], aiohttp.ClientSession] = {}
+        self._pooled: dict[tuple[str, int], _Pool] = {}
+        self._retired: set[aiohttp.ClientSession] = set()
         self._fresh: aiohttp.ClientSession | None = None
 
-    def session(
+    @asynccontextmanager
+    async def session(
         self, target: Target, *, may_reuse: bool, max_connections: int
-    ) -> aiohttp.ClientSession:
-        """Return the session for an attempt; its pool is used if ``may_reuse``."""
+    ) -> AsyncIterator[aiohttp.ClientSession]:
+        """Hold the session for an attempt; its pool is used if ``may_reuse``."""
         if not may_reuse:
-            return self._fresh_session()
-        key = (target.host, target.port)
-        session = self._pooled.get(key)
-        if session is None:
-            session = _make_session(
-                aiohttp.TCPConnector(
-                    limit=max_connections, keepalive_timeout=KEEPALIVE_S
-                )
-            )
-            self._pooled[key] = session
-        return session
+            yield self._fresh_session()
+            return
+        pool = self._pool(target, max_connections)
+        pool.attempts += 1
+        try:
+            yield pool.session
+        finally:
+            pool.attempts -= 1
+            await self._close_if_unused(pool)
 
-    async def close_pool(self, target: Target) -> None:
-        """Close a target's pooled connections; later attempts get new ones."""
-        session = self._pooled.pop((target.host, target.port), None)
-        if session is not None:
-            await session.close()
+    def retire_pool(self, target: Target) -> None:
+        """Use a target's pooled connections for no new attempt.
+
+        Attempts in flight run out, then the connections are closed.
+        """
+        pool = self._pooled.pop((target.host, target.port), None)
+        if pool is not None:
+            pool.is_retired = True
+            self._retired.add(pool.session)
 
     async def close(self) -> None:
         """Close every connection."""
-        sessions = list(self._pooled.values())
+        sessions = [pool.session for pool in self._pooled.values()]
+        sessions += self._retired
         if self._fresh is not None:
             sessions.append(self._fresh)
         self._pooled.clear()
+        self._retired.clear()
         self._fresh = None
         for session in sessions:
             await session.close()
 
+    async def _close_if_unused(self, pool: _Pool) -> None:
+        if pool.is_retired and not pool.attempts:
+            self._retired.discard(pool.session)
+            await pool.session.close()
+
+    def _pool(self, target: Target, max_connections: int) -> _Pool:
+        key = (target.host, target.port)
+        pool = self._pooled.get(key)
+        if pool is None:
+            connector = QuietConnector(
+                limit=max_connections, keepalive_timeout=KEEPALIVE_S
+            )
+            pool = _Pool(_make_session(connector))
+            self._pooled[key] = pool
+        return pool
+
     def _fresh_session(self) -> aiohttp.ClientSession:
         if self._fresh is None:
             self._fresh = _make_session(aiohttp.TCPConnector(limit=0, force_close=True))
