--- a/dogwoodhook/control.py
+++ b/dogwoodhook/control.py
@@ -43,7 +43,6 @@
 CONFIGURATION_INTERVAL_S = 1.0
 VM_LIST_INTERVAL_S = 1.0
 EJECTION_INTERVAL_S = 1.0
-EXCLUSION_INTERVAL_S = 0.25
 EVIDENCE_INTERVAL_S = 0.15
 PROBE_INTERVAL_S = 0.5
 CLAIM_INTERVAL_S = 5.0
@@ -76,6 +75,7 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
+        fleet.registry.exclusions = self.excluded
         self._tasks: list[asyncio.Task[None]] = []
         self._evidence_sequence = 0
         self._heard_sequences: dict[str, int] = {}
@@ -88,7 +88,6 @@
             ("configuration", CONFIGURATION_INTERVAL_S, self.refresh_configuration),
             ("vm-list", VM_LIST_INTERVAL_S, self.refresh_vms),
             ("ejection", EJECTION_INTERVAL_S, self.refresh_ejections),
-            ("exclusion", EXCLUSION_INTERVAL_S, self.apply_exclusions),
             ("evidence", EVIDENCE_INTERVAL_S, self.tell_evidence),
             ("heartbeat", HEARTBEAT_INTERVAL_S, self.tell_heartbeat),
             ("probe", PROBE_INTERVAL_S, self.probe_suspects),
@@ -129,13 +128,10 @@
         await self._fleet.board.refresh([each.service.name for each in runtimes])
         for runtime in runtimes:
             await self._maintain_ejections(runtime)
-        await self.apply_exclusions()
 
-    async def apply_exclusions(self) -> None:
-        """Keep work from ejected, stopping and leaving targets."""
-        for runtime in self._fleet.registry:
-            excluded = self.exclusions(runtime)
-            runtime.exclude(excluded, now_s=self._fleet.clock.now_s())
+    def excluded(self, runtime: ServiceRuntime) -> frozenset[str]:
+        """Return the targets of a service that get no work now."""
+        return frozenset(self.exclusions(runtime))
 
     def exclusions(self, runtime: ServiceRuntime) -> dict[str, str]:
         """Return the excluded targets of a service, each with the reason."""
@@ -143,7 +139,12 @@
         stops = self._stops(runtime)
         leaving = self.leaving(runtime)
         reasons: dict[str, str] = {}
-        ejected = self._fleet.board.excluded(service, stops, leaving=leaving)
+        ejected = self._fleet.board.excluded(
+            service,
+            stops,
+            leaving=leaving,
+            configuration_version=self._version_in_force,
+        )
         stopping = stopping_targets(service, stops, wall_s=self._fleet.clock.wall_s())
         for name in ejected:
             reasons[name] = "ejected"
--- a/dogwoodhook/state/admission.py
+++ b/dogwoodhook/state/admission.py
@@ -4,7 +4,8 @@
 own data centre first. Without headroom it waits in its workspace's queue; queues
 are served in turn, so a workspace with many requests does not delay others. A
 suspect target is used when a request would otherwise be refused, or when no
-other target is left.
+other target is left. Targets that get no work at all (ejected, stopping, leaving)
+are asked for at each choice, because the right to exclude one is a lease.
 
 Example: a dispatcher with one free target grants at once.
 
@@ -17,7 +18,7 @@
 """
 
 from collections import Counter, OrderedDict, deque
-from collections.abc import Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
@@ -67,13 +68,20 @@
     """Targets, limits and queues of one service in one daemon."""
 
     def __init__(
-        self, service: Service, health: ServiceHealth, *, data_centre: str, rng: Random
+        self,
+        service: Service,
+        health: ServiceHealth,
+        *,
+        data_centre: str,
+        rng: Random,
+        exclusions: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self.service = service
         self.health = health
         self._data_centre = data_centre
         self._rng = rng
-        self._excluded: frozenset[str] = frozenset()
+        self._exclusions = exclusions
+        self._excluded = frozenset[str]()
         self._limits: dict[str, TargetLimit] = {}
         self._queues: OrderedDict[str, deque[Ticket]] = OrderedDict()
         self._in_flight: Counter[str] = Counter()
@@ -107,10 +115,6 @@
             ),
         )
 
-    def exclude(self, targets: Iterable[str]) -> None:
-        """Set the targets that get no work: ejected, stopping or leaving."""
-        self._excluded = frozenset(targets)
-
     def in_flight_at(self, target: str) -> int:
         """Return the requests at one target now."""
         limit = self._limits.get(target)
@@ -118,6 +122,7 @@
 
     def submit(self, ticket: Ticket, *, now_s: float) -> Admission:
         """Grant a target, queue the request or refuse it."""
+        self._excluded = self._exclusions()
         if not self._has_target():
             return Rejected(ticket, NotRunReason.NO_TARGET)
         if not self._queues.get(ticket.workspace):
@@ -132,6 +137,7 @@
 
     def expire(self, ticket: Ticket, *, now_s: float) -> Granted | Rejected:
         """End a wait that took too long."""
+        self._excluded = self._exclusions()
         self.withdraw(ticket)
         return self._grant_last_resort(ticket, NotRunReason.QUEUE_TIMEOUT, now_s=now_s)
 
@@ -147,6 +153,7 @@
 
     def grant_queued(self, *, now_s: float) -> list[Granted]:
         """Grant targets to waiting requests, workspaces in turn."""
+        self._excluded = self._exclusions()
         grants = []
         for workspace in list(self._queues):
             queue = self._queues[workspace]
--- a/dogwoodhook/transport/services.py
+++ b/dogwoodhook/transport/services.py
@@ -1,6 +1,6 @@
 """The services a daemon forwards for, with everything it keeps for each."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from random import Random
 
@@ -23,7 +23,6 @@
     health: ServiceHealth
     dispatch: Dispatch
     budget: RetryBudget
-    excluded: frozenset[str] = frozenset()
     drained_until_s: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -31,15 +30,9 @@
         """The definition in force."""
         return self.dispatch.dispatcher.service
 
-    def exclude(self, targets: Iterable[str], *, now_s: float) -> None:
-        """Set the targets that get no work, beside those that answered a drain."""
-        self.excluded = frozenset(targets)
-        self._apply_exclusions(now_s)
-
     def note_draining(self, target: str, *, now_s: float) -> None:
         """Keep work from a target that answered that it drains."""
         self.drained_until_s[target] = now_s + DRAIN_ANSWER_S
-        self._apply_exclusions(now_s)
 
     def draining(self, *, now_s: float) -> frozenset[str]:
         """Return the targets that lately answered that they drain."""
@@ -53,16 +46,16 @@
         self.budget.retry_budget_percent = service.parameters.retry_budget_percent
         self.dispatch.wake()
 
-    def _apply_exclusions(self, now_s: float) -> None:
-        self.dispatch.dispatcher.exclude(self.excluded | self.draining(now_s=now_s))
-        self.dispatch.wake()
-
 
 class ServiceRegistry:
-    """All services of the configuration in force, and their routes."""
+    """All services of the configuration in force, and their routes.
+
+    ``exclusions`` returns the targets of a service that get no work now.
+    """
 
     def __init__(self, clock: Clock, *, data_centre: str, rng: Random) -> None:
         self.routes = RouteTable(())
+        self.exclusions: Callable[[ServiceRuntime], frozenset[str]] = _no_exclusions
         self._clock = clock
         self._data_centre = data_centre
         self._rng = rng
@@ -97,10 +90,19 @@
             ),
         )
         dispatcher = ServiceDispatcher(
-            service, health, data_centre=self._data_centre, rng=self._rng
+            service,
+            health,
+            data_centre=self._data_centre,
+            rng=self._rng,
+            exclusions=lambda: self.exclusions(runtime),
         )
         budget = RetryBudget(
             retry_budget_percent=service.parameters.retry_budget_percent,
             now_s=self._clock.now_s(),
         )
-        return ServiceRuntime(health, Dispatch(dispatcher, self._clock), budget)
+        runtime = ServiceRuntime(health, Dispatch(dispatcher, self._clock), budget)
+        return runtime
+
+
+def _no_exclusions(runtime: ServiceRuntime) -> frozenset[str]:
+    return frozenset()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -12,7 +12,7 @@
 from dogwoodhook.state.outcomes import Failure, FailureKind, NotRunReason
 
 
-def make_dispatcher(targets=2, **parameters):
+def make_dispatcher(targets=2, excluded=(), **parameters):
     service = Service(
         name="balances",
         workspace="oulu",
@@ -28,7 +28,13 @@
         [target.name for target in service.targets],
         false_ejection_interval_s=86_400.0,
     )
-    return ServiceDispatcher(service, health, data_centre="oulu-1", rng=Random(1))
+    return ServiceDispatcher(
+        service,
+        health,
+        data_centre="oulu-1",
+        rng=Random(1),
+        exclusions=lambda: frozenset(excluded),
+    )
 
 
 def ticket(number, workspace="oulu", **values):
@@ -61,8 +67,7 @@
 
 
 def test_excluded_targets_get_nothing_even_as_a_last_resort():
-    dispatcher = make_dispatcher(targets=1)
-    dispatcher.exclude(["t0"])
+    dispatcher = make_dispatcher(targets=1, excluded=["t0"])
     refused = dispatcher.submit(ticket(1), now_s=0.0)
     assert refused == Rejected(ticket(1), NotRunReason.NO_TARGET)
 
