--- a/tests/test_resend_guard.py
+++ b/tests/test_resend_guard.py
@@ -17,7 +17,7 @@
 )
 
 METHODS = ["GET", "HEAD", "PUT", "DELETE", "POST", "PATCH", "OPTIONS"]
-RESENT_METHODS = ["GET", "HEAD", "PUT", "DELETE"]
+RESENT_METHODS = ["GET", "HEAD", "PUT", "DELETE", "OPTIONS"]
 BREAKS = [(), (Abort(),)]
 
 
