Release an ejection only with evidence of one's own, or late

Cause: any daemon without a suspicion, a fresh one say, would have released what others had just ejected. Ruled out: releases by the proposer only, which dies with it. Change: a daemon releases what it suspected itself, and another's after 60 s. Not measured.

--- a/dogwoodhook/control.py
+++ b/dogwoodhook/control.py
@@ -49,6 +49,9 @@
 QUARANTINE_INTERVAL_S = 1.0
 CLEAN_UP_INTERVAL_S = 300.0
 MIN_ACCUSERS = 2
+UNSUSPECTED_RELEASE_S = 60.0
+"""Time for which a daemon without evidence leaves an ejection to the others."""
+
 SELF_DOUBT_REASON = "most targets of several services fail from here"
 
 
@@ -81,6 +84,7 @@
         self._heard_sequences: dict[str, int] = {}
         self._version_in_force = 0
         self._has_loaded_quarantines = False
+        self._unsuspected_since_s: dict[tuple[str, str], float] = {}
 
     def start(self) -> None:
         """Start every loop."""
@@ -287,14 +291,16 @@
             for status in runtime.health.statuses(now_s=now_s)
             if status.phase is TargetPhase.SUSPECT
         }
-        for name in ejected - suspects.keys():
+        for name in self._releasable(runtime, ejected):
             await self._fleet.board.release(
                 service, name, configuration_version=version
             )
         if self._is_self_doubting():
             return
+        peers = self._fleet.membership.live_peers(now_s=now_s)
+        accusers_needed = min(MIN_ACCUSERS, 1 + len(peers))
         for status in suspects.values():
-            if status.target in ejected or status.accusers < MIN_ACCUSERS:
+            if status.target in ejected or status.accusers < accusers_needed:
                 continue
             await self._fleet.board.propose(
                 EjectionProposal(
@@ -308,6 +314,33 @@
                 )
             )
 
+    def _releasable(self, runtime: ServiceRuntime, ejected: set[str]) -> list[str]:
+        """Return the ejected targets that are to be tried with work again.
+
+        A daemon that suspected a target itself releases it when its holding time
+        is over and a probe was answered. One that never did, as after a restart,
+        leaves that to the others for a while.
+        """
+        now_s = self._fleet.clock.now_s()
+        service = runtime.service.name
+        known = {
+            key: at
+            for key, at in self._unsuspected_since_s.items()
+            if key[0] != service
+        }
+        releasable = []
+        for name in ejected:
+            phase = runtime.health.status(name, now_s=now_s).phase
+            if phase in (TargetPhase.PROBING, TargetPhase.SLOW_START):
+                releasable.append(name)
+            if phase is TargetPhase.HEALTHY:
+                since_s = self._unsuspected_since_s.get((service, name), now_s)
+                known[(service, name)] = since_s
+                if now_s - since_s > UNSUSPECTED_RELEASE_S:
+                    releasable.append(name)
+        self._unsuspected_since_s = known
+        return releasable
+
     async def _probe(self, runtime: ServiceRuntime, name: str) -> None:
         target = runtime.service.target(name)
         if target is None:
