Test that a stale head confirms nothing and a late read adopts nothing older

Cause: the two lines that no test caught, the comparison in _adopt and the refusal of a head below what is known.

--- a/properties/test_configuration.py
+++ b/properties/test_configuration.py
@@ -272,7 +272,7 @@
             # Reads are linearizable by contract. What a daemon cannot know to be
             # stale it believes; only its claim to be confirmed is then untrue.
             known = max(self.versions[index], self.reported[index])
-            stale = self.head() - self.platform.stale_by
+            stale = max(0, self.head() - self.platform.stale_by)
             self.was_deceived[index] |= stale >= known
         self.run(self.stores[index].refresh())
 
@@ -304,6 +304,7 @@
             self.take_result(await self.apply(*edit))
             await self.stores[sender].refresh()
             self.ask(sender, index)
+            self.no_daemon_goes_back()
 
         self.platform.before_answer += [*([wait] * reads), hear]
         limit = 0 if is_far_behind else 200
@@ -474,6 +475,20 @@
     assert fleet.reason(fresh) is None
 
 
+async def test_a_head_below_what_a_peer_reported_is_stale():
+    fleet = Fleet()
+    store = await fleet.store_at(3)
+    await fleet.store_at(5)
+    store.note_heartbeat(Heartbeat("vm-2", 5, 0, True))
+    fleet.clock.advance(PROPAGATION_BOUND_S + 0.1)
+    fleet.platform.stale_heads, fleet.platform.stale_by = 1, 2
+    assert (await store.refresh()).is_error()
+    assert not store.is_confirmed(fleet.clock.now_s())
+    await store.refresh()
+    assert store.current.version == 5
+    assert store.is_confirmed(fleet.clock.now_s())
+
+
 async def test_a_snapshot_is_only_a_hint():
     fleet = Fleet()
     peer = await fleet.store_at(3)
