--- a/dogwoodhook/state/outcomes.py
+++ b/dogwoodhook/state/outcomes.py
@@ -31,6 +31,7 @@
     CALLER_BODY_BROKEN = "caller-body-broken"
     KEY_UNSETTLED = "key-unsettled"
     EARLIER_ATTEMPT = "earlier-attempt"
+    INTERNAL_ERROR = "internal-error"
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +103,7 @@
     ``failures`` counts by kind. Ordering inside the interval
     is lost; intervals are short. ``requests`` names the request behind those
     failures whose fingerprint is known; each of them is in ``failures`` too.
+    ``is_suspected`` tells that the reporter came to suspect the target since.
     """
 
     service: str
@@ -109,3 +111,4 @@
     successes: int
     failures: tuple[tuple[FailureKind, int], ...]
     requests: tuple[tuple[FailureKind, int], ...] = ()
+    is_suspected: bool = False
