--- a/dogwoodhook/coordination/claims.py
+++ b/dogwoodhook/coordination/claims.py
@@ -313,8 +313,6 @@
         row = stored.value
         if row.phase is ClaimPhase.WITHDRAWN:
             return None
-        if row.phase is ClaimPhase.IN_PROGRESS and row.claimant == claim.claimant:
-            return replace(claim, version=stored.version)
         if row.phase is not ClaimPhase.SETTLED and row.claimant in self._withdrawals:
             return None
         if row.fingerprint != claim.request.fingerprint:
--- /dev/null
+++ b/dogwoodhook/coordination/quarantine.py
@@ -0,0 +1,167 @@
+"""Quarantine across the fleet: crash news, quarantine news, and the table.
+
+Peers are told of each crash at once, so that every daemon holds the same
+suspects. Decided quarantines are told as well and kept in the table for daemons
+that start later. All of it works without the table, which then only lags.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from expression import Result
+
+from dogwoodhook.clock import WALL_CLOCK_ERROR_S, Clock
+from dogwoodhook.coordination.group_commit import ConditionalWrite, GroupCommitter
+from dogwoodhook.coordination.messages import CrashNews, QuarantineNews
+from dogwoodhook.coordination.platform import ABSENT_VERSION, Platform, StoredRow
+from dogwoodhook.coordination.rows import (
+    QUARANTINE_PREFIX,
+    QuarantineRow,
+    quarantine_key,
+)
+from dogwoodhook.events import REQUEST_QUARANTINED, log
+from dogwoodhook.state.quarantine import (
+    MAX_FINGERPRINTS,
+    MAX_QUARANTINE_S,
+    Quarantine,
+    Quarantined,
+)
+
+Broadcast = Callable[[CrashNews | QuarantineNews], None]
+
+
+class QuarantineBook:
+    """One daemon's quarantine, kept in step with its peers' and the table's.
+
+    ``broadcast`` hands a message to the links to all peers without waiting.
+    ``load`` is awaited at the start, ``publish`` every second, ``expire`` rarely.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        clock: Clock,
+        quarantine: Quarantine,
+        *,
+        broadcast: Broadcast,
+    ) -> None:
+        self.quarantine = quarantine
+        self._platform = platform
+        self._clock = clock
+        self._broadcast = broadcast
+        self._committer = GroupCommitter(platform, clock)
+        self._unstored: dict[str, QuarantineRow] = {}
+
+    def record_crash(self, service: str, fingerprint: str, target: str) -> None:
+        """Note a target's crash with the request in flight, and tell the peers."""
+        now_s = self._clock.now_s()
+        self.quarantine.record_crash(service, fingerprint, target, now_s)
+        self._broadcast(CrashNews(service, fingerprint, target))
+
+    def receive(self, message: CrashNews | QuarantineNews) -> None:
+        """Take in a peer's news; safe to receive twice, late, or out of order."""
+        match message:
+            case CrashNews(service, fingerprint, target):
+                self.quarantine.record_peer_crash(
+                    service, fingerprint, target, self._clock.now_s()
+                )
+            case QuarantineNews(entries):
+                for row in entries:
+                    self._adopt(row)
+
+    async def load(self) -> bool:
+        """Take over the quarantines kept in the table; false if it is unreachable."""
+        after = ""
+        adopted = 0
+        while adopted < MAX_FINGERPRINTS:
+            match await self._platform.scan(QUARANTINE_PREFIX, after=after):
+                case Result(tag="ok", ok=rows):
+                    pass
+                case _:
+                    return False
+            if not rows:
+                return True
+            for stored in rows:
+                if isinstance(stored.value, QuarantineRow):
+                    self._adopt(stored.value)
+            adopted += len(rows)
+            after = rows[-1].key
+        return True
+
+    async def publish(self) -> None:
+        """Tell and store the quarantines decided since the last call."""
+        decided = self.quarantine.take_unpublished(self._clock.now_s())
+        rows = tuple(self._to_row(each) for each in decided)
+        for row in rows:
+            log(REQUEST_QUARANTINED, service=row.service, fingerprint=row.fingerprint)
+            self._unstored[quarantine_key(row.service, row.fingerprint)] = row
+        if rows:
+            self._broadcast(QuarantineNews(rows))
+        await self._store()
+
+    async def expire(self) -> None:
+        """Delete rows that have ended so long ago that no relapse counts them."""
+        match await self._platform.scan(QUARANTINE_PREFIX):
+            case Result(tag="ok", ok=rows):
+                pass
+            case _:
+                return
+        ended = [stored for stored in rows if self._has_ended(stored)]
+        await asyncio.gather(*(self._write(stored, None) for stored in ended))
+
+    async def _store(self) -> None:
+        if not self._unstored:
+            return
+        match await self._platform.read(tuple(self._unstored)):
+            case Result(tag="ok", ok=stored):
+                pass
+            case _:
+                return
+        keys = tuple(self._unstored)
+        await asyncio.gather(*(self._store_row(key, stored.get(key)) for key in keys))
+
+    async def _store_row(self, key: str, stored: StoredRow | None) -> None:
+        row = self._unstored[key]
+        if stored and _covers(stored, row):
+            del self._unstored[key]
+            return
+        version = stored.version if stored else ABSENT_VERSION
+        result = await self._committer.write(ConditionalWrite(key, version, row))
+        if result.is_ok() and self._unstored.get(key) == row:
+            del self._unstored[key]
+
+    async def _write(self, stored: StoredRow, row: QuarantineRow | None) -> None:
+        await self._committer.write(ConditionalWrite(stored.key, stored.version, row))
+
+    def _has_ended(self, stored: StoredRow) -> bool:
+        if not isinstance(stored.value, QuarantineRow):
+            return False
+        ended_s = self._clock.wall_s() - stored.value.expires_at_s
+        return ended_s > MAX_QUARANTINE_S + WALL_CLOCK_ERROR_S
+
+    def _adopt(self, row: QuarantineRow) -> None:
+        now_s = self._clock.now_s()
+        remaining_s = row.expires_at_s - self._clock.wall_s()
+        quarantined = Quarantined(
+            service=row.service,
+            fingerprint=row.fingerprint,
+            until_s=now_s + min(remaining_s, MAX_QUARANTINE_S),
+            crashes=row.crashes,
+        )
+        self.quarantine.adopt(quarantined, now_s)
+
+    def _to_row(self, quarantined: Quarantined) -> QuarantineRow:
+        remaining_s = quarantined.until_s - self._clock.now_s()
+        return QuarantineRow(
+            fingerprint=quarantined.fingerprint,
+            service=quarantined.service,
+            expires_at_s=self._clock.wall_s() + remaining_s,
+            crashes=quarantined.crashes,
+        )
+
+
+def _covers(stored: StoredRow, row: QuarantineRow) -> bool:
+    """Tell whether the stored quarantine lasts as long, within the clock error."""
+    if not isinstance(stored.value, QuarantineRow):
+        return False
+    return stored.value.expires_at_s >= row.expires_at_s - WALL_CLOCK_ERROR_S
--- a/dogwoodhook/state/quarantine.py
+++ b/dogwoodhook/state/quarantine.py
@@ -23,6 +23,9 @@
 MAX_CANDIDATES = 8
 """Fingerprints of one service with enough crashes, above which none is blamed."""
 
+JUDGE_DELAY_S = 0.5
+"""Wait after a second crash, in which peers tell who else was in flight."""
+
 SUSPICION_S = 120.0
 """Time after a crash for which a fingerprint stays a suspect."""
 
@@ -121,7 +124,9 @@
     RunAlone(avoid=frozenset({'t1'}))
     >>> quarantine.record_crash("payouts", "f", "t2", 0.2)
     >>> quarantine.check("f", 0.3)
-    Refuse(until_s=30.3)
+    Refuse(until_s=0.7)
+    >>> quarantine.check("f", 0.7)
+    Refuse(until_s=30.7)
     """
 
     def __init__(self, *, max_fingerprints: int = MAX_FINGERPRINTS) -> None:
@@ -135,6 +140,8 @@
     ) -> None:
         """Note that a target crashed with the request in flight."""
         suspect = self._suspect(service, fingerprint, now_s)
+        if suspect.quarantined_until_s > now_s:
+            return
         suspect.targets.add(target)
         suspect.crashed_at_s = now_s
         if suspect.was_quarantined:
@@ -180,7 +187,9 @@
         if is_explained or self._is_forgotten(suspect, now_s):
             del self._suspects[fingerprint]
             return Admit()
-        if not suspect.was_quarantined and self._is_culprit(suspect, now_s):
+        if self._is_judgement_due(suspect) and now_s < _judged_at_s(suspect):
+            return Refuse(_judged_at_s(suspect))
+        if self._is_culprit(suspect, now_s):
             self._quarantine(fingerprint, suspect, now_s)
             return Refuse(suspect.quarantined_until_s)
         if fingerprint in self._running:
@@ -195,8 +204,11 @@
         """Note that the suspect's run ended, whatever became of it."""
         self._running.pop(fingerprint, None)
 
-    def take_unpublished(self) -> tuple[Quarantined, ...]:
-        """Return the quarantines decided here since the last call."""
+    def take_unpublished(self, now_s: float) -> tuple[Quarantined, ...]:
+        """Judge the suspects; return the quarantines decided since the last call."""
+        for fingerprint, suspect in tuple(self._suspects.items()):
+            if self._is_judgement_due(suspect):
+                self.check(fingerprint, now_s)
         taken = tuple(self._unpublished)
         self._unpublished.clear()
         return taken
@@ -218,10 +230,13 @@
         last_s = max(suspect.crashed_at_s, suspect.quarantined_until_s)
         return now_s > last_s + lasting_s
 
+    def _is_judgement_due(self, suspect: _Suspect) -> bool:
+        return len(suspect.targets) >= CRASHES_UNTIL_QUARANTINE
+
     def _is_culprit(self, suspect: _Suspect, now_s: float) -> bool:
-        crashed = len(suspect.targets)
-        if crashed < CRASHES_UNTIL_QUARANTINE:
+        if not self._is_judgement_due(suspect):
             return False
+        crashed = len(suspect.targets)
         rivals = self._rivals(suspect, now_s)
         if rivals == 0:
             return True
@@ -259,3 +274,7 @@
             if other is not culprit and other.service == culprit.service:
                 other.targets -= culprit.targets
         culprit.targets.clear()
+
+
+def _judged_at_s(suspect: _Suspect) -> float:
+    return suspect.crashed_at_s + JUDGE_DELAY_S
--- a/dogwoodhook/testing/memory_platform.py
+++ b/dogwoodhook/testing/memory_platform.py
@@ -60,7 +60,8 @@
 
     ``is_down`` refuses every call. ``lost_answers`` counts commits still to be
     applied with their answer lost; ``lost_requests`` counts commits still to be
-    dropped before they take effect.
+    dropped before they take effect. ``delayed_commits`` counts commits still to be
+    held back, unanswered, until ``apply_delayed`` gives them to the table.
     """
 
     table: MemoryTable = field(default_factory=MemoryTable)
@@ -69,6 +70,14 @@
     is_down: bool = False
     lost_answers: int = 0
     lost_requests: int = 0
+    delayed_commits: int = 0
+    delayed: list[Transaction] = field(default_factory=list)
+
+    def apply_delayed(self) -> None:
+        """Let the delayed commits reach the table, where conditions still hold."""
+        held, self.delayed = self.delayed, []
+        for transaction in held:
+            self.table.commit(transaction)
 
     async def read(
         self, keys: Sequence[str]
@@ -93,6 +102,10 @@
         if self.lost_requests > 0:
             self.lost_requests -= 1
             return Error(OutcomeUnknown("no answer"))
+        if self.delayed_commits > 0:
+            self.delayed_commits -= 1
+            self.delayed.append(transaction)
+            return Error(OutcomeUnknown("no answer"))
         result = self.table.commit(transaction)
         if self.lost_answers > 0:
             self.lost_answers -= 1
--- a/tests/test_claims.py
+++ b/tests/test_claim_book.py
@@ -99,6 +99,40 @@
     assert isinstance(await books[0].claim(REQUEST), Claimed)
 
 
+async def test_a_delayed_commit_does_not_bring_a_withdrawn_claim_back(books, platform):
+    platform.delayed_commits = 1
+    claim = await books[0].claim(REQUEST)
+    await books[0].withdraw(claim)
+    platform.apply_delayed()
+    assert isinstance(await books[1].claim(REQUEST), Claimed)
+
+
+async def test_a_delayed_commit_of_a_claim_given_up_is_freed(books, platform):
+    platform.delayed_commits = 3
+    assert await books[0].claim(REQUEST) == TableUnreachable()
+    await books[0].maintain()
+    platform.apply_delayed()
+    assert isinstance(await books[1].claim(REQUEST), Claimed)
+
+
+async def test_the_lease_is_over_before_any_observer_says_unknown(books, clock):
+    claim = await books[0].claim(REQUEST)
+    await books[1].claim(REQUEST)
+    while claim.may_send(clock.now_s()):
+        assert await books[1].claim(REQUEST) == InProgress()
+        clock.advance(1)
+
+
+async def test_the_lease_counts_from_before_the_claim_was_sent(clock):
+    class SlowPlatform(MemoryPlatform):
+        async def commit(self, transaction):
+            clock.advance(31)
+            return await super().commit(transaction)
+
+    claim = await ClaimBook(SlowPlatform(), clock, daemon="vm-0").claim(REQUEST)
+    assert not claim.may_send(clock.now_s())
+
+
 async def test_a_cancelled_claim_is_freed(books):
     task = asyncio.create_task(books[0].claim(REQUEST))
     await asyncio.sleep(0)
