--- a/dogwoodhook/coordination/quarantine.py
+++ b/dogwoodhook/coordination/quarantine.py
@@ -57,6 +57,7 @@
         now_s = self._clock.now_s()
         self.quarantine.record_crash(service, fingerprint, target, now_s)
         self._broadcast(CrashNews(service, fingerprint, target))
+        self.judge()
 
     def receive(self, message: CrashNews | QuarantineNews) -> None:
         """Take in a peer's news; safe to receive twice, late, or out of order."""
@@ -88,8 +89,8 @@
             after = rows[-1].key
         return True
 
-    async def publish(self) -> None:
-        """Tell and store the quarantines decided since the last call."""
+    def judge(self) -> None:
+        """Judge the suspects, and tell the peers what was decided."""
         decided = self.quarantine.take_unpublished(self._clock.now_s())
         rows = tuple(self._to_row(each) for each in decided)
         for row in rows:
@@ -97,6 +98,10 @@
             self._unstored[quarantine_key(row.service, row.fingerprint)] = row
         if rows:
             self._broadcast(QuarantineNews(rows))
+
+    async def publish(self) -> None:
+        """Judge the suspects, and store what the table does not hold yet."""
+        self.judge()
         await self._store()
 
     async def expire(self) -> None:
