--- a/dogwoodhook/state/outcomes.py
+++ b/dogwoodhook/state/outcomes.py
@@ -30,6 +30,8 @@
     BROKEN_ANSWER = "broken-answer"
     CALLER_BODY_BROKEN = "caller-body-broken"
     KEY_UNSETTLED = "key-unsettled"
+    EARLIER_ATTEMPT = "earlier-attempt"
+    INTERNAL_ERROR = "internal-error"
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,9 +71,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Success:
-    """A target answered."""
+    """A target answered.
+
+    A ``fingerprint``, where known, proves that the request does not fail
+    everywhere, so its failures elsewhere speak against those targets.
+    """
 
     latency_ms: float
+    fingerprint: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,10 +101,14 @@
     """One daemon's outcomes with a target since it last told them.
 
     ``failures`` counts by kind. Ordering inside the interval
-    is lost; intervals are short.
+    is lost; intervals are short. ``requests`` names the request behind those
+    failures whose fingerprint is known; each of them is in ``failures`` too.
+    ``is_suspected`` tells that the reporter came to suspect the target since.
     """
 
     service: str
     target: str
     successes: int
     failures: tuple[tuple[FailureKind, int], ...]
+    requests: tuple[tuple[FailureKind, int], ...] = ()
+    is_suspected: bool = False
--- /dev/null
+++ b/dogwoodhook/transport/target_pools.py
@@ -0,0 +1,110 @@
+"""Connections to targets.
+
+Requests that are not idempotent always get a fresh connection: a pooled one may
+have been closed by the target, or gone silent, and the outcome would be unknown.
+A fresh connection costs about 1 ms. Idempotent requests use a pool for each
+target, which is retired alone when one of its connections proves bad.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import aiohttp
+
+from dogwoodhook.state.model import Target
+from dogwoodhook.transport.quiet_connector import QuietConnector
+from dogwoodhook.transport.resend_guard import make_trace_config
+
+KEEPALIVE_S = 10.0
+"""Idle time after which a pooled connection is closed."""
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+@dataclass(slots=True)
+class _Pool:
+    """A session with the attempts that use it now."""
+
+    session: aiohttp.ClientSession
+    attempts: int = 0
+    is_retired: bool = False
+
+
+class TargetPools:
+    """The sessions over which a daemon reaches its targets."""
+
+    def __init__(self) -> None:
+        self._pooled: dict[tuple[str, int], _Pool] = {}
+        self._retired: set[aiohttp.ClientSession] = set()
+        self._fresh: aiohttp.ClientSession | None = None
+
+    @asynccontextmanager
+    async def session(
+        self, target: Target, *, may_reuse: bool, max_connections: int
+    ) -> AsyncIterator[aiohttp.ClientSession]:
+        """Hold the session for an attempt; its pool is used if ``may_reuse``."""
+        if not may_reuse:
+            yield self._fresh_session()
+            return
+        pool = self._pool(target, max_connections)
+        pool.attempts += 1
+        try:
+            yield pool.session
+        finally:
+            pool.attempts -= 1
+            await self._close_if_unused(pool)
+
+    def retire_pool(self, target: Target) -> None:
+        """Use a target's pooled connections for no new attempt.
+
+        Attempts in flight run out, then the connections are closed.
+        """
+        pool = self._pooled.pop((target.host, target.port), None)
+        if pool is not None:
+            pool.is_retired = True
+            self._retired.add(pool.session)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        sessions = [pool.session for pool in self._pooled.values()]
+        sessions += self._retired
+        if self._fresh is not None:
+            sessions.append(self._fresh)
+        self._pooled.clear()
+        self._retired.clear()
+        self._fresh = None
+        for session in sessions:
+            await session.close()
+
+    async def _close_if_unused(self, pool: _Pool) -> None:
+        if pool.is_retired and not pool.attempts:
+            self._retired.discard(pool.session)
+            await pool.session.close()
+
+    def _pool(self, target: Target, max_connections: int) -> _Pool:
+        key = (target.host, target.port)
+        pool = self._pooled.get(key)
+        if pool is None:
+            connector = QuietConnector(
+                limit=max_connections, keepalive_timeout=KEEPALIVE_S
+            )
+            pool = _Pool(_make_session(connector))
+            self._pooled[key] = pool
+        return pool
+
+    def _fresh_session(self) -> aiohttp.ClientSession:
+        if self._fresh is None:
+            self._fresh = _make_session(aiohttp.TCPConnector(limit=0, force_close=True))
+        return self._fresh
+
+
+def _make_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        trace_configs=[make_trace_config()],
+    )
