Prove stops, shutdown and restarts over real processes

Found: with uploads in flight on both targets, a third waited and was refused after the queue's timeout although slots were free: the limit of requests in flight started at 1 and grows only by answers, which long requests do not give. The planned-stop test failed with 503 for two of four uploads.

Ruled out: a longer queue timeout (the uploads last longer than any).

Change: the limit starts at the target's slots; a shed narrows it. Tests drive two daemons as processes through SIGTERM, a planned stop, a leaving target, a drain answer, and a restart in an outage.

--- a/dogwoodhook/state/limits.py
+++ b/dogwoodhook/state/limits.py
@@ -6,7 +6,7 @@
 shed also starts a back-off with jitter, during which the target is not chosen.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 DECREASE_FACTOR = 0.5
@@ -20,11 +20,16 @@
     """Limit of requests in flight from this daemon to one target."""
 
     max_limit: float
-    limit: float = MIN_LIMIT
+    limit: float = field(init=False)
     in_flight: int = 0
     backoff_s: float = MIN_BACKOFF_S
     blocked_until_s: float = 0.0
 
+    def __post_init__(self) -> None:
+        # Long requests give no answers to grow by, so the limit starts wide: a shed
+        # costs one round trip, a queue in front of free slots costs seconds.
+        self.limit = self.max_limit
+
     def headroom(self, *, now_s: float) -> float:
         """Return how many more requests may start, as a fraction of the limit."""
         if now_s < self.blocked_until_s or self.in_flight + 1 > self.limit:
--- a/dogwoodhook/testing/fleet.py
+++ b/dogwoodhook/testing/fleet.py
@@ -18,16 +18,24 @@
 from types import TracebackType
 
 import aiohttp
+from expression import Result
 
+from dogwoodhook.clock import SystemClock
+from dogwoodhook.coordination.editing import apply_documents
 from dogwoodhook.coordination.membership import ADMIN_ROLE, DAEMON_ROLE
 from dogwoodhook.coordination.platform import Vm, VmPhase
 from dogwoodhook.protocol.platform_api import VmsBody
+from dogwoodhook.state.model import Document
+from dogwoodhook.transport.platform_client import HttpPlatform
+from dogwoodhook.transport.status import StatusReport
 
 HOST = "127.0.0.1"
 FLEET_SECRET = "secret-of-the-local-fleet"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.05
+FIRST_RANGE_PORT = 23000
+LAST_RANGE_PORT = 29000
 DATA_CENTRES = ("kigali-1", "kigali-2", "kigali-3")
 
 
@@ -142,6 +150,37 @@
         for daemon in self.daemons:
             await wait_for_answer(f"{daemon.admin_url}/readyz")
 
+    async def apply(self, *documents: Document) -> int:
+        """Apply documents, and return the version that has them in force."""
+        async with aiohttp.ClientSession() as session:
+            platform = HttpPlatform(session, self.platform_url)
+            result = await apply_documents(
+                platform, documents, author="local fleet", clock=SystemClock()
+            )
+        match result:
+            case Result(tag="ok", ok=accepted):
+                return accepted.version
+            case Result(error=error):
+                raise StartError(str(error))
+
+    async def wait_version(self, version: int) -> None:
+        """Wait until a configuration version is in force on every daemon."""
+        for daemon in self.daemons:
+            while await self.version_of(daemon) < version:
+                await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def version_of(self, daemon: DaemonProcess) -> int:
+        """Return the configuration version in force on a daemon."""
+        return (await self.status_of(daemon)).configuration_version
+
+    async def status_of(self, daemon: DaemonProcess) -> StatusReport:
+        """Return a daemon's account of itself."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"{daemon.admin_url}/status") as response,
+        ):
+            return StatusReport.model_validate_json(await response.read())
+
     async def run_cli(self, *arguments: str) -> tuple[int, str]:
         """Run ``dogwoodhook``; return its exit status and output."""
         process = await asyncio.create_subprocess_exec(
@@ -232,6 +271,23 @@
         return port
 
 
+def free_port_range(count: int) -> range:
+    """Return that many ports in a row that are free now."""
+    for first in range(FIRST_RANGE_PORT, LAST_RANGE_PORT, count):
+        if all(_is_free(port) for port in range(first, first + count)):
+            return range(first, first + count)
+    raise OSError(f"no {count} free ports in a row below {LAST_RANGE_PORT}")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
 async def put_json(url: str, body: object) -> None:
     """Send a JSON body, and fail unless it is taken."""
     async with (
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -42,7 +42,7 @@
 
 
 def test_requests_over_the_limits_wait_and_are_granted_in_turn():
-    dispatcher = make_dispatcher(targets=1)
+    dispatcher = make_dispatcher(targets=1, slots_per_target=1)
     first = dispatcher.submit(ticket(1, "greedy"), now_s=0.0)
     waiting = [
         dispatcher.submit(ticket(number, "greedy"), now_s=0.0) for number in (2, 3)
@@ -59,7 +59,7 @@
 
 
 def test_a_full_queue_refuses():
-    dispatcher = make_dispatcher(targets=1, workspace_queue_limit=1)
+    dispatcher = make_dispatcher(targets=1, slots_per_target=1, workspace_queue_limit=1)
     for number in (1, 2):
         dispatcher.submit(ticket(number), now_s=0.0)
     refused = dispatcher.submit(ticket(3), now_s=0.0)
@@ -73,7 +73,7 @@
 
 
 def test_a_suspect_is_avoided_until_nothing_else_is_left():
-    dispatcher = make_dispatcher(targets=2)
+    dispatcher = make_dispatcher(targets=2, slots_per_target=1)
     for fingerprint in range(200):
         dispatcher.health.observe(
             "t0", Failure(FailureKind.CRASH, fingerprint), now_s=fingerprint * 0.01
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,239 @@
+"""The whole path as processes: stops, shutdown and configuration under faults."""
+
+import asyncio
+import hashlib
+import signal
+from contextlib import asynccontextmanager
+
+import aiohttp
+
+from dogwoodhook.clock import SystemClock
+from dogwoodhook.protocol.headers import OUTCOME_HEADER
+from dogwoodhook.state.model import (
+    Parameters,
+    PlannedStop,
+    RequestPattern,
+    Route,
+    ServiceDefinition,
+    Target,
+    Template,
+)
+from dogwoodhook.testing.fleet import HOST, LocalFleet, free_port_range
+from dogwoodhook.testing.target_record import RecordBody, RunPhase
+from dogwoodhook.testing.target_server import pattern_bytes
+
+UPLOAD_CHUNKS = 40
+CHUNK = bytes(64 * 1024)
+DOWNLOAD_BYTES = 24 * 1024 * 1024
+MORE_REQUESTS = 100
+TEMPLATE = Template(
+    "tills",
+    Parameters(
+        capacity_floor=1,
+        deadline_ms=60_000,
+        idempotent=(RequestPattern("GET", "/*"),),
+    ),
+)
+
+
+def service_on(ports):
+    targets = tuple(
+        Target(f"payouts-{number}", "kigali-1", HOST, port)
+        for number, port in enumerate(ports)
+    )
+    return ServiceDefinition("payouts", "tills", "oulu", targets, (Route("/payouts"),))
+
+
+@asynccontextmanager
+async def running_fleet(*, daemons=2, targets=2):
+    ports = free_port_range(targets)
+    async with LocalFleet(daemons=daemons, target_ports=[ports]) as fleet:
+        version = await fleet.apply(TEMPLATE, service_on(ports))
+        await fleet.wait_version(version)
+        await fleet.wait_ready()
+        async with aiohttp.ClientSession() as session:
+            yield fleet, ports, session
+
+
+async def slow_chunks(is_halfway):
+    for number in range(UPLOAD_CHUNKS):
+        if number == UPLOAD_CHUNKS // 2:
+            is_halfway.set()
+        yield CHUNK
+        await asyncio.sleep(0.05)
+
+
+async def upload(session, url, is_halfway):
+    async with session.put(url, data=slow_chunks(is_halfway)) as response:
+        answer = await response.json()
+        return response.status, answer["sha256"]
+
+
+async def download(session, url, may_go_on):
+    digest = hashlib.sha256()
+    async with session.get(f"{url}?size={DOWNLOAD_BYTES}") as response:
+        digest.update(await response.content.read(1024))
+        await may_go_on.wait()
+        async for chunk in response.content.iter_any():
+            digest.update(chunk)
+    return digest.hexdigest()
+
+
+async def read_record(session, port):
+    async with session.get(f"http://{HOST}:{port}/_record") as response:
+        return RecordBody.model_validate_json(await response.read())
+
+
+async def wait_excluded(fleet, target, reason):
+    for daemon in fleet.daemons:
+        while reason not in await why_excluded(fleet, daemon, target):
+            await asyncio.sleep(0.05)
+
+
+async def why_excluded(fleet, daemon, target):
+    status = await fleet.status_of(daemon)
+    return [
+        each.why_excluded
+        for each in status.services["payouts"].targets
+        if each.name == target
+    ]
+
+
+async def send_until(session, url, stop, outcomes):
+    while not stop.is_set():
+        async with session.get(url) as response:
+            await response.read()
+            outcomes.append((response.status, response.headers[OUTCOME_HEADER]))
+        await asyncio.sleep(0.01)
+
+
+async def send_more(outcomes):
+    enough = len(outcomes) + MORE_REQUESTS
+    while len(outcomes) < enough:
+        await asyncio.sleep(0.05)
+
+
+WHOLE_UPLOAD = (200, hashlib.sha256(CHUNK * UPLOAD_CHUNKS).hexdigest())
+WHOLE_DOWNLOAD = hashlib.sha256(pattern_bytes(DOWNLOAD_BYTES)).hexdigest()
+
+
+async def test_a_daemon_that_is_told_to_stop_cuts_nothing():
+    async with running_fleet(targets=1) as (fleet, ports, session):
+        daemon = fleet.daemons[0]
+        url = f"{daemon.caller_url}/payouts/file"
+        is_halfway = asyncio.Event()
+        uploading = asyncio.create_task(upload(session, url, is_halfway))
+        downloading = asyncio.create_task(download(session, url, is_halfway))
+        await is_halfway.wait()
+        daemon.signal(signal.SIGTERM)
+        assert await uploading == WHOLE_UPLOAD
+        assert await downloading == WHOLE_DOWNLOAD
+        assert await daemon.process.wait() == 0
+        record = await read_record(session, ports[0])
+        assert {run.phase for run in record.runs} == {RunPhase.FINISHED}
+
+
+async def test_a_planned_stop_cuts_nothing_and_ends_new_work():
+    async with running_fleet() as (fleet, ports, session):
+        clock = SystemClock()
+        url = f"{fleet.daemons[0].caller_url}/payouts/file"
+        ready = [asyncio.Event() for _ in range(4)]
+        uploads = [
+            asyncio.create_task(upload(session, url, is_halfway))
+            for is_halfway in ready
+        ]
+        start_s = clock.wall_s() + 0.5
+        await fleet.apply(
+            PlannedStop("s1", "payouts", "payouts-0", start_s, start_s + 60.0)
+        )
+        stop, outcomes = asyncio.Event(), []
+        sending = asyncio.create_task(
+            send_until(
+                session, f"{fleet.daemons[1].caller_url}/payouts", stop, outcomes
+            )
+        )
+        await wait_excluded(fleet, "payouts-0", "planned stop")
+        excluded_s = clock.now_s()
+        assert await asyncio.gather(*uploads) == [WHOLE_UPLOAD] * 4
+        await send_more(outcomes)
+        stop.set()
+        await sending
+        runs = (await read_record(session, ports[0])).runs
+        assert {run.phase for run in runs} == {RunPhase.FINISHED}
+        assert max(run.started_s for run in runs) <= excluded_s
+        assert {outcome for _, outcome in outcomes} == {"answered"}
+
+
+async def test_a_leaving_target_gets_no_new_work():
+    async with running_fleet() as (fleet, ports, session):
+        clock = SystemClock()
+        stop, outcomes = asyncio.Event(), []
+        sending = [
+            asyncio.create_task(
+                send_until(session, f"{daemon.caller_url}/payouts", stop, outcomes)
+            )
+            for daemon in fleet.daemons
+        ]
+        await fleet.put_vms(leaving=[f"{HOST}:{ports[0]}"])
+        await wait_excluded(fleet, "payouts-0", "leaving")
+        excluded_s = clock.now_s()
+        await send_more(outcomes)
+        stop.set()
+        await asyncio.gather(*sending)
+        runs = (await read_record(session, ports[0])).runs
+        assert max(run.started_s for run in runs) <= excluded_s
+        assert {outcome for _, outcome in outcomes} == {"answered"}
+
+
+async def test_a_draining_target_is_left_at_its_first_answer():
+    async with running_fleet(daemons=1) as (fleet, ports, session):
+        url = f"{fleet.daemons[0].caller_url}/payouts"
+        await fleet.put_target_faults(ports[0], is_draining=True)
+        for _ in range(50):
+            async with session.post(url, data=b"payout") as response:
+                assert response.status == 200
+        assert (await read_record(session, ports[0])).shed <= 1
+
+
+async def test_a_daemon_restarted_in_an_outage_never_serves_an_older_version():
+    async with running_fleet(daemons=2) as (fleet, _ports, _session):
+        first, second = fleet.daemons
+        version = await fleet.apply(
+            Template("tills", Parameters(capacity_floor=1, deadline_ms=50_000))
+        )
+        await fleet.wait_version(version)
+        await fleet.put_platform_faults(is_down=True)
+        second.signal(signal.SIGKILL)
+        await second.process.wait()
+        await fleet.start_daemon(second)
+        await fleet.wait_version(version)
+        status = await fleet.status_of(second)
+        assert status.configuration_version == version
+        first.signal(signal.SIGKILL)
+        await first.process.wait()
+        second.signal(signal.SIGKILL)
+        await second.process.wait()
+        await fleet.start_daemon(second)
+        status = await fleet.status_of(second)
+        assert status.configuration_version == 0
+        assert not status.is_ready
+
+
+async def test_a_request_after_the_daemon_is_told_to_stop_is_not_run():
+    async with running_fleet(daemons=1, targets=1) as (fleet, ports, session):
+        daemon = fleet.daemons[0]
+        told = []
+        daemon.signal(signal.SIGTERM)
+        for number in range(200):
+            headers = {"Dogwoodhook-Nonce": f"n{number}"}
+            try:
+                async with session.post(
+                    f"{daemon.caller_url}/payouts", headers=headers
+                ) as response:
+                    told.append((f"n{number}", response.headers[OUTCOME_HEADER]))
+            except aiohttp.ClientError:
+                break
+        assert await daemon.process.wait() == 0
+        ran = {run.nonce for run in (await read_record(session, ports[0])).runs}
+        for nonce, outcome in told:
+            assert (nonce in ran) == (outcome == "answered")
