Add the operators' command line

Cause: operators drive the fleet by editing templates and services, scheduling planned stops and reading what was done and why.

Change: `dogwoodhook` with check, template and service apply/show/remove, stop schedule/cancel/list, targets, explain and history; each command a small module that returns a result, printed as text or JSON, with an exit status. `show` prints TOML that applies again. `--wait` asks every live daemon of the VM list. Planned stops are checked with the change itself, so that the check and the write share one condition on the head; a change that would break the floor of a stop accepted earlier is refused. A conflict names who changed what meanwhile.

In settings (shared): flags may stand after arguments, and a field's alias is its flag where pydantic takes the name (`--json`).

Ruled out: a hook through which the command line passes its own checks to the edit; other clients would then skip them.

Conclusion: whole against the platform in memory; not yet run against daemons.

--- /dev/null
+++ b/dogwoodhook/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the operators' command line as ``python -m dogwoodhook.cli``."""
+
+from dogwoodhook.cli import main
+
+main()
--- /dev/null
+++ b/dogwoodhook/coordination/change_checks.py
@@ -0,0 +1,56 @@
+"""Checks of a change before it is proposed, planned stops included."""
+
+from collections.abc import Iterator
+
+from dogwoodhook.findings import Finding
+from dogwoodhook.state.checks import check_configuration
+from dogwoodhook.state.model import Change, Configuration, PlannedStop
+from dogwoodhook.state.stops import check_stop
+
+
+def check_change(
+    before: Configuration, after: Configuration, change: Change
+) -> tuple[Finding, ...]:
+    """Return what speaks against a change that leads from one configuration to another.
+
+    A new stop must leave the floor and come with notice. Stops accepted earlier
+    must still leave the floor of a service that the change touches; where they
+    don't, the operator cancels them first. A stop of a target that the service
+    no longer lists has no effect, so a target can be stopped and then removed.
+    """
+    return (
+        *check_configuration(after),
+        *_new_stop_findings(before, after, change),
+        *_kept_stop_findings(before, after, change),
+    )
+
+
+def _new_stop_findings(
+    before: Configuration, after: Configuration, change: Change
+) -> Iterator[Finding]:
+    for stop in _stops_of(change):
+        service = after.service(stop.service)
+        if service is None:
+            message = f"received {stop.service!r}, allowed: the name of a service"
+            yield Finding(f"stop.{stop.name}.service", message)
+            continue
+        stops = before.stops(stop.service)
+        yield from check_stop(service, stops, stop, wall_s=change.changed_at_s)
+
+
+def _kept_stop_findings(
+    before: Configuration, after: Configuration, change: Change
+) -> Iterator[Finding]:
+    new = _stops_of(change)
+    for stop in after.stops():
+        if stop in new or stop.end_s <= change.changed_at_s:
+            continue
+        service = after.service(stop.service)
+        if service is None or service.target(stop.target) is None:
+            continue
+        if service != before.service(stop.service):
+            yield from check_stop(service, after.stops(stop.service), stop)
+
+
+def _stops_of(change: Change) -> tuple[PlannedStop, ...]:
+    return tuple(each for each in change.documents if isinstance(each, PlannedStop))
--- a/dogwoodhook/coordination/editing.py
+++ b/dogwoodhook/coordination/editing.py
@@ -5,12 +5,13 @@
 another, so each is validated against exactly the configuration it lands on.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from expression import Error, Ok, Result
 
 from dogwoodhook.clock import Clock
+from dogwoodhook.coordination.change_checks import check_change
 from dogwoodhook.coordination.history import (
     FieldChange,
     diff_documents,
@@ -19,6 +20,7 @@
 from dogwoodhook.coordination.loading import (
     catch_up,
     head_version,
+    read_changes,
     scan_configuration,
 )
 from dogwoodhook.coordination.platform import (
@@ -46,7 +48,6 @@
     is_snapshot_due,
 )
 from dogwoodhook.findings import Finding
-from dogwoodhook.state.checks import check_configuration
 from dogwoodhook.state.model import (
     Change,
     Configuration,
@@ -60,8 +61,6 @@
 EDIT_ATTEMPTS = 8
 """Times a change is moved to a newer head before it is given up."""
 
-Check = Callable[[Configuration], Sequence[Finding]]
-
 
 @dataclass(frozen=True, slots=True)
 class DocumentChange:
@@ -88,12 +87,14 @@
     """Another change of the same document came first; nothing was written.
 
     ``meanwhile`` is what others changed since the version the edit was based
-    on, and ``proposed`` is what the edit would change now.
+    on, the last of them ``author``; ``proposed`` is what the edit would change
+    now. ``version`` is 0 where the document was removed meanwhile.
     """
 
     key: DocumentKey
     expected_version: int
     version: int
+    author: str
     meanwhile: tuple[FieldChange, ...]
     proposed: tuple[FieldChange, ...]
 
@@ -132,7 +133,6 @@
     token: str
     changed_at_s: float
     expected: Mapping[DocumentKey, int]
-    checks: tuple[Check, ...]
 
     def document_keys(self) -> tuple[DocumentKey, ...]:
         return (*(document_key(each) for each in self.documents), *self.removed)
@@ -169,16 +169,14 @@
     author: str,
     clock: Clock,
     expect_versions: Mapping[DocumentKey, int] | None = None,
-    checks: Sequence[Check] = (),
     codec: SnapshotCodec | None = None,
 ) -> Result[Accepted, EditError]:
     """Change documents in one step, or tell why not.
 
     ``expect_versions`` names the version each document was edited from, 0 for a
     new one; without it, the version in force when the edit began is expected.
-    ``checks`` join ``check_configuration`` in judging the result. Documents that
-    are already in force as given make no new version, which is why a repeated
-    apply is safe.
+    Documents that are already in force as given make no new version, which is
+    why a repeated apply is safe.
     """
     edit = _Edit(
         documents=tuple(documents),
@@ -187,7 +185,6 @@
         token=new_token(),
         changed_at_s=clock.wall_s(),
         expected=dict(expect_versions or {}),
-        checks=(check_configuration, *checks),
     )
     match await _apply(platform, edit):
         case Result(tag="ok", ok=(accepted, configuration)):
@@ -240,9 +237,9 @@
             return Error(await _conflict(platform, edit, base, key, expected[key]))
     change = _change(edit, base, changed)
     candidate = apply_change(base.configuration, change)
-    findings = [each for check in edit.checks for each in check(candidate)]
+    findings = check_change(base.configuration, candidate, change)
     if findings:
-        return Error(InvalidEdit(tuple(findings)))
+        return Error(InvalidEdit(findings))
     match await _commit(platform, _transaction(edit, base, change), change):
         case Result(tag="ok"):
             return Ok((_accepted(edit, base, changed), candidate))
@@ -342,11 +339,13 @@
     platform: Platform, edit: _Edit, base: _Base, key: DocumentKey, expected: int
 ) -> EditConflict:
     current = base.document(key)
+    version = base.version_of(key)
     edited_from = await _document_at(platform, DocumentVersion(key, expected))
     return EditConflict(
         key=key,
         expected_version=expected,
-        version=base.version_of(key),
+        version=version,
+        author=await _author_of(platform, version),
         meanwhile=diff_documents(edited_from, current),
         proposed=diff_documents(current, edit.document(key)),
     )
@@ -360,6 +359,14 @@
             return None
 
 
+async def _author_of(platform: Platform, version: int) -> str:
+    match await read_changes(platform, after=version - 1, up_to=version):
+        case Result(tag="ok", ok=(change,)):
+            return change.author
+        case _:
+            return "unknown"
+
+
 async def _store_snapshot(
     platform: Platform, configuration: Configuration, codec: SnapshotCodec | None
 ) -> None:
--- a/dogwoodhook/settings.py
+++ b/dogwoodhook/settings.py
@@ -14,6 +14,7 @@
 
 from absl import flags
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+from pydantic.fields import FieldInfo
 
 from dogwoodhook.findings import Finding, FindingsError
 
@@ -152,7 +153,8 @@
             )
     values: dict[str, str] = {}
     places: dict[str, str] = {}
-    for name in model.model_fields:
+    for field_name, info in model.model_fields.items():
+        name = flag_name(field_name, info)
         variable = ENVIRONMENT_PREFIX + name.upper()
         if flag_values[name].present:
             values[name] = str(flag_values[name].value)
@@ -165,11 +167,14 @@
 
 def _define_flags(model: type[BaseModel]) -> flags.FlagValues:
     flag_values = flags.FlagValues()
+    flag_values.set_gnu_getopt()
     for name, info in model.model_fields.items():
         define = (
             _define_boolean_text if info.annotation is bool else flags.DEFINE_string
         )
-        define(name, None, info.description or "", flag_values=flag_values)
+        define(
+            flag_name(name, info), None, info.description or "", flag_values=flag_values
+        )
     flags.DEFINE_bool(
         "help", False, "show the flags", flag_values=flag_values, short_name="h"
     )
@@ -200,10 +205,16 @@
     """Return the flags of a settings class, one a line."""
     lines = [model.__doc__ or "", ""]
     for name, info in model.model_fields.items():
-        lines.append(f"  --{name}: {info.description} ({default_text(model, name)})")
+        flag = flag_name(name, info)
+        lines.append(f"  --{flag}: {info.description} ({default_text(model, name)})")
     return "\n".join(lines)
 
 
+def flag_name(name: str, info: FieldInfo) -> str:
+    """Return a field's flag: its alias, where the name itself is taken."""
+    return info.alias or name
+
+
 def default_text(model: type[BaseModel], name: str) -> str:
     """Return a setting's default as help and docs show it."""
     info = model.model_fields[name]
