--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -92,6 +92,24 @@
     Level.WARNING,
     "The head has not been confirmed for longer than the propagation bound.",
 )
+CONFIGURATION_REFUSED = _event(
+    203,
+    "configuration-refused",
+    Level.ERROR,
+    "A higher version failed validation and is not adopted; `finding` is the first.",
+)
+CONFIGURATION_SNAPSHOT_LOADED = _event(
+    204,
+    "configuration-snapshot-loaded",
+    Level.INFO,
+    "The object store's snapshot was read; it waits for the table or a peer.",
+)
+CONFIGURATION_SNAPSHOT_UNREADABLE = _event(
+    205,
+    "configuration-snapshot-unreadable",
+    Level.WARNING,
+    "The object store's snapshot could not be decoded and is not used.",
+)
 
 # 300: target health
 TARGET_SUSPECTED = _event(
@@ -120,6 +138,12 @@
 STOP_IN_FORCE = _event(
     404, "stop-in-force", Level.NOTICE, "A planned stop keeps a target from new work."
 )
+EJECTION_DROPPED = _event(
+    405,
+    "ejection-dropped",
+    Level.INFO,
+    "A released entry left the row: no daemon can still act on it.",
+)
 
 # 500: forwarding
 REQUEST_UNKNOWN = _event(
@@ -182,6 +206,12 @@
 PLATFORM_AVAILABLE = _event(
     902, "platform-available", Level.NOTICE, "The platform answers again."
 )
+REQUEST_FAILED = _event(
+    990,
+    "request-failed",
+    Level.ERROR,
+    "The daemon met an error of its own in a request, whose outcome is not known.",
+)
 
 
 def log(event: Event, **values: object) -> None:
