--- a/dogwoodhook/testing/memory_platform.py
+++ b/dogwoodhook/testing/memory_platform.py
@@ -62,8 +62,8 @@
     applied with their answer lost; ``lost_requests`` counts commits still to be
     dropped before they take effect; ``forced_conflicts`` counts commits still to
     be refused as conflicts. ``refuses_objects`` takes the object store alone down.
-    ``delayed_commits`` counts commits still to be
-    held back, unanswered, until ``apply_delayed`` gives them to the table.
+    ``delayed_commits`` counts commits still to be held back, unanswered, until
+    ``apply_delayed`` gives them to the table.
     """
 
     table: MemoryTable = field(default_factory=MemoryTable)
@@ -106,13 +106,13 @@
         if self.lost_requests > 0:
             self.lost_requests -= 1
             return Error(OutcomeUnknown("no answer"))
-        if self.forced_conflicts > 0 and transaction.conditions:
-            self.forced_conflicts -= 1
-            return Error(Conflict(transaction.conditions[0].key))
         if self.delayed_commits > 0:
             self.delayed_commits -= 1
             self.delayed.append(transaction)
             return Error(OutcomeUnknown("no answer"))
+        if self.forced_conflicts > 0 and transaction.conditions:
+            self.forced_conflicts -= 1
+            return Error(Conflict(transaction.conditions[0].key))
         result = self.table.commit(transaction)
         if self.lost_answers > 0:
             self.lost_answers -= 1
