--- /dev/null
+++ b/dogwoodhook/coordination/ejection_types.py
@@ -0,0 +1,86 @@
+"""What is asked of the ejection board, and what it answers."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from dogwoodhook.state.model import PlannedStop, Service
+
+
+@dataclass(frozen=True, slots=True)
+class EjectionProposal:
+    """A daemon's wish to eject a target, with what it knows of the others.
+
+    ``leaving`` are the targets that leave; ``unserving`` are targets that the
+    daemon suspects and that are not ejected: they serve little, so the floor
+    counts them too. ``relapses`` is the least number the entry is to carry.
+    """
+
+    service: Service
+    target: str
+    reason: str
+    stops: tuple[PlannedStop, ...]
+    leaving: frozenset[str]
+    unserving: frozenset[str]
+    configuration_version: int
+    relapses: int = 0
+
+
+class RefusalRule(StrEnum):
+    """The rule that forbade a change of the ejection row."""
+
+    FLOOR = "floor"
+    NOT_LISTED = "not-listed"
+    NOT_EJECTED = "not-ejected"
+    STALE_CONFIGURATION = "stale-configuration"
+    CONFLICT = "conflict"
+    TABLE_UNAVAILABLE = "table-unavailable"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A change of the ejection row that was not made, or not known to be made.
+
+    ``target`` is empty where the change concerned the row as a whole.
+    """
+
+    service: str
+    target: str
+    rule: RefusalRule
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Upkeep:
+    """What a daemon's upkeep changes in a row: entries released, entries dropped."""
+
+    released: tuple[str, ...] = ()
+    dropped: tuple[str, ...] = ()
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether there is nothing to change."""
+        return not self.released and not self.dropped
+
+
+class Standing(StrEnum):
+    """How a target stands in what an operator reads."""
+
+    EJECTED = "ejected"
+    RELEASING = "releasing"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """One line for an operator: an entry, or an ejection that was refused.
+
+    ``is_confirmed`` tells whether this daemon may act on the entry now; ``rule``
+    names what forbade a refused ejection.
+    """
+
+    target: str
+    standing: Standing
+    reason: str
+    is_confirmed: bool = False
+    rule: RefusalRule | None = None
--- a/dogwoodhook/state/stops.py
+++ b/dogwoodhook/state/stops.py
@@ -12,7 +12,7 @@
 from dogwoodhook.clock import WALL_CLOCK_ERROR_S
 from dogwoodhook.findings import Finding
 from dogwoodhook.state.floors import LOOKAHEAD_S, floor_moments
-from dogwoodhook.state.model import PlannedStop, Service
+from dogwoodhook.state.model import Configuration, PlannedStop, Service
 
 PROPAGATION_BOUND_S = 5.0
 """Time within which an accepted configuration is in force on every daemon."""
@@ -80,13 +80,42 @@
     findings = tuple(_input_findings(service, stop))
     if findings:
         return findings
-    others = [each for each in _stops_of(service, stops) if each.name != stop.name]
+    accepted = tuple(_stops_of(service, stops))
+    others = [each for each in accepted if each.name != stop.name]
     findings = tuple(_floor_findings(service, others, stop))
-    if wall_s is None or _is_stopping(service, stops, stop, wall_s):
+    if wall_s is None or _is_counted(service, accepted, stop, wall_s):
         return findings
     return (*_notice_findings(service, stop, wall_s), *findings)
 
 
+def check_stops(
+    configuration: Configuration, *, previous: Configuration, wall_s: float
+) -> tuple[Finding, ...]:
+    """Return what speaks against the planned stops of a changed configuration.
+
+    A service is looked at if it or its stops differ from ``previous``: a higher
+    floor or fewer targets may forbid a stop that was accepted before. Stops that
+    have ended are not looked at.
+    """
+    findings: list[Finding] = []
+    for name in sorted({stop.service for stop in configuration.stops()}):
+        service, stops = configuration.service(name), configuration.stops(name)
+        known = previous.stops(name)
+        if (service, stops) == (previous.service(name), known):
+            continue
+        for stop in stops:
+            if stop.end_s <= wall_s:
+                continue
+            if service is None:
+                place = f"stop.{stop.name}.service"
+                findings.append(Finding(place, f"received {name}, which is no service"))
+                continue
+            findings += check_stop(service, stops, stop)
+            if stop not in known and not _is_counted(service, known, stop, wall_s):
+                findings += _notice_findings(service, stop, wall_s)
+    return tuple(findings)
+
+
 def _stops_of(service: Service, stops: Sequence[PlannedStop]) -> Iterator[PlannedStop]:
     return (
         stop
@@ -95,10 +124,18 @@
     )
 
 
-def _is_stopping(
-    service: Service, stops: Sequence[PlannedStop], stop: PlannedStop, wall_s: float
+def _is_counted(
+    service: Service, known: Sequence[PlannedStop], stop: PlannedStop, wall_s: float
 ) -> bool:
-    return stop.target in stopping_targets(service, stops, wall_s=wall_s)
+    """Tell whether every daemon counts the target already, until it knows more."""
+    lead_s = drain_lead_s(service) + LOOKAHEAD_S - WALL_CLOCK_ERROR_S
+    known_by_s = wall_s + PROPAGATION_BOUND_S + LOOKAHEAD_S
+    return any(
+        each.target == stop.target
+        and each.start_s - lead_s <= wall_s
+        and each.end_s >= min(stop.end_s, known_by_s)
+        for each in known
+    )
 
 
 def _input_findings(service: Service, stop: PlannedStop) -> Iterator[Finding]:
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -3,14 +3,21 @@
 import pytest
 
 from dogwoodhook.state.model import (
+    Change,
+    Configuration,
+    ParameterOverrides,
     Parameters,
     PlannedStop,
     QuietHours,
     Service,
+    ServiceDefinition,
     Target,
+    Template,
+    apply_change,
 )
 from dogwoodhook.state.stops import (
     check_stop,
+    check_stops,
     counted_stops,
     minimum_notice_s,
     stopping_targets,
@@ -103,3 +110,41 @@
     assert check_stop(service, (), stop_of(), wall_s=early_s) == ()
     longer = stop_of(hours=2)
     assert check_stop(service, (stop_of(),), longer, wall_s=NOON_S + 60) == ()
+
+
+def change_of(previous, *documents):
+    version = previous.version + 1
+    return apply_change(previous, Change(version, "amina", NOON_S, "t", documents))
+
+
+def definition_of(*, floor):
+    overrides = ParameterOverrides(capacity_floor=floor)
+    targets = service_of().targets
+    return ServiceDefinition("postings", "small", "ur", targets, (), overrides)
+
+
+PLANNED = change_of(Configuration(), definition_of(floor=3), stop_of())
+
+
+def check_change(*documents, wall_s):
+    candidate = change_of(PLANNED, *documents)
+    return places(check_stops(candidate, previous=PLANNED, wall_s=wall_s))
+
+
+def test_a_raised_floor_is_checked_against_stops_accepted_before():
+    raised = definition_of(floor=4)
+    assert check_change(raised, wall_s=NOON_S) == ["stop.s1"]
+    assert check_change(raised, wall_s=NOON_S + HOUR_S) == []
+    assert check_change(Template("other"), wall_s=NOON_S) == []
+
+
+def test_the_notice_is_checked_for_the_stops_that_a_change_writes():
+    earlier = stop_of(start_s=NOON_S - 600, hours=2)
+    assert check_change(earlier, wall_s=NOON_S - 600) == ["stop.s1.start"]
+    assert check_change(earlier, wall_s=NOON_S - 700) == []
+    assert check_change(stop_of(hours=2), wall_s=NOON_S + 60) == []
+
+
+def test_a_stop_of_an_unknown_service_is_reported():
+    stray = PlannedStop("s2", "uploads", "t1", NOON_S, NOON_S + HOUR_S)
+    assert check_change(stray, wall_s=0) == ["stop.s2.service"]
