Measure what ejection costs a daemon and the table

Cause: the cost of control at the planned size is to be worked out from measured slopes.

Change: benchmarks/control_ejection.py counts calls on the platform in memory for three numbers of services and of daemons, with the worst case of every daemon asking for the same ejection and release.

--- /dev/null
+++ b/benchmarks/control_ejection.py
@@ -0,0 +1,234 @@
+"""What ejection costs a daemon and the table, against daemons and services.
+
+Each daemon refreshes its board once a second at a moment of its own. From 10 s
+to 30 s every daemon wants one target of each service ejected; from then on every
+daemon wants it released. That is the worst case: in the fleet only daemons with
+evidence propose. Daemons that tick in the same 20 ms run at once, so their
+reads and writes cross.
+
+Run it with ``python -m benchmarks.control_ejection``.
+"""
+
+import asyncio
+import sys
+import time
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+import numpy as np
+from expression import Result
+
+from dogwoodhook.clock import ManualClock
+from dogwoodhook.coordination.ejection import EjectionBoard, EjectionProposal
+from dogwoodhook.coordination.platform import (
+    CommitError,
+    Committed,
+    Conflict,
+    StoredRow,
+    Transaction,
+    Unavailable,
+    Write,
+)
+from dogwoodhook.coordination.rows import HEAD_KEY, EjectionPhase, Head
+from dogwoodhook.state.model import Parameters, Service, Target
+from dogwoodhook.testing.memory_platform import MemoryPlatform
+
+SLOTS_PER_S = 50
+DURATION_S = 60
+EJECT_FROM_S = 10
+RELEASE_FROM_S = 30
+QUIET_S = range(5, EJECT_FROM_S)
+SERVICE_SIZES = (4, 16, 64)
+DAEMON_SIZES = (8, 64, 512)
+USUAL_SERVICES = 4
+USUAL_DAEMONS = 32
+CHOICES = 20_000
+
+MAX_GROWTH = 1.1
+"""Largest growth of a daemon's calls from the smallest size to the largest."""
+
+PLANNED_DAEMONS = 2000
+"""Daemons of the planned size."""
+
+TABLE_WRITES_PER_S = 300
+"""Writes a second that the table takes; an ejection and its release need fewer."""
+
+
+@dataclass(slots=True)
+class CountingPlatform(MemoryPlatform):
+    """Counts calls, and lets other daemons run before each takes effect."""
+
+    counts: Counter[str] = field(default_factory=Counter)
+
+    async def read(
+        self, keys: Sequence[str]
+    ) -> Result[Mapping[str, StoredRow], Unavailable]:
+        """Count a read and its rows."""
+        self.counts["reads"] += 1
+        self.counts["rows"] += len(keys)
+        await asyncio.sleep(0)
+        return await MemoryPlatform.read(self, keys)
+
+    async def commit(self, transaction: Transaction) -> Result[Committed, CommitError]:
+        """Count a write, and whether it was refused for a conflict."""
+        self.counts["writes"] += 1
+        await asyncio.sleep(0)
+        result = await MemoryPlatform.commit(self, transaction)
+        match result:
+            case Result(tag="error", error=Conflict()):
+                self.counts["conflicts"] += 1
+        return result
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """Calls of one run, and the processor time of one daemon for a second."""
+
+    quiet: Counter[str]
+    busy: Counter[str]
+    processor_ms: float
+
+
+def make_service(number: int, *, targets: int = 6) -> Service:
+    """Return a service that may be without one target."""
+    listed = tuple(
+        Target(f"t{index}", "kigali-1", "127.0.0.1", index) for index in range(targets)
+    )
+    parameters = Parameters(capacity_floor=targets - 1)
+    return Service(f"service-{number}", "ur", parameters, listed, ())
+
+
+async def tick(board: EjectionBoard, services: Sequence[Service], now_s: float) -> None:
+    """Do what a daemon does each second."""
+    await board.refresh([service.name for service in services])
+    for service in services:
+        await board.maintain(service, (), leaving=frozenset(), configuration_version=1)
+        if EJECT_FROM_S <= now_s < RELEASE_FROM_S:
+            await board.propose(
+                EjectionProposal(
+                    service, "t0", "crash", (), frozenset(), frozenset(), 1
+                )
+            )
+        entries = board.entries(service.name)
+        if now_s >= RELEASE_FROM_S and any(
+            entry.phase is EjectionPhase.EJECTED for entry in entries
+        ):
+            await board.release(service, "t0", configuration_version=1)
+
+
+async def run_fleet(daemons: int, services: int) -> Cost:
+    """Run a fleet for ``DURATION_S`` of simulated time and count its calls."""
+    platform = CountingPlatform()
+    platform.table.commit(Transaction((), (Write(HEAD_KEY, Head(1)),), "operator"))
+    clock = ManualClock()
+    listed = [make_service(number) for number in range(services)]
+    boards = [
+        EjectionBoard(platform, clock, daemon=f"d{number}") for number in range(daemons)
+    ]
+    quiet: Counter[str] = Counter()
+    began_s = time.process_time()
+    for slot in range(DURATION_S * SLOTS_PER_S):
+        if slot == QUIET_S.start * SLOTS_PER_S:
+            quiet = Counter(platform.counts)
+        if slot == QUIET_S.stop * SLOTS_PER_S:
+            quiet = platform.counts - quiet
+        due = [
+            board
+            for number, board in enumerate(boards)
+            if number * 7 % SLOTS_PER_S == slot % SLOTS_PER_S
+        ]
+        await asyncio.gather(*(tick(board, listed, clock.now_s()) for board in due))
+        clock.advance(1 / SLOTS_PER_S)
+    spent_s = time.process_time() - began_s
+    assert not any(board.entries(each.name) for board in boards for each in listed)
+    return Cost(quiet, platform.counts, spent_s * 1000 / daemons / DURATION_S)
+
+
+def report(daemons: int, services: int) -> Cost:
+    """Run one size and print its line."""
+    cost = asyncio.run(run_fleet(daemons, services))
+    daemon_seconds = daemons * len(QUIET_S)
+    print(
+        f"{daemons:8} {services:9}"
+        f" {cost.quiet['reads'] / daemon_seconds:14.2f}"
+        f" {cost.quiet['rows'] / daemon_seconds:13.1f}"
+        f" {cost.quiet['writes'] / daemon_seconds:15.2f}"
+        f" {cost.busy['writes'] / services:15.1f}"
+        f" {cost.busy['conflicts'] / services:18.1f}"
+        f" {cost.processor_ms:17.3f}"
+    )
+    return cost
+
+
+def slope(sizes: Sequence[int], values: Sequence[float]) -> float:
+    """Return the least-squares slope of values over sizes."""
+    return float(np.polyfit(sizes, values, 1)[0])
+
+
+def time_choices() -> None:
+    """Print the time of one look at the exclusions, with and without an entry."""
+    clock = ManualClock()
+    platform = MemoryPlatform()
+    platform.table.commit(Transaction((), (Write(HEAD_KEY, Head(1)),), "operator"))
+    board = EjectionBoard(platform, clock, daemon="d0")
+    service = make_service(0)
+    for label in ("no entry", "one entry"):
+        began_s = time.process_time()
+        for _ in range(CHOICES):
+            board.excluded(service, (), leaving=frozenset(), configuration_version=1)
+        spent_us = (time.process_time() - began_s) * 1e6 / CHOICES
+        print(f"excluded() with {label}: {spent_us:.1f} us")
+        proposal = EjectionProposal(
+            service, "t0", "crash", (), frozenset(), frozenset(), 1
+        )
+        asyncio.run(board.propose(proposal))
+
+
+def main() -> int:
+    """Print the costs and their slopes; return 1 if a bound is broken."""
+    print(
+        " daemons  services   reads/daemon/s rows/daemon/s writes/daemon/s"
+        " writes/service conflicts/service processor ms/d/s"
+    )
+    by_services = [report(USUAL_DAEMONS, size) for size in SERVICE_SIZES]
+    by_daemons = [report(size, USUAL_SERVICES) for size in DAEMON_SIZES]
+    rows = [each.quiet["rows"] / USUAL_DAEMONS / len(QUIET_S) for each in by_services]
+    processor_ms = [each.processor_ms for each in by_services]
+    writes = [each.busy["writes"] / USUAL_SERVICES for each in by_daemons]
+    print(f"rows a second for each service: {slope(SERVICE_SIZES, rows):.2f}")
+    print(
+        "processor ms a second for each service: "
+        f"{slope(SERVICE_SIZES, processor_ms):.4f}"
+    )
+    print(
+        "writes of an ejection and its release for each daemon: "
+        f"{slope(DAEMON_SIZES, writes):.3f}"
+    )
+    time_choices()
+    return check(by_services, by_daemons)
+
+
+def check(by_services: Sequence[Cost], by_daemons: Sequence[Cost]) -> int:
+    """Return 1 if a daemon's quiet calls grow, or an event costs too many writes."""
+    reads_by_services = [each.quiet["reads"] for each in by_services]
+    reads_by_daemons = [
+        each.quiet["reads"] / size
+        for each, size in zip(by_daemons, DAEMON_SIZES, strict=True)
+    ]
+    growths = [
+        max(reads) / min(reads) for reads in (reads_by_services, reads_by_daemons)
+    ]
+    writes = [each.busy["writes"] / USUAL_SERVICES for each in by_daemons]
+    is_quiet = all(each.quiet["writes"] == 0 for each in (*by_services, *by_daemons))
+    within = (
+        max(growths) <= MAX_GROWTH
+        and slope(DAEMON_SIZES, writes) * PLANNED_DAEMONS <= TABLE_WRITES_PER_S
+        and is_quiet
+    )
+    print("bounds hold" if within else "a bound is broken")
+    return 0 if within else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
