--- a/benchmarks/detection_fleet.py
+++ b/benchmarks/detection_fleet.py
@@ -65,9 +65,9 @@
     @property
     def detection_s(self) -> float | None:
         """Return the time from the first failing answer to the last usual work."""
-        if self.avoided_by_all_s is None or self.first_failure_s is None:
+        if self.avoided_by_all_s is None:
             return None
-        if self.last_work_s is None:
+        if self.last_work_s is None or self.first_failure_s is None:
             return 0.0
         return max(0.0, self.last_work_s - self.first_failure_s)
 
