Let a shed request wait for another slot instead of spending the retry budget

Cause: 44 daemons share 18 slots without knowing each other's counts, so sheds happen below capacity too.

Change: decide_retry answers Requeue for a shed. The request waits within its queue timeout, before those that came later, at most 32 sheds; the back-off of the target (10 to 200 ms, was 5 to 500 ms) bounds how often a daemon asks a full target. A wait that ends so is still reported as target-shed. After a shed the next attempt takes a fresh connection: the target may have closed the old one. grant_queued goes on while it grants, and ends at once without headroom.

Ruled out: a larger budget, which also lets an outage multiply requests.

The test of the requeueing failed with the forwarder as it was.

--- a/dogwoodhook/state/admission.py
+++ b/dogwoodhook/state/admission.py
@@ -30,12 +30,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
-    """A request that wants a target; ``tried`` names targets it has been to."""
+    """A request that wants a target; ``tried`` names targets it has been to.
+
+    A requeued request was shed by a target and goes before those that came later.
+    """
 
     number: int
     workspace: str
     is_idempotent: bool
     tried: frozenset[str] = frozenset()
+    is_requeued: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,11 +129,14 @@
         self._excluded = self._exclusions()
         if not self._has_target():
             return Rejected(ticket, NotRunReason.NO_TARGET)
-        if not self._queues.get(ticket.workspace):
+        if ticket.is_requeued or not self._queues.get(ticket.workspace):
             granted = self._try_grant(ticket, now_s=now_s)
             if granted:
                 return granted
         queue = self._queues.setdefault(ticket.workspace, deque())
+        if ticket.is_requeued:
+            queue.appendleft(ticket)
+            return Queued(ticket)
         if len(queue) >= self.service.parameters.workspace_queue_limit:
             return self._grant_last_resort(ticket, NotRunReason.QUEUE_FULL, now_s=now_s)
         queue.append(ticket)
@@ -154,6 +161,16 @@
     def grant_queued(self, *, now_s: float) -> list[Granted]:
         """Grant targets to waiting requests, workspaces in turn."""
         self._excluded = self._exclusions()
+        grants: list[Granted] = []
+        while self._last_resorts(now_s=now_s):
+            granted = self._grant_round(now_s=now_s)
+            if not granted:
+                break
+            grants += granted
+        return grants
+
+    def _grant_round(self, *, now_s: float) -> list[Granted]:
+        """Grant at most one target to each workspace that waits."""
         grants = []
         for workspace in list(self._queues):
             queue = self._queues[workspace]
--- a/dogwoodhook/state/limits.py
+++ b/dogwoodhook/state/limits.py
@@ -11,8 +11,8 @@
 
 DECREASE_FACTOR = 0.5
 MIN_LIMIT = 1.0
-MIN_BACKOFF_S = 0.005
-MAX_BACKOFF_S = 0.5
+MIN_BACKOFF_S = 0.01
+MAX_BACKOFF_S = 0.2
 
 
 @dataclass(slots=True)
--- a/dogwoodhook/state/retries.py
+++ b/dogwoodhook/state/retries.py
@@ -20,6 +20,9 @@
 MAX_ATTEMPTS = 3
 """Attempts of one request, the first included."""
 
+MAX_SHEDS = 32
+"""Times that targets may shed one request before it is refused."""
+
 MIN_REMAINING_MS = 10.0
 """Time left until the caller's deadline below which a repeat is pointless."""
 
@@ -35,8 +38,6 @@
 RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 """Answers that another target may well improve on."""
 
-_RETRIED_NOT_RUN = frozenset({NotRunReason.CONNECT_FAILED, NotRunReason.TARGET_SHED})
-
 AttemptOutcome = Outcome
 
 
@@ -57,6 +58,16 @@
     """The request may be sent to another target."""
 
 
+@dataclass(frozen=True, slots=True)
+class Requeue:
+    """The request waits for a target again, ahead of those that came later.
+
+    A shed costs the target nearly nothing and its back-off bounds how often a
+    daemon asks it again, so no budget is needed. Daemons that share slots without
+    knowing each other's counts meet sheds below capacity too.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class GiveUp:
     """The attempt's outcome is the request's outcome."""
@@ -64,7 +75,7 @@
     reason: GiveUpReason
 
 
-RetryDecision = Retry | GiveUp
+RetryDecision = Retry | Requeue | GiveUp
 
 
 def decide_retry(
@@ -75,12 +86,14 @@
     has_answer_started: bool,
     remaining_ms: float,
     attempts: int,
+    sheds: int = 0,
 ) -> RetryDecision:
     """Decide whether an attempt may be repeated.
 
     ``is_replayable`` tells that the whole body can be sent again, either because
     it is buffered or because none of it has been read from the caller yet.
-    ``attempts`` counts those made so far. The budget is asked afterwards.
+    ``attempts`` counts those made so far without the ``sheds``. For ``Retry``, the
+    budget is asked afterwards.
 
     >>> decide_retry(
     ...     NotRun(NotRunReason.CONNECT_FAILED),
@@ -101,6 +114,8 @@
         return GiveUp(GiveUpReason.NOT_REPLAYABLE)
     if remaining_ms < MIN_REMAINING_MS:
         return GiveUp(GiveUpReason.DEADLINE)
+    if attempt == NotRun(NotRunReason.TARGET_SHED):
+        return Requeue() if sheds < MAX_SHEDS else GiveUp(GiveUpReason.ATTEMPTS)
     if attempts >= MAX_ATTEMPTS:
         return GiveUp(GiveUpReason.ATTEMPTS)
     return Retry()
@@ -112,8 +127,10 @@
     match attempt:
         case Answered(status) if status not in RETRIED_STATUSES:
             return GiveUpReason.ANSWERED
-        case NotRun(reason):
-            return None if reason in _RETRIED_NOT_RUN else GiveUpReason.NOT_HELPED
+        case NotRun(NotRunReason.CONNECT_FAILED | NotRunReason.TARGET_SHED):
+            return None
+        case NotRun():
+            return GiveUpReason.NOT_HELPED
         case Unknown(UnknownReason.CALLER_BODY_BROKEN):
             return GiveUpReason.NOT_HELPED
         case Answered() | Unknown() if not is_idempotent:
--- a/dogwoodhook/transport/calls.py
+++ b/dogwoodhook/transport/calls.py
@@ -38,6 +38,7 @@
 
     ``deadline_s`` is on the elapsed clock. ``doubt`` is the unknown outcome of an
     earlier attempt: after it, the request can no longer be reported as not run.
+    ``sheds`` counts the times that targets shed the request.
     """
 
     request: web.BaseRequest
@@ -52,6 +53,7 @@
     doubt: Unknown | None = None
     claim: Claimed | None = None
     capture: AnswerCapture | None = None
+    sheds: int = 0
     timing: Timing = field(default_factory=Timing)
 
     def may_send(self, now_s: float) -> bool:
--- a/dogwoodhook/transport/dispatch.py
+++ b/dogwoodhook/transport/dispatch.py
@@ -40,9 +40,12 @@
         is_idempotent: bool,
         tried: frozenset[str],
         timeout_s: float,
+        is_requeued: bool = False,
     ) -> AsyncIterator[Granted | Rejected]:
         """Hold a target for the time of the context."""
-        ticket = Ticket(next(self._numbers), workspace, is_idempotent, tried)
+        ticket = Ticket(
+            next(self._numbers), workspace, is_idempotent, tried, is_requeued
+        )
         admission = await self._admit(ticket, timeout_s)
         try:
             yield admission
--- a/dogwoodhook/transport/forwarder.py
+++ b/dogwoodhook/transport/forwarder.py
@@ -27,7 +27,7 @@
     UnknownReason,
 )
 from dogwoodhook.state.quarantine import Admit, Refuse, RunAlone
-from dogwoodhook.state.retries import RETRIED_STATUSES, Retry, decide_retry
+from dogwoodhook.state.retries import RETRIED_STATUSES, Requeue, Retry, decide_retry
 from dogwoodhook.transport.answers import own_answer, stream_answer
 from dogwoodhook.transport.calls import Call
 from dogwoodhook.transport.exchange import (
@@ -81,6 +81,7 @@
         attempts = 0
         while True:
             attempts += 1
+            sheds = call.sheds
             admission = self._quarantine.check(call.fingerprint, self._clock.now_s())
             if isinstance(admission, Refuse):
                 return self._own_reply(call, NotRun(NotRunReason.QUARANTINED))
@@ -89,12 +90,15 @@
             async with self._target(call, tried | avoided) as granted:
                 call.timing.queueing_ms += (self._clock.now_s() - queued_s) * 1000
                 if isinstance(granted, Rejected):
-                    return self._own_reply(call, NotRun(granted.reason))
+                    return self._refuse(call, granted)
                 reply = await self._attempt(
                     call, granted, attempts, is_alone=not isinstance(admission, Admit)
                 )
             if isinstance(reply, Reply):
                 return reply
+            if call.sheds > sheds:
+                attempts -= 1
+                continue
             tried |= {granted.target.name}
             call.timing.retries += 1
             log(
@@ -106,15 +110,21 @@
     def _target(
         self, call: Call, tried: frozenset[str]
     ) -> AbstractAsyncContextManager[Granted | Rejected]:
-        queue_timeout_s = call.runtime.service.parameters.queue_timeout_ms / 1000
-        remaining_s = max(0.0, call.deadline_s - self._clock.now_s())
+        queue_timeout_ms = call.runtime.service.parameters.queue_timeout_ms
+        queue_timeout_s = (queue_timeout_ms - call.timing.queueing_ms) / 1000
+        remaining_s = call.deadline_s - self._clock.now_s()
         return call.runtime.dispatch.target(
             call.workspace,
             is_idempotent=call.is_idempotent,
             tried=tried,
-            timeout_s=min(queue_timeout_s, remaining_s),
+            timeout_s=max(0.0, min(queue_timeout_s, remaining_s)),
+            is_requeued=call.sheds > 0,
         )
 
+    def _refuse(self, call: Call, rejected: Rejected) -> Reply:
+        reason = NotRunReason.TARGET_SHED if call.sheds else rejected.reason
+        return self._own_reply(call, NotRun(reason))
+
     async def _attempt(
         self, call: Call, granted: Granted, attempts: int, *, is_alone: bool
     ) -> Reply | _Again:
@@ -136,7 +146,7 @@
         timeout_s = self._attempt_timeout_s(call, started_s)
         async with self._pools.session(
             granted.target,
-            may_reuse=call.is_idempotent and attempts == 1,
+            may_reuse=call.is_idempotent and attempts == 1 and not call.sheds,
             max_connections=call.runtime.service.parameters.connections_per_target,
         ) as session:
             request = _attempt_request(call, timeout_s)
@@ -232,6 +242,7 @@
         self._observe_failure(call, target, failed.failure)
 
     def _record_shed(self, call: Call, target: str, failed: AttemptFailure) -> None:
+        call.sheds += 1
         now_s = self._clock.now_s()
         call.runtime.dispatch.dispatcher.record_shed(target, now_s=now_s)
         if failed.is_draining:
@@ -259,7 +270,10 @@
             has_answer_started=False,
             remaining_ms=(call.deadline_s - now_s) * 1000,
             attempts=attempts,
+            sheds=call.sheds,
         )
+        if isinstance(decision, Requeue):
+            return True
         if not isinstance(decision, Retry) or not call.runtime.budget.try_take(now_s):
             return False
         match outcome:
--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -75,6 +75,22 @@
         assert seen.outcome == "not-run; reason=target-shed"
 
 
+async def test_a_shed_request_waits_for_a_slot_whatever_the_retry_budget():
+    shed = make_answer(b"", status="503 Busy", headers={"Dogwoodhook-Target": "shed"})
+
+    def script(index):
+        return (ReceiveRequest(), Send(shed if index < 3 else make_answer(b"run")))
+
+    async with (
+        RawTarget(script) as target,
+        LocalProxy([target.port], parameters=NO_RETRIES) as proxy,
+        open_caller() as session,
+    ):
+        seen = await exchange(session, proxy, method="POST", data=BODY)
+        assert (seen.outcome, seen.body) == ("answered", b"run")
+        assert target.request_count == 4
+
+
 @pytest.mark.parametrize(
     "answer",
     [
