--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -1,3 +1,4 @@
+import re
 from pathlib import Path
 
 import pytest
@@ -13,7 +14,8 @@
     apply_change,
 )
 
-EXAMPLES = Path(__file__).parent.parent / "examples"
+ROOT = Path(__file__).parent.parent
+EXAMPLES = ROOT / "examples"
 
 FIVE_MISTAKES = """\
 [template]
@@ -150,6 +152,14 @@
     assert min(ports) >= 20000
 
 
+@pytest.mark.parametrize("page", ["README.md", "docs/operators.md"])
+def test_documents_of_the_pages_are_valid(page):
+    blocks = re.findall(r"```toml\n(.*?)```", (ROOT / page).read_text(), re.DOTALL)
+    documents = [parse(block).ok for block in blocks]
+    assert len(documents) == 2
+    assert check_configuration(configured(*documents)) == ()
+
+
 def check_messages(*documents):
     return [str(each) for each in check_configuration(configured(*documents))]
 
