Judge slow answers against what is usual for the link

Cause: a daemon's remote targets answer slowly more often than its near ones when links between data centres lose packets, and stood out against the service's share.

Change: the own view tests slowness against the larger of the service's share and the daemon's long-run share with that target, at most 30%. Slow answers are taken as 5% before any were seen. Peers are forgotten an hour after they were last heard. Self-doubt asks whether most targets of two services fail here while most peers told far fewer errors. The module is split: baseline of the service, state of a target, evidence, recent errors, reporters.

Tests: test_a_link_that_always_loses_packets_does_not_accuse_its_target is red with history.share() taken out of own_likelihoods.

Ruled out: the median latency's noise.

--- a/dogwoodhook/state/baseline.py
+++ b/dogwoodhook/state/baseline.py
@@ -9,8 +9,9 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-PRIOR_SHARE = 0.01
-"""Failing share assumed for a service without outcomes."""
+PRIOR_ERROR_SHARE = 0.01
+PRIOR_SLOW_SHARE = 0.05
+"""Shares assumed for a service without outcomes."""
 
 PRIOR_OUTCOMES = 100.0
 """Outcomes of the service that weigh as much as the prior."""
@@ -76,7 +77,8 @@
 class ShareBaseline:
     """The share of a service's outcomes that fail when nothing is wrong."""
 
-    def __init__(self, targets: Sequence[str]) -> None:
+    def __init__(self, targets: Sequence[str], *, prior_share: float) -> None:
+        self._prior_share = prior_share
         self._windows = [_Window(each) for each in WINDOWS_OUTCOMES]
         self.set_targets(targets)
 
@@ -94,13 +96,44 @@
     def share(self) -> float:
         """Return the failing share expected of any target at present."""
         longest, *shorter = self._windows
-        share = largest = longest.share(PRIOR_SHARE, PRIOR_OUTCOMES)
+        share = largest = longest.share(self._prior_share, PRIOR_OUTCOMES)
         for window in shorter:
             share = window.share(share, WINDOW_PRIOR_OUTCOMES)
             largest = max(largest, share)
         return min(MAX_SHARE, max(MIN_SHARE, largest))
 
 
+class LinkHistory:
+    """The share of one daemon's answers from one target that are slow.
+
+    A link that loses packets makes every answer over it slow now and then. That
+    is usual for the link, though not for the service.
+    """
+
+    WINDOW_OUTCOMES = 480.0
+    PRIOR_OUTCOMES = 20.0
+    MAX_SHARE = 0.3
+
+    def __init__(self) -> None:
+        self._counts = _Counts()
+
+    def record(self, *, is_slow: bool) -> None:
+        """Count one answer."""
+        counts = self._counts
+        counts.outcomes += 1
+        counts.failures += is_slow
+        if counts.outcomes > self.WINDOW_OUTCOMES:
+            counts.halve()
+
+    def share(self) -> float:
+        """Return the share, at most what still lets a slow target stand out."""
+        counts = self._counts
+        share = (counts.failures + PRIOR_SLOW_SHARE * self.PRIOR_OUTCOMES) / (
+            counts.outcomes + self.PRIOR_OUTCOMES
+        )
+        return min(self.MAX_SHARE, share)
+
+
 class LatencyBaseline:
     """A running estimate of a service's median latency.
 
--- a/dogwoodhook/state/health.py
+++ b/dogwoodhook/state/health.py
@@ -10,12 +10,8 @@
 
 import random
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 
-from dogwoodhook.state.baseline import LatencyBaseline, ShareBaseline
-from dogwoodhook.state.cusum import Likelihoods, alarm_threshold
 from dogwoodhook.state.failed_requests import FailedRequests
-from dogwoodhook.state.outcome_rate import OutcomeRate
 from dogwoodhook.state.outcomes import (
     Failure,
     FailureKind,
@@ -23,16 +19,18 @@
     Success,
     TargetEvidence,
 )
-from dogwoodhook.state.recovery import Recovery, TargetPhase
+from dogwoodhook.state.recent_errors import RecentErrors
+from dogwoodhook.state.recovery import TargetPhase
+from dogwoodhook.state.reporters import Reporters
+from dogwoodhook.state.service_baseline import ServiceBaseline
 from dogwoodhook.state.target_evidence import (
     ERROR_KINDS,
     SELF,
     OutcomeCounts,
-    ServiceLikelihoods,
     Symptom,
-    TargetRecord,
     View,
 )
+from dogwoodhook.state.target_state import TargetState, TargetStatus
 
 __all__ = [
     "ServiceHealth",
@@ -42,6 +40,7 @@
 ]
 
 SLOW_START_THRESHOLD_FACTOR = 0.5
+
 HEALTH_ENDPOINT_SCORE = 1.0
 MAX_HEALTH_ENDPOINT_FACTOR = 0.3
 """Largest part of the threshold that a bad health endpoint may add."""
@@ -50,50 +49,10 @@
 CONFIRMED_THRESHOLD_FACTOR = 0.5
 """Part of the threshold that is enough where several peers passed all of it."""
 
-EXCESS_ERROR_SHARE = 0.2
-EXCESS_SLOW_SHARE = 0.5
-"""Shares of otherwise good outcomes that a failing target is taken to spoil."""
-
-OUTCOMES_PER_BASELINE = 8
-"""Records after which the baseline is taken anew."""
-
 SELF_DOUBT_SERVICES = 2
 SELF_DOUBT_TARGET_SHARE = 0.5
-MAX_TOLD_REQUESTS = 16
-
-
-@dataclass(frozen=True, slots=True)
-class TargetStatus:
-    """What a daemon holds of a target.
 
-    ``weight`` is 1.0 for a healthy target, between 0 and 1 while it recovers,
-    and 0.0 for a suspect, which gets work only when the others have no free
-    slot. ``accusers`` counts the daemons, this one included, whose failures
-    stand behind the present suspicion.
-    """
-
-    target: str
-    phase: TargetPhase
-    score: float
-    threshold: float
-    reason: str
-    since_s: float
-    weight: float
-    accusers: int
-
-
-@dataclass(slots=True)
-class _TargetState:
-    record: TargetRecord
-    recovery: Recovery | None = None
-    reason: str = ""
-    symptom: Symptom = Symptom.ERRORS
-    score: float = 0.0
-    accusers: int = 0
-
-    @property
-    def phase(self) -> TargetPhase:
-        return TargetPhase.HEALTHY if self.recovery is None else self.recovery.phase
+MAX_TOLD_REQUESTS = 16
 
 
 class ServiceHealth:
@@ -108,30 +67,26 @@
         random_source: random.Random | None = None,
     ) -> None:
         self.service = service
-        self._interval_s = false_ejection_interval_s
         self._random = random_source or random.Random(service)
-        self._states = {each: _TargetState(TargetRecord()) for each in targets}
-        self._errors = ShareBaseline(targets)
-        self._slowness = ShareBaseline(targets)
-        self._latency = LatencyBaseline()
+        self._states = {each: TargetState(each) for each in targets}
+        self._baseline = ServiceBaseline(
+            targets, false_ejection_interval_s=false_ejection_interval_s
+        )
         self._requests = FailedRequests()
-        self._rate = OutcomeRate()
-        self._reporters: dict[str, float] = {}
+        self._recent_errors = RecentErrors()
+        self._reporters = Reporters()
         self._transitions: list[TargetStatus] = []
-        self._recorded = 0
-        self._cached_likelihoods = self._compute_likelihoods()
 
     def reconfigure(
         self, targets: Sequence[str], *, false_ejection_interval_s: float
     ) -> None:
         """Take a new list of targets; those that stay keep their state."""
-        self._interval_s = false_ejection_interval_s
         self._states = {
-            each: self._states.get(each, _TargetState(TargetRecord()))
-            for each in targets
+            each: self._states.get(each) or TargetState(each) for each in targets
         }
-        self._errors.set_targets(targets)
-        self._slowness.set_targets(targets)
+        self._baseline.reconfigure(
+            targets, false_ejection_interval_s=false_ejection_interval_s
+        )
 
     def observe(self, target: str, observation: Observation, *, now_s: float) -> None:
         """Take the outcome of one of this daemon's own attempts."""
@@ -140,25 +95,29 @@
             return
         match observation:
             case Failure(kind=FailureKind.HEALTH_ENDPOINT):
-                self._observe_bad_endpoint(state.record)
+                self._observe_bad_endpoint(state)
+            case Failure(kind=FailureKind.SLOW):
+                self._observe_slow_answer(state, now_s)
             case Failure():
-                self._observe_failure(target, state, observation, now_s)
+                self._observe_error(state, observation, now_s)
             case Success():
-                self._observe_success(target, state, observation, now_s)
+                self._observe_answer(state, observation, now_s)
 
     def absorb(self, evidence: TargetEvidence, *, reporter: str, now_s: float) -> None:
         """Take the outcomes that a peer tells."""
         state = self._states.get(evidence.target)
         if state is None:
             return
-        self._reporters[reporter] = now_s
+        for name in self._reporters.hear(reporter, now_s=now_s):
+            self._recent_errors.forget(name)
         counts = self._count(evidence, now_s)
+        self._recent_errors.record_peer(reporter, counts.errors, now_s=now_s)
         if counts.errors or counts.slow:
             state.record.accusers.add(reporter)
         if evidence.is_suspected:
             state.record.suspecting_peers.add(reporter)
-        self._record_baseline(evidence.target, counts, peers=1)
-        self._add(evidence.target, counts, now_s, is_own=False)
+        self._baseline.record(evidence.target, counts, senders=1)
+        self._weigh(state, counts, now_s, is_own=False)
 
     def take_evidence(self) -> tuple[TargetEvidence, ...]:
         """Return the own outcomes that peers must be told since the last call."""
@@ -170,13 +129,14 @@
 
     def status(self, target: str, *, now_s: float) -> TargetStatus:
         """Return a target's status."""
-        if target not in self._states:
+        state = self._states.get(target)
+        if state is None:
             raise KeyError(
                 f"no target {target!r} in service {self.service!r};"
                 f" its targets are {', '.join(self._states)}"
             )
-        self._advance(target, now_s)
-        return self._make_status(target, now_s)
+        self._advance(state, now_s)
+        return state.status(threshold=self._threshold(), now_s=now_s)
 
     def statuses(self, *, now_s: float) -> tuple[TargetStatus, ...]:
         """Return the status of every target, in the order configured."""
@@ -202,76 +162,81 @@
             return
         if state.recovery.observe_probe(is_successful=is_successful, now_s=now_s):
             state.reason = "a probe was answered"
-            self._note_transition(target, now_s)
+            self._note_transition(state, now_s)
 
-    def sees_failures(self) -> bool:
-        """Tell whether most targets fail from here while peers reach them."""
-        likelihoods = self._likelihoods()
+    def is_failing_only_here(self, *, now_s: float) -> bool:
+        """Tell whether most targets fail from here while peers see no such thing."""
         failing = sum(
-            1
+            state.record.own_share.is_failing(now_s=now_s)
             for state in self._states.values()
-            if state.phase is not TargetPhase.HEALTHY
-            and state.record.own.errors.score(likelihoods.errors) > 0
         )
-        return failing > SELF_DOUBT_TARGET_SHARE * len(self._states)
+        if failing <= SELF_DOUBT_TARGET_SHARE * len(self._states):
+            return False
+        return self._recent_errors.is_alone(now_s=now_s)
 
-    def _observe_bad_endpoint(self, record: TargetRecord) -> None:
+    def _observe_bad_endpoint(self, state: TargetState) -> None:
+        record = state.record
         most = MAX_HEALTH_ENDPOINT_FACTOR * self._threshold()
         record.endpoint_score = min(most, record.endpoint_score + HEALTH_ENDPOINT_SCORE)
 
-    def _observe_failure(
-        self, target: str, state: _TargetState, failure: Failure, now_s: float
+    def _observe_error(
+        self, state: TargetState, failure: Failure, now_s: float
     ) -> None:
-        self._rate.record(now_s)
-        untold = state.record.untold
-        untold.failures[failure.kind] += 1
-        if failure.fingerprint and len(untold.requests) < MAX_TOLD_REQUESTS:
-            untold.requests.append((failure.kind, failure.fingerprint))
-        if not self._accuses(failure.kind, failure.fingerprint, target, now_s):
+        record = state.record
+        self._baseline.count_own(now_s)
+        record.untold.add_error(failure, max_requests=MAX_TOLD_REQUESTS)
+        if not self._accuses(failure, state.target, now_s):
             return
-        state.record.accusers.add(SELF)
+        record.accusers.add(SELF)
+        record.own_share.record(is_failure=True, now_s=now_s)
+        self._recent_errors.record_own(1, now_s=now_s)
         counts = OutcomeCounts(errors=1)
-        self._record_baseline(target, counts, peers=0)
-        self._add(target, counts, now_s, is_own=True)
+        self._baseline.record(state.target, counts, senders=1)
+        self._weigh(state, counts, now_s, is_own=True)
 
-    def _observe_success(
-        self, target: str, state: _TargetState, success: Success, now_s: float
+    def _observe_answer(
+        self, state: TargetState, success: Success, now_s: float
     ) -> None:
-        self._rate.record(now_s)
         if success.fingerprint:
             self._requests.observe_success(success.fingerprint)
-        is_slow = self._latency.is_slow(success.latency_ms)
-        self._latency.record(success.latency_ms)
-        counts = OutcomeCounts(slow=1) if is_slow else OutcomeCounts(successes=1)
+        if self._baseline.classify(success.latency_ms):
+            self._observe_slow_answer(state, now_s)
+        else:
+            self._observe_quick_answer(state, now_s)
+
+    def _observe_slow_answer(self, state: TargetState, now_s: float) -> None:
         record = state.record
-        is_told = (
-            is_slow
-            or not record.pooled.is_zero
-            or state.phase in (TargetPhase.SUSPECT, TargetPhase.PROBING)
-        )
-        self._record_baseline(
-            target, counts, peers=0 if is_told else len(self._reporters)
+        self._baseline.count_own(now_s)
+        record.history.record(is_slow=True)
+        record.own_share.record(is_failure=False, now_s=now_s)
+        record.untold.failures[FailureKind.SLOW] += 1
+        record.accusers.add(SELF)
+        counts = OutcomeCounts(slow=1)
+        self._baseline.record(state.target, counts, senders=1)
+        self._weigh(state, counts, now_s, is_own=True)
+
+    def _observe_quick_answer(self, state: TargetState, now_s: float) -> None:
+        record = state.record
+        self._baseline.count_own(now_s)
+        record.history.record(is_slow=False)
+        record.own_share.record(is_failure=False, now_s=now_s)
+        is_told = not record.pooled.is_zero or state.phase in (
+            TargetPhase.SUSPECT,
+            TargetPhase.PROBING,
         )
-        if is_slow:
-            record.untold.failures[FailureKind.SLOW] += 1
-            record.accusers.add(SELF)
-        elif is_told:
+        senders = 1 if is_told else self._senders()
+        counts = OutcomeCounts(successes=1)
+        self._baseline.record(state.target, counts, senders=senders)
+        if is_told:
             record.untold.successes += 1
         if is_told or not record.own.is_zero:
-            self._add(target, counts, now_s, is_own=True)
-
-    def _accuses(
-        self, kind: FailureKind, fingerprint: int, target: str, now_s: float
-    ) -> bool:
-        if not fingerprint or kind is FailureKind.CONNECT:
-            return True
-        return self._requests.accuses(fingerprint, target, now_s=now_s)
+            self._weigh(state, counts, now_s, is_own=True)
 
     def _count(self, evidence: TargetEvidence, now_s: float) -> OutcomeCounts:
         failures = dict(evidence.failures)
         errors = sum(failures.get(kind, 0) for kind in ERROR_KINDS)
         excused = sum(
-            not self._accuses(kind, fingerprint, evidence.target, now_s)
+            not self._accuses(Failure(kind, fingerprint), evidence.target, now_s)
             for kind, fingerprint in evidence.requests
         )
         return OutcomeCounts(
@@ -280,155 +245,110 @@
             errors=max(0, errors - excused),
         )
 
-    def _record_baseline(
-        self, target: str, counts: OutcomeCounts, *, peers: int
-    ) -> None:
-        outcomes = counts.answers + counts.errors
-        scale = 1 + peers
-        self._recorded += 1
-        self._errors.record(
-            target, failures=counts.errors * scale, outcomes=outcomes * scale
-        )
-        self._slowness.record(
-            target, failures=counts.slow * scale, outcomes=counts.answers * scale
-        )
+    def _accuses(self, failure: Failure, target: str, now_s: float) -> bool:
+        # A request that never reached the target cannot be what broke it.
+        if not failure.fingerprint or failure.kind is FailureKind.CONNECT:
+            return True
+        return self._requests.accuses(failure.fingerprint, target, now_s=now_s)
 
-    def _add(
-        self, target: str, counts: OutcomeCounts, now_s: float, *, is_own: bool
+    def _weigh(
+        self, state: TargetState, counts: OutcomeCounts, now_s: float, *, is_own: bool
     ) -> None:
-        state = self._states[target]
-        likelihoods = self._likelihoods()
-        self._advance(target, now_s)
+        self._advance(state, now_s)
         match state.phase:
             case TargetPhase.SUSPECT:
                 return
             case TargetPhase.PROBING:
-                self._add_trial(target, counts, likelihoods, now_s)
-                return
+                self._weigh_trial(state, counts, now_s)
             case TargetPhase.HEALTHY | TargetPhase.SLOW_START:
-                pass
-        if is_own:
-            state.record.own.add(counts, likelihoods)
-        state.record.pooled.add(counts, likelihoods)
-        if all(view.is_zero for view in state.record.views()):
-            state.record.accusers.clear()
-            state.record.suspecting_peers.clear()
-        self._judge(target, likelihoods, now_s)
-
-    def _add_trial(
-        self,
-        target: str,
-        counts: OutcomeCounts,
-        likelihoods: ServiceLikelihoods,
-        now_s: float,
+                self._weigh_work(state, counts, now_s, is_own=is_own)
+
+    def _weigh_trial(
+        self, state: TargetState, counts: OutcomeCounts, now_s: float
     ) -> None:
-        state = self._states[target]
-        score = likelihoods.score(state.symptom, counts)
-        if state.recovery is None:
-            return
-        if not state.recovery.observe_work(-score, now_s=now_s):
+        recovery = state.recovery
+        score = self._baseline.pooled_likelihoods().score(state.symptom, counts)
+        if recovery is None or not recovery.observe_work(-score, now_s=now_s):
             return
         if state.phase is TargetPhase.SLOW_START:
-            state.record.reset()
-            state.score = 0.0
+            state.clear()
             state.reason = "work succeeds again"
         else:
             state.reason = "failed again while it was tried"
-        self._note_transition(target, now_s)
+        self._note_transition(state, now_s)
 
-    def _judge(
-        self, target: str, likelihoods: ServiceLikelihoods, now_s: float
+    def _weigh_work(
+        self, state: TargetState, counts: OutcomeCounts, now_s: float, *, is_own: bool
     ) -> None:
-        state = self._states[target]
         record = state.record
-        own_score = record.own.score(likelihoods) + record.endpoint_score
-        pooled_score = record.pooled.score(likelihoods) + record.endpoint_score
+        pooled_ratios = self._baseline.pooled_likelihoods()
+        own_ratios = pooled_ratios
+        if is_own or not record.own.is_zero:
+            own_ratios = self._baseline.own_likelihoods(record.history)
+        if is_own:
+            record.own.add(counts, own_ratios)
+        record.pooled.add(counts, pooled_ratios)
+        record.settle()
+        own_score = record.own.score(own_ratios) + record.endpoint_score
+        pooled_score = record.pooled.score(pooled_ratios) + record.endpoint_score
         state.score = max(own_score, pooled_score)
+        threshold = self._threshold_for(state, pooled_score)
+        if state.score < threshold:
+            return
+        state.is_pooled_suspicion = pooled_score >= threshold
+        view = record.pooled if pooled_score >= own_score else record.own
+        ratios = pooled_ratios if pooled_score >= own_score else own_ratios
+        state.symptom = view.symptom(ratios)
+        state.reason = self._describe(view, state.symptom)
+        state.suspect(now_s=now_s, random_source=self._random)
+        self._note_transition(state, now_s)
+
+    def _threshold_for(self, state: TargetState, pooled_score: float) -> float:
         threshold = self._threshold()
         if state.phase is TargetPhase.SLOW_START:
             threshold *= SLOW_START_THRESHOLD_FACTOR
         if pooled_score >= threshold:
-            record.untold.is_suspected = True
-        elif len(record.suspecting_peers) >= MIN_SUSPECTING_PEERS:
-            threshold *= CONFIRMED_THRESHOLD_FACTOR
-        if state.score < threshold:
-            return
-        if state.recovery is None:
-            state.recovery = Recovery(self._random)
-        state.accusers = 1 if pooled_score < threshold else len(record.accusers)
-        view = max(record.views(), key=lambda each: each.score(likelihoods))
-        state.symptom = view.symptom(likelihoods)
-        state.reason = self._describe(view, state.symptom)
-        state.recovery.suspect(now_s)
-        self._note_transition(target, now_s)
+            # Only a suspicion at the whole threshold is told, so that suspicions
+            # at half of it cannot feed each other.
+            state.record.untold.is_suspected = True
+            return threshold
+        if len(state.record.suspecting_peers) >= MIN_SUSPECTING_PEERS:
+            return threshold * CONFIRMED_THRESHOLD_FACTOR
+        return threshold
 
     def _describe(self, view: View, symptom: Symptom) -> str:
         cusum = view.cusum(symptom)
         outcomes = cusum.failures + cusum.successes
         match symptom:
             case Symptom.ERRORS:
-                word, share = "failed", self._errors.share()
+                word, share = "failed", self._baseline.error_share
             case Symptom.SLOWNESS:
-                word, share = "were slow", self._slowness.share()
+                word, share = "were slow", self._baseline.slow_share
         return (
             f"{cusum.failures:.0f} of {outcomes:.0f} outcomes {word},"
             f" {share:.1%} expected"
         )
 
-    def _advance(self, target: str, now_s: float) -> None:
-        recovery = self._states[target].recovery
-        if recovery is not None and recovery.advance(now_s):
-            self._states[target].reason = ""
-            self._note_transition(target, now_s)
-
-    def _note_transition(self, target: str, now_s: float) -> None:
-        self._transitions.append(self._make_status(target, now_s))
+    def _advance(self, state: TargetState, now_s: float) -> None:
+        if state.recovery is not None and state.recovery.advance(now_s):
+            state.reason = ""
+            self._note_transition(state, now_s)
 
-    def _make_status(self, target: str, now_s: float) -> TargetStatus:
-        state = self._states[target]
-        recovery = state.recovery
-        accusers = state.accusers
-        if state.phase is TargetPhase.SUSPECT and accusers > 1:
-            accusers = max(accusers, len(state.record.accusers))
-        return TargetStatus(
-            target=target,
-            phase=state.phase,
-            score=state.score,
-            threshold=self._threshold(),
-            reason=state.reason,
-            since_s=0.0 if recovery is None else recovery.since_s,
-            weight=1.0 if recovery is None else recovery.weight(now_s),
-            accusers=0 if state.phase is TargetPhase.HEALTHY else accusers,
-        )
+    def _note_transition(self, state: TargetState, now_s: float) -> None:
+        self._transitions.append(state.status(threshold=self._threshold(), now_s=now_s))
 
-    def _likelihoods(self) -> ServiceLikelihoods:
-        if self._recorded >= OUTCOMES_PER_BASELINE:
-            self._cached_likelihoods = self._compute_likelihoods()
-            self._recorded = 0
-        return self._cached_likelihoods
-
-    def _compute_likelihoods(self) -> ServiceLikelihoods:
-        return ServiceLikelihoods(
-            errors=Likelihoods.against(
-                self._errors.share(), excess_share=EXCESS_ERROR_SHARE
-            ),
-            slowness=Likelihoods.against(
-                self._slowness.share(), excess_share=EXCESS_SLOW_SHARE
-            ),
-        )
+    def _senders(self) -> int:
+        return 1 + len(self._reporters)
 
     def _threshold(self) -> float:
-        return alarm_threshold(
-            outcomes_per_s=self._rate.outcomes_per_s() * (1 + len(self._reporters)),
-            false_alarm_interval_s=self._interval_s,
-            excess_shares=(EXCESS_ERROR_SHARE, EXCESS_SLOW_SHARE),
-        )
+        return self._baseline.threshold(senders=self._senders())
 
 
 def is_self_doubting(healths: Iterable[ServiceHealth], *, now_s: float) -> bool:
     """Tell whether the trouble is more likely on this daemon's side.
 
-    That is so where most targets of several services fail from here.
+    That is so where most targets of several services fail from here while peers
+    see no such thing.
     """
-    failing = sum(health.sees_failures() for health in healths)
+    failing = sum(health.is_failing_only_here(now_s=now_s) for health in healths)
     return failing >= SELF_DOUBT_SERVICES
--- /dev/null
+++ b/dogwoodhook/state/recent_errors.py
@@ -0,0 +1,54 @@
+"""Who saw errors of a service lately: this daemon alone, or its peers as well."""
+
+import math
+from dataclasses import dataclass
+
+DECAY_S = 30.0
+MIN_ERRORS = 3.0
+COMPARABLE_SHARE = 0.25
+"""Part of this daemon's errors that makes a peer's trouble comparable."""
+
+
+@dataclass(slots=True)
+class _Tally:
+    errors: float = 0.0
+    at_s: float = 0.0
+
+    def decayed(self, now_s: float) -> float:
+        return self.errors * math.exp((self.at_s - now_s) / DECAY_S)
+
+
+class RecentErrors:
+    """Errors seen by this daemon and told by each peer, fading with time."""
+
+    def __init__(self) -> None:
+        self._own = _Tally()
+        self._peers: dict[str, _Tally] = {}
+
+    def record_own(self, errors: int, *, now_s: float) -> None:
+        """Count errors that this daemon saw."""
+        self._add(self._own, errors, now_s)
+
+    def record_peer(self, reporter: str, errors: int, *, now_s: float) -> None:
+        """Count errors that a peer told; a call with none marks it as heard."""
+        tally = self._peers.setdefault(reporter, _Tally(at_s=now_s))
+        self._add(tally, errors, now_s)
+
+    def forget(self, reporter: str) -> None:
+        """Drop a peer that has not been heard for long."""
+        self._peers.pop(reporter, None)
+
+    def is_alone(self, *, now_s: float) -> bool:
+        """Tell whether this daemon sees errors that most peers do not see."""
+        own = self._own.decayed(now_s)
+        if own < MIN_ERRORS:
+            return False
+        in_trouble = sum(
+            tally.decayed(now_s) >= own * COMPARABLE_SHARE
+            for tally in self._peers.values()
+        )
+        return in_trouble * 2 <= len(self._peers)
+
+    def _add(self, tally: _Tally, errors: int, now_s: float) -> None:
+        tally.errors = tally.decayed(now_s) + errors
+        tally.at_s = now_s
--- /dev/null
+++ b/dogwoodhook/state/service_baseline.py
@@ -0,0 +1,103 @@
+"""What is normal for one service, and how much evidence an alarm needs."""
+
+from collections.abc import Sequence
+
+from dogwoodhook.state.baseline import (
+    PRIOR_ERROR_SHARE,
+    PRIOR_SLOW_SHARE,
+    LatencyBaseline,
+    LinkHistory,
+    ShareBaseline,
+)
+from dogwoodhook.state.cusum import Likelihoods, alarm_threshold
+from dogwoodhook.state.outcome_rate import OutcomeRate
+from dogwoodhook.state.target_evidence import OutcomeCounts, ServiceLikelihoods
+
+EXCESS_ERROR_SHARE = 0.2
+EXCESS_SLOW_SHARE = 0.5
+"""Shares of otherwise good outcomes that a failing target is taken to spoil."""
+
+RECORDS_PER_BASELINE = 8
+"""Records after which the shares are taken anew."""
+
+
+class ServiceBaseline:
+    """Shares of errors and slow answers, median latency, and rate of outcomes."""
+
+    def __init__(
+        self, targets: Sequence[str], *, false_ejection_interval_s: float
+    ) -> None:
+        self._interval_s = false_ejection_interval_s
+        self._errors = ShareBaseline(targets, prior_share=PRIOR_ERROR_SHARE)
+        self._slowness = ShareBaseline(targets, prior_share=PRIOR_SLOW_SHARE)
+        self._latency = LatencyBaseline()
+        self._rate = OutcomeRate()
+        self._records = 0
+        self._refresh()
+
+    def reconfigure(
+        self, targets: Sequence[str], *, false_ejection_interval_s: float
+    ) -> None:
+        """Take a new list of targets; those that stay keep their counts."""
+        self._interval_s = false_ejection_interval_s
+        self._errors.set_targets(targets)
+        self._slowness.set_targets(targets)
+        self._refresh()
+
+    def classify(self, latency_ms: float) -> bool:
+        """Take an answer's latency; tell whether it was slow."""
+        is_slow = self._latency.is_slow(latency_ms)
+        self._latency.record(latency_ms)
+        return is_slow
+
+    def count_own(self, now_s: float) -> None:
+        """Count one of this daemon's outcomes towards the rate."""
+        self._rate.record(now_s)
+
+    def record(self, target: str, counts: OutcomeCounts, *, senders: int) -> None:
+        """Count outcomes; each stands for one of every one of ``senders`` daemons.
+
+        Peers don't tell successes with a target that has no failures to its name,
+        so each own one is taken to have its like at every peer.
+        """
+        outcomes = counts.answers + counts.errors
+        self._errors.record(
+            target, failures=counts.errors * senders, outcomes=outcomes * senders
+        )
+        self._slowness.record(
+            target, failures=counts.slow * senders, outcomes=counts.answers * senders
+        )
+        self._records += 1
+        if self._records >= RECORDS_PER_BASELINE:
+            self._refresh()
+
+    def pooled_likelihoods(self) -> ServiceLikelihoods:
+        """Return the ratios for outcomes of all daemons."""
+        return self._likelihoods
+
+    def own_likelihoods(self, history: LinkHistory) -> ServiceLikelihoods:
+        """Return the ratios for this daemon's outcomes over one link."""
+        share = max(self.slow_share, history.share())
+        slowness = Likelihoods.against(share, excess_share=EXCESS_SLOW_SHARE)
+        return ServiceLikelihoods(errors=self._likelihoods.errors, slowness=slowness)
+
+    def threshold(self, *, senders: int) -> float:
+        """Return the sum at which a target is suspected."""
+        return alarm_threshold(
+            outcomes_per_s=self._rate.outcomes_per_s() * senders,
+            false_alarm_interval_s=self._interval_s,
+            excess_shares=(EXCESS_ERROR_SHARE, EXCESS_SLOW_SHARE),
+        )
+
+    def _refresh(self) -> None:
+        self._records = 0
+        self.error_share = self._errors.share()
+        self.slow_share = self._slowness.share()
+        self._likelihoods = ServiceLikelihoods(
+            errors=Likelihoods.against(
+                self.error_share, excess_share=EXCESS_ERROR_SHARE
+            ),
+            slowness=Likelihoods.against(
+                self.slow_share, excess_share=EXCESS_SLOW_SHARE
+            ),
+        )
--- a/dogwoodhook/state/target_evidence.py
+++ b/dogwoodhook/state/target_evidence.py
@@ -6,12 +6,12 @@
 """
 
 from collections import Counter
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from dogwoodhook.state.baseline import LinkHistory
 from dogwoodhook.state.cusum import Cusum, Likelihoods
-from dogwoodhook.state.outcomes import FailureKind, TargetEvidence
+from dogwoodhook.state.outcomes import Failure, FailureKind, TargetEvidence
 
 ERROR_KINDS = (
     FailureKind.CONNECT,
@@ -21,6 +21,8 @@
 )
 """Kinds that count as an error; ``SLOW`` has a sum of its own."""
 
+RECENT_FAILURE_S = 60.0
+
 SELF = ""
 """Name under which a daemon's own failures are kept among the accusers."""
 
@@ -126,6 +128,12 @@
     requests: list[tuple[FailureKind, int]] = field(default_factory=list)
     is_suspected: bool = False
 
+    def add_error(self, failure: Failure, *, max_requests: int) -> None:
+        """Count an error and name its request while there is room."""
+        self.failures[failure.kind] += 1
+        if failure.fingerprint and len(self.requests) < max_requests:
+            self.requests.append((failure.kind, failure.fingerprint))
+
     def take(self, service: str, target: str) -> TargetEvidence | None:
         """Return the outcomes as a message and forget them."""
         if not self.successes and not self.failures and not self.is_suspected:
@@ -145,26 +153,51 @@
         return evidence
 
 
+class OwnShare:
+    """The failing share of a daemon's last few outcomes with a target."""
+
+    STEP = 0.2
+
+    def __init__(self) -> None:
+        self._share = 0.0
+        self._failed_at_s: float | None = None
+
+    def record(self, *, is_failure: bool, now_s: float) -> None:
+        """Count one outcome."""
+        self._share += self.STEP * (is_failure - self._share)
+        if is_failure:
+            self._failed_at_s = now_s
+
+    def is_failing(self, *, now_s: float) -> bool:
+        """Tell whether most of the last outcomes failed, and did so lately."""
+        if self._failed_at_s is None:
+            return False
+        is_recent = now_s - self._failed_at_s < RECENT_FAILURE_S
+        return is_recent and self._share > 0.5
+
+
 @dataclass(slots=True)
 class TargetRecord:
     """All evidence about one target."""
 
     own: View = field(default_factory=View)
     pooled: View = field(default_factory=View)
+    own_share: OwnShare = field(default_factory=OwnShare)
+    history: LinkHistory = field(default_factory=LinkHistory)
     untold: Untold = field(default_factory=Untold)
     accusers: set[str] = field(default_factory=set)
     suspecting_peers: set[str] = field(default_factory=set)
     endpoint_score: float = 0.0
 
-    def views(self) -> Iterator[View]:
-        """Yield the own and the pooled view."""
-        yield self.own
-        yield self.pooled
+    def settle(self) -> None:
+        """Forget who accused the target once no failure stands against it."""
+        if self.own.is_zero and self.pooled.is_zero:
+            self.accusers.clear()
+            self.suspecting_peers.clear()
+            self.endpoint_score = 0.0
 
     def reset(self) -> None:
         """Forget the evidence, but for what peers must still be told."""
         self.own.reset()
         self.pooled.reset()
-        self.accusers.clear()
-        self.suspecting_peers.clear()
-        self.endpoint_score = 0.0
+        self.settle()
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,7 +1,8 @@
 import pytest
 
-from dogwoodhook.state.health import ServiceHealth, TargetPhase
+from dogwoodhook.state.health import ServiceHealth, TargetPhase, is_self_doubting
 from dogwoodhook.state.outcomes import Failure, FailureKind, Success, TargetEvidence
+from dogwoodhook.state.reporters import Reporters
 
 TARGETS = ("a", "b", "c", "d", "e", "f")
 DAY_S = 86_400.0
@@ -136,3 +137,71 @@
     for index in range(40):
         health.absorb(verdict, reporter=f"vm-{index}", now_s=0.0)
     assert phase(health, "a") is TargetPhase.HEALTHY
+
+
+def test_a_link_that_always_loses_packets_does_not_accuse_its_target():
+    health = make_health()
+    succeed(health, TARGETS, count=20)
+    peer = TargetEvidence("payouts", "a", successes=4, failures=())
+    for index in range(1000):
+        is_slow = index % 25 in (0, 3, 7, 10, 14, 17, 21)
+        succeed(health, TARGETS[1:], count=1, now_s=index * 1.0)
+        latency_ms = 200.0 if is_slow else 10.0
+        succeed(health, ("a",), count=1, now_s=index * 1.0, latency_ms=latency_ms)
+        health.absorb(peer, reporter="vm-1", now_s=index * 1.0)
+    assert phase(health, "a", 1000.0) is TargetPhase.HEALTHY
+
+
+def test_a_slow_target_becomes_a_suspect():
+    health = make_health()
+    succeed(health, TARGETS, count=20)
+    succeed(health, ("a",), count=20, latency_ms=100.0)
+    assert phase(health, "a") is TargetPhase.SUSPECT
+    assert "slow" in health.status("a", now_s=0.0).reason
+
+
+def fail_all_services(*, peers_in_trouble=0, services=3):
+    healths = []
+    for _ in range(services):
+        health = make_health()
+        succeed(health, TARGETS, count=20)
+        for target in TARGETS:
+            fail(health, target, count=8, now_s=1.0)
+        for index in range(10):
+            errors = 40 if index < peers_in_trouble else 1
+            evidence = TargetEvidence(
+                "payouts", "a", 10, ((FailureKind.CONNECT, errors),)
+            )
+            health.absorb(evidence, reporter=f"vm-{index}", now_s=1.0)
+        healths.append(health)
+    return healths
+
+
+def test_a_daemon_doubts_itself_when_only_it_sees_most_targets_fail():
+    healths = fail_all_services()
+    assert is_self_doubting(healths, now_s=2.0)
+    assert not is_self_doubting(healths, now_s=120.0)
+
+
+def test_a_daemon_does_not_doubt_itself_when_its_peers_fail_too():
+    assert not is_self_doubting(fail_all_services(peers_in_trouble=6), now_s=2.0)
+
+
+def test_one_failing_service_is_no_reason_for_self_doubt():
+    assert not is_self_doubting(fail_all_services(services=1), now_s=2.0)
+
+
+def test_targets_that_stay_keep_their_state():
+    health = make_health()
+    succeed(health, TARGETS, count=20)
+    fail(health, "a", count=10)
+    health.reconfigure(("a", "g"), false_ejection_interval_s=DAY_S)
+    assert phase(health, "a") is TargetPhase.SUSPECT
+    assert phase(health, "g") is TargetPhase.HEALTHY
+
+
+def test_peers_gone_for_long_are_forgotten():
+    reporters = Reporters()
+    for index in range(100):
+        reporters.hear(f"vm-{index}", now_s=index * 600.0)
+    assert len(reporters) <= 7
