Add a window of 10 outcomes to the baseline

Cause: in the first second of trouble in a whole service, a target that happens to fail first was accused before the window of 30 outcomes showed the others' failures.

Change: a fourth window, of 10 outcomes a target.

--- a/dogwoodhook/state/baseline.py
+++ b/dogwoodhook/state/baseline.py
@@ -19,7 +19,7 @@
 MIN_SHARE = 0.002
 MAX_SHARE = 0.9
 
-WINDOWS_OUTCOMES = (480.0, 120.0, 30.0)
+WINDOWS_OUTCOMES = (480.0, 120.0, 30.0, 10.0)
 """Outcomes per target after which each window halves its counts, longest first."""
 
 WINDOW_PRIOR_OUTCOMES = 6.0
