--- a/dogwoodhook/testing/fleet.py
+++ b/dogwoodhook/testing/fleet.py
@@ -74,11 +74,13 @@
         service_time_ms: float = 5.0,
         data_centres: Sequence[str] = DATA_CENTRES,
         drain_delay_s: float = 0.3,
+        daemon_flags: Sequence[str] = (),
     ) -> None:
         self._directory = tempfile.TemporaryDirectory(prefix="dogwoodhook-")
         self._target_ports = target_ports
         self._service_time_ms = service_time_ms
         self._drain_delay_s = drain_delay_s
+        self._daemon_flags = daemon_flags
         self._processes: list[Process] = []
         self._platform_port = free_port()
         self.daemons = [
@@ -128,6 +130,7 @@
                 f"--admin_port={daemon.admin_port}",
                 f"--peer_port={daemon.peer_port}",
                 f"--unready_delay_s={self._drain_delay_s}",
+                *self._daemon_flags,
                 env=self._environment(),
                 stderr=log_file,
             )
--- a/dogwoodhook/testing/local_proxy.py
+++ b/dogwoodhook/testing/local_proxy.py
@@ -16,6 +16,7 @@
 from dogwoodhook.state.model import (
     Change,
     Configuration,
+    Document,
     Parameters,
     RequestPattern,
     Route,
@@ -100,16 +101,23 @@
         await self.pools.close()
 
 
-def _configuration(
-    target_ports: Sequence[int], parameters: Parameters
-) -> Configuration:
+def local_documents(
+    target_ports: Sequence[int], parameters: Parameters = GET_IS_IDEMPOTENT
+) -> tuple[Document, ...]:
+    """Return a template, and a service for every path, on targets on loopback."""
     targets = tuple(
         Target(f"t{number}", DATA_CENTRE, LOOPBACK, port)
         for number, port in enumerate(target_ports, start=1)
     )
     service = ServiceDefinition("work", "local", "office", targets, (Route("/"),))
-    change = Change(1, "test", 0.0, "t-1", (Template("local", parameters), service))
-    return apply_change(Configuration(), change)
+    return Template("local", parameters), service
+
+
+def _configuration(
+    target_ports: Sequence[int], parameters: Parameters
+) -> Configuration:
+    documents = local_documents(target_ports, parameters)
+    return apply_change(Configuration(), Change(1, "test", 0.0, "t-1", documents))
 
 
 def _tell_nobody(message: Message) -> None:
