--- a/dogwoodhook/testing/memory_platform.py
+++ b/dogwoodhook/testing/memory_platform.py
@@ -62,6 +62,8 @@
     applied with their answer lost; ``lost_requests`` counts commits still to be
     dropped before they take effect; ``forced_conflicts`` counts commits still to
     be refused as conflicts. ``refuses_objects`` takes the object store alone down.
+    ``delayed_commits`` counts commits still to be
+    held back, unanswered, until ``apply_delayed`` gives them to the table.
     """
 
     table: MemoryTable = field(default_factory=MemoryTable)
@@ -72,6 +74,14 @@
     lost_requests: int = 0
     forced_conflicts: int = 0
     refuses_objects: bool = False
+    delayed_commits: int = 0
+    delayed: list[Transaction] = field(default_factory=list)
+
+    def apply_delayed(self) -> None:
+        """Let the delayed commits reach the table, where conditions still hold."""
+        held, self.delayed = self.delayed, []
+        for transaction in held:
+            self.table.commit(transaction)
 
     async def read(
         self, keys: Sequence[str]
@@ -99,6 +109,10 @@
         if self.forced_conflicts > 0 and transaction.conditions:
             self.forced_conflicts -= 1
             return Error(Conflict(transaction.conditions[0].key))
+        if self.delayed_commits > 0:
+            self.delayed_commits -= 1
+            self.delayed.append(transaction)
+            return Error(OutcomeUnknown("no answer"))
         result = self.table.commit(transaction)
         if self.lost_answers > 0:
             self.lost_answers -= 1
