--- a/dogwoodhook/daemon.py
+++ b/dogwoodhook/daemon.py
@@ -59,6 +59,7 @@
             max_workspace_series=settings.max_workspace_series,
         )
         self._fleet = self._make_fleet(clock)
+        self._metrics.watch_peer_bytes(lambda: self._fleet.hub.sent_bytes)
         self._control = Control(self._fleet)
         forwarder = Forwarder(self._pools, self._fleet.quarantine, clock)
         self._callers = CallerHandler(
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -5,7 +5,10 @@
 histogram has ``len(LATENCY_BUCKETS_MS) + 3`` series for each set of attributes.
 """
 
+from collections.abc import Callable
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
@@ -46,7 +49,7 @@
         provider = MeterProvider(
             metric_readers=[reader], resource=Resource({"service.name": daemon})
         )
-        meter = provider.get_meter("dogwoodhook")
+        meter = self._meter = provider.get_meter("dogwoodhook")
         self._duration = meter.create_histogram(
             "dogwoodhook_request_duration",
             unit="ms",
@@ -78,6 +81,15 @@
             "dogwoodhook_retries", description="attempts after the first"
         )
 
+    def watch_peer_bytes(self, read_total: Callable[[], int]) -> None:
+        """Expose the bytes sent to peers, read when the metrics are."""
+        self._meter.create_observable_counter(
+            "dogwoodhook_peer_sent",
+            callbacks=[lambda options: [Observation(read_total())]],
+            unit="By",
+            description="bytes of messages sent to peers",
+        )
+
     def record_request(
         self,
         *,
--- a/dogwoodhook/testing/fleet.py
+++ b/dogwoodhook/testing/fleet.py
@@ -45,7 +45,10 @@
 
 @dataclass(slots=True)
 class DaemonProcess:
-    """One ``dogwoodhookd`` with its ports and log file."""
+    """One ``dogwoodhookd`` with its ports and log file.
+
+    ``platform_url`` is set where the daemon reaches the platform another way.
+    """
 
     name: str
     data_centre: str
@@ -54,6 +57,7 @@
     peer_port: int
     log_path: Path
     process: Process | None = None
+    platform_url: str = ""
 
     @property
     def caller_url(self) -> str:
@@ -90,7 +94,7 @@
         self._drain_delay_s = drain_delay_s
         self._daemon_flags = daemon_flags
         self._processes: list[Process] = []
-        self._platform_port = free_port()
+        self.platform_port = free_port()
         self.daemons = [
             DaemonProcess(
                 name=f"daemon-{number}",
@@ -106,7 +110,7 @@
     @property
     def platform_url(self) -> str:
         """Address of the platform stand-in."""
-        return f"http://{HOST}:{self._platform_port}"
+        return f"http://{HOST}:{self.platform_port}"
 
     async def __aenter__(self) -> "LocalFleet":
         try:
@@ -133,7 +137,7 @@
                 "dogwoodhook.daemon",
                 f"--daemon_name={daemon.name}",
                 f"--data_centre={daemon.data_centre}",
-                f"--platform_url={self.platform_url}",
+                f"--platform_url={daemon.platform_url or self.platform_url}",
                 f"--caller_port={daemon.caller_port}",
                 f"--admin_port={daemon.admin_port}",
                 f"--peer_port={daemon.peer_port}",
@@ -225,7 +229,7 @@
         await put_json(f"{self.platform_url}/vms", body)
 
     async def _start(self) -> None:
-        await self._start_stand_in("platform", f"--port={self._platform_port}")
+        await self._start_stand_in("platform", f"--port={self.platform_port}")
         for ports in self._target_ports:
             await self._start_stand_in(
                 "target",
--- /dev/null
+++ b/dogwoodhook/testing/relay.py
@@ -0,0 +1,83 @@
+"""A TCP relay that can be cut in one direction, for asymmetric partitions.
+
+    async with Relay(port=7000) as relay:
+        relay.is_cut_to_client = True  # requests arrive, answers do not
+
+What is sent in a cut direction is lost; the connections stay open, as they do in
+a network that drops packets.
+"""
+
+import asyncio
+from types import TracebackType
+
+HOST = "127.0.0.1"
+READ_BYTES = 64 * 1024
+
+
+class Relay:
+    """Relays connections on a port of its own to another one."""
+
+    def __init__(self, *, port: int) -> None:
+        self.port = 0
+        self.is_cut_to_server = False
+        self.is_cut_to_client = False
+        self._target_port = port
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> "Relay":
+        self._server = await asyncio.start_server(self._accept, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        try:
+            there, back = await asyncio.open_connection(HOST, self._target_port)
+        except OSError:
+            writer.close()
+            return
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._copy(reader, back, is_to_server=True))
+                group.create_task(self._copy(there, writer, is_to_server=False))
+        finally:
+            writer.close()
+            back.close()
+
+    async def _copy(
+        self,
+        source: asyncio.StreamReader,
+        sink: asyncio.StreamWriter,
+        *,
+        is_to_server: bool,
+    ) -> None:
+        try:
+            while data := await source.read(READ_BYTES):
+                is_cut = (
+                    self.is_cut_to_server if is_to_server else self.is_cut_to_client
+                )
+                if not is_cut:
+                    sink.write(data)
+                    await sink.drain()
+        except ConnectionError:
+            pass
+        finally:
+            sink.close()
--- a/dogwoodhook/transport/peers.py
+++ b/dogwoodhook/transport/peers.py
@@ -83,7 +83,7 @@
 
 
 class PeerHub:
-    """All links of one daemon."""
+    """All links of one daemon; ``sent_bytes`` counts the frames handed to them."""
 
     def __init__(
         self, receive: Receiver, *, daemon: str, secret: str, host: str, port: int
@@ -98,6 +98,7 @@
         self._diallers: dict[str, asyncio.Task[None]] = {}
         self._addresses: dict[str, str] = {}
         self._server: Server | None = None
+        self.sent_bytes = 0
 
     async def start(self) -> None:
         """Open the peer listener."""
@@ -150,6 +151,7 @@
     def _send_frame(self, peer: str, frame: bytes) -> None:
         link = self._dialled.get(peer) or self._accepted.get(peer)
         if link is not None:
+            self.sent_bytes += len(frame)
             link.send(frame)
 
     async def _dial(self, peer: str, address: str) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,6 +19,7 @@
     Template,
 )
 from dogwoodhook.testing.fleet import HOST, LocalFleet, free_port_range
+from dogwoodhook.testing.relay import Relay
 from dogwoodhook.testing.target_record import RecordBody, RunPhase
 from dogwoodhook.testing.target_server import pattern_bytes
 
@@ -238,3 +239,25 @@
         ran = {run.nonce for run in (await read_record(session, ports[0])).runs}
         for nonce, outcome in told:
             assert (nonce in ran) == (outcome == "answered")
+
+
+async def test_a_daemon_cut_from_the_table_follows_its_peers_and_steps_back():
+    async with running_fleet(daemons=2) as (fleet, _ports, _session):
+        cut = fleet.daemons[1]
+        async with Relay(port=fleet.platform_port) as relay:
+            cut.signal(signal.SIGKILL)
+            await cut.process.wait()
+            cut.platform_url = f"http://{HOST}:{relay.port}"
+            await fleet.start_daemon(cut)
+            await fleet.wait_ready()
+            relay.is_cut_to_client = True
+            version = await fleet.apply(
+                Template("tills", Parameters(capacity_floor=1, deadline_ms=50_000))
+            )
+            await fleet.wait_version(version)
+            while (await fleet.status_of(cut)).is_ready:
+                await asyncio.sleep(0.05)
+            assert (await fleet.status_of(fleet.daemons[0])).is_ready
+            relay.is_cut_to_client = False
+            await fleet.wait_ready()
+            assert await fleet.version_of(cut) == version
