Do background work only for services with traffic, and index stops

Cause: an idle daemon's control cost grew faster than its number of services: each control step scanned every document once per service for planned stops, and asked every service for self-doubt once per service.

Ruled out: longer intervals, which only divide the same growth.

Change: stops are indexed when a configuration comes in force; self-doubt is asked once a step; ejection rows, evidence and probes follow only services with a request in the last two minutes. An ejection of a service without traffic is not honoured until it is confirmed again, which is the safe side.

--- a/dogwoodhook/control.py
+++ b/dogwoodhook/control.py
@@ -31,7 +31,7 @@
 from dogwoodhook.events import TARGET_CLEARED, TARGET_SUSPECTED, TASK_FAILED, log
 from dogwoodhook.readiness import Readiness
 from dogwoodhook.state.health import TargetPhase, is_self_doubting
-from dogwoodhook.state.model import PlannedStop
+from dogwoodhook.state.model import Configuration, PlannedStop
 from dogwoodhook.state.stops import stopping_targets
 from dogwoodhook.transport.peers import PeerHub
 from dogwoodhook.transport.probes import Prober
@@ -83,6 +83,7 @@
         self._evidence_sequence = 0
         self._heard_sequences: dict[str, int] = {}
         self._version_in_force = 0
+        self._stops_in_force: dict[str, tuple[PlannedStop, ...]] = {}
         self._has_loaded_quarantines = False
         self._unsuspected_since_s: dict[tuple[str, str], float] = {}
 
@@ -128,10 +129,11 @@
 
     async def refresh_ejections(self) -> None:
         """Confirm the ejection rows, and propose ejections and releases."""
-        runtimes = list(self._fleet.registry)
+        runtimes = self._fleet.registry.active()
         await self._fleet.board.refresh([each.service.name for each in runtimes])
+        may_eject = not self._is_self_doubting()
         for runtime in runtimes:
-            await self._maintain_ejections(runtime)
+            await self._maintain_ejections(runtime, may_eject=may_eject)
 
     def excluded(self, runtime: ServiceRuntime) -> frozenset[str]:
         """Return the targets of a service that get no work now."""
@@ -171,7 +173,7 @@
     async def tell_evidence(self) -> None:
         """Tell peers of outcomes that bear on suspicions, and log changes."""
         entries: list[TargetEvidence] = []
-        for runtime in self._fleet.registry:
+        for runtime in self._fleet.registry.active():
             entries += runtime.health.take_evidence()
             _log_transitions(runtime)
         if entries:
@@ -200,7 +202,7 @@
         now_s = self._fleet.clock.now_s()
         probes = [
             self._probe(runtime, target.name)
-            for runtime in self._fleet.registry
+            for runtime in self._fleet.registry.active()
             for target in runtime.service.targets
             if runtime.health.wants_probe(target.name, now_s=now_s)
         ]
@@ -252,7 +254,7 @@
 
     def _is_self_doubting(self) -> bool:
         return is_self_doubting(
-            [runtime.health for runtime in self._fleet.registry],
+            [runtime.health for runtime in self._fleet.registry.active()],
             now_s=self._fleet.clock.now_s(),
         )
 
@@ -271,12 +273,15 @@
         if configuration.version == self._version_in_force:
             return
         self._version_in_force = configuration.version
+        self._stops_in_force = _stops_by_service(configuration)
         self._fleet.registry.reconfigure(configuration)
 
     def _stops(self, runtime: ServiceRuntime) -> tuple[PlannedStop, ...]:
-        return self._fleet.store.current.stops(runtime.service.name)
+        return self._stops_in_force.get(runtime.service.name, ())
 
-    async def _maintain_ejections(self, runtime: ServiceRuntime) -> None:
+    async def _maintain_ejections(
+        self, runtime: ServiceRuntime, *, may_eject: bool
+    ) -> None:
         now_s = self._fleet.clock.now_s()
         service = runtime.service
         version = self._fleet.store.current.version
@@ -295,7 +300,7 @@
             await self._fleet.board.release(
                 service, name, configuration_version=version
             )
-        if self._is_self_doubting():
+        if not may_eject:
             return
         peers = self._fleet.membership.live_peers(now_s=now_s)
         accusers_needed = min(MIN_ACCUSERS, 1 + len(peers))
@@ -362,6 +367,15 @@
         await asyncio.sleep(interval_s)
 
 
+def _stops_by_service(
+    configuration: Configuration,
+) -> dict[str, tuple[PlannedStop, ...]]:
+    stops: dict[str, tuple[PlannedStop, ...]] = {}
+    for stop in configuration.stops():
+        stops[stop.service] = (*stops.get(stop.service, ()), stop)
+    return stops
+
+
 def _log_transitions(runtime: ServiceRuntime) -> None:
     for status in runtime.health.take_transitions():
         if status.phase is TargetPhase.SUSPECT:
--- a/dogwoodhook/transport/forwarder.py
+++ b/dogwoodhook/transport/forwarder.py
@@ -76,7 +76,7 @@
 
     async def forward(self, call: Call) -> Reply:
         """Return the caller's reply; always exactly one outcome."""
-        call.runtime.budget.record_request(self._clock.now_s())
+        call.runtime.record_request(now_s=self._clock.now_s())
         tried: frozenset[str] = frozenset()
         attempts = 0
         while True:
--- a/dogwoodhook/transport/services.py
+++ b/dogwoodhook/transport/services.py
@@ -12,17 +12,24 @@
 from dogwoodhook.state.routing import RouteTable
 from dogwoodhook.transport.dispatch import Dispatch
 
+ACTIVE_S = 120.0
+"""Time after a service's last request for which a daemon keeps up with it."""
+
 DRAIN_ANSWER_S = 30.0
 """Time for which a target that answered that it drains gets no work."""
 
 
 @dataclass(slots=True)
 class ServiceRuntime:
-    """One service's health, targets, queue and retry budget."""
+    """One service's health, targets, queue and retry budget.
+
+    ``used_s`` is when its last request came, on the elapsed clock.
+    """
 
     health: ServiceHealth
     dispatch: Dispatch
     budget: RetryBudget
+    used_s: float = float("-inf")
     drained_until_s: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -30,6 +37,11 @@
         """The definition in force."""
         return self.dispatch.dispatcher.service
 
+    def record_request(self, *, now_s: float) -> None:
+        """Note a caller's request."""
+        self.used_s = now_s
+        self.budget.record_request(now_s)
+
     def note_draining(self, target: str, *, now_s: float) -> None:
         """Keep work from a target that answered that it drains."""
         self.drained_until_s[target] = now_s + DRAIN_ANSWER_S
@@ -68,6 +80,15 @@
         """Return a service by name."""
         return self._runtimes.get(name)
 
+    def active(self) -> list[ServiceRuntime]:
+        """Return the services with requests lately.
+
+        Only these cost a daemon background work, so its cost follows its traffic
+        and not the number of services.
+        """
+        oldest_s = self._clock.now_s() - ACTIVE_S
+        return [each for each in self._runtimes.values() if each.used_s >= oldest_s]
+
     def reconfigure(self, configuration: Configuration) -> None:
         """Put a configuration in force."""
         services = configuration.services()
