--- a/dogwoodhook/coordination/membership.py
+++ b/dogwoodhook/coordination/membership.py
@@ -14,8 +14,8 @@
 ADMIN_ROLE = "admin"
 TARGET_ROLE = "target"
 
-HEARTBEAT_INTERVAL_S = 1.0
-HEARTBEAT_TIMEOUT_S = 5.0
+HEARTBEAT_INTERVAL_S = 2.0
+HEARTBEAT_TIMEOUT_S = 7.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/dogwoodhook/transport/peers.py
+++ b/dogwoodhook/transport/peers.py
@@ -1,8 +1,9 @@
 """Links between daemons: websockets with CBOR messages.
 
-Each daemon dials every peer of the platform's list and keeps one task for each
-link. A daemon sends on the link it dialled, or on the one a peer dialled where
-its own is down, so a peer that can be reached in one direction only still hears.
+Each daemon dials the peers of the platform's list that have not dialled it, and
+keeps one task for each link. Of two daemons, the one whose name sorts first dials
+at once and the other a little later, so that most pairs share one link and a pair
+that can connect in one direction only still has one.
 Messages to a slow peer are dropped, oldest first: all of them are safe to lose.
 """
 
@@ -30,11 +31,12 @@
 )
 
 HANDSHAKE_TIMEOUT_S = 2.0
-PING_INTERVAL_S = 2.0
-PING_TIMEOUT_S = 4.0
+PING_INTERVAL_S = 5.0
+PING_TIMEOUT_S = 5.0
 MIN_REDIAL_S = 0.2
 MAX_REDIAL_S = 5.0
 MAX_QUEUED_FRAMES = 64
+SECOND_DIALLER_DELAY_S = 1.0
 
 Receiver = Callable[[str, Message], Awaitable[None]]
 
@@ -156,7 +158,11 @@
 
     async def _dial(self, peer: str, address: str) -> None:
         delay_s = MIN_REDIAL_S
+        if self._daemon > peer:
+            await asyncio.sleep(SECOND_DIALLER_DELAY_S)
         while True:
+            while peer in self._accepted:
+                await asyncio.sleep(SECOND_DIALLER_DELAY_S)
             was_connected = await self._dial_once(peer, address)
             delay_s = MIN_REDIAL_S if was_connected else min(delay_s * 2, MAX_REDIAL_S)
             await asyncio.sleep(delay_s)
