Keep daemons ready through an outage of the table for all

Cause: from 5 s to 10 s after the table went down, every daemon was unready as "unconfirmed": each had still heard of its peers' last reads, made at about the same time as its own. Seen with three daemons, one restarted in the outage.

Ruled out: a longer bound, which only moves the window; ignoring peers' reads, which leaves a daemon ready that alone has lost the table.

Change: a peer counts as able to confirm only if its last confirmation is more than the propagation bound later than one's own.

--- a/dogwoodhook/coordination/configuration.py
+++ b/dogwoodhook/coordination/configuration.py
@@ -184,9 +184,11 @@
         now_s = self._clock.now_s()
         version = heartbeat.configuration_version
         self._peer_heard_at_s = now_s
-        age_ms = heartbeat.head_age_ms
-        if age_ms is not None and age_ms <= PROPAGATION_BOUND_S * 1000:
-            self._peer_confirmed_at_s = now_s
+        if heartbeat.head_age_ms is not None:
+            confirmed_at_s = now_s - heartbeat.head_age_ms / 1000
+            self._peer_confirmed_at_s = max(
+                confirmed_at_s, self._peer_confirmed_at_s or confirmed_at_s
+            )
         self._highest_reported = max(self._highest_reported, version)
         if self._hint is not None and self._hint.version == version:
             self._adopt_whole(self._hint)
@@ -256,7 +258,7 @@
             return None
         if self._confirmed_at_s is None and not _is_past(self._loaded_at_s, now_s):
             return UnreadyReason.AWAITING_PEERS
-        if _is_recent(self._peer_confirmed_at_s, now_s):
+        if self._can_peer_alone_confirm(now_s):
             return UnreadyReason.UNCONFIRMED
         if _is_past(self._peer_heard_at_s, now_s):
             return UnreadyReason.ISOLATED
@@ -267,6 +269,20 @@
             return False
         return not self._was_ready or _is_past(self._behind_since_s, now_s)
 
+    def _can_peer_alone_confirm(self, now_s: float) -> bool:
+        """Tell whether a peer still reads the head and this daemon has long not.
+
+        In an outage for all, the last reads of the daemons lie close together, so
+        that one whose read was a little later does not make the others unready.
+        """
+        own_s = self._confirmed_at_s
+        if own_s is None:
+            own_s = self._loaded_at_s
+        peer_s = self._peer_confirmed_at_s
+        if own_s is None or peer_s is None or not _is_recent(peer_s, now_s):
+            return False
+        return peer_s - own_s > PROPAGATION_BOUND_S
+
     # Moving forward
 
     def _base(self) -> Configuration:
--- a/dogwoodhook/daemon.py
+++ b/dogwoodhook/daemon.py
@@ -25,6 +25,7 @@
 from dogwoodhook.events import DAEMON_STARTED, DAEMON_STOPPED, log, make_handler
 from dogwoodhook.findings import FindingsError
 from dogwoodhook.metrics import Metrics
+from dogwoodhook.protocol.snapshots import JsonSnapshotCodec
 from dogwoodhook.readiness import Readiness
 from dogwoodhook.reporting import Reporter
 from dogwoodhook.settings import DaemonSettings, read_settings
@@ -136,7 +137,9 @@
             daemon=name,
             clock=clock,
             platform=self._platform,
-            store=ConfigurationStore(self._platform, clock),
+            store=ConfigurationStore(
+                self._platform, clock, daemon=name, codec=JsonSnapshotCodec()
+            ),
             board=EjectionBoard(self._platform, clock, daemon=name),
             membership=Membership(daemon=name),
             claims=ClaimBook(self._platform, clock, daemon=name),
