Take test ports below those of outgoing connections

Cause: a fleet of 32 daemons failed to start: a port that was free when it was chosen had become the local end of an outgoing connection before the listener bound it.

Ruled out: trying again after a failed bind, which the daemon under test does not do and should not.

Change: free_port hands out ports of 10000-19999 in turn.

Conclusion: a cause of flaky fleet tests is gone.

--- a/dogwoodhook/testing/fleet.py
+++ b/dogwoodhook/testing/fleet.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import os
 import signal
 import socket
@@ -36,8 +37,18 @@
 POLL_INTERVAL_S = 0.05
 FIRST_RANGE_PORT = 23000
 LAST_RANGE_PORT = 29000
+FIRST_SINGLE_PORT = 10000
+LAST_SINGLE_PORT = 19999
 DATA_CENTRES = ("kigali-1", "kigali-2", "kigali-3")
 
+_SINGLE_PORT_COUNT = LAST_SINGLE_PORT - FIRST_SINGLE_PORT + 1
+
+# Programs that run at the same time begin at different ports.
+_SINGLE_PORTS = (
+    FIRST_SINGLE_PORT + (os.getpid() * 97 + offset) % _SINGLE_PORT_COUNT
+    for offset in itertools.count()
+)
+
 
 class StartError(Exception):
     """A daemon did not start; carries its log."""
@@ -271,11 +282,17 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Return a port of the loopback address that is free now.
+
+    No port is returned twice in a row. All lie below those that the system gives
+    to outgoing connections, one of which may otherwise take the port before the
+    listener does.
+    """
+    for _ in range(_SINGLE_PORT_COUNT):
+        port = next(_SINGLE_PORTS)
+        if _is_free(port):
+            return port
+    raise OSError(f"no free port in {FIRST_SINGLE_PORT}..{LAST_SINGLE_PORT}")
 
 
 def free_port_range(count: int) -> range:
