--- a/dogwoodhook/state/recovery.py
+++ b/dogwoodhook/state/recovery.py
@@ -6,6 +6,7 @@
 flaps costs little. A good probe alone clears nothing.
 """
 
+import logging
 import random
 from enum import StrEnum
 
@@ -142,6 +143,9 @@
         return 1 + self._random.uniform(0, HOLDING_TIME_JITTER)
 
 
+# The library logs every callback of every transition, also those without any.
+logging.getLogger("transitions").setLevel(logging.WARNING)
+
 _MACHINE = Machine(
     model=None,
     states=TargetPhase,
