Let a suspect without trial work return in bounded time

Cause: a service with little work, or with none that may be tried, would hold a target in probing for hours: 18 trial successes at a twentieth of a healthy target's share.

The service's shares are computed only when a failure asks for them.

Test: test_a_suspect_without_trial_work_is_not_held_for_good, red before.

--- a/dogwoodhook/state/health.py
+++ b/dogwoodhook/state/health.py
@@ -330,9 +330,14 @@
         )
 
     def _advance(self, state: TargetState, now_s: float) -> None:
-        if state.recovery is not None and state.recovery.advance(now_s):
+        if state.recovery is None or not state.recovery.advance(now_s):
+            return
+        if state.phase is TargetPhase.SLOW_START:
+            state.clear()
+            state.reason = "no trial failed"
+        else:
             state.reason = ""
-            self._note_transition(state, now_s)
+        self._note_transition(state, now_s)
 
     def _note_transition(self, state: TargetState, now_s: float) -> None:
         self._transitions.append(state.status(threshold=self._threshold(), now_s=now_s))
--- a/dogwoodhook/state/recovery.py
+++ b/dogwoodhook/state/recovery.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 import random
 from enum import StrEnum
 
@@ -20,7 +21,14 @@
 """Time a target must stay healthy before its holding time starts anew."""
 
 SLOW_START_S = 30.0
-PROBING_WEIGHT = 0.05
+PROBING_FIRST_WEIGHT = 0.05
+PROBING_LAST_WEIGHT = 0.5
+PROBING_DOUBLING_S = 60.0
+"""Time in which the share of trial work doubles, for services with little work."""
+
+MAX_PROBING_S = 600.0
+"""Time after which a target without failing trials moves on, for want of trials."""
+
 SLOW_START_FIRST_WEIGHT = 0.1
 
 CLEARING_SCORE = 4.0
@@ -54,8 +62,7 @@
     def suspect(self, now_s: float) -> None:
         """Stop giving the target work; a relapse doubles the holding time."""
         self._count_relapse(now_s)
-        _MACHINE.events["fail"].trigger(self)
-        self.since_s = now_s
+        self._move("fail", now_s)
         self.probe_failures = 0
         self.held_until_s = now_s + self.holding_time_s() * self._jitter()
 
@@ -64,8 +71,7 @@
         if self.phase is not TargetPhase.SUSPECT:
             return False
         if is_successful and now_s >= self.held_until_s:
-            _MACHINE.events["admit"].trigger(self)
-            self.since_s = now_s
+            self._move("admit", now_s)
             self.work_score = 0.0
             return True
         if not is_successful:
@@ -83,20 +89,24 @@
             return True
         if self.work_score < CLEARING_SCORE:
             return False
-        _MACHINE.events["clear"].trigger(self)
-        self.since_s = now_s
+        self._move("clear", now_s)
         return True
 
     def advance(self, now_s: float) -> bool:
-        """End a slow start whose time is over; tell whether it did."""
-        if self.phase is not TargetPhase.SLOW_START:
-            return False
-        if now_s - self.since_s < SLOW_START_S:
-            return False
-        _MACHINE.events["finish"].trigger(self)
-        self.since_s = now_s
-        self._healthy_since_s = now_s
-        return True
+        """End a phase whose time is over; tell whether one did."""
+        elapsed_s = now_s - self.since_s
+        match self.phase:
+            case TargetPhase.PROBING if elapsed_s >= MAX_PROBING_S:
+                if self.work_score < 0:
+                    return False
+                self._move("clear", now_s)
+                return True
+            case TargetPhase.SLOW_START if elapsed_s >= SLOW_START_S:
+                self._move("finish", now_s)
+                self._healthy_since_s = now_s
+                return True
+            case _:
+                return False
 
     def holding_time_s(self) -> float:
         """Return the holding time that the relapses so far call for."""
@@ -115,7 +125,9 @@
             case TargetPhase.SUSPECT:
                 return 0.0
             case TargetPhase.PROBING:
-                return PROBING_WEIGHT
+                doublings = (now_s - self.since_s) / PROBING_DOUBLING_S
+                weight = PROBING_FIRST_WEIGHT * math.exp2(min(doublings, 32))
+                return min(PROBING_LAST_WEIGHT, weight)
             case TargetPhase.SLOW_START:
                 elapsed_share = min(1.0, (now_s - self.since_s) / SLOW_START_S)
                 return max(SLOW_START_FIRST_WEIGHT, elapsed_share)
@@ -139,6 +151,10 @@
         doublings = min(self.probe_failures, 32)
         return min(MAX_PROBE_INTERVAL_S, FIRST_HOLDING_TIME_S * 2.0**doublings)
 
+    def _move(self, trigger: str, now_s: float) -> None:
+        _MACHINE.events[trigger].trigger(self)
+        self.since_s = now_s
+
     def _jitter(self) -> float:
         return 1 + self._random.uniform(0, HOLDING_TIME_JITTER)
 
--- a/dogwoodhook/state/service_baseline.py
+++ b/dogwoodhook/state/service_baseline.py
@@ -68,18 +68,31 @@
             target, failures=counts.slow * senders, outcomes=counts.answers * senders
         )
         self._records += 1
-        if self._records >= RECORDS_PER_BASELINE:
-            self._refresh()
+
+    @property
+    def error_share(self) -> float:
+        """Return the share of errors expected of any target."""
+        self._refresh_if_due()
+        return self._error_share
+
+    @property
+    def slow_share(self) -> float:
+        """Return the share of slow answers expected of any target."""
+        self._refresh_if_due()
+        return self._slow_share
 
     def pooled_likelihoods(self) -> ServiceLikelihoods:
         """Return the ratios for outcomes of all daemons."""
+        self._refresh_if_due()
         return self._likelihoods
 
     def own_likelihoods(self, history: LinkHistory) -> ServiceLikelihoods:
         """Return the ratios for this daemon's outcomes over one link."""
         share = max(self.slow_share, history.share())
         slowness = Likelihoods.against(share, excess_share=EXCESS_SLOW_SHARE)
-        return ServiceLikelihoods(errors=self._likelihoods.errors, slowness=slowness)
+        return ServiceLikelihoods(
+            errors=self.pooled_likelihoods().errors, slowness=slowness
+        )
 
     def threshold(self, *, senders: int) -> float:
         """Return the sum at which a target is suspected."""
@@ -89,15 +102,19 @@
             excess_shares=(EXCESS_ERROR_SHARE, EXCESS_SLOW_SHARE),
         )
 
+    def _refresh_if_due(self) -> None:
+        if self._records >= RECORDS_PER_BASELINE:
+            self._refresh()
+
     def _refresh(self) -> None:
         self._records = 0
-        self.error_share = self._errors.share()
-        self.slow_share = self._slowness.share()
+        self._error_share = self._errors.share()
+        self._slow_share = self._slowness.share()
         self._likelihoods = ServiceLikelihoods(
             errors=Likelihoods.against(
-                self.error_share, excess_share=EXCESS_ERROR_SHARE
+                self._error_share, excess_share=EXCESS_ERROR_SHARE
             ),
             slowness=Likelihoods.against(
-                self.slow_share, excess_share=EXCESS_SLOW_SHARE
+                self._slow_share, excess_share=EXCESS_SLOW_SHARE
             ),
         )
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -243,3 +243,14 @@
     for index in range(100):
         reporters.hear(f"vm-{index}", now_s=index * 600.0)
     assert len(reporters) <= 7
+
+
+def test_a_suspect_without_trial_work_is_not_held_for_good():
+    health = make_health()
+    succeed(health, TARGETS, count=20)
+    fail(health, "a", count=10)
+    health.observe_probe("a", is_successful=True, now_s=60.0)
+    weights = [health.status("a", now_s=now_s).weight for now_s in (60, 180, 600)]
+    assert weights == [0.05, 0.2, 0.5]
+    assert phase(health, "a", 660.0) is TargetPhase.SLOW_START
+    assert phase(health, "a", 691.0) is TargetPhase.HEALTHY
