Check the stops of one change together, and the notice under a longer deadline

Cause: two stops written by one change were each checked against the stops in force before it, so both were accepted where the floor allowed one. A longer deadline moves the moment at which an accepted stop ends new work, and nothing asked whether daemons then still learn of it in time.

Change: change_checks checks a new stop against all stops of the changed configuration; check_notice() compares with the stops and the service as they were before. state.stops.check_stops, which did the same a second time, is gone.

Seen to fail first: test_two_stops_of_one_change_are_checked_together, with `before.stops(...)` in place of `after.stops(...)`. test_a_longer_deadline_needs_notice_of_the_stops_to_come covers the second.

--- a/dogwoodhook/coordination/change_checks.py
+++ b/dogwoodhook/coordination/change_checks.py
@@ -5,7 +5,7 @@
 from dogwoodhook.findings import Finding
 from dogwoodhook.state.checks import check_configuration
 from dogwoodhook.state.model import Change, Configuration, PlannedStop
-from dogwoodhook.state.stops import check_stop
+from dogwoodhook.state.stops import check_notice, check_stop
 
 
 def check_change(
@@ -14,9 +14,10 @@
     """Return what speaks against a change that leads from one configuration to another.
 
     A new stop must leave the floor and come with notice. Stops accepted earlier
-    must still leave the floor of a service that the change touches; where they
-    don't, the operator cancels them first. A stop of a target that the service
-    no longer lists has no effect, so a target can be stopped and then removed.
+    must still do both under a service that the change touches: a higher floor or
+    a longer deadline can forbid them, and the operator cancels them first. A stop
+    of a target that the service no longer lists has no effect, so a target can be
+    stopped and then removed.
     """
     return (
         *check_configuration(after),
@@ -34,8 +35,14 @@
             message = f"received {stop.service!r}, allowed: the name of a service"
             yield Finding(f"stop.{stop.name}.service", message)
             continue
-        stops = before.stops(stop.service)
-        yield from check_stop(service, stops, stop, wall_s=change.changed_at_s)
+        yield from check_stop(service, after.stops(stop.service), stop)
+        yield from check_notice(
+            service,
+            before.stops(stop.service),
+            stop,
+            wall_s=change.changed_at_s,
+            known_service=before.service(stop.service),
+        )
 
 
 def _kept_stop_findings(
@@ -48,8 +55,17 @@
         service = after.service(stop.service)
         if service is None or service.target(stop.target) is None:
             continue
-        if service != before.service(stop.service):
-            yield from check_stop(service, after.stops(stop.service), stop)
+        known_service = before.service(stop.service)
+        if service == known_service:
+            continue
+        yield from check_stop(service, after.stops(stop.service), stop)
+        yield from check_notice(
+            service,
+            [stop],
+            stop,
+            wall_s=change.changed_at_s,
+            known_service=known_service,
+        )
 
 
 def _stops_of(change: Change) -> tuple[PlannedStop, ...]:
--- a/dogwoodhook/state/stops.py
+++ b/dogwoodhook/state/stops.py
@@ -12,7 +12,7 @@
 from dogwoodhook.clock import WALL_CLOCK_ERROR_S
 from dogwoodhook.findings import Finding
 from dogwoodhook.state.floors import LOOKAHEAD_S, floor_moments
-from dogwoodhook.state.model import Configuration, PlannedStop, Service
+from dogwoodhook.state.model import PlannedStop, Service
 
 PROPAGATION_BOUND_S = 5.0
 """Time within which an accepted configuration is in force on every daemon."""
@@ -80,40 +80,39 @@
     findings = tuple(_input_findings(service, stop))
     if findings:
         return findings
-    accepted = tuple(_stops_of(service, stops))
-    others = [each for each in accepted if each.name != stop.name]
+    others = [each for each in _stops_of(service, stops) if each.name != stop.name]
     findings = tuple(_floor_findings(service, others, stop))
-    if wall_s is None or _is_counted(service, accepted, stop, wall_s):
+    if wall_s is None:
         return findings
-    return (*_notice_findings(service, stop, wall_s), *findings)
+    return (*check_notice(service, stops, stop, wall_s=wall_s), *findings)
 
 
-def check_stops(
-    configuration: Configuration, *, previous: Configuration, wall_s: float
+def check_notice(
+    service: Service,
+    known: Sequence[PlannedStop],
+    stop: PlannedStop,
+    *,
+    wall_s: float,
+    known_service: Service | None = None,
 ) -> tuple[Finding, ...]:
-    """Return what speaks against the planned stops of a changed configuration.
+    """Return the finding of a stop that starts too soon after its acceptance.
 
-    A service is looked at if it or its stops differ from ``previous``: a higher
-    floor or fewer targets may forbid a stop that was accepted before. Stops that
-    have ended are not looked at.
+    ``known`` are the stops accepted before, and ``known_service`` is the service
+    before the change, if that changes too. Where one of them has every daemon
+    count the target already, no notice is needed, so a running stop can be made
+    longer or shorter.
     """
-    findings: list[Finding] = []
-    for name in sorted({stop.service for stop in configuration.stops()}):
-        service, stops = configuration.service(name), configuration.stops(name)
-        known = previous.stops(name)
-        if (service, stops) == (previous.service(name), known):
-            continue
-        for stop in stops:
-            if stop.end_s <= wall_s:
-                continue
-            if service is None:
-                place = f"stop.{stop.name}.service"
-                findings.append(Finding(place, f"received {name}, which is no service"))
-                continue
-            findings += check_stop(service, stops, stop)
-            if stop not in known and not _is_counted(service, known, stop, wall_s):
-                findings += _notice_findings(service, stop, wall_s)
-    return tuple(findings)
+    earliest_s = wall_s + minimum_notice_s(service)
+    counted_by = known_service or service
+    if stop.start_s >= earliest_s or _is_counted(counted_by, known, stop, wall_s):
+        return ()
+    finding = Finding(
+        f"stop.{stop.name}.start",
+        f"received {_format_time(stop.start_s)}, "
+        f"allowed from {_format_time(earliest_s)}: "
+        "requests in flight need time to end",
+    )
+    return (finding,)
 
 
 def _stops_of(service: Service, stops: Sequence[PlannedStop]) -> Iterator[PlannedStop]:
@@ -155,19 +154,6 @@
         )
 
 
-def _notice_findings(
-    service: Service, stop: PlannedStop, wall_s: float
-) -> Iterator[Finding]:
-    earliest_s = wall_s + minimum_notice_s(service)
-    if stop.start_s < earliest_s:
-        yield Finding(
-            f"stop.{stop.name}.start",
-            f"received {_format_time(stop.start_s)}, "
-            f"allowed from {_format_time(earliest_s)}: "
-            "requests in flight need time to end",
-        )
-
-
 def _floor_findings(
     service: Service, others: Sequence[PlannedStop], stop: PlannedStop
 ) -> Iterator[Finding]:
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -1,7 +1,9 @@
+import dataclasses
 import datetime
 
 import pytest
 
+from dogwoodhook.coordination.change_checks import check_change
 from dogwoodhook.state.model import (
     Change,
     Configuration,
@@ -17,7 +19,6 @@
 )
 from dogwoodhook.state.stops import (
     check_stop,
-    check_stops,
     counted_stops,
     minimum_notice_s,
     stopping_targets,
@@ -117,8 +118,8 @@
     return apply_change(previous, Change(version, "amina", NOON_S, "t", documents))
 
 
-def definition_of(*, floor):
-    overrides = ParameterOverrides(capacity_floor=floor)
+def definition_of(*, floor, deadline_ms=None):
+    overrides = ParameterOverrides(capacity_floor=floor, deadline_ms=deadline_ms)
     targets = service_of().targets
     return ServiceDefinition("postings", "small", "ur", targets, (), overrides)
 
@@ -126,25 +127,50 @@
 PLANNED = change_of(Configuration(), definition_of(floor=3), stop_of())
 
 
-def check_change(*documents, wall_s):
-    candidate = change_of(PLANNED, *documents)
-    return places(check_stops(candidate, previous=PLANNED, wall_s=wall_s))
+def check(*documents, wall_s):
+    version = PLANNED.version + 1
+    change = Change(version, "amina", wall_s, "t", documents)
+    candidate = apply_change(PLANNED, change)
+    findings = check_change(PLANNED, candidate, change)
+    return [place for place in places(findings) if place.startswith("stop.")]
 
 
 def test_a_raised_floor_is_checked_against_stops_accepted_before():
     raised = definition_of(floor=4)
-    assert check_change(raised, wall_s=NOON_S) == ["stop.s1"]
-    assert check_change(raised, wall_s=NOON_S + HOUR_S) == []
-    assert check_change(Template("other"), wall_s=NOON_S) == []
+    assert check(raised, wall_s=NOON_S) == ["stop.s1"]
+    assert check(raised, wall_s=NOON_S + HOUR_S) == []
+    assert check(Template("other"), wall_s=NOON_S) == []
+
+
+def test_two_stops_of_one_change_are_checked_together():
+    start_s = NOON_S + 2 * HOUR_S
+    one = stop_of("t2", name="s2", start_s=start_s)
+    other = stop_of("t3", name="s3", start_s=start_s)
+    assert check(one, wall_s=NOON_S) == []
+    assert check(one, other, wall_s=NOON_S) == ["stop.s2", "stop.s3"]
 
 
 def test_the_notice_is_checked_for_the_stops_that_a_change_writes():
     earlier = stop_of(start_s=NOON_S - 600, hours=2)
-    assert check_change(earlier, wall_s=NOON_S - 600) == ["stop.s1.start"]
-    assert check_change(earlier, wall_s=NOON_S - 700) == []
-    assert check_change(stop_of(hours=2), wall_s=NOON_S + 60) == []
+    assert check(earlier, wall_s=NOON_S - 600) == ["stop.s1.start"]
+    assert check(earlier, wall_s=NOON_S - 700) == []
+    assert check(stop_of(hours=2), wall_s=NOON_S + 60) == []
+
+
+def test_a_longer_deadline_needs_notice_of_the_stops_to_come():
+    slower = definition_of(floor=3, deadline_ms=60_000)
+    assert check(slower, wall_s=NOON_S - 60) == ["stop.s1.start"]
+    assert check(slower, wall_s=NOON_S - 90) == []
+    assert check(slower, wall_s=NOON_S - 10) == []
 
 
 def test_a_stop_of_an_unknown_service_is_reported():
     stray = PlannedStop("s2", "uploads", "t1", NOON_S, NOON_S + HOUR_S)
-    assert check_change(stray, wall_s=0) == ["stop.s2.service"]
+    assert check(stray, wall_s=0) == ["stop.s2.service"]
+
+
+def test_a_target_may_be_removed_while_its_stop_lasts():
+    definition = definition_of(floor=3)
+    targets = tuple(each for each in definition.targets if each.name != "t1")
+    fewer = dataclasses.replace(definition, targets=targets)
+    assert check(fewer, wall_s=NOON_S) == []
