--- a/dogwoodhook/coordination/confirmation.py
+++ b/dogwoodhook/coordination/confirmation.py
@@ -17,9 +17,17 @@
     """When the configuration head was last read, for each version that was seen."""
 
     _confirmed_at_s: dict[int, float] = field(default_factory=dict)
+    _highest: int = 0
 
-    def confirm(self, head_version: int, *, sent_at_s: float) -> None:
-        """Note that a read sent at a time returned this head version."""
+    def confirm(self, head_version: int, *, sent_at_s: float) -> bool:
+        """Note that a read sent at a time returned this head version.
+
+        A version below one seen before comes from a late or stale read; it
+        confirms nothing, and the answer is ``False``.
+        """
+        if head_version < self._highest:
+            return False
+        self._highest = head_version
         known_s = self._confirmed_at_s.get(head_version, sent_at_s)
         self._confirmed_at_s[head_version] = max(known_s, sent_at_s)
         expired = [
@@ -29,6 +37,7 @@
         ]
         for version in expired:
             del self._confirmed_at_s[version]
+        return True
 
     def is_current(self, configuration_version: int, *, now_s: float) -> bool:
         """Tell whether no configuration after this one can be older than the lease."""
--- a/dogwoodhook/coordination/ejection.py
+++ b/dogwoodhook/coordination/ejection.py
@@ -326,9 +326,9 @@
         match result:
             case Result(tag="ok", ok=read):
                 version = read.head.configuration_version
-                self._heads.confirm(version, sent_at_s=sent_at_s)
-                for each in read.rows:
-                    self._absorb(each, sent_at_s=sent_at_s)
+                if self._heads.confirm(version, sent_at_s=sent_at_s):
+                    for each in read.rows:
+                        self._absorb(each, sent_at_s=sent_at_s)
         return result
 
     async def _snapshot(
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -147,6 +147,19 @@
     assert excluded(board, service, version=2) == {"t1"}
 
 
+async def test_a_stale_read_confirms_nothing(board, platform, clock):
+    service = service_of()
+    await board.propose(proposal_of(service, "t1"))
+    older = dict(platform.table.rows)
+    accept(platform, 2)
+    await board.refresh([service.name])
+    platform.table.rows = older
+    for _ in range(5):
+        clock.advance(1)
+        await board.refresh([service.name])
+    assert excluded(board, service, version=1) == frozenset()
+
+
 async def test_a_target_ejected_again_while_releasing_counts_a_relapse(board):
     service = service_of()
     await board.propose(proposal_of(service, "t1"))
