Tell operators in plain lines what is ejected and what was refused

Cause: the explain report prints str() of each explanation, which was the repr of the data class.

Seen to fail first: test_an_operator_reads_what_is_ejected_and_what_was_refused, without __str__.

--- a/dogwoodhook/coordination/ejection_types.py
+++ b/dogwoodhook/coordination/ejection_types.py
@@ -77,6 +77,9 @@
 
     ``is_confirmed`` tells whether this daemon may act on the entry now; ``rule``
     names what forbade a refused ejection.
+
+    >>> print(Explanation("t1", Standing.EJECTED, "crash", is_confirmed=True))
+    t1: ejected for crash
     """
 
     target: str
@@ -84,3 +87,9 @@
     reason: str
     is_confirmed: bool = False
     rule: RefusalRule | None = None
+
+    def __str__(self) -> str:
+        if self.standing is Standing.REFUSED:
+            return f"{self.target}: ejection refused by rule {self.rule}: {self.reason}"
+        line = f"{self.target}: {self.standing} for {self.reason}"
+        return line if self.is_confirmed else f"{line}; unconfirmed, not acted on"
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -128,6 +128,21 @@
     assert excluded(board, service_of()) == {"t1"}
 
 
+async def test_an_operator_reads_what_is_ejected_and_what_was_refused(board, clock):
+    service = service_of()
+    await board.propose(proposal_of(service, "t1"))
+    await board.propose(proposal_of(service, "t2"))
+    refused = (
+        "t2: ejection refused by rule floor: "
+        "2 of 6 targets would be out, allowed 1: t1, t2"
+    )
+    lines = [str(line) for line in board.explain(service.name)]
+    assert lines == ["t1: ejected for crash", refused]
+    clock.advance(CONFIRMATION_LEASE_S)
+    entry, _ = board.explain(service.name)
+    assert str(entry) == "t1: ejected for crash; unconfirmed, not acted on"
+
+
 async def test_without_the_table_nothing_is_ejected(board, platform):
     platform.is_down = True
     result = await board.propose(proposal_of(service_of(), "t1"))
