--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,24 +3,16 @@
 import asyncio
 import hashlib
 import signal
-from contextlib import asynccontextmanager
 
 import aiohttp
+from local_services import read_record, running_fleet
 
 from dogwoodhook.clock import SystemClock
 from dogwoodhook.protocol.headers import OUTCOME_HEADER
-from dogwoodhook.state.model import (
-    Parameters,
-    PlannedStop,
-    RequestPattern,
-    Route,
-    ServiceDefinition,
-    Target,
-    Template,
-)
-from dogwoodhook.testing.fleet import HOST, LocalFleet, free_port_range
+from dogwoodhook.state.model import Parameters, PlannedStop, Template
+from dogwoodhook.testing.fleet import HOST
 from dogwoodhook.testing.relay import Relay
-from dogwoodhook.testing.target_record import RecordBody, RunPhase
+from dogwoodhook.testing.target_record import RunPhase
 from dogwoodhook.testing.target_server import pattern_bytes
 
 UPLOAD_CHUNKS = 40
@@ -28,33 +20,6 @@
 DOWNLOAD_BYTES = 24 * 1024 * 1024
 MORE_REQUESTS = 100
 NOTICE_S = 75.0
-TEMPLATE = Template(
-    "tills",
-    Parameters(
-        capacity_floor=1,
-        deadline_ms=60_000,
-        idempotent=(RequestPattern("GET", "/*"),),
-    ),
-)
-
-
-def service_on(ports):
-    targets = tuple(
-        Target(f"payouts-{number}", "kigali-1", HOST, port)
-        for number, port in enumerate(ports)
-    )
-    return ServiceDefinition("payouts", "tills", "oulu", targets, (Route("/payouts"),))
-
-
-@asynccontextmanager
-async def running_fleet(*, daemons=2, targets=2):
-    ports = free_port_range(targets)
-    async with LocalFleet(daemons=daemons, target_ports=[ports]) as fleet:
-        version = await fleet.apply(TEMPLATE, service_on(ports))
-        await fleet.wait_version(version)
-        await fleet.wait_ready()
-        async with aiohttp.ClientSession() as session:
-            yield fleet, ports, session
 
 
 async def slow_chunks(is_halfway, pause_s):
@@ -81,11 +46,6 @@
     return digest.hexdigest()
 
 
-async def read_record(session, port):
-    async with session.get(f"http://{HOST}:{port}/_record") as response:
-        return RecordBody.model_validate_json(await response.read())
-
-
 async def wait_excluded(fleet, target, reason):
     for daemon in fleet.daemons:
         while reason not in await why_excluded(fleet, daemon, target):
