--- a/dogwoodhook/state/quarantine.py
+++ b/dogwoodhook/state/quarantine.py
@@ -5,9 +5,10 @@
 until a second target crashes under it, which puts it in quarantine.
 
 A request that merely shared a target with the harmful one is told apart by
-three rules: a success clears it; when several fingerprints have the same
-number of crashes behind them, a third crash decides; and when very many have,
-the cause is the network or the service and nobody is put in quarantine.
+three rules: a success clears it; when several fingerprints have as many crashes
+behind them, or very many have any, a third crash decides; and when very many
+have three, the cause is the network or the service and nobody is put in
+quarantine.
 """
 
 import hashlib
@@ -21,7 +22,10 @@
 """Different targets crashed where other suspects have as many crashes."""
 
 MAX_CANDIDATES = 8
-"""Fingerprints of one service with enough crashes, above which none is blamed."""
+"""Fingerprints of one service that one harmful request can take down with it."""
+
+TROUBLE_S = 10.0
+"""Time for which a crash counts as a sign of wider trouble."""
 
 JUDGE_DELAY_S = 0.5
 """Wait after a second crash, in which peers tell who else was in flight."""
@@ -238,7 +242,7 @@
             return False
         crashed = len(suspect.targets)
         rivals = self._rivals(suspect, now_s)
-        if rivals == 0:
+        if rivals == 0 and not self._is_trouble_wide(suspect.service, now_s):
             return True
         return crashed >= CRASHES_WHEN_AMBIGUOUS and rivals < MAX_CANDIDATES
 
@@ -253,6 +257,15 @@
             and not self._is_forgotten(other, now_s)
         )
 
+    def _is_trouble_wide(self, service: str, now_s: float) -> bool:
+        # One request takes down what shares its targets; a network takes down more.
+        recent = sum(
+            1
+            for each in self._suspects.values()
+            if each.service == service and now_s - each.crashed_at_s < TROUBLE_S
+        )
+        return recent > MAX_CANDIDATES
+
     def _quarantine(self, fingerprint: str, suspect: _Suspect, now_s: float) -> None:
         lasting_s = min(QUARANTINE_S * 2**suspect.crashes, MAX_QUARANTINE_S)
         suspect.crashes += 1
