Report a key whose request is under way as unknown

Cause: a second sending of a key in progress was told 'not-run'. The request that the key stands for was running, so a caller that then chose a new key would have run it twice.

Change: the reason key-in-progress belongs to unknown outcomes; status 409 stays.

Ruled out: letting 'not run' speak of the sending alone here. The daemon knows of the other sending.

Conclusion: 'not run' of a keyed request no longer hides a run under way.

--- a/dogwoodhook/state/outcomes.py
+++ b/dogwoodhook/state/outcomes.py
@@ -17,7 +17,6 @@
     NO_TARGET = "no-target"
     DRAINING = "draining"
     TABLE_UNREACHABLE = "table-unreachable"
-    KEY_IN_PROGRESS = "key-in-progress"
     KEY_REUSED = "key-reused"
     QUARANTINED = "quarantined"
 
@@ -29,6 +28,7 @@
     DEADLINE = "deadline"
     BROKEN_ANSWER = "broken-answer"
     CALLER_BODY_BROKEN = "caller-body-broken"
+    KEY_IN_PROGRESS = "key-in-progress"
     KEY_UNSETTLED = "key-unsettled"
     EARLIER_ATTEMPT = "earlier-attempt"
     INTERNAL_ERROR = "internal-error"
--- a/dogwoodhook/transport/answers.py
+++ b/dogwoodhook/transport/answers.py
@@ -25,11 +25,13 @@
     NotRunReason.NO_ROUTE: 404,
     NotRunReason.BAD_REQUEST: 400,
     NotRunReason.DEADLINE: 504,
-    NotRunReason.KEY_IN_PROGRESS: 409,
     NotRunReason.KEY_REUSED: 422,
 }
 _DEFAULT_NOT_RUN_STATUS = 503
-_STATUS_BY_UNKNOWN_REASON = {UnknownReason.DEADLINE: 504}
+_STATUS_BY_UNKNOWN_REASON = {
+    UnknownReason.DEADLINE: 504,
+    UnknownReason.KEY_IN_PROGRESS: 409,
+}
 _DEFAULT_UNKNOWN_STATUS = 502
 _UNSTORED_HEADERS = frozenset(
     {"content-length", "transfer-encoding", "connection", "date", "server"}
--- a/dogwoodhook/transport/keyed.py
+++ b/dogwoodhook/transport/keyed.py
@@ -67,7 +67,7 @@
             case AlreadySettled(answer=answer, status=status):
                 return _stored_reply(answer, status)
             case InProgress():
-                return _own_reply(NotRun(NotRunReason.KEY_IN_PROGRESS))
+                return _own_reply(Unknown(UnknownReason.KEY_IN_PROGRESS))
             case FingerprintMismatch():
                 return _own_reply(NotRun(NotRunReason.KEY_REUSED))
             case SettledUnknown():
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -1,12 +1,13 @@
 import asyncio
 
 import pytest
-from exchanges import exchange, open_caller
+from exchanges import exchange, open_caller, until
 
 from dogwoodhook.state.model import Parameters, RequestPattern
 from dogwoodhook.testing.local_proxy import LocalProxy
 from dogwoodhook.testing.raw_target import (
     Abort,
+    Hold,
     RawTarget,
     ReceiveRequest,
     Send,
@@ -69,6 +70,25 @@
         assert target.request_count == 1
 
 
+async def test_a_key_under_way_is_not_reported_as_not_run():
+    headers = {"Idempotency-Key": "key-1"}
+    async with (
+        RawTarget((ReceiveRequest(), Hold())) as target,
+        LocalProxy([target.port]) as proxy,
+        open_caller() as session,
+    ):
+        first = asyncio.create_task(
+            exchange(session, proxy, method="POST", headers=headers)
+        )
+        await until(lambda: target.request_count == 1)
+        second = await exchange(session, proxy, method="POST", headers=headers)
+        assert (second.status, second.outcome) == (
+            409,
+            "unknown; reason=key-in-progress",
+        )
+        first.cancel()
+
+
 async def test_an_idempotent_request_is_sent_again_to_another_target():
     answer = (ReceiveRequest(), Send(make_answer(b"ok")))
     async with (
