--- a/dogwoodhook/daemon.py
+++ b/dogwoodhook/daemon.py
@@ -25,6 +25,7 @@
 from dogwoodhook.events import DAEMON_STARTED, DAEMON_STOPPED, log, make_handler
 from dogwoodhook.findings import FindingsError
 from dogwoodhook.metrics import Metrics
+from dogwoodhook.protocol.snapshots import JsonSnapshotCodec
 from dogwoodhook.readiness import Readiness
 from dogwoodhook.reporting import Reporter
 from dogwoodhook.settings import DaemonSettings, read_settings
@@ -59,6 +60,7 @@
             max_workspace_series=settings.max_workspace_series,
         )
         self._fleet = self._make_fleet(clock)
+        self._metrics.watch_peer_bytes(lambda: self._fleet.hub.sent_bytes)
         self._control = Control(self._fleet)
         forwarder = Forwarder(self._pools, self._fleet.quarantine, clock)
         self._callers = CallerHandler(
@@ -136,7 +138,9 @@
             daemon=name,
             clock=clock,
             platform=self._platform,
-            store=ConfigurationStore(self._platform, clock),
+            store=ConfigurationStore(
+                self._platform, clock, daemon=name, codec=JsonSnapshotCodec()
+            ),
             board=EjectionBoard(self._platform, clock, daemon=name),
             membership=Membership(daemon=name),
             claims=ClaimBook(self._platform, clock, daemon=name),
--- a/dogwoodhook/testing/fleet.py
+++ b/dogwoodhook/testing/fleet.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import os
 import signal
 import socket
@@ -36,8 +37,18 @@
 POLL_INTERVAL_S = 0.05
 FIRST_RANGE_PORT = 23000
 LAST_RANGE_PORT = 29000
+FIRST_SINGLE_PORT = 10000
+LAST_SINGLE_PORT = 19999
 DATA_CENTRES = ("kigali-1", "kigali-2", "kigali-3")
 
+_SINGLE_PORT_COUNT = LAST_SINGLE_PORT - FIRST_SINGLE_PORT + 1
+
+# Programs that run at the same time begin at different ports.
+_SINGLE_PORTS = (
+    FIRST_SINGLE_PORT + (os.getpid() * 97 + offset) % _SINGLE_PORT_COUNT
+    for offset in itertools.count()
+)
+
 
 class StartError(Exception):
     """A daemon did not start; carries its log."""
@@ -45,7 +56,10 @@
 
 @dataclass(slots=True)
 class DaemonProcess:
-    """One ``dogwoodhookd`` with its ports and log file."""
+    """One ``dogwoodhookd`` with its ports and log file.
+
+    ``platform_url`` is set where the daemon reaches the platform another way.
+    """
 
     name: str
     data_centre: str
@@ -54,6 +68,7 @@
     peer_port: int
     log_path: Path
     process: Process | None = None
+    platform_url: str = ""
 
     @property
     def caller_url(self) -> str:
@@ -82,13 +97,15 @@
         service_time_ms: float = 5.0,
         data_centres: Sequence[str] = DATA_CENTRES,
         drain_delay_s: float = 0.3,
+        daemon_flags: Sequence[str] = (),
     ) -> None:
         self._directory = tempfile.TemporaryDirectory(prefix="dogwoodhook-")
         self._target_ports = target_ports
         self._service_time_ms = service_time_ms
         self._drain_delay_s = drain_delay_s
+        self._daemon_flags = daemon_flags
         self._processes: list[Process] = []
-        self._platform_port = free_port()
+        self.platform_port = free_port()
         self.daemons = [
             DaemonProcess(
                 name=f"daemon-{number}",
@@ -104,7 +121,7 @@
     @property
     def platform_url(self) -> str:
         """Address of the platform stand-in."""
-        return f"http://{HOST}:{self._platform_port}"
+        return f"http://{HOST}:{self.platform_port}"
 
     async def __aenter__(self) -> "LocalFleet":
         try:
@@ -131,11 +148,12 @@
                 "dogwoodhook.daemon",
                 f"--daemon_name={daemon.name}",
                 f"--data_centre={daemon.data_centre}",
-                f"--platform_url={self.platform_url}",
+                f"--platform_url={daemon.platform_url or self.platform_url}",
                 f"--caller_port={daemon.caller_port}",
                 f"--admin_port={daemon.admin_port}",
                 f"--peer_port={daemon.peer_port}",
                 f"--unready_delay_s={self._drain_delay_s}",
+                *self._daemon_flags,
                 env=self._environment(),
                 stderr=log_file,
             )
@@ -222,7 +240,7 @@
         await put_json(f"{self.platform_url}/vms", body)
 
     async def _start(self) -> None:
-        await self._start_stand_in("platform", f"--port={self._platform_port}")
+        await self._start_stand_in("platform", f"--port={self.platform_port}")
         for ports in self._target_ports:
             await self._start_stand_in(
                 "target",
@@ -264,11 +282,17 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Return a port of the loopback address that is free now.
+
+    No port is returned twice in a row. All lie below those that the system gives
+    to outgoing connections, one of which may otherwise take the port before the
+    listener does.
+    """
+    for _ in range(_SINGLE_PORT_COUNT):
+        port = next(_SINGLE_PORTS)
+        if _is_free(port):
+            return port
+    raise OSError(f"no free port in {FIRST_SINGLE_PORT}..{LAST_SINGLE_PORT}")
 
 
 def free_port_range(count: int) -> range:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,6 +19,7 @@
     Template,
 )
 from dogwoodhook.testing.fleet import HOST, LocalFleet, free_port_range
+from dogwoodhook.testing.relay import Relay
 from dogwoodhook.testing.target_record import RecordBody, RunPhase
 from dogwoodhook.testing.target_server import pattern_bytes
 
@@ -26,6 +27,7 @@
 CHUNK = bytes(64 * 1024)
 DOWNLOAD_BYTES = 24 * 1024 * 1024
 MORE_REQUESTS = 100
+NOTICE_S = 75.0
 TEMPLATE = Template(
     "tills",
     Parameters(
@@ -55,16 +57,16 @@
             yield fleet, ports, session
 
 
-async def slow_chunks(is_halfway):
+async def slow_chunks(is_halfway, pause_s):
     for number in range(UPLOAD_CHUNKS):
         if number == UPLOAD_CHUNKS // 2:
             is_halfway.set()
         yield CHUNK
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(pause_s)
 
 
-async def upload(session, url, is_halfway):
-    async with session.put(url, data=slow_chunks(is_halfway)) as response:
+async def upload(session, url, is_halfway, *, pause_s=0.05):
+    async with session.put(url, data=slow_chunks(is_halfway, pause_s)) as response:
         answer = await response.json()
         return response.status, answer["sha256"]
 
@@ -139,10 +141,10 @@
         url = f"{fleet.daemons[0].caller_url}/payouts/file"
         ready = [asyncio.Event() for _ in range(4)]
         uploads = [
-            asyncio.create_task(upload(session, url, is_halfway))
+            asyncio.create_task(upload(session, url, is_halfway, pause_s=0.35))
             for is_halfway in ready
         ]
-        start_s = clock.wall_s() + 0.5
+        start_s = clock.wall_s() + NOTICE_S
         await fleet.apply(
             PlannedStop("s1", "payouts", "payouts-0", start_s, start_s + 60.0)
         )
@@ -237,3 +239,25 @@
         ran = {run.nonce for run in (await read_record(session, ports[0])).runs}
         for nonce, outcome in told:
             assert (nonce in ran) == (outcome == "answered")
+
+
+async def test_a_daemon_cut_from_the_table_follows_its_peers_and_steps_back():
+    async with running_fleet(daemons=2) as (fleet, _ports, _session):
+        cut = fleet.daemons[1]
+        async with Relay(port=fleet.platform_port) as relay:
+            cut.signal(signal.SIGKILL)
+            await cut.process.wait()
+            cut.platform_url = f"http://{HOST}:{relay.port}"
+            await fleet.start_daemon(cut)
+            await fleet.wait_ready()
+            relay.is_cut_to_client = True
+            version = await fleet.apply(
+                Template("tills", Parameters(capacity_floor=1, deadline_ms=50_000))
+            )
+            await fleet.wait_version(version)
+            while (await fleet.status_of(cut)).is_ready:
+                await asyncio.sleep(0.05)
+            assert (await fleet.status_of(fleet.daemons[0])).is_ready
+            relay.is_cut_to_client = False
+            await fleet.wait_ready()
+            assert await fleet.version_of(cut) == version
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,7 +1,11 @@
+import logging
+import zlib
+
 import pytest
 
-from dogwoodhook.state.health import ServiceHealth, TargetPhase
+from dogwoodhook.state.health import ServiceHealth, TargetPhase, is_self_doubting
 from dogwoodhook.state.outcomes import Failure, FailureKind, Success, TargetEvidence
+from dogwoodhook.state.reporters import Reporters
 
 TARGETS = ("a", "b", "c", "d", "e", "f")
 DAY_S = 86_400.0
@@ -11,9 +15,13 @@
     return ServiceHealth("payouts", targets, false_ejection_interval_s=interval_s)
 
 
+def make_fingerprint(target, now_s, index):
+    return zlib.crc32(f"{target} {now_s} {index}".encode())
+
+
 def fail(health, target, *, count, now_s=0.0, kind=FailureKind.CRASH):
     for index in range(count):
-        failure = Failure(kind, fingerprint=hash((target, now_s, index)))
+        failure = Failure(kind, fingerprint=make_fingerprint(target, now_s, index))
         health.observe(target, failure, now_s=now_s)
 
 
@@ -99,7 +107,38 @@
     health = make_health()
     for _ in range(1000):
         health.observe("a", Failure(FailureKind.HEALTH_ENDPOINT), now_s=1.0)
-    assert phase(health, "a", 1.0) is TargetPhase.HEALTHY
+    fail(health, "a", count=1, now_s=1.0)
+    status = health.status("a", now_s=1.0)
+    assert status.phase is TargetPhase.HEALTHY
+    assert status.score > status.threshold / 4
+
+
+def test_a_probe_before_the_holding_time_is_over_admits_nothing():
+    health = make_health()
+    succeed(health, TARGETS, count=20)
+    fail(health, "a", count=10)
+    health.observe_probe("a", is_successful=True, now_s=1.0)
+    assert phase(health, "a", 1.0) is TargetPhase.SUSPECT
+
+
+def test_successes_after_a_failure_are_told():
+    health = make_health()
+    succeed(health, TARGETS, count=20)
+    fail(health, "a", count=1)
+    succeed(health, TARGETS, count=3)
+    assert health.take_evidence() == (
+        TargetEvidence(
+            "payouts",
+            "a",
+            successes=3,
+            failures=((FailureKind.CRASH, 1),),
+            requests=((FailureKind.CRASH, make_fingerprint("a", 0.0, 0)),),
+        ),
+    )
+
+
+def test_phase_changes_are_not_logged_by_the_library():
+    assert not logging.getLogger("transitions.core").isEnabledFor(logging.INFO)
 
 
 def test_an_unknown_target_is_named_with_those_allowed():
@@ -136,3 +175,82 @@
     for index in range(40):
         health.absorb(verdict, reporter=f"vm-{index}", now_s=0.0)
     assert phase(health, "a") is TargetPhase.HEALTHY
+
+
+def test_a_link_that_always_loses_packets_does_not_accuse_its_target():
+    health = make_health()
+    succeed(health, TARGETS, count=20)
+    peer = TargetEvidence("payouts", "a", successes=4, failures=())
+    for index in range(1000):
+        is_slow = index % 25 in (0, 3, 7, 10, 14, 17, 21)
+        succeed(health, TARGETS[1:], count=1, now_s=index * 1.0)
+        latency_ms = 200.0 if is_slow else 10.0
+        succeed(health, ("a",), count=1, now_s=index * 1.0, latency_ms=latency_ms)
+        health.absorb(peer, reporter="vm-1", now_s=index * 1.0)
+    assert phase(health, "a", 1000.0) is TargetPhase.HEALTHY
+
+
+def test_a_slow_target_becomes_a_suspect():
+    health = make_health()
+    succeed(health, TARGETS, count=20)
+    succeed(health, ("a",), count=20, latency_ms=100.0)
+    assert phase(health, "a") is TargetPhase.SUSPECT
+    assert "slow" in health.status("a", now_s=0.0).reason
+
+
+def fail_all_services(*, peers_in_trouble=0, services=3):
+    healths = []
+    for _ in range(services):
+        health = make_health()
+        succeed(health, TARGETS, count=20)
+        for target in TARGETS:
+            fail(health, target, count=8, now_s=1.0)
+        for index in range(10):
+            errors = 40 if index < peers_in_trouble else 1
+            evidence = TargetEvidence(
+                "payouts", "a", 10, ((FailureKind.CONNECT, errors),)
+            )
+            health.absorb(evidence, reporter=f"vm-{index}", now_s=1.0)
+        healths.append(health)
+    return healths
+
+
+def test_a_daemon_doubts_itself_when_only_it_sees_most_targets_fail():
+    healths = fail_all_services()
+    assert is_self_doubting(healths, now_s=2.0)
+    assert not is_self_doubting(healths, now_s=120.0)
+
+
+def test_a_daemon_does_not_doubt_itself_when_its_peers_fail_too():
+    assert not is_self_doubting(fail_all_services(peers_in_trouble=6), now_s=2.0)
+
+
+def test_one_failing_service_is_no_reason_for_self_doubt():
+    assert not is_self_doubting(fail_all_services(services=1), now_s=2.0)
+
+
+def test_targets_that_stay_keep_their_state():
+    health = make_health()
+    succeed(health, TARGETS, count=20)
+    fail(health, "a", count=10)
+    health.reconfigure(("a", "g"), false_ejection_interval_s=DAY_S)
+    assert phase(health, "a") is TargetPhase.SUSPECT
+    assert phase(health, "g") is TargetPhase.HEALTHY
+
+
+def test_peers_gone_for_long_are_forgotten():
+    reporters = Reporters()
+    for index in range(100):
+        reporters.hear(f"vm-{index}", now_s=index * 600.0)
+    assert len(reporters) <= 7
+
+
+def test_a_suspect_without_trial_work_is_not_held_for_good():
+    health = make_health()
+    succeed(health, TARGETS, count=20)
+    fail(health, "a", count=10)
+    health.observe_probe("a", is_successful=True, now_s=60.0)
+    weights = [health.status("a", now_s=now_s).weight for now_s in (60, 180, 600)]
+    assert weights == [0.05, 0.2, 0.5]
+    assert phase(health, "a", 660.0) is TargetPhase.SLOW_START
+    assert phase(health, "a", 691.0) is TargetPhase.HEALTHY
