--- a/dogwoodhook/state/outcomes.py
+++ b/dogwoodhook/state/outcomes.py
@@ -30,6 +30,8 @@
     BROKEN_ANSWER = "broken-answer"
     CALLER_BODY_BROKEN = "caller-body-broken"
     KEY_UNSETTLED = "key-unsettled"
+    EARLIER_ATTEMPT = "earlier-attempt"
+    INTERNAL_ERROR = "internal-error"
 
 
 @dataclass(frozen=True, slots=True)
