Let no request wait for a target on trial when none is healthy

The daemon's log named one event, a suspicion of slowness; after it the only target was on trial or in slow start, where it gets a share of the requests, and the rest waited out queue_timeout_ms of 1,000 ms although its slots were free.

Change: a request waits for a better target only where a healthy one is listed. Failed first, with the former condition (phase is not SUSPECT): test_nothing_waits_for_a_target_on_trial_that_is_the_only_one.

Left: five answers delayed by one stall of the daemon itself count as five slow outcomes against the target (reason of the suspicion: 5 of 5 outcomes were slow).

--- a/dogwoodhook/state/admission.py
+++ b/dogwoodhook/state/admission.py
@@ -217,7 +217,7 @@
             for target in self.service.targets
             if self._is_usable(target, ticket, now_s=now_s)
         ]
-        if not usable and not self._has_unsuspected(ticket, now_s=now_s):
+        if not usable and not self._has_healthy(ticket, now_s=now_s):
             usable = self._last_resorts(now_s=now_s)
         return self._grant_best(ticket, usable, now_s=now_s)
 
@@ -242,12 +242,12 @@
             return False
         return self._rng.random() < status.weight
 
-    def _has_unsuspected(self, ticket: Ticket, *, now_s: float) -> bool:
+    def _has_healthy(self, ticket: Ticket, *, now_s: float) -> bool:
         return any(
             target.name not in self._excluded
             and target.name not in ticket.tried
             and self.health.status(target.name, now_s=now_s).phase
-            is not TargetPhase.SUSPECT
+            is TargetPhase.HEALTHY
             for target in self.service.targets
         )
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,9 +7,9 @@
     ServiceDispatcher,
     Ticket,
 )
-from dogwoodhook.state.health import ServiceHealth
+from dogwoodhook.state.health import ServiceHealth, TargetPhase
 from dogwoodhook.state.model import Parameters, Service, Target
-from dogwoodhook.state.outcomes import Failure, FailureKind, NotRunReason
+from dogwoodhook.state.outcomes import Failure, FailureKind, NotRunReason, Success
 
 
 def make_dispatcher(targets=2, excluded=(), **parameters):
@@ -106,3 +106,32 @@
     for each in granted:
         dispatcher.finish(each)
     assert dispatcher.in_flight == 0
+
+
+def make_probing(dispatcher, target):
+    """Bring a target from suspicion to its first trial; return the time."""
+    for _ in range(60):
+        dispatcher.health.observe("t1", Success(1.0), now_s=0.0)
+        dispatcher.health.observe(target, Failure(FailureKind.CONNECT), now_s=0.0)
+    for now_s in range(60):
+        if dispatcher.health.wants_probe(target, now_s=now_s):
+            dispatcher.health.observe_probe(target, is_successful=True, now_s=now_s)
+            break
+    assert dispatcher.health.status(target, now_s=now_s).phase is TargetPhase.PROBING
+    return now_s
+
+
+def test_nothing_waits_for_a_target_on_trial_that_is_the_only_one():
+    dispatcher = make_dispatcher(targets=2, excluded=["t1"])
+    now_s = make_probing(dispatcher, "t0")
+    admission = dispatcher.submit(Ticket(1, "oulu", is_idempotent=False), now_s=now_s)
+    assert isinstance(admission, Granted)
+
+
+def test_a_request_waits_for_a_healthy_target_rather_than_one_on_trial():
+    dispatcher = make_dispatcher(targets=2)
+    now_s = make_probing(dispatcher, "t0")
+    first = dispatcher.submit(Ticket(1, "oulu", is_idempotent=False), now_s=now_s)
+    assert first.target.name == "t1"
+    second = dispatcher.submit(Ticket(2, "oulu", is_idempotent=False), now_s=now_s)
+    assert isinstance(second, Queued)
