--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -129,7 +129,7 @@
 
 
 def test_a_request_waits_for_a_healthy_target_rather_than_one_on_trial():
-    dispatcher = make_dispatcher(targets=2)
+    dispatcher = make_dispatcher(targets=2, slots_per_target=1)
     now_s = make_probing(dispatcher, "t0")
     first = dispatcher.submit(Ticket(1, "oulu", is_idempotent=False), now_s=now_s)
     assert first.target.name == "t1"
