--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -5,11 +5,13 @@
 histogram has ``len(LATENCY_BUCKETS_MS) + 3`` series for each set of attributes.
 """
 
+from collections import Counter
 from collections.abc import Callable
+from typing import NamedTuple
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Observation
-from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
 
@@ -17,6 +19,31 @@
 OTHER_WORKSPACE = "other"
 
 
+NO_WAIT_MS = 0.5
+"""Time to choose a target, below which a request has not waited for one."""
+
+
+class _RetrySeries(NamedTuple):
+    service: str
+    request_class: str
+
+    def attributes(self) -> dict[str, str]:
+        return {"service": self.service, "class": self.request_class}
+
+
+class _RequestSeries(NamedTuple):
+    service: str
+    request_class: str
+    outcome: str
+
+    def attributes(self) -> dict[str, str]:
+        return {
+            "service": self.service,
+            "class": self.request_class,
+            "outcome": self.outcome,
+        }
+
+
 class WorkspaceLabels:
     """Labels for workspaces, bounded in number.
 
@@ -47,7 +74,9 @@
         self._labels = WorkspaceLabels(limit=max_workspace_series)
         reader = PrometheusMetricReader(registry=self._registry)
         provider = MeterProvider(
-            metric_readers=[reader], resource=Resource({"service.name": daemon})
+            metric_readers=[reader],
+            resource=Resource({"service.name": daemon}),
+            exemplar_filter=AlwaysOffExemplarFilter(),
         )
         meter = self._meter = provider.get_meter("dogwoodhook")
         self._duration = meter.create_histogram(
@@ -71,14 +100,20 @@
         self._queueing = meter.create_histogram(
             "dogwoodhook_queueing",
             unit="ms",
-            description="time requests waited for a target",
+            description="time that requests waited which got no target at once",
             explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_MS,
         )
-        self._requests = meter.create_counter(
-            "dogwoodhook_requests", description="requests by outcome"
+        self._requests: Counter[_RequestSeries] = Counter()
+        self._retries: Counter[_RetrySeries] = Counter()
+        meter.create_observable_counter(
+            "dogwoodhook_requests",
+            callbacks=[lambda options: _observations(self._requests)],
+            description="requests by outcome",
         )
-        self._retries = meter.create_counter(
-            "dogwoodhook_retries", description="attempts after the first"
+        meter.create_observable_counter(
+            "dogwoodhook_retries",
+            callbacks=[lambda options: _observations(self._retries)],
+            description="attempts after the first",
         )
 
     def watch_peer_bytes(self, read_total: Callable[[], int]) -> None:
@@ -106,14 +141,21 @@
         attributes = {"service": service, "class": request_class}
         self._duration.record(duration_ms, attributes)
         self._added.record(max(0.0, duration_ms - target_ms), attributes)
-        self._queueing.record(queueing_ms, attributes)
+        if queueing_ms > NO_WAIT_MS:
+            self._queueing.record(queueing_ms, attributes)
         self._workspace_duration.record(
             duration_ms, {"workspace": self._labels.label(workspace)}
         )
-        self._requests.add(1, {**attributes, "outcome": outcome})
+        self._requests[_RequestSeries(service, request_class, outcome)] += 1
         if retries:
-            self._retries.add(retries, attributes)
+            self._retries[_RetrySeries(service, request_class)] += retries
 
     def exposition(self) -> bytes:
         """Return all series in the Prometheus text format."""
         return generate_latest(self._registry)
+
+
+def _observations(
+    counts: Counter[_RequestSeries] | Counter[_RetrySeries],
+) -> list[Observation]:
+    return [Observation(count, series.attributes()) for series, count in counts.items()]
