--- a/dogwoodhook/transport/answers.py
+++ b/dogwoodhook/transport/answers.py
@@ -4,7 +4,6 @@
 
 import aiohttp
 from aiohttp import web
-from multidict import CIMultiDict
 
 from dogwoodhook.coordination.claims import MAX_STORED_BODY_BYTES
 from dogwoodhook.coordination.rows import StoredAnswer
@@ -32,7 +31,6 @@
 _DEFAULT_NOT_RUN_STATUS = 503
 _STATUS_BY_UNKNOWN_REASON = {UnknownReason.DEADLINE: 504}
 _DEFAULT_UNKNOWN_STATUS = 502
-SMALL_ANSWER_BYTES = 16 * 1024
 _UNSTORED_HEADERS = frozenset(
     {"content-length", "transfer-encoding", "connection", "date", "server"}
 )
@@ -96,16 +94,18 @@
     headers = end_to_end_headers(source.headers)
     headers.popall(TARGET_HEADER, None)
     headers[OUTCOME_HEADER] = outcome_value(Answered(source.status))
+    answer = web.StreamResponse(
+        status=source.status, reason=source.reason, headers=headers
+    )
     try:
         async with asyncio.timeout(timeout_s):
-            if _is_small(source):
-                answer = await _read_whole(source, headers, capture)
-            else:
-                answer = await _pass_on(request, source, headers, capture)
+            await _pass_on(request, source, answer, capture)
     except TimeoutError:
-        return _cut(request, UnknownReason.DEADLINE)
+        cut_caller(request)
+        return answer, Unknown(UnknownReason.DEADLINE)
     except (aiohttp.ClientError, OSError):
-        return _cut(request, UnknownReason.BROKEN_ANSWER)
+        cut_caller(request)
+        return answer, Unknown(UnknownReason.BROKEN_ANSWER)
     except Exception:
         cut_caller(request)
         raise
@@ -115,58 +115,18 @@
     return answer, Answered(source.status)
 
 
-def _is_small(source: aiohttp.ClientResponse) -> bool:
-    """Tell whether an answer is worth reading before its head is passed on.
-
-    Head and body then leave in one write, and one that breaks off is reported
-    with its outcome rather than cut.
-    """
-    if source.method == "HEAD":
-        return False
-    length = source.content_length
-    return length is not None and 0 < length <= SMALL_ANSWER_BYTES
-
-
-async def _read_whole(
-    source: aiohttp.ClientResponse,
-    headers: CIMultiDict[str],
-    capture: AnswerCapture | None,
-) -> web.StreamResponse:
-    body = await source.read()
-    if capture is not None:
-        capture.add(body)
-    headers.popall("Content-Length", None)
-    return web.Response(
-        status=source.status, reason=source.reason, headers=headers, body=body
-    )
-
-
 async def _pass_on(
     request: web.BaseRequest,
     source: aiohttp.ClientResponse,
-    headers: CIMultiDict[str],
+    answer: web.StreamResponse,
     capture: AnswerCapture | None,
-) -> web.StreamResponse:
-    answer = web.StreamResponse(
-        status=source.status, reason=source.reason, headers=headers
-    )
+) -> None:
     is_caller_present = await _prepare(request, answer)
     async for chunk in source.content.iter_any():
         if capture is not None:
             capture.add(chunk)
         if is_caller_present:
             is_caller_present = await _write(answer, chunk)
-    return answer
-
-
-def _cut(
-    request: web.BaseRequest, reason: UnknownReason
-) -> tuple[web.StreamResponse, Unknown]:
-    """Return the daemon's own answer, or cut one that has begun."""
-    outcome = Unknown(reason)
-    if request.writer.output_size:
-        cut_caller(request)
-    return own_answer(outcome), outcome
 
 
 def cut_caller(request: web.BaseRequest) -> None:
