--- a/dogwoodhook/control.py
+++ b/dogwoodhook/control.py
@@ -28,6 +28,7 @@
 )
 from dogwoodhook.coordination.platform import Platform
 from dogwoodhook.coordination.quarantine import QuarantineBook
+from dogwoodhook.coordination.rows import EjectionPhase
 from dogwoodhook.events import TARGET_CLEARED, TARGET_SUSPECTED, TASK_FAILED, log
 from dogwoodhook.readiness import Readiness
 from dogwoodhook.state.health import TargetPhase, is_self_doubting
@@ -284,13 +285,17 @@
     ) -> None:
         now_s = self._fleet.clock.now_s()
         service = runtime.service
-        version = self._fleet.store.current.version
+        version = self._version_in_force
         stops = self._stops(runtime)
         leaving = self.leaving(runtime)
         await self._fleet.board.maintain(
             service, stops, leaving=leaving, configuration_version=version
         )
-        ejected = {entry.target for entry in self._fleet.board.entries(service.name)}
+        ejected = {
+            entry.target
+            for entry in self._fleet.board.entries(service.name)
+            if entry.phase is EjectionPhase.EJECTED
+        }
         suspects = {
             status.target: status
             for status in runtime.health.statuses(now_s=now_s)
--- a/dogwoodhook/coordination/configuration.py
+++ b/dogwoodhook/coordination/configuration.py
@@ -41,9 +41,7 @@
 )
 from dogwoodhook.state.checks import check_touched
 from dogwoodhook.state.model import Change, Configuration, DocumentKey, document_key
-
-PROPAGATION_BOUND_S = 5.0
-"""Time within which an accepted configuration is in force on every daemon."""
+from dogwoodhook.state.stops import PROPAGATION_BOUND_S
 
 RECENT_CHANGES = 128
 """Changes that a daemon keeps to bring its peers up to date."""
