Give each run of the fleet's tests ports of its own

Cause: test_gray_failures failed in 2 of about 30 runs with connect-failed. Two runs at a time took the same port range: the second one's targets could not bind and ended unseen.

Ruled out: the connect timeout (400 requests on a fleet with targets: 0 refused; all 400 refused where the targets had ended with "address already in use"), and a start before the last target listens, which could happen too and is mended.

Change: the range starts at a place of the process's own; the fleet waits for every target and fails if a stand-in ended.

--- a/dogwoodhook/testing/fleet.py
+++ b/dogwoodhook/testing/fleet.py
@@ -36,7 +36,8 @@
 STOP_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.05
 FIRST_RANGE_PORT = 23000
-LAST_RANGE_PORT = 29000
+LAST_RANGE_PORT = 32000
+RANGE_START_SPREAD = 8000
 FIRST_SINGLE_PORT = 10000
 LAST_SINGLE_PORT = 19999
 DATA_CENTRES = ("kigali-1", "kigali-2", "kigali-3")
@@ -248,8 +249,11 @@
                 f"--service_time_ms={self._service_time_ms}",
             )
         await wait_for_answer(f"{self.platform_url}/vms")
-        for ports in self._target_ports:
-            await wait_for_answer(f"http://{HOST}:{ports.start}/healthz")
+        for port in itertools.chain.from_iterable(self._target_ports):
+            await wait_for_answer(f"http://{HOST}:{port}/healthz")
+        ended = [each for each in self._processes if each.returncode is not None]
+        if ended:
+            raise StartError(f"{len(ended)} stand-ins ended at their start")
         await self.put_vms()
         await asyncio.gather(*(self.start_daemon(each) for each in self.daemons))
 
@@ -297,7 +301,10 @@
 
 def free_port_range(count: int) -> range:
     """Return that many ports in a row that are free now."""
-    for first in range(FIRST_RANGE_PORT, LAST_RANGE_PORT, count):
+    # Each run starts at a place of its own, so that two of them at a time do not
+    # take the same ports between the look and the bind.
+    start = FIRST_RANGE_PORT + os.getpid() * 37 % RANGE_START_SPREAD
+    for first in range(start, LAST_RANGE_PORT, count):
         if all(_is_free(port) for port in range(first, first + count)):
             return range(first, first + count)
     raise OSError(f"no {count} free ports in a row below {LAST_RANGE_PORT}")
