Keep messages about the configuration within a peer's frame

Cause: found while reading: a change or part of more than 1 MiB closes the link of every peer that receives it, again at each try; and a configuration sent as all its parts at once outgrows a peer's queue of 64 frames, which drops the oldest, so that a daemon restarted in an outage of a large fleet never had it whole.

Ruled out: larger frames and queues, which cost every link memory for a rare case.

Change: sizes are estimated (state.sizes); parts and news hold about 256 kB; a change of more than 768 kB is a finding. The daemon that collects parts asks for one at a time, and all daemons cut a version alike. Additive in the interfaces: ConfigurationRequest.snapshot_version and .part; the control loop asks for the next part (control.py).

Conclusion: whole in the properties; a configuration in several parts between real processes is not run.

--- a/dogwoodhook/control.py
+++ b/dogwoodhook/control.py
@@ -232,8 +232,7 @@
                     self._put_in_force()
                     self._fleet.hub.broadcast(message)
             case ConfigurationSnapshot():
-                if self._fleet.store.adopt_snapshot(message):
-                    self._put_in_force()
+                self._receive_snapshot(peer, message)
             case ConfigurationRequest():
                 for answer in self._fleet.store.answer(message):
                     self._fleet.hub.send(peer, answer)
@@ -242,6 +241,12 @@
             case QuarantineNews() | CrashNews():
                 self._fleet.quarantine.receive(message)
 
+    def _receive_snapshot(self, peer: str, part: ConfigurationSnapshot) -> None:
+        if self._fleet.store.adopt_snapshot(part):
+            self._put_in_force()
+        elif self._fleet.store.is_collecting:
+            self._fleet.hub.send(peer, self._fleet.store.request())
+
     def _receive_heartbeat(self, peer: str, heartbeat: Heartbeat) -> None:
         now_s = self._fleet.clock.now_s()
         self._fleet.membership.record_heartbeat(heartbeat, now_s=now_s)
--- a/dogwoodhook/coordination/change_checks.py
+++ b/dogwoodhook/coordination/change_checks.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Iterator
 
+from dogwoodhook.coordination.snapshots import MAX_CHANGE_BYTES
 from dogwoodhook.findings import Finding
 from dogwoodhook.state.checks import check_configuration
 from dogwoodhook.state.model import Change, Configuration, PlannedStop
+from dogwoodhook.state.sizes import change_bytes
 from dogwoodhook.state.stops import check_stop
 
 
@@ -20,11 +22,22 @@
     """
     return (
         *check_configuration(after),
+        *_size_findings(change),
         *_new_stop_findings(before, after, change),
         *_kept_stop_findings(before, after, change),
     )
 
 
+def _size_findings(change: Change) -> Iterator[Finding]:
+    size = change_bytes(change)
+    if size > MAX_CHANGE_BYTES:
+        message = (
+            f"received {len(change.documents)} documents of about {size} bytes, "
+            f"allowed in one change: {MAX_CHANGE_BYTES}; apply them in several"
+        )
+        yield Finding("change", message)
+
+
 def _new_stop_findings(
     before: Configuration, after: Configuration, change: Change
 ) -> Iterator[Finding]:
--- a/dogwoodhook/coordination/configuration.py
+++ b/dogwoodhook/coordination/configuration.py
@@ -30,7 +30,8 @@
     SnapshotAssembler,
     SnapshotCodec,
     SnapshotError,
-    split_configuration,
+    snapshot_part,
+    split_by_size,
 )
 from dogwoodhook.events import (
     CONFIGURATION_ADOPTED,
@@ -41,6 +42,7 @@
 )
 from dogwoodhook.state.checks import check_touched
 from dogwoodhook.state.model import Change, Configuration, DocumentKey, document_key
+from dogwoodhook.state.sizes import change_bytes
 
 PROPAGATION_BOUND_S = 5.0
 """Time within which an accepted configuration is in force on every daemon."""
@@ -48,9 +50,6 @@
 RECENT_CHANGES = 128
 """Changes that a daemon keeps to bring its peers up to date."""
 
-NEWS_CHANGES = 32
-"""Changes sent to a peer in one message."""
-
 MAX_CHANGES_READ = 200
 """Versions behind the head from which reading all documents is cheaper."""
 
@@ -196,7 +195,16 @@
 
     def request(self) -> ConfigurationRequest:
         """Return the request that brings this daemon up to date."""
-        return ConfigurationRequest(after_version=self._base().version)
+        return ConfigurationRequest(
+            after_version=self._base().version,
+            snapshot_version=self._assembler.version,
+            part=self._assembler.next_part(),
+        )
+
+    @property
+    def is_collecting(self) -> bool:
+        """Tell whether some parts of a peer's configuration are still missing."""
+        return self._assembler.version > self.current.version
 
     def answer(
         self, request: ConfigurationRequest
@@ -207,12 +215,14 @@
         news = self.changes_after(request.after_version)
         if news is not None:
             return (news,)
-        return split_configuration(self.current, self._daemon)
+        has_version = request.snapshot_version == self.current.version
+        part = request.part if has_version else 0
+        return (snapshot_part(self.current, daemon=self._daemon, part=part),)
 
     def changes_after(self, version: int) -> ConfigurationNews | None:
         """Return the changes after a version, or ``None`` if not all are kept.
 
-        At most ``NEWS_CHANGES`` are returned, the oldest first; the peer asks
+        As many are returned as fit a message, the oldest first; the peer asks
         again from there.
         """
         if version > self.current.version:
@@ -221,7 +231,9 @@
         if version < oldest:
             return None
         later = [change for change in self._recent if change.version > version]
-        return ConfigurationNews(tuple(later[:NEWS_CHANGES]))
+        sizes = [change_bytes(change) for change in later]
+        runs = split_by_size(later, sizes)
+        return ConfigurationNews(runs[0] if runs else ())
 
     # What the daemon may claim
 
--- a/dogwoodhook/coordination/messages.py
+++ b/dogwoodhook/coordination/messages.py
@@ -39,7 +39,8 @@
 class ConfigurationSnapshot:
     """One part of a whole configuration, for a daemon too far behind for changes.
 
-    ``part`` counts from 0 to ``parts`` - 1. Parts may arrive in any order.
+    ``part`` counts from 0 to ``parts`` - 1. Parts may arrive in any order and from
+    several peers, since all cut a version alike.
     """
 
     daemon: str
@@ -54,11 +55,14 @@
 class ConfigurationRequest:
     """Asks a peer for the changes after a version.
 
-    The answer is ``ConfigurationNews``, or every part of a
-    ``ConfigurationSnapshot`` where the peer no longer holds those changes.
+    The answer is ``ConfigurationNews``, or one ``ConfigurationSnapshot`` where the
+    peer no longer holds those changes: ``part`` of the version being collected,
+    part 0 where the peer has another version.
     """
 
     after_version: int
+    snapshot_version: int = 0
+    part: int = 0
     kind: Literal["configuration-request"] = "configuration-request"
 
 
--- a/properties/test_configuration.py
+++ b/properties/test_configuration.py
@@ -37,15 +37,20 @@
 )
 from dogwoodhook.coordination.platform import OutcomeUnknown, Transaction
 from dogwoodhook.coordination.rows import HEAD_KEY, Head
+from dogwoodhook.protocol.peer_codec import MAX_FRAME_BYTES, encode_message
 from dogwoodhook.protocol.snapshots import JsonSnapshotCodec
 from dogwoodhook.state.model import (
     Change,
     Configuration,
     DocumentKey,
     Parameters,
+    Route,
+    ServiceDefinition,
+    Target,
     Template,
     apply_change,
 )
+from dogwoodhook.state.sizes import change_bytes
 from dogwoodhook.testing.memory_platform import MemoryPlatform
 
 DAEMONS = 3
@@ -577,11 +582,73 @@
     assert fresh.current == peer.current
 
 
-def test_parts_of_a_snapshot_may_come_in_any_order():
-    templates = tuple(Template(f"t-{number}") for number in range(5))
-    whole = apply_change(Configuration(), Change(1, "aino", 0.0, "t", templates))
-    with patch.object(snapshots, "SNAPSHOT_PART_DOCUMENTS", 2):
-        parts = snapshots.split_configuration(whole, "vm-1")
-    assembler = snapshots.SnapshotAssembler()
-    taken = [assembler.add(part) for part in (parts[2], parts[0], parts[0], parts[1])]
-    assert taken == [None, None, None, whole]
+def make_large_service(number, routes):
+    return ServiceDefinition(
+        name=f"service-{number}",
+        template="t",
+        workspace="oulu",
+        targets=(Target("t1", "oulu-1", "10.0.0.1", 80),),
+        routes=tuple(Route(f"/{number}/{route:0100}") for route in range(routes)),
+    )
+
+
+def make_large_configuration(services):
+    documents = tuple(make_large_service(each, routes=500) for each in range(services))
+    change = Change(1, "aino", 0.0, "t", (Template("t"), *documents))
+    return apply_change(Configuration(), change)
+
+
+def test_parts_are_collected_from_several_peers_and_each_fits_a_message():
+    fleet = Fleet()
+    fresh, *peers = [fleet.store() for _ in range(3)]
+    for peer in peers:
+        peer.current = make_large_configuration(services=30)
+    rounds = 0
+    while fresh.current.version == 0:
+        (part,) = peers[rounds % 2].answer(fresh.request())
+        assert len(encode_message(part)) < MAX_FRAME_BYTES
+        fresh.adopt_snapshot(part)
+        rounds += 1
+        assert rounds <= part.parts
+    assert rounds > 5
+    assert fresh.current == peers[0].current
+    assert not fresh.is_collecting
+
+
+def test_parts_of_an_older_version_are_dropped():
+    fleet = Fleet()
+    fresh, peer = fleet.store(), fleet.store()
+    peer.current = make_large_configuration(services=30)
+    (part,) = peer.answer(fresh.request())
+    fresh.adopt_snapshot(part)
+    change = Change(2, "aino", 0.0, "u", (Template("other"),))
+    peer.current = apply_change(peer.current, change)
+    while fresh.current.version == 0:
+        (newer,) = peer.answer(fresh.request())
+        fresh.adopt_snapshot(newer)
+        assert not fresh.adopt_snapshot(part)
+    assert fresh.current == peer.current
+
+
+def test_a_change_of_the_largest_size_fits_a_message():
+    routes = 0
+    while change_bytes(make_large_change(routes + 100)) <= snapshots.MAX_CHANGE_BYTES:
+        routes += 100
+    news = ConfigurationNews((make_large_change(routes),))
+    assert routes > 3000
+    assert len(encode_message(news)) < MAX_FRAME_BYTES
+
+
+def make_large_change(routes):
+    return Change(1, "aino", 0.0, "t", (make_large_service(1, routes),))
+
+
+async def test_a_change_too_large_for_a_message_is_a_finding():
+    fleet = Fleet()
+    result = await apply_documents(
+        fleet.platform,
+        [Template("t"), make_large_service(1, routes=8000)],
+        author="aino",
+        clock=fleet.clock,
+    )
+    assert [finding.place for finding in result.error.findings] == ["change"]
