Shorten waits while a queue never empties

Cause: above the capacity each request waited for most of the queue timeout and was then answered late or refused late, to no gain: the slots were full anyway.

Change: a queue that has not been empty for 0.3 of the queue timeout lets arrivals wait for at most 0.35 of it (the idea of controlled delay, Nichols and Jacobson 2012). ServiceDispatcher.wait_timeout_s decides at arrival; a shed request keeps what is left of its wait.

--- a/benchmarks/overload_fleet.py
+++ b/benchmarks/overload_fleet.py
@@ -70,6 +70,7 @@
     deadline_s: float
     attempts: int = 0
     sheds: int = 0
+    wait_s: float = 0.0
     queued_s: float = 0.0
     queued_at_s: float | None = None
     tried: frozenset[str] = frozenset()
@@ -130,6 +131,9 @@
     def begin(self, request: Request) -> None:
         """Take a caller's request."""
         self.budget.record_request(self.fleet.now_s)
+        request.wait_s = self.dispatcher.wait_timeout_s(
+            request.workspace, now_s=self.fleet.now_s
+        )
         self.admit(request)
 
     def admit(self, request: Request) -> None:
@@ -149,8 +153,7 @@
                 fleet.end(request, NotRun(reason))
             case Queued(ticket=ticket):
                 self.waiting[ticket.number] = request
-                timeout_s = fleet.service.parameters.queue_timeout_ms / 1000
-                left_s = max(0.0, timeout_s - request.queued_s)
+                left_s = max(0.0, request.wait_s - request.queued_s)
                 request.queued_at_s = fleet.now_s
                 due_s = min(fleet.now_s + left_s, request.deadline_s)
                 fleet.at(due_s, lambda: self.expire(request, ticket))
--- a/benchmarks/overload_policies.py
+++ b/benchmarks/overload_policies.py
@@ -35,6 +35,10 @@
         """Choose a target."""
         raise NotImplementedError
 
+    def wait_timeout_s(self, workspace: str, *, now_s: float) -> float:
+        """Let every request wait for the whole queue timeout."""
+        return self.service.parameters.queue_timeout_ms / 1000
+
     def _grant_best(
         self, ticket: Ticket, usable: list[Target], *, now_s: float
     ) -> Granted | None:
--- a/dogwoodhook/state/admission.py
+++ b/dogwoodhook/state/admission.py
@@ -27,6 +27,12 @@
 from dogwoodhook.state.model import Service, Target
 from dogwoodhook.state.outcomes import NotRunReason
 
+STANDING_QUEUE_SHARE = 0.3
+"""Share of the queue timeout after which a queue that never empties is standing."""
+
+STANDING_WAIT_SHARE = 0.35
+"""Share of the queue timeout that a request may wait in a standing queue."""
+
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
@@ -88,6 +94,7 @@
         self._excluded = frozenset[str]()
         self._limits: dict[str, TargetLimit] = {}
         self._queues: OrderedDict[str, deque[Ticket]] = OrderedDict()
+        self._queued_since_s: dict[str, float] = {}
         self._in_flight: Counter[str] = Counter()
         self.reconfigure(service)
 
@@ -124,6 +131,19 @@
         limit = self._limits.get(target)
         return limit.in_flight if limit else 0
 
+    def wait_timeout_s(self, workspace: str, *, now_s: float) -> float:
+        """Return how long a request that arrives now may wait for a target.
+
+        A burst may use the whole queue timeout. A queue that has not been empty
+        for a while only adds its length to every answer, so waits are shortened
+        until it has been.
+        """
+        timeout_s = self.service.parameters.queue_timeout_ms / 1000
+        queued_s = now_s - self._queued_since_s.get(workspace, now_s)
+        if queued_s > timeout_s * STANDING_QUEUE_SHARE:
+            return timeout_s * STANDING_WAIT_SHARE
+        return timeout_s
+
     def submit(self, ticket: Ticket, *, now_s: float) -> Admission:
         """Grant a target, queue the request or refuse it."""
         self._excluded = self._exclusions()
@@ -134,6 +154,7 @@
             if granted:
                 return granted
         queue = self._queues.setdefault(ticket.workspace, deque())
+        self._queued_since_s.setdefault(ticket.workspace, now_s)
         if ticket.is_requeued:
             queue.appendleft(ticket)
             return Queued(ticket)
@@ -156,7 +177,7 @@
         if ticket in queue:
             queue.remove(ticket)
         if not queue:
-            del self._queues[ticket.workspace]
+            self._drop_queue(ticket.workspace)
 
     def grant_queued(self, *, now_s: float) -> list[Granted]:
         """Grant targets to waiting requests, workspaces in turn."""
@@ -182,7 +203,7 @@
             if queue:
                 self._queues.move_to_end(workspace)
             else:
-                del self._queues[workspace]
+                self._drop_queue(workspace)
         return grants
 
     def finish(self, granted: Granted) -> None:
@@ -205,6 +226,10 @@
         if target in self._limits:
             self._limits[target].record_shed(now_s=now_s, rng=self._rng)
 
+    def _drop_queue(self, workspace: str) -> None:
+        del self._queues[workspace]
+        self._queued_since_s.pop(workspace, None)
+
     def _has_target(self) -> bool:
         return any(each.name not in self._excluded for each in self.service.targets)
 
--- a/dogwoodhook/transport/forwarder.py
+++ b/dogwoodhook/transport/forwarder.py
@@ -79,6 +79,9 @@
         call.runtime.record_request(now_s=self._clock.now_s())
         tried: frozenset[str] = frozenset()
         attempts = 0
+        wait_s = call.runtime.dispatch.dispatcher.wait_timeout_s(
+            call.workspace, now_s=self._clock.now_s()
+        )
         while True:
             attempts += 1
             sheds = call.sheds
@@ -87,7 +90,7 @@
                 return self._own_reply(call, NotRun(NotRunReason.QUARANTINED))
             avoided = admission.avoid if isinstance(admission, RunAlone) else tried
             queued_s = self._clock.now_s()
-            async with self._target(call, tried | avoided) as granted:
+            async with self._target(call, tried | avoided, wait_s) as granted:
                 call.timing.queueing_ms += (self._clock.now_s() - queued_s) * 1000
                 if isinstance(granted, Rejected):
                     return self._refuse(call, granted)
@@ -108,16 +111,15 @@
             )
 
     def _target(
-        self, call: Call, tried: frozenset[str]
+        self, call: Call, tried: frozenset[str], wait_s: float
     ) -> AbstractAsyncContextManager[Granted | Rejected]:
-        queue_timeout_ms = call.runtime.service.parameters.queue_timeout_ms
-        queue_timeout_s = (queue_timeout_ms - call.timing.queueing_ms) / 1000
+        left_s = wait_s - call.timing.queueing_ms / 1000
         remaining_s = call.deadline_s - self._clock.now_s()
         return call.runtime.dispatch.target(
             call.workspace,
             is_idempotent=call.is_idempotent,
             tried=tried,
-            timeout_s=max(0.0, min(queue_timeout_s, remaining_s)),
+            timeout_s=max(0.0, min(left_s, remaining_s)),
             is_requeued=call.sheds > 0,
         )
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -106,3 +106,46 @@
     for each in granted:
         dispatcher.finish(each)
     assert dispatcher.in_flight == 0
+
+
+def test_a_shed_request_goes_before_those_that_came_later():
+    dispatcher = make_dispatcher(targets=1, slots_per_target=1)
+    first = dispatcher.submit(ticket(1), now_s=0.0)
+    dispatcher.submit(ticket(2), now_s=0.0)
+    dispatcher.finish(first)
+    dispatcher.record_shed("t0", now_s=0.0)
+    dispatcher.submit(ticket(3, is_requeued=True), now_s=0.0)
+    granted = dispatcher.grant_queued(now_s=1.0)
+    assert [each.ticket.number for each in granted] == [3]
+
+
+def test_every_free_target_is_granted_at_once():
+    dispatcher = make_dispatcher(targets=2, slots_per_target=1)
+    held = [dispatcher.submit(ticket(number), now_s=0.0) for number in (1, 2)]
+    for number in (3, 4):
+        dispatcher.submit(ticket(number), now_s=0.0)
+    for each in held:
+        dispatcher.finish(each)
+    assert len(dispatcher.grant_queued(now_s=0.0)) == 2
+
+
+def test_waits_are_short_while_a_queue_stands():
+    dispatcher = make_dispatcher(targets=1, slots_per_target=1, queue_timeout_ms=1000)
+    held = dispatcher.submit(ticket(1), now_s=0.0)
+    dispatcher.submit(ticket(2), now_s=0.0)
+    assert dispatcher.wait_timeout_s("oulu", now_s=0.2) == 1.0
+    assert dispatcher.wait_timeout_s("oulu", now_s=0.5) < 0.5
+    assert dispatcher.wait_timeout_s("other", now_s=0.5) == 1.0
+    dispatcher.finish(held)
+    dispatcher.grant_queued(now_s=0.6)
+    assert dispatcher.wait_timeout_s("oulu", now_s=0.7) == 1.0
+
+
+def test_a_contended_slot_is_left_to_other_daemons():
+    dispatcher = make_dispatcher(targets=1, slots_per_target=1)
+    dispatcher.record_shed("t0", now_s=0.0)
+    granted = dispatcher.submit(ticket(1), now_s=0.5)
+    dispatcher.record_answer("t0", now_s=0.6)
+    dispatcher.finish(granted)
+    assert isinstance(dispatcher.submit(ticket(2), now_s=0.605), Queued)
+    assert dispatcher.grant_queued(now_s=0.62)
