--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -254,3 +254,28 @@
     assert weights == [0.05, 0.2, 0.5]
     assert phase(health, "a", 660.0) is TargetPhase.SLOW_START
     assert phase(health, "a", 691.0) is TargetPhase.HEALTHY
+
+
+def test_a_daemon_avoids_a_target_that_only_it_fails_to_reach():
+    health = make_health()
+    succeed(health, TARGETS, count=20)
+    peer = TargetEvidence("payouts", "a", successes=20, failures=())
+    for index in range(10):
+        fail(health, "a", count=1, now_s=float(index), kind=FailureKind.CONNECT)
+        for reporter in ("vm-1", "vm-2", "vm-3"):
+            health.absorb(peer, reporter=reporter, now_s=float(index))
+    status = health.status("a", now_s=10.0)
+    assert (status.phase, status.accusers) == (TargetPhase.SUSPECT, 1)
+
+
+def test_one_daemon_that_fails_to_reach_a_target_does_not_convince_the_others():
+    health = make_health()
+    succeed(health, TARGETS, count=20)
+    broken = TargetEvidence("payouts", "a", 0, ((FailureKind.CONNECT, 1),))
+    well = TargetEvidence("payouts", "a", 1, ())
+    for index in range(50):
+        now_s = index * 1.0
+        health.absorb(broken, reporter="vm-0", now_s=now_s)
+        for reporter in range(1, 32):
+            health.absorb(well, reporter=f"vm-{reporter}", now_s=now_s)
+    assert phase(health, "a", 50.0) is TargetPhase.HEALTHY
