Split the detection benchmark into measuring, results and report

Cause: the module had grown to 560 lines with three jobs.

Change: results and report are modules of their own; the length of the runs on a bad target is part of the results.

--- a/benchmarks/detection.py
+++ b/benchmarks/detection.py
@@ -8,7 +8,6 @@
 
 import json
 import math
-import statistics
 import sys
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import asdict, dataclass
@@ -30,6 +29,16 @@
 )
 from benchmarks.detection_fleet import Fleet, FleetResult, FleetSettings
 from benchmarks.detection_plot import draw_curves
+from benchmarks.detection_report import format_interval, print_report
+from benchmarks.detection_results import (
+    DAY_S,
+    DETECTION_LIMIT_S,
+    BadWork,
+    Bound,
+    Detection,
+    Report,
+    Suspicions,
+)
 from benchmarks.detection_rules import (
     CountDetector,
     CusumDetector,
@@ -40,10 +49,8 @@
 
 ROOT = Path(__file__).parent.parent
 HOUR_S = 3_600.0
-DAY_S = 86_400.0
 REQUESTS_PER_TARGET_S = 10.0
 WARM_UP_S = 30.0
-DETECTION_LIMIT_S = 120.0
 BAD_WORK_S = 180.0
 QUIET_S = 3_600.0
 TROUBLE_S = 120.0
@@ -98,94 +105,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Detection:
-    """Detection times, in seconds, of several runs; ``None`` for none in time."""
-
-    deployment: str
-    targets: int
-    fault: str
-    detector: str
-    interval_s: float
-    detection_s: tuple[float | None, ...]
-
-    @property
-    def median_s(self) -> float:
-        """Return the median, with runs past the limit counted at the limit."""
-        times = [
-            DETECTION_LIMIT_S if each is None else each for each in self.detection_s
-        ]
-        return statistics.median(times)
-
-    @property
-    def largest_s(self) -> float:
-        """Return the largest time, with runs past the limit counted at the limit."""
-        return max(
-            DETECTION_LIMIT_S if each is None else each for each in self.detection_s
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class Suspicions:
-    """False suspicions in one run with no target at fault.
-
-    ``ejectable`` counts those with two accusers or more, ``targets_suspected``
-    the different targets.
-    """
-
-    deployment: str
-    targets: int
-    fault: str
-    detector: str
-    interval_s: float
-    simulated_s: float
-    suspicions: int
-    ejectable: int
-    targets_suspected: int
-
-    @property
-    def per_day(self) -> float:
-        """Return false suspicions per simulated day."""
-        return self.suspicions * DAY_S / self.simulated_s
-
-
-@dataclass(frozen=True, slots=True)
-class BadWork:
-    """Requests that the bad target received while it was bad."""
-
-    deployment: str
-    fault: str
-    detector: str
-    received: int
-    received_without_avoidance: float
-
-
-@dataclass(frozen=True, slots=True)
-class Bound:
-    """A ratio that must not exceed its bound."""
-
-    name: str
-    ratio: float
-    bound: float
-
-    @property
-    def is_met(self) -> bool:
-        """Tell whether the ratio keeps to the bound."""
-        return self.ratio <= self.bound
-
-
-@dataclass(frozen=True, slots=True)
-class Report:
-    """Everything measured in one run."""
-
-    seed: int
-    curve: tuple[Detection, ...]
-    faults: tuple[Detection, ...]
-    bad_work: tuple[BadWork, ...]
-    false_suspicions: tuple[Suspicions, ...]
-    bounds: tuple[Bound, ...]
-
-
 def make_factories(targets: int, interval_s: float) -> dict[str, DetectorFactory]:
     """Return every detector, set to the same accepted interval."""
     outcomes_per_s = targets * REQUESTS_PER_TARGET_S
@@ -336,7 +255,7 @@
         *_suspicion_bounds(suspicions),
         *_bad_work_bounds(bad_work),
     )
-    return Report(seed, curve, faults, bad_work, suspicions, bounds)
+    return Report(seed, curve, faults, bad_work, suspicions, bounds, BAD_WORK_S)
 
 
 def _measure_curve(measurement: Measurement) -> Iterator[Detection]:
@@ -412,7 +331,7 @@
             best = min(medians[rule] for rule in RULES_ALONE)
             yield Bound(
                 f"{deployment.name}: 30% failing, accepted every"
-                f" {_format_interval(interval_s)}, against the best common rule",
+                f" {format_interval(interval_s)}, against the best common rule",
                 medians[POOLED_CUSUM] / best,
                 1.0,
             )
@@ -477,65 +396,6 @@
             )
 
 
-def _format_interval(interval_s: float) -> str:
-    if interval_s >= DAY_S:
-        return f"{interval_s / DAY_S:.0f} d"
-    return f"{interval_s / 60:.0f} min"
-
-
-def print_report(report: Report) -> None:
-    """Print the tables."""
-    print(f"seed {report.seed}; times in s: median / largest of the runs;")
-    print(f"'-' where a run found nothing within {DETECTION_LIMIT_S:.0f} s\n")
-    print("Detection time against the accepted interval, 30% failing, 6 targets")
-    _print_detections(report.curve, lambda each: _format_interval(each.interval_s))
-    print("\nDetection time by fault, at the recommended interval")
-    _print_detections(report.faults, lambda each: f"{each.targets:2} {each.fault}")
-    print(f"\nWork to a bad target while it is bad, in {BAD_WORK_S / 60:.0f} min")
-    for work in report.bad_work:
-        print(
-            f"  {work.deployment:15} {work.fault:20} {work.detector:15}"
-            f" {work.received:6} of {work.received_without_avoidance:.0f}"
-        )
-    print("\nFalse suspicions: count (with two accusers), targets, simulated time")
-    for each in report.false_suspicions:
-        print(
-            f"  {each.deployment:15} {_format_interval(each.interval_s):>7}"
-            f" {each.fault:30} {each.detector:14} {each.suspicions:4}"
-            f" ({each.ejectable}) {each.targets_suspected:2} of {each.targets}"
-            f" {each.simulated_s / 60:5.0f} min {each.per_day:8.1f} a day"
-        )
-    print("\nBounds")
-    for bound in report.bounds:
-        verdict = "met" if bound.is_met else "MISSED"
-        print(f"  {verdict:6} {bound.ratio:6.2f} <= {bound.bound:.2f}  {bound.name}")
-
-
-def _print_detections(
-    detections: Sequence[Detection], label: Callable[[Detection], str]
-) -> None:
-    for deployment in DEPLOYMENTS:
-        own = [each for each in detections if each.deployment == deployment.name]
-        detectors = list(dict.fromkeys(each.detector for each in own))
-        heads = "".join(f"{each:>20}" for each in detectors)
-        print(f"  {deployment.name:32}{heads}")
-        for row in dict.fromkeys(label(each) for each in own):
-            cells = (
-                _format_times(each)
-                for detector in detectors
-                for each in own
-                if (label(each), each.detector) == (row, detector)
-            )
-            print(f"  {row:32}" + "".join(f"{each:>20}" for each in cells))
-
-
-def _format_times(detection: Detection) -> str:
-    median_s, largest_s = detection.median_s, detection.largest_s
-    median = "-" if median_s >= DETECTION_LIMIT_S else f"{median_s:.1f}"
-    largest = "-" if largest_s >= DETECTION_LIMIT_S else f"{largest_s:.1f}"
-    return f"{median} / {largest}"
-
-
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of the whole run.")
 _RUNS = flags.DEFINE_integer("runs", 3, "Runs for each detection time.")
 
