--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -1,4 +1,5 @@
 import asyncio
+from dataclasses import replace
 
 import pytest
 from exchanges import Broken, exchange, open_caller, until
@@ -6,7 +7,7 @@
 from dogwoodhook.state.model import Parameters
 from dogwoodhook.state.outcomes import FailureKind
 from dogwoodhook.testing.fleet import free_port
-from dogwoodhook.testing.local_proxy import LocalProxy
+from dogwoodhook.testing.local_proxy import GET_IS_IDEMPOTENT, LocalProxy
 from dogwoodhook.testing.raw_target import (
     Abort,
     Hold,
@@ -20,7 +21,8 @@
 from dogwoodhook.testing.target_server import TargetServer, TargetSettings
 
 BODY = b"hours=7.5&project=hills"
-NO_RETRIES = Parameters(retry_budget_percent=0)
+NO_RETRIES = Parameters(retry_budget_percent=0, queue_timeout_ms=50)
+SHORT_QUEUE = replace(GET_IS_IDEMPOTENT, queue_timeout_ms=50)
 
 
 def is_not_run(seen):
@@ -116,7 +118,7 @@
     async with (
         RawTarget((ReceiveRequest(),)) as broken,
         RawTarget((ReceiveRequest(), Send(shed))) as shedding,
-        LocalProxy([broken.port, shedding.port]) as proxy,
+        LocalProxy([broken.port, shedding.port], parameters=SHORT_QUEUE) as proxy,
         open_caller() as session,
     ):
         answers = {
