--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -21,7 +21,7 @@
 from dogwoodhook.testing.target_server import TargetServer, TargetSettings
 
 BODY = b"hours=7.5&project=hills"
-NO_RETRIES = Parameters(retry_budget_percent=0, queue_timeout_ms=50)
+NO_RETRIES = Parameters(retry_budget_percent=0)
 SHORT_QUEUE = replace(GET_IS_IDEMPOTENT, queue_timeout_ms=50)
 
 
@@ -70,7 +70,7 @@
     shed = make_answer(b"", status="503 Busy", headers={"Dogwoodhook-Target": declared})
     async with (
         RawTarget((ReceiveRequest(), Send(shed), Hold())) as target,
-        LocalProxy([target.port], parameters=NO_RETRIES) as proxy,
+        LocalProxy([target.port], parameters=SHORT_QUEUE) as proxy,
         open_caller() as session,
     ):
         seen = await exchange(session, proxy, method="POST", data=BODY)
