Begin the search for a range of ports at another place in each program

Cause: make test failed once (1 failed, 462 passed) in test_silent_connections_cost_no_request, and tests/test_gray_failures.py alone once in test_one_key_through_two_daemons_at_once_runs_once: a target could not bind 127.0.0.1:23002 and 23016. Every program looked for a range from 23000 upwards, and another test run on the machine took the same one between the look and the bind.

Change: the search begins at a place that depends on the process, as that for single ports does. The race itself stays possible, only rare.

pytest tests/test_gray_failures.py tests/test_free_ports.py, beside other test runs: 10 passed. Not run again: the whole of make test.

--- a/dogwoodhook/testing/fleet.py
+++ b/dogwoodhook/testing/fleet.py
@@ -297,7 +297,10 @@
 
 def free_port_range(count: int) -> range:
     """Return that many ports in a row that are free now."""
-    for first in range(FIRST_RANGE_PORT, LAST_RANGE_PORT, count):
+    ranges = range(FIRST_RANGE_PORT, LAST_RANGE_PORT - count, count)
+    # Programs that run at the same time begin at different ports.
+    offset = os.getpid() * 97 % len(ranges)
+    for first in itertools.chain(ranges[offset:], ranges[:offset]):
         if all(_is_free(port) for port in range(first, first + count)):
             return range(first, first + count)
     raise OSError(f"no {count} free ports in a row below {LAST_RANGE_PORT}")
