--- a/dogwoodhook/testing/fleet.py
+++ b/dogwoodhook/testing/fleet.py
@@ -37,7 +37,6 @@
 POLL_INTERVAL_S = 0.05
 FIRST_RANGE_PORT = 23000
 LAST_RANGE_PORT = 32000
-RANGE_START_SPREAD = 8000
 FIRST_SINGLE_PORT = 10000
 LAST_SINGLE_PORT = 19999
 DATA_CENTRES = ("kigali-1", "kigali-2", "kigali-3")
@@ -301,10 +300,10 @@
 
 def free_port_range(count: int) -> range:
     """Return that many ports in a row that are free now."""
-    # Each run starts at a place of its own, so that two of them at a time do not
-    # take the same ports between the look and the bind.
-    start = FIRST_RANGE_PORT + os.getpid() * 37 % RANGE_START_SPREAD
-    for first in range(start, LAST_RANGE_PORT, count):
+    ranges = range(FIRST_RANGE_PORT, LAST_RANGE_PORT - count, count)
+    # Programs that run at the same time begin at different ports.
+    offset = os.getpid() * 97 % len(ranges)
+    for first in itertools.chain(ranges[offset:], ranges[:offset]):
         if all(_is_free(port) for port in range(first, first + count)):
             return range(first, first + count)
     raise OSError(f"no {count} free ports in a row below {LAST_RANGE_PORT}")
--- a/dogwoodhook/transport/calls.py
+++ b/dogwoodhook/transport/calls.py
@@ -56,6 +56,11 @@
     sheds: int = 0
     timing: Timing = field(default_factory=Timing)
 
+    @property
+    def failure_identity(self) -> int:
+        """The fingerprint as target health takes it."""
+        return int(self.fingerprint[:16], 16)
+
     def may_send(self, now_s: float) -> bool:
         """Tell whether the claim of the request's key, if any, still allows it."""
         return self.claim is None or self.claim.may_send(now_s)
--- a/dogwoodhook/transport/forwarder.py
+++ b/dogwoodhook/transport/forwarder.py
@@ -181,7 +181,7 @@
             self._observe_failure(call, target, FailureKind.SERVER_ERROR)
         else:
             latency_ms = (now_s - started_s) * 1000
-            call.runtime.health.observe(target, Success(latency_ms), now_s=now_s)
+            call.runtime.health.observe(target, Success(latency_ms, call.failure_identity), now_s=now_s)
         call.runtime.dispatch.dispatcher.record_answer(target, now_s=now_s)
         answered = Answered(response.status)
         if response.status in RETRIED_STATUSES and self._may_retry(
@@ -258,9 +258,8 @@
         self._crashes.record_crash(call.runtime.service.name, call.fingerprint, target)
 
     def _observe_failure(self, call: Call, target: str, kind: FailureKind) -> None:
-        identity = int(call.fingerprint[:16], 16)
         call.runtime.health.observe(
-            target, Failure(kind, identity), now_s=self._clock.now_s()
+            target, Failure(kind, call.failure_identity), now_s=self._clock.now_s()
         )
 
     def _may_retry(self, call: Call, outcome: Outcome, attempts: int) -> bool:
--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -1,4 +1,5 @@
 import asyncio
+from dataclasses import replace
 
 import pytest
 from exchanges import Broken, exchange, open_caller, until
@@ -6,7 +7,7 @@
 from dogwoodhook.state.model import Parameters
 from dogwoodhook.state.outcomes import FailureKind
 from dogwoodhook.testing.fleet import free_port
-from dogwoodhook.testing.local_proxy import LocalProxy
+from dogwoodhook.testing.local_proxy import GET_IS_IDEMPOTENT, LocalProxy
 from dogwoodhook.testing.raw_target import (
     Abort,
     Hold,
@@ -21,6 +22,7 @@
 
 BODY = b"hours=7.5&project=hills"
 NO_RETRIES = Parameters(retry_budget_percent=0)
+SHORT_QUEUE = replace(GET_IS_IDEMPOTENT, queue_timeout_ms=50)
 
 
 def is_not_run(seen):
@@ -68,7 +70,7 @@
     shed = make_answer(b"", status="503 Busy", headers={"Dogwoodhook-Target": declared})
     async with (
         RawTarget((ReceiveRequest(), Send(shed), Hold())) as target,
-        LocalProxy([target.port], parameters=NO_RETRIES) as proxy,
+        LocalProxy([target.port], parameters=SHORT_QUEUE) as proxy,
         open_caller() as session,
     ):
         seen = await exchange(session, proxy, method="POST", data=BODY)
@@ -116,7 +118,7 @@
     async with (
         RawTarget((ReceiveRequest(),)) as broken,
         RawTarget((ReceiveRequest(), Send(shed))) as shedding,
-        LocalProxy([broken.port, shedding.port]) as proxy,
+        LocalProxy([broken.port, shedding.port], parameters=SHORT_QUEUE) as proxy,
         open_caller() as session,
     ):
         answers = {
