--- a/dogwoodhook/transport/forwarder.py
+++ b/dogwoodhook/transport/forwarder.py
@@ -181,7 +181,9 @@
             self._observe_failure(call, target, FailureKind.SERVER_ERROR)
         else:
             latency_ms = (now_s - started_s) * 1000
-            call.runtime.health.observe(target, Success(latency_ms, call.failure_identity), now_s=now_s)
+            call.runtime.health.observe(
+                target, Success(latency_ms, call.failure_identity), now_s=now_s
+            )
         call.runtime.dispatch.dispatcher.record_answer(target, now_s=now_s)
         answered = Answered(response.status)
         if response.status in RETRIED_STATUSES and self._may_retry(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -108,35 +108,6 @@
     assert dispatcher.in_flight == 0
 
 
-def make_probing(dispatcher, target):
-    """Bring a target from suspicion to its first trial; return the time."""
-    for _ in range(60):
-        dispatcher.health.observe("t1", Success(1.0), now_s=0.0)
-        dispatcher.health.observe(target, Failure(FailureKind.CONNECT), now_s=0.0)
-    for now_s in range(60):
-        if dispatcher.health.wants_probe(target, now_s=now_s):
-            dispatcher.health.observe_probe(target, is_successful=True, now_s=now_s)
-            break
-    assert dispatcher.health.status(target, now_s=now_s).phase is TargetPhase.PROBING
-    return now_s
-
-
-def test_nothing_waits_for_a_target_on_trial_that_is_the_only_one():
-    dispatcher = make_dispatcher(targets=2, excluded=["t1"])
-    now_s = make_probing(dispatcher, "t0")
-    admission = dispatcher.submit(Ticket(1, "oulu", is_idempotent=False), now_s=now_s)
-    assert isinstance(admission, Granted)
-
-
-def test_a_request_waits_for_a_healthy_target_rather_than_one_on_trial():
-    dispatcher = make_dispatcher(targets=2, slots_per_target=1)
-    now_s = make_probing(dispatcher, "t0")
-    first = dispatcher.submit(Ticket(1, "oulu", is_idempotent=False), now_s=now_s)
-    assert first.target.name == "t1"
-    second = dispatcher.submit(Ticket(2, "oulu", is_idempotent=False), now_s=now_s)
-    assert isinstance(second, Queued)
-
-
 def test_a_shed_request_goes_before_those_that_came_later():
     dispatcher = make_dispatcher(targets=1, slots_per_target=1)
     first = dispatcher.submit(ticket(1), now_s=0.0)
@@ -178,3 +149,32 @@
     dispatcher.finish(granted)
     assert isinstance(dispatcher.submit(ticket(2), now_s=0.605), Queued)
     assert dispatcher.grant_queued(now_s=0.62)
+
+
+def make_probing(dispatcher, target):
+    """Bring a target from suspicion to its first trial; return the time."""
+    for _ in range(60):
+        dispatcher.health.observe("t1", Success(1.0), now_s=0.0)
+        dispatcher.health.observe(target, Failure(FailureKind.CONNECT), now_s=0.0)
+    for now_s in range(60):
+        if dispatcher.health.wants_probe(target, now_s=now_s):
+            dispatcher.health.observe_probe(target, is_successful=True, now_s=now_s)
+            break
+    assert dispatcher.health.status(target, now_s=now_s).phase is TargetPhase.PROBING
+    return now_s
+
+
+def test_nothing_waits_for_a_target_on_trial_that_is_the_only_one():
+    dispatcher = make_dispatcher(targets=2, excluded=["t1"])
+    now_s = make_probing(dispatcher, "t0")
+    admission = dispatcher.submit(Ticket(1, "oulu", is_idempotent=False), now_s=now_s)
+    assert isinstance(admission, Granted)
+
+
+def test_a_request_waits_for_a_healthy_target_rather_than_one_on_trial():
+    dispatcher = make_dispatcher(targets=2, slots_per_target=1)
+    now_s = make_probing(dispatcher, "t0")
+    first = dispatcher.submit(Ticket(1, "oulu", is_idempotent=False), now_s=now_s)
+    assert first.target.name == "t1"
+    second = dispatcher.submit(Ticket(2, "oulu", is_idempotent=False), now_s=now_s)
+    assert isinstance(second, Queued)
