Split exclusions and ejection out of the control loops; bound service series

Change: exclusions.py answers which targets get no work, ejection_control.py proposes and releases, control.py keeps loops and messages.

--- a/dogwoodhook/daemon.py
+++ b/dogwoodhook/daemon.py
@@ -22,7 +22,9 @@
 from dogwoodhook.coordination.membership import Membership
 from dogwoodhook.coordination.messages import Message
 from dogwoodhook.coordination.quarantine import QuarantineBook
+from dogwoodhook.ejection_control import EjectionControl
 from dogwoodhook.events import DAEMON_STARTED, DAEMON_STOPPED, log, make_handler
+from dogwoodhook.exclusions import Exclusions
 from dogwoodhook.findings import FindingsError
 from dogwoodhook.metrics import Metrics
 from dogwoodhook.protocol.snapshots import JsonSnapshotCodec
@@ -58,6 +60,7 @@
         self._metrics = Metrics(
             daemon=settings.daemon_name,
             max_workspace_series=settings.max_workspace_series,
+            max_service_series=settings.max_service_series,
         )
         self._fleet = self._make_fleet(clock)
         self._metrics.watch_peer_bytes(lambda: self._fleet.hub.sent_bytes)
@@ -74,7 +77,7 @@
             self._callers.handle, settings.caller_port
         )
         reporter = Reporter(
-            self._fleet, self._control, self._callers, data_centre=settings.data_centre
+            self._fleet, self._callers, data_centre=settings.data_centre
         )
         self._admin_listener = self._listener(
             AdminHandler(reporter, self._metrics).handle, settings.admin_port
@@ -134,6 +137,13 @@
             host=settings.listen_host,
             port=settings.peer_port,
         )
+        board = EjectionBoard(self._platform, clock, daemon=name)
+        membership = Membership(daemon=name)
+        registry = ServiceRegistry(
+            clock, data_centre=settings.data_centre, rng=Random(secrets.randbits(64))
+        )
+        exclusions = Exclusions(board, membership, clock)
+        registry.exclusions = exclusions.names
         return Fleet(
             daemon=name,
             clock=clock,
@@ -141,17 +151,15 @@
             store=ConfigurationStore(
                 self._platform, clock, daemon=name, codec=JsonSnapshotCodec()
             ),
-            board=EjectionBoard(self._platform, clock, daemon=name),
-            membership=Membership(daemon=name),
+            board=board,
+            exclusions=exclusions,
+            ejections=EjectionControl(board, membership, registry, exclusions, clock),
+            membership=membership,
             claims=ClaimBook(self._platform, clock, daemon=name),
             quarantine=QuarantineBook(
                 self._platform, clock, Quarantine(), broadcast=hub.broadcast
             ),
-            registry=ServiceRegistry(
-                clock,
-                data_centre=settings.data_centre,
-                rng=Random(secrets.randbits(64)),
-            ),
+            registry=registry,
             hub=hub,
             prober=self._prober,
             readiness=Readiness(),
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -1,8 +1,9 @@
 """Metrics by OpenTelemetry, exposed in the Prometheus format.
 
-Series are bounded: per service and request class, and per workspace for the
-first ``max_workspace_series`` workspaces; all later ones share ``other``. A
-histogram has ``len(LATENCY_BUCKETS_MS) + 3`` series for each set of attributes.
+Series are bounded. The first ``max_service_series`` services and
+``max_workspace_series`` workspaces have series of their own; later ones share
+``other``. A histogram has ``len(LATENCY_BUCKETS_MS) + 3`` series for each set of
+attributes; ``max_series`` gives the bound.
 """
 
 from collections import Counter
@@ -15,8 +16,12 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
 
+from dogwoodhook.state.outcomes import NotRunReason, UnknownReason
+
 LATENCY_BUCKETS_MS = (1.0, 2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 1000.0, 5000.0)
-OTHER_WORKSPACE = "other"
+OTHER = "other"
+REQUEST_CLASSES = 2
+"""Idempotent and not."""
 
 
 NO_WAIT_MS = 0.5
@@ -44,10 +49,23 @@
         }
 
 
-class WorkspaceLabels:
-    """Labels for workspaces, bounded in number.
+def max_series(*, services: int, workspaces: int) -> int:
+    """Return the most series there can be with such limits.
+
+    >>> max_series(services=100, workspaces=200)
+    14935
+    """
+    histogram = len(LATENCY_BUCKETS_MS) + 3
+    outcomes = 1 + len(NotRunReason) + len(UnknownReason)
+    per_class = 3 * histogram + outcomes + 1
+    by_service = (services + 1) * REQUEST_CLASSES * per_class
+    return by_service + (workspaces + 1) * histogram
+
+
+class BoundedLabels:
+    """Labels of one kind, bounded in number; later ones share ``other``.
 
-    >>> labels = WorkspaceLabels(limit=1)
+    >>> labels = BoundedLabels(limit=1)
     >>> labels.label("physics"), labels.label("history"), labels.label("physics")
     ('physics', 'other', 'physics')
     """
@@ -56,22 +74,25 @@
         self._limit = limit
         self._known: set[str] = set()
 
-    def label(self, workspace: str) -> str:
-        """Return the workspace's own label, or the shared one."""
-        if workspace in self._known:
-            return workspace
+    def label(self, name: str) -> str:
+        """Return the name itself, or the shared label."""
+        if name in self._known:
+            return name
         if len(self._known) >= self._limit:
-            return OTHER_WORKSPACE
-        self._known.add(workspace)
-        return workspace
+            return OTHER
+        self._known.add(name)
+        return name
 
 
 class Metrics:
     """The daemon's instruments."""
 
-    def __init__(self, *, daemon: str, max_workspace_series: int) -> None:
+    def __init__(
+        self, *, daemon: str, max_workspace_series: int, max_service_series: int = 100
+    ) -> None:
         self._registry = CollectorRegistry()
-        self._labels = WorkspaceLabels(limit=max_workspace_series)
+        self._workspaces = BoundedLabels(limit=max_workspace_series)
+        self._services = BoundedLabels(limit=max_service_series)
         reader = PrometheusMetricReader(registry=self._registry)
         provider = MeterProvider(
             metric_readers=[reader],
@@ -138,13 +159,14 @@
         retries: int,
     ) -> None:
         """Record one finished request."""
+        service = self._services.label(service)
         attributes = {"service": service, "class": request_class}
         self._duration.record(duration_ms, attributes)
         self._added.record(max(0.0, duration_ms - target_ms), attributes)
         if queueing_ms > NO_WAIT_MS:
             self._queueing.record(queueing_ms, attributes)
         self._workspace_duration.record(
-            duration_ms, {"workspace": self._labels.label(workspace)}
+            duration_ms, {"workspace": self._workspaces.label(workspace)}
         )
         self._requests[_RequestSeries(service, request_class, outcome)] += 1
         if retries:
--- a/dogwoodhook/reporting.py
+++ b/dogwoodhook/reporting.py
@@ -1,6 +1,6 @@
 """The daemon's own account of itself, for the admin listener."""
 
-from dogwoodhook.control import Control, Fleet
+from dogwoodhook.control import Fleet
 from dogwoodhook.state.model import Target
 from dogwoodhook.transport.caller import CallerHandler
 from dogwoodhook.transport.services import ServiceRuntime
@@ -19,13 +19,11 @@
     def __init__(
         self,
         fleet: Fleet,
-        control: Control,
         callers: CallerHandler,
         *,
         data_centre: str,
     ) -> None:
         self._fleet = fleet
-        self._control = control
         self._callers = callers
         self._data_centre = data_centre
 
@@ -65,7 +63,7 @@
 
     def _service_report(self, runtime: ServiceRuntime) -> ServiceReport:
         dispatcher = runtime.dispatch.dispatcher
-        reasons = self._control.exclusions(runtime)
+        reasons = self._fleet.exclusions.reasons(runtime)
         wall_s = self._fleet.clock.wall_s()
         return ServiceReport(
             capacity_floor=runtime.service.parameters.capacity_floor_at(wall_s),
--- a/dogwoodhook/settings.py
+++ b/dogwoodhook/settings.py
@@ -84,6 +84,12 @@
         le=10_000,
         description="workspaces with metric series of their own; others share one",
     )
+    max_service_series: int = Field(
+        default=100,
+        ge=0,
+        le=10_000,
+        description="services with metric series of their own; others share one",
+    )
     max_in_flight: int = Field(
         default=2_000,
         ge=1,
