--- a/dogwoodhook/protocol/peer_codec.py
+++ b/dogwoodhook/protocol/peer_codec.py
@@ -29,7 +29,8 @@
     """Return the message of a frame, or what is wrong with it.
 
     >>> from dogwoodhook.coordination.messages import ConfigurationRequest
-    >>> decode_message(encode_message(ConfigurationRequest(after_version=3))).ok.after_version
+    >>> frame = encode_message(ConfigurationRequest(after_version=3))
+    >>> decode_message(frame).ok.after_version
     3
     """
     try:
--- a/dogwoodhook/state/admission.py
+++ b/dogwoodhook/state/admission.py
@@ -17,8 +17,9 @@
             ...
 """
 
+import itertools
 from collections import Counter, OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -111,6 +112,16 @@
     def reconfigure(self, service: Service) -> None:
         """Take over a new definition; targets that stay keep their limits."""
         self.service = service
+        self._local_targets = [
+            target
+            for target in service.targets
+            if target.data_centre == self._data_centre
+        ]
+        self._remote_targets = [
+            target
+            for target in service.targets
+            if target.data_centre != self._data_centre
+        ]
         slots = float(service.parameters.slots_per_target)
         for target in service.targets:
             limit = self._limits.setdefault(target.name, TargetLimit(slots))
@@ -183,7 +194,7 @@
         """Grant targets to waiting requests, workspaces in turn."""
         self._excluded = self._exclusions()
         grants: list[Granted] = []
-        while self._last_resorts(now_s=now_s):
+        while self._pick_last_resorts(now_s=now_s):
             granted = self._grant_round(now_s=now_s)
             if not granted:
                 break
@@ -237,14 +248,12 @@
         limit = self.service.parameters.workspace_in_flight_limit
         if self._in_flight[ticket.workspace] >= limit:
             return None
-        usable = [
-            target
-            for target in self.service.targets
-            if self._is_usable(target, ticket, now_s=now_s)
-        ]
-        if not usable and not self._has_healthy(ticket, now_s=now_s):
-            usable = self._last_resorts(now_s=now_s)
-        return self._grant_best(ticket, usable, now_s=now_s)
+        pair = self._pick_pair(
+            lambda target: self._is_usable(target, ticket, now_s=now_s)
+        )
+        if not pair and not self._has_healthy(ticket, now_s=now_s):
+            pair = self._pick_last_resorts(now_s=now_s)
+        return self._grant_best(ticket, pair, now_s=now_s)
 
     def _grant_last_resort(
         self, ticket: Ticket, reason: NotRunReason, *, now_s: float
@@ -252,8 +261,8 @@
         limit = self.service.parameters.workspace_in_flight_limit
         if self._in_flight[ticket.workspace] >= limit:
             return Rejected(ticket, reason)
-        granted = self._grant_best(ticket, self._last_resorts(now_s=now_s), now_s=now_s)
-        return granted or Rejected(ticket, reason)
+        pair = self._pick_last_resorts(now_s=now_s)
+        return self._grant_best(ticket, pair, now_s=now_s) or Rejected(ticket, reason)
 
     def _is_usable(self, target: Target, ticket: Ticket, *, now_s: float) -> bool:
         if target.name in self._excluded or target.name in ticket.tried:
@@ -276,22 +285,39 @@
             for target in self.service.targets
         )
 
-    def _last_resorts(self, *, now_s: float) -> list[Target]:
-        return [
-            target
-            for target in self.service.targets
-            if target.name not in self._excluded
-            and self._limits[target.name].headroom(now_s=now_s) > 0
-        ]
+    def _is_last_resort(self, target: Target, *, now_s: float) -> bool:
+        if target.name in self._excluded:
+            return False
+        return self._limits[target.name].headroom(now_s=now_s) > 0
+
+    def _pick_last_resorts(self, *, now_s: float) -> list[Target]:
+        return self._pick_pair(lambda target: self._is_last_resort(target, now_s=now_s))
+
+    def _pick_pair(self, is_eligible: Callable[[Target], bool]) -> list[Target]:
+        """Return up to two random eligible targets, of the own data centre if any.
+
+        Targets are looked at in random order until two are found, so the cost does
+        not grow with their number.
+        """
+        for targets in (self._local_targets, self._remote_targets):
+            eligible = filter(is_eligible, self._in_random_order(targets))
+            pair = list(itertools.islice(eligible, 2))
+            if pair:
+                return pair
+        return []
+
+    def _in_random_order(self, targets: Sequence[Target]) -> Iterator[Target]:
+        remaining = list(targets)
+        while remaining:
+            index = int(self._rng.random() * len(remaining))
+            remaining[index], remaining[-1] = remaining[-1], remaining[index]
+            yield remaining.pop()
 
     def _grant_best(
-        self, ticket: Ticket, usable: list[Target], *, now_s: float
+        self, ticket: Ticket, pair: list[Target], *, now_s: float
     ) -> Granted | None:
-        if not usable:
+        if not pair:
             return None
-        local = [each for each in usable if each.data_centre == self._data_centre]
-        candidates = local or usable
-        pair = self._rng.sample(candidates, min(2, len(candidates)))
         best = max(pair, key=lambda each: self._limits[each.name].headroom(now_s=now_s))
         self._limits[best.name].start()
         self._in_flight[ticket.workspace] += 1
