--- a/dogwoodhook/coordination/claims.py
+++ b/dogwoodhook/coordination/claims.py
@@ -169,15 +169,14 @@
 
 
 class ClaimBook:
-    """One daemon's claims.
-
-    >>> outcome = await book.claim(request)  # doctest: +SKIP
-    >>> match outcome:  # doctest: +SKIP
-    ...     case Claimed() as claim if claim.may_send(clock.now_s()):
-    ...         answer = await send(request)
-    ...         await book.settle(claim, answer)
-    ...     case Claimed() as claim:
-    ...         await book.withdraw(claim)
+    """One daemon's claims::
+
+        match await book.claim(request):
+            case Claimed() as claim if claim.may_send(clock.now_s()):
+                answer = await send(request)
+                await book.settle(claim, answer)
+            case Claimed() as claim:
+                await book.withdraw(claim)
 
     ``maintain`` is to be called every few seconds.
     """
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -217,8 +217,9 @@
 def log(event: Event, **values: object) -> None:
     """Write one line for an event.
 
-    >>> log(PEER_LOST, peer="vm-3")  # doctest: +SKIP
-    2026-12-04T08:00:00.000Z INFO 802 peer-lost peer=vm-3
+    ``log(PEER_LOST, peer="vm-3")`` writes::
+
+        2026-12-04T08:00:00.000000Z INFO 802 peer-lost peer=vm-3
     """
     details = " ".join(f"{name}={_format(value)}" for name, value in values.items())
     _logger.log(event.level, "{} {} {}", event.number, event.name, details)
