Hear the evidence of a daemon that was replaced under its name

Cause: found in reading. Reports are numbered from 1 in each run, and a peer dropped every number not above the last: a daemon replaced under the same name went unheard until it had sent as many reports as the one before.

Ruled out: numbering by wall time, which may step back; forgetting numbers when a link ends, since a report may still come over the other link.

Change: reports carry an incarnation, unique to a run. A second copy is still dropped.

--- a/dogwoodhook/control.py
+++ b/dogwoodhook/control.py
@@ -15,6 +15,7 @@
 from dogwoodhook.coordination.claims import ClaimBook
 from dogwoodhook.coordination.configuration import ConfigurationStore
 from dogwoodhook.coordination.ejection import EjectionBoard
+from dogwoodhook.coordination.evidence import ReportFilter
 from dogwoodhook.coordination.membership import HEARTBEAT_INTERVAL_S, Membership
 from dogwoodhook.coordination.messages import (
     ConfigurationNews,
@@ -26,7 +27,7 @@
     Message,
     QuarantineNews,
 )
-from dogwoodhook.coordination.platform import Platform
+from dogwoodhook.coordination.platform import Platform, new_token
 from dogwoodhook.coordination.quarantine import QuarantineBook
 from dogwoodhook.ejection_control import EjectionControl
 from dogwoodhook.events import TARGET_CLEARED, TARGET_SUSPECTED, TASK_FAILED, log
@@ -77,8 +78,9 @@
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
         self._tasks: list[asyncio.Task[None]] = []
+        self._incarnation = new_token()
         self._evidence_sequence = 0
-        self._heard_sequences: dict[str, int] = {}
+        self._reports = ReportFilter()
         self._has_loaded_quarantines = False
 
     def start(self) -> None:
@@ -131,7 +133,10 @@
             self._evidence_sequence += 1
             self._fleet.hub.broadcast(
                 EvidenceReport(
-                    self._fleet.daemon, self._evidence_sequence, tuple(entries)
+                    daemon=self._fleet.daemon,
+                    incarnation=self._incarnation,
+                    sequence=self._evidence_sequence,
+                    entries=tuple(entries),
                 )
             )
 
@@ -209,9 +214,8 @@
             self._fleet.hub.send(peer, self._fleet.store.request())
 
     def _receive_evidence(self, report: EvidenceReport) -> None:
-        if report.sequence <= self._heard_sequences.get(report.daemon, 0):
+        if not self._reports.accept(report):
             return
-        self._heard_sequences[report.daemon] = report.sequence
         now_s = self._fleet.clock.now_s()
         for entry in report.entries:
             runtime = self._fleet.registry.get(entry.service)
--- a/dogwoodhook/coordination/messages.py
+++ b/dogwoodhook/coordination/messages.py
@@ -68,9 +68,13 @@
 
 @dataclass(frozen=True, slots=True)
 class EvidenceReport:
-    """Evidence of one daemon; ``sequence`` grows, so a late copy is dropped."""
+    """Evidence of one daemon; ``sequence`` grows, so a late copy is dropped.
+
+    ``incarnation`` is unique to a run of the daemon.
+    """
 
     daemon: str
+    incarnation: str
     sequence: int
     entries: tuple[TargetEvidence, ...]
     kind: Literal["evidence-report"] = "evidence-report"
