Drop what belongs to targets and daemons that are gone; log outages

Three events of the catalogue were never written, two functions never called.

Change: pools of targets no longer listed are retired every five minutes, attempts in flight run out first; silent peers are forgotten after ten minutes; the platform's outage and return, and an unconfirmed head, are logged once each; the unused functions are gone.

--- a/dogwoodhook/control.py
+++ b/dogwoodhook/control.py
@@ -27,16 +27,25 @@
     Message,
     QuarantineNews,
 )
-from dogwoodhook.coordination.platform import Platform, new_token
+from dogwoodhook.coordination.platform import Platform, Unavailable, new_token
 from dogwoodhook.coordination.quarantine import QuarantineBook
 from dogwoodhook.ejection_control import EjectionControl
-from dogwoodhook.events import TARGET_CLEARED, TARGET_SUSPECTED, TASK_FAILED, log
+from dogwoodhook.events import (
+    CONFIGURATION_UNCONFIRMED,
+    PLATFORM_AVAILABLE,
+    PLATFORM_UNAVAILABLE,
+    TARGET_CLEARED,
+    TARGET_SUSPECTED,
+    TASK_FAILED,
+    log,
+)
 from dogwoodhook.exclusions import Exclusions
 from dogwoodhook.readiness import Readiness
 from dogwoodhook.state.health import TargetPhase
 from dogwoodhook.transport.peers import PeerHub
 from dogwoodhook.transport.probes import Prober
 from dogwoodhook.transport.services import ServiceRegistry, ServiceRuntime
+from dogwoodhook.transport.target_pools import TargetPools
 
 if TYPE_CHECKING:
     from dogwoodhook.state.outcomes import TargetEvidence
@@ -68,6 +77,7 @@
     quarantine: QuarantineBook
     registry: ServiceRegistry
     hub: PeerHub
+    pools: TargetPools
     prober: Prober
     readiness: Readiness
 
@@ -78,6 +88,8 @@
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
         self._tasks: list[asyncio.Task[None]] = []
+        self._is_platform_available = True
+        self._was_confirmed = False
         self._incarnation = new_token()
         self._evidence_sequence = 0
         self._reports = ReportFilter()
@@ -109,13 +121,25 @@
         """Read the head, and put a higher version in force."""
         await self._fleet.store.load_hint()
         before = self._fleet.store.current.version
-        await self._fleet.store.refresh()
+        self._log_platform(await self._fleet.store.refresh())
         self._put_in_force()
         news = self._fleet.store.changes_after(before)
         if before and news is not None and news.changes:
             self._fleet.hub.broadcast(news)
         self.update_readiness()
 
+    def _log_platform(self, result: Result[None, Unavailable]) -> None:
+        match result:
+            case Result(tag="ok") if not self._is_platform_available:
+                log(PLATFORM_AVAILABLE)
+            case Result(tag="error", error=error) if self._is_platform_available:
+                log(PLATFORM_UNAVAILABLE, operation="read head", detail=error.detail)
+        self._is_platform_available = result.is_ok()
+        is_confirmed = self._fleet.store.is_confirmed(self._fleet.clock.now_s())
+        if self._was_confirmed and not is_confirmed:
+            log(CONFIGURATION_UNCONFIRMED, version=self._fleet.store.current.version)
+        self._was_confirmed = is_confirmed
+
     async def refresh_vms(self) -> None:
         """Read the VM list, and dial the daemons on it."""
         match await self._fleet.platform.list_vms():
@@ -165,10 +189,16 @@
         await asyncio.gather(*probes)
 
     async def clean_up(self) -> None:
-        """Load quarantines at the start; then delete rows that have expired."""
+        """Load quarantines at the start; then drop what is gone or expired."""
         if not self._has_loaded_quarantines:
             self._has_loaded_quarantines = await self._fleet.quarantine.load()
             return
+        self._fleet.membership.forget_silent(now_s=self._fleet.clock.now_s())
+        await self._fleet.pools.retain(
+            target
+            for runtime in self._fleet.registry
+            for target in runtime.service.targets
+        )
         await self._fleet.claims.expire()
         await self._fleet.quarantine.expire()
 
--- a/dogwoodhook/coordination/claims.py
+++ b/dogwoodhook/coordination/claims.py
@@ -208,10 +208,6 @@
         self._watched: OrderedDict[str, _Watch] = OrderedDict()
         self._expiry_cursor = ""
 
-    def set_commit_rate(self, commits_per_s: float | None) -> None:
-        """Change this daemon's share of the table's write rate."""
-        self._committer.set_rate(commits_per_s)
-
     async def claim(self, request: KeyedRequest) -> ClaimOutcome:
         """Claim a key, or tell what became of an earlier sending."""
         claim = Claimed(
--- a/dogwoodhook/coordination/evidence.py
+++ b/dogwoodhook/coordination/evidence.py
@@ -1,5 +1,6 @@
 """Which evidence reports of peers are new."""
 
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from dogwoodhook.coordination.messages import EvidenceReport
@@ -11,6 +12,10 @@
     sequence: int
 
 
+MAX_DAEMONS = 10_000
+"""Daemons remembered; the one longest unheard goes first."""
+
+
 class ReportFilter:
     """Tells a report from a late or second copy of one.
 
@@ -19,7 +24,7 @@
     """
 
     def __init__(self) -> None:
-        self._heard: dict[str, _Heard] = {}
+        self._heard: OrderedDict[str, _Heard] = OrderedDict()
 
     def accept(self, report: EvidenceReport) -> bool:
         """Tell whether a report is new, and remember it."""
@@ -28,4 +33,7 @@
         if heard is not None and is_same_run and report.sequence <= heard.sequence:
             return False
         self._heard[report.daemon] = _Heard(report.incarnation, report.sequence)
+        self._heard.move_to_end(report.daemon)
+        if len(self._heard) > MAX_DAEMONS:
+            self._heard.popitem(last=False)
         return True
--- a/dogwoodhook/coordination/group_commit.py
+++ b/dogwoodhook/coordination/group_commit.py
@@ -96,10 +96,6 @@
         self._pace = _Pace(clock, commits_per_s, filled_at_s=clock.now_s())
         self._task: asyncio.Task[None] | None = None
 
-    def set_rate(self, commits_per_s: float | None) -> None:
-        """Change this daemon's share, as the number of daemons changes."""
-        self._pace.commits_per_s = commits_per_s
-
     async def write(self, write: ConditionalWrite) -> WriteResult:
         """Commit one write, possibly together with others.
 
--- a/dogwoodhook/coordination/membership.py
+++ b/dogwoodhook/coordination/membership.py
@@ -16,6 +16,8 @@
 
 HEARTBEAT_INTERVAL_S = 2.0
 HEARTBEAT_TIMEOUT_S = 7.0
+FORGET_S = 600.0
+"""Time after a peer's last heartbeat for which it is remembered."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +52,14 @@
             if vm.role == DAEMON_ROLE and vm.name != self._daemon
         }
 
+    def forget_silent(self, *, now_s: float) -> None:
+        """Forget the peers not heard from for long, as replaced ones are not."""
+        self._peers = {
+            name: record
+            for name, record in self._peers.items()
+            if now_s - record.heard_s < FORGET_S
+        }
+
     def live_peers(self, *, now_s: float) -> tuple[Heartbeat, ...]:
         """Return the last heartbeats of the peers heard from lately."""
         return tuple(
@@ -58,13 +68,6 @@
             if now_s - record.heard_s < HEARTBEAT_TIMEOUT_S
         )
 
-    def highest_version(self, *, now_s: float) -> int:
-        """Return the highest configuration version a live peer has."""
-        return max(
-            (peer.configuration_version for peer in self.live_peers(now_s=now_s)),
-            default=0,
-        )
-
     def leaving_addresses(self) -> frozenset[str]:
         """Return the addresses of targets that the platform lists as leaving."""
         return frozenset(
--- a/dogwoodhook/daemon.py
+++ b/dogwoodhook/daemon.py
@@ -161,6 +161,7 @@
             ),
             registry=registry,
             hub=hub,
+            pools=self._pools,
             prober=self._prober,
             readiness=Readiness(),
         )
--- a/dogwoodhook/transport/target_pools.py
+++ b/dogwoodhook/transport/target_pools.py
@@ -6,7 +6,7 @@
 target, which is retired alone when one of its connections proves bad.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -65,6 +65,15 @@
             pool.is_retired = True
             self._retired.add(pool.session)
 
+    async def retain(self, targets: Iterable[Target]) -> None:
+        """Retire the pools of all targets but these."""
+        kept = {(target.host, target.port) for target in targets}
+        for key in self._pooled.keys() - kept:
+            pool = self._pooled.pop(key)
+            pool.is_retired = True
+            self._retired.add(pool.session)
+            await self._close_if_unused(pool)
+
     async def close(self) -> None:
         """Close every connection."""
         sessions = [pool.session for pool in self._pooled.values()]
