Prove that two daemons cut in one direction find the other way

Cause: with one link a pair, a cut that lets one side hear and not reach the other could have left the pair without a link; no test showed it.

Change: a test over real links, one of them through a relay cut in one direction.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,6 +4,8 @@
 
 from dogwoodhook.coordination.messages import ConfigurationRequest
 from dogwoodhook.testing.fleet import free_port
+from dogwoodhook.testing.relay import Relay
+from dogwoodhook.transport import peers
 from dogwoodhook.transport.peers import PeerHub
 
 SECRET = "a secret of the fleet"
@@ -79,3 +81,24 @@
     await wait_until(lambda: not a.connected())
     await b.start()
     await wait_until(a.connected)
+
+
+async def test_two_daemons_cut_in_one_direction_find_the_other_way(hubs, monkeypatch):
+    monkeypatch.setattr(peers, "PING_INTERVAL_S", 0.2)
+    monkeypatch.setattr(peers, "PING_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(peers, "HANDSHAKE_TIMEOUT_S", 0.2)
+    (a, a_inbox), (b, b_inbox) = await hubs("a"), await hubs("b")
+    async with Relay(port=b._port) as relay:
+        a.replace_peers({"b": f"127.0.0.1:{relay.port}"})
+        b.replace_peers({"a": f"127.0.0.1:{a._port}"})
+        await wait_until(lambda: a.connected() and b.connected())
+        relay.is_cut_to_server = True
+        await wait_until(lambda: "a" in b._dialled)
+        a_inbox.has_message.clear()
+        b_inbox.has_message.clear()
+        a.broadcast(ConfigurationRequest(5))
+        b.broadcast(ConfigurationRequest(6))
+        async with asyncio.timeout(10):
+            await asyncio.gather(a_inbox.has_message.wait(), b_inbox.has_message.wait())
+        assert ("a", ConfigurationRequest(5)) in b_inbox.messages
+        assert ("b", ConfigurationRequest(6)) in a_inbox.messages
