Scan the VM list when it changes, not for each request; name what stood twice

Which targets leave is asked for at each choice of a target, and each time the whole VM list was scanned. A target's address was put together in six places, the loopback address stood three times in the stand-ins, and one histogram was written out four times.

Ruled out: keeping the set of exclusions between choices, since ejection is a lease.

Behaviour stays.

Left: control_fleet measures propagation as the propagation benchmark does; one of them could go.

--- a/dogwoodhook/coordination/history.py
+++ b/dogwoodhook/coordination/history.py
@@ -203,7 +203,7 @@
 def _item_text(item: Target | Route | RequestPattern | QuietHours) -> str:
     match item:
         case Target():
-            return f"{item.data_centre} {item.host}:{item.port}"
+            return f"{item.data_centre} {item.address}"
         case Route():
             return f"workspace {item.workspace}" if item.workspace else "listed"
         case RequestPattern():
--- a/dogwoodhook/coordination/membership.py
+++ b/dogwoodhook/coordination/membership.py
@@ -34,11 +34,18 @@
     def __init__(self, *, daemon: str) -> None:
         self._daemon = daemon
         self._vms: tuple[Vm, ...] = ()
+        self._leaving: frozenset[str] = frozenset()
         self._peers: dict[str, PeerRecord] = {}
 
     def replace_vms(self, vms: Sequence[Vm]) -> None:
         """Take over the platform's list."""
         self._vms = tuple(vms)
+        # Asked for at each choice of a target, while the list changes rarely.
+        self._leaving = frozenset(
+            vm.address
+            for vm in self._vms
+            if vm.role == TARGET_ROLE and vm.phase is VmPhase.LEAVING
+        )
 
     def record_heartbeat(self, heartbeat: Heartbeat, *, now_s: float) -> None:
         """Note a peer's heartbeat."""
@@ -70,8 +77,4 @@
 
     def leaving_addresses(self) -> frozenset[str]:
         """Return the addresses of targets that the platform lists as leaving."""
-        return frozenset(
-            vm.address
-            for vm in self._vms
-            if vm.role == TARGET_ROLE and vm.phase is VmPhase.LEAVING
-        )
+        return self._leaving
--- a/dogwoodhook/exclusions.py
+++ b/dogwoodhook/exclusions.py
@@ -56,7 +56,7 @@
         listed = frozenset(
             target.name
             for target in runtime.service.targets
-            if f"{target.host}:{target.port}" in addresses
+            if target.address in addresses
         )
         return listed | draining
 
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import Observation
+from opentelemetry.metrics import Histogram, Meter, Observation
 from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
@@ -100,29 +100,25 @@
             exemplar_filter=AlwaysOffExemplarFilter(),
         )
         meter = self._meter = provider.get_meter("dogwoodhook")
-        self._duration = meter.create_histogram(
+        self._duration = _latency_histogram(
+            meter,
             "dogwoodhook_request_duration",
-            unit="ms",
-            description="time from a request's head to the end of its answer",
-            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_MS,
+            "time from a request's head to the end of its answer",
         )
-        self._added = meter.create_histogram(
+        self._added = _latency_histogram(
+            meter,
             "dogwoodhook_added_latency",
-            unit="ms",
-            description="request duration less the time targets took",
-            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_MS,
+            "request duration less the time targets took",
         )
-        self._workspace_duration = meter.create_histogram(
+        self._workspace_duration = _latency_histogram(
+            meter,
             "dogwoodhook_workspace_request_duration",
-            unit="ms",
-            description="request duration by workspace",
-            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_MS,
+            "request duration by workspace",
         )
-        self._queueing = meter.create_histogram(
+        self._queueing = _latency_histogram(
+            meter,
             "dogwoodhook_queueing",
-            unit="ms",
-            description="time that requests waited which got no target at once",
-            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_MS,
+            "time that requests waited which got no target at once",
         )
         self._requests: Counter[_RequestSeries] = Counter()
         self._retries: Counter[_RetrySeries] = Counter()
@@ -177,6 +173,15 @@
         return generate_latest(self._registry)
 
 
+def _latency_histogram(meter: Meter, name: str, description: str) -> Histogram:
+    return meter.create_histogram(
+        name,
+        unit="ms",
+        description=description,
+        explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_MS,
+    )
+
+
 def _observations(
     counts: Counter[_RequestSeries] | Counter[_RetrySeries],
 ) -> list[Observation]:
--- a/dogwoodhook/reporting.py
+++ b/dogwoodhook/reporting.py
@@ -82,7 +82,7 @@
         return TargetReport(
             name=target.name,
             data_centre=target.data_centre,
-            address=f"{target.host}:{target.port}",
+            address=target.address,
             phase=status.phase,
             score=status.score,
             threshold=status.threshold,
--- a/dogwoodhook/state/checks.py
+++ b/dogwoodhook/state/checks.py
@@ -184,7 +184,7 @@
             yield Finding(target_place, message)
         other = addresses.setdefault((target.host, target.port), target)
         if other is not target:
-            address = f"{target.host}:{target.port}"
+            address = target.address
             message = f"received {address}, which is the address of {other.name}"
             yield Finding(target_place, message)
 
--- a/dogwoodhook/state/model.py
+++ b/dogwoodhook/state/model.py
@@ -133,6 +133,11 @@
     host: str
     port: int
 
+    @property
+    def address(self) -> str:
+        """Host and port, as the platform's list writes them."""
+        return f"{self.host}:{self.port}"
+
 
 @dataclass(frozen=True, slots=True)
 class Route:
--- a/dogwoodhook/testing/fleet.py
+++ b/dogwoodhook/testing/fleet.py
@@ -27,10 +27,11 @@
 from dogwoodhook.coordination.platform import Vm, VmPhase
 from dogwoodhook.protocol.platform_api import VmsBody
 from dogwoodhook.state.model import Document
+from dogwoodhook.testing.serving import LOOPBACK
 from dogwoodhook.transport.platform_client import HttpPlatform
 from dogwoodhook.transport.status import StatusReport
 
-HOST = "127.0.0.1"
+HOST = LOOPBACK
 FLEET_SECRET = "secret-of-the-local-fleet"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
--- a/dogwoodhook/testing/relay.py
+++ b/dogwoodhook/testing/relay.py
@@ -10,7 +10,8 @@
 import asyncio
 from types import TracebackType
 
-HOST = "127.0.0.1"
+from dogwoodhook.testing.serving import LOOPBACK
+
 READ_BYTES = 64 * 1024
 
 
@@ -26,7 +27,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> "Relay":
-        self._server = await asyncio.start_server(self._accept, HOST, 0)
+        self._server = await asyncio.start_server(self._accept, LOOPBACK, 0)
         self.port = self._server.sockets[0].getsockname()[1]
         return self
 
@@ -50,7 +51,7 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         try:
-            there, back = await asyncio.open_connection(HOST, self._target_port)
+            there, back = await asyncio.open_connection(LOOPBACK, self._target_port)
         except OSError:
             writer.close()
             return
--- a/dogwoodhook/transport/exchange.py
+++ b/dogwoodhook/transport/exchange.py
@@ -71,7 +71,7 @@
 ) -> Result[TargetAnswer, AttemptFailure]:
     """Send a request and wait for the head of its answer."""
     trace = AttemptTrace()
-    url = URL(f"http://{target.host}:{target.port}{request.path}", encoded=True)
+    url = URL(f"http://{target.address}{request.path}", encoded=True)
     try:
         async with asyncio.timeout(request.timeout_s):
             response = await session.request(
--- a/dogwoodhook/transport/probes.py
+++ b/dogwoodhook/transport/probes.py
@@ -22,7 +22,7 @@
                 connector=aiohttp.TCPConnector(force_close=True, limit=0),
                 timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
             )
-        url = f"http://{target.host}:{target.port}{HEALTH_PATH}"
+        url = f"http://{target.address}{HEALTH_PATH}"
         try:
             async with self._session.get(url) as response:
                 return response.status < _SERVER_ERROR_STATUS
