Send datagrams: the event loop's transport is not a DatagramTransport

Cause: on Python 3.11 the loop's datagram transport does not derive from asyncio.DatagramTransport, so an isinstance check left every peer without a socket: no reading and no failure was ever told, and each daemon read the store for itself.

Ruled out: the key (no datagram was dropped), the rows of peers (44 joined).

--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -8,11 +8,8 @@
 import random
 import secrets
 import signal
-from collections.abc import Awaitable
 from dataclasses import dataclass
-
-from aiohttp import web
-from expression import Result
+from typing import TYPE_CHECKING
 
 from dogwoodhook.clock import Clock, SystemClock
 from dogwoodhook.coordination.fleet_messages import (
@@ -46,6 +43,9 @@
 from dogwoodhook.transport.target_connections import TargetConnections
 from dogwoodhook.vm_settings import VmSettings
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
 
 @dataclass(frozen=True, slots=True)
 class PlatformAdapter:
--- a/dogwoodhook/state/suspicion.py
+++ b/dogwoodhook/state/suspicion.py
@@ -125,9 +125,10 @@
         if symptom in _PATH_SYMPTOMS:
             self._avoid(suspect, now_s, suspect.path_hold_s)
             suspect.path_hold_s = min(MAX_PATH_HOLD_S, suspect.path_hold_s * 2)
-        elif symptom is Symptom.RESET:
-            self._avoid(suspect, now_s, self._hold_s())
-        elif self._errors(suspect, now_s) >= ERRORS_TO_SUSPECT:
+        elif (
+            symptom is Symptom.RESET
+            or self._errors(suspect, now_s) >= ERRORS_TO_SUSPECT
+        ):
             self._avoid(suspect, now_s, self._hold_s())
         return report
 
--- a/dogwoodhook/transport/datagrams.py
+++ b/dogwoodhook/transport/datagrams.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import cast
 
 from expression import Result
 
@@ -48,8 +49,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket."""
-        if isinstance(transport, asyncio.DatagramTransport):
-            self._transport = transport
+        # The event loop's class does not derive from DatagramTransport.
+        self._transport = cast("asyncio.DatagramTransport", transport)
 
     def close(self) -> None:
         """Close the socket."""
