--- /dev/null
+++ b/dogwoodhook/bounded_log.py
@@ -0,0 +1,95 @@
+"""A log handler that never blocks the daemon and bounds its volume.
+
+Lines go to a thread that writes them. Lines beyond ``MAX_LINES_PER_S``, and those
+that find the queue full because nobody reads the output, are dropped; the next line
+that is written tells how many. Warnings have room of their own, so that a flood of
+lesser lines does not hide them.
+"""
+
+import queue
+import threading
+import time
+from typing import TextIO
+
+import logbook
+
+MAX_LINES_PER_S = 400.0
+"""Lines written in the long run; a daemon at its usual load writes ten."""
+
+MAX_QUEUED_LINES = 4000
+"""Lines that may wait for a reader; about 1 MB."""
+
+MAX_BATCH_LINES = 100
+"""Lines handed to the stream at once."""
+
+WARNING_SHARE = 0.25
+"""Share of the room that only warnings and errors may use."""
+
+
+class BoundedHandler(logbook.Handler):
+    """Writes records to a stream from a thread of its own.
+
+    ``dropped`` counts the lines dropped so far.
+    """
+
+    def __init__(self, stream: TextIO, *, level: str, format_string: str) -> None:
+        super().__init__(level=level)  # type: ignore[no-untyped-call]
+        self.formatter = logbook.StringFormatter(format_string)
+        self.dropped = 0
+        self._untold = 0
+        self._stream = stream
+        self._lines: queue.Queue[str | None] = queue.Queue(MAX_QUEUED_LINES)
+        self._room = MAX_LINES_PER_S
+        self._refilled_s = time.monotonic()
+        self._writer = threading.Thread(target=self._write, daemon=True)
+        self._writer.start()
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Queue a record's line, or count it as dropped."""
+        reserve = 0.0 if record.level >= logbook.WARNING else WARNING_SHARE
+        if not self._take_room(reserve * MAX_LINES_PER_S):
+            self._drop()
+            return
+        line = self.format(record)  # type: ignore[no-untyped-call]
+        if self._untold:
+            line += f" dropped_lines={self._untold}"
+        try:
+            self._lines.put_nowait(line)
+        except queue.Full:
+            self._drop()
+            return
+        self._untold = 0
+
+    def close(self) -> None:
+        """Write what is queued, for at most a second, and end the thread."""
+        try:
+            self._lines.put(None, timeout=1.0)
+        except queue.Full:
+            return
+        self._writer.join(timeout=1.0)
+
+    def _drop(self) -> None:
+        self.dropped += 1
+        self._untold += 1
+
+    def _take_room(self, reserve: float) -> bool:
+        now_s = time.monotonic()
+        refilled = self._room + (now_s - self._refilled_s) * MAX_LINES_PER_S
+        self._room = min(MAX_LINES_PER_S, refilled)
+        self._refilled_s = now_s
+        if self._room - 1 < reserve:
+            return False
+        self._room -= 1
+        return True
+
+    def _write(self) -> None:
+        while True:
+            lines = [self._lines.get()]
+            while not self._lines.empty() and len(lines) < MAX_BATCH_LINES:
+                lines.append(self._lines.get_nowait())
+            written = [line for line in lines if line is not None]
+            if written:
+                self._stream.write("\n".join(written) + "\n")
+                self._stream.flush()
+            if len(written) < len(lines):
+                return
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -16,6 +16,8 @@
 
 import logbook
 
+from dogwoodhook.bounded_log import BoundedHandler
+
 _logger = logbook.Logger("dogwoodhook")
 
 
@@ -290,13 +292,20 @@
     return json.dumps(text)
 
 
+LINE_FORMAT = "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.message}"
+
+
 def make_handler(level_name: str) -> logbook.Handler:
     """Return the handler that writes events to standard error, one line each."""
     logbook.set_datetime_format("utc")
     return logbook.StreamHandler(
-        sys.stderr,
-        level=level_name.upper(),
-        format_string=(
-            "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.message}"
-        ),
+        sys.stderr, level=level_name.upper(), format_string=LINE_FORMAT
+    )
+
+
+def make_bounded_handler(level_name: str) -> BoundedHandler:
+    """Return the handler that writes events to standard output and never waits."""
+    logbook.set_datetime_format("utc")
+    return BoundedHandler(
+        sys.stdout, level=level_name.upper(), format_string=LINE_FORMAT
     )
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -69,10 +69,10 @@
         self._suspicion = Suspicion(daemon=settings.vm_name, rng=rng)
         self._directory = TargetDirectory()
         self._connections = TargetConnections(clock)
-        self._peers = DatagramPeers(
+        self.peers = DatagramPeers(
             self._receive, daemon=settings.vm_name, data_centre=settings.data_centre
         )
-        self._joining = FleetJoining(platform.store, self._peers, settings)
+        self._joining = FleetJoining(platform.store, self.peers, settings)
         self._configuration = ConfigurationFollower(
             platform.store,
             platform.decoder,
@@ -84,7 +84,7 @@
             platform.store,
             self._directory,
             platform.decoder,
-            self._peers,
+            self.peers,
             clock,
             daemon=settings.vm_name,
             configuration_row=lambda: self._configuration.row_version,
@@ -94,6 +94,7 @@
             ratio=bounds.retry_ratio,
             extra=bounds.retry_extra,
             window_s=bounds.retry_window_s,
+            rng=rng,
         )
         fleet = FleetView(
             configuration=lambda: self._configuration.in_force,
@@ -107,15 +108,15 @@
             ),
             budget=self._budget,
             connections=self._connections,
-            tell_failure=self._peers.broadcast,
-            count_daemons=lambda: len(self._peers) + 1,
+            tell_failure=self.peers.broadcast,
+            count_daemons=lambda: len(self.peers) + 1,
         )
         forwarder = RouteForwarder(
             fleet, platform.dialect, clock, daemon=settings.vm_name, rng=rng
         )
         self._callers = CallerListener(forwarder.forward, settings.caller_address)
         self._readiness_listener = ReadinessListener(
-            self._readiness, settings.readiness_address
+            lambda: self.is_ready, settings.readiness_address
         )
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -125,13 +126,30 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
-        await self._start()
+        await self.start()
         await stop.wait()
-        await self._drain()
+        await self.drain()
+        await self.close()
         log(DAEMON_STOPPED)
 
-    async def _start(self) -> None:
-        await self._peers.start(self._settings.peer_address)
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the balancer is told to send callers here."""
+        return self._readiness.accepts_requests
+
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in force, 0 for none."""
+        in_force = self._configuration.in_force
+        return in_force.version if in_force else 0
+
+    def knows_target(self, name: str) -> bool:
+        """Tell whether a target is listed."""
+        return self._directory.get(name) is not None
+
+    async def start(self) -> None:
+        """Open the listeners and start the background tasks."""
+        await self.peers.start(self._settings.peer_address)
         await self._readiness_listener.start()
         await self._callers.start()
         self._spawn(self._targets.run())
@@ -144,13 +162,19 @@
             data_centre=self._settings.data_centre,
         )
 
-    async def _drain(self) -> None:
+    async def drain(self) -> None:
+        """Send callers elsewhere and finish what is in flight."""
         self._readiness.drain()
         await self._callers.drain(grace_s=self._settings.bounds.grace_s)
+
+    async def close(self) -> None:
+        """End the tasks and close every socket."""
+        await self._callers.close()
+        await self._readiness_listener.close()
         for task in self._tasks:
             task.cancel()
         await self._connections.close()
-        self._peers.close()
+        self.peers.close()
 
     async def _keep_ready(self) -> None:
         """Become ready once targets and routes are known."""
--- a/dogwoodhook/platform/__main__.py
+++ b/dogwoodhook/platform/__main__.py
@@ -5,7 +5,7 @@
 import sys
 from pathlib import Path
 
-from dogwoodhook.events import make_handler
+from dogwoodhook.events import make_bounded_handler
 from dogwoodhook.findings import FindingsError
 from dogwoodhook.gateway import PlatformAdapter, serve
 from dogwoodhook.platform.headers import PLATFORM_DIALECT
@@ -30,8 +30,12 @@
         decoder=PlatformRows(),
         dialect=PLATFORM_DIALECT,
     )
-    with make_handler("info").applicationbound():
-        asyncio.run(serve(platform))
+    handler = make_bounded_handler("info")
+    try:
+        with handler.applicationbound():
+            asyncio.run(serve(platform))
+    finally:
+        handler.close()
 
 
 if __name__ == "__main__":
--- a/dogwoodhook/state/fleet_budget.py
+++ b/dogwoodhook/state/fleet_budget.py
@@ -2,10 +2,12 @@
 
 Over any window, a service may get a share of its requests plus a fixed number a
 second time, summed over all daemons. Each daemon tells the others of what it
-spends, and keeps within its own part of what is certainly allowed: a small part
-of its own, and of the rest what the fleet has not been heard to spend.
+spends. Those that spend at the same moment have not heard of one another, so what
+is left is drawn for: where it is less than one for each daemon, a daemon gets one
+with the probability that makes the sum right.
 """
 
+import random
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -23,15 +25,19 @@
 class FleetBudget:
     """Repeats of each service in the window, own and heard of.
 
-    >>> budget = FleetBudget(ratio=0.2, extra=4, window_s=10.0)
+    >>> rng = random.Random(7)
+    >>> budget = FleetBudget(ratio=0.2, extra=4, window_s=10.0, rng=rng)
     >>> [budget.try_take("payouts", daemons=1, now_s=0.0) for _ in range(4)]
     [True, True, True, False]
     """
 
-    def __init__(self, *, ratio: float, extra: float, window_s: float) -> None:
+    def __init__(
+        self, *, ratio: float, extra: float, window_s: float, rng: random.Random
+    ) -> None:
         self._ratio = ratio
         self._extra = extra
         self._window_s = window_s
+        self._rng = rng
         self._services: dict[str, _Spending] = {}
 
     def record_request(self, service: str, *, now_s: float) -> None:
@@ -51,7 +57,8 @@
             len(spending.own_requests_s) * daemons, self._extra / self._ratio
         )
         allowed = SAFETY_SHARE * (self._extra + 0.5 * self._ratio * requests)
-        if len(spending.repeats_s) + 1 > allowed:
+        left = allowed - len(spending.repeats_s)
+        if left < 1 or self._rng.random() * daemons >= left:
             return False
         spending.repeats_s.append(now_s)
         return True
--- a/dogwoodhook/state/placement.py
+++ b/dogwoodhook/state/placement.py
@@ -25,6 +25,10 @@
 WARMUP_COST = 0.7
 """Requests in flight that the slowness of a target that has just started is worth."""
 
+RANDOM_COST = 1.0
+"""Largest random cost; it spreads requests, and finds targets that have just joined
+although others have idle connections."""
+
 SUSPECT_COST = 1000.0
 """Puts every suspect behind all other targets."""
 
@@ -70,25 +74,30 @@
         targets: Iterable[TargetEntry],
         *,
         tried: frozenset[str],
+        is_idempotent: bool,
         now_s: float,
     ) -> Candidate | None:
         """Return the best target that was not tried, or ``None``."""
         candidates = (
-            self._weigh(target, now_s) for target in targets if target.name not in tried
+            self._weigh(target, is_idempotent=is_idempotent, now_s=now_s)
+            for target in targets
+            if target.name not in tried
         )
         return min(candidates, key=lambda each: each.cost, default=None)
 
-    def _weigh(self, target: TargetEntry, now_s: float) -> Candidate:
-        is_suspect = self._suspicion.is_avoided(target.name, now_s=now_s)
-        in_flight = self._in_flight[target.name]
-        cost = self._rng.random() * 0.3 + in_flight
+    def _weigh(
+        self, target: TargetEntry, *, is_idempotent: bool, now_s: float
+    ) -> Candidate:
+        avoided_s = self._suspicion.avoided_s(
+            target.name, is_idempotent=is_idempotent, now_s=now_s
+        )
+        cost = self._in_flight[target.name] + self._rng.uniform(0, RANDOM_COST)
         if target.data_centre != self._data_centre:
             cost += REMOTE_COST
         if target.warmup_s > 0:
             cost += WARMUP_COST
-        if is_suspect:
-            left_s = self._suspicion.avoided_until_s(target.name) - now_s
-            cost += SUSPECT_COST + left_s
+        if avoided_s > 0:
+            cost += SUSPECT_COST + avoided_s
         elif not self._has_idle_connection(target):
             cost += NEW_CONNECTION_COST
-        return Candidate(target, cost, is_suspect)
+        return Candidate(target, cost, is_suspect=avoided_s > 0)
--- a/dogwoodhook/state/suspicion.py
+++ b/dogwoodhook/state/suspicion.py
@@ -10,7 +10,8 @@
 
 Avoidance removes no capacity: an avoided target is used where no other is left.
 It ends after a holding time that differs from daemon to daemon, so that the first
-one to return finds out for the others.
+one to return finds out for the others. What may be repeated returns sooner, since
+a failure costs it no more than a second sending.
 """
 
 import random
@@ -18,10 +19,14 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-HOLD_S = 2.0
-"""Holding time after a failure; gray episodes last some seconds."""
+HOLD_S = 5.0
+"""Holding time after a failure for requests that may run only once. Gray episodes
+of some ten seconds were measured; each return meets the rest of one."""
 
-HOLD_SPREAD_S = 1.5
+TRIAL_HOLD_S = 2.0
+"""Holding time after a failure for requests that may be repeated."""
+
+HOLD_SPREAD_S = 2.0
 """Further holding time, drawn anew by each daemon."""
 
 PATH_HOLD_S = 4.0
@@ -84,6 +89,7 @@
         default_factory=lambda: deque(maxlen=MAX_REPORTS)
     )
     avoided_until_s: float = 0.0
+    tried_from_s: float = 0.0
     succeeded_s: float = float("-inf")
     path_hold_s: float = PATH_HOLD_S
 
@@ -97,24 +103,21 @@
         self._suspects: dict[str, _Suspect] = {}
         self._failed_by_reporter: dict[str, dict[str, float]] = {}
 
-    def is_avoided(self, target: str, *, now_s: float) -> bool:
-        """Tell whether a target gets work only where no other is left."""
-        suspect = self._suspects.get(target)
-        return suspect is not None and now_s < suspect.avoided_until_s
-
-    def avoided_until_s(self, target: str) -> float:
-        """Return when the avoidance of a target ends."""
+    def avoided_s(self, target: str, *, is_idempotent: bool, now_s: float) -> float:
+        """Return for how much longer a target gets work only where no other is left."""
         suspect = self._suspects.get(target)
-        return 0.0 if suspect is None else suspect.avoided_until_s
+        if suspect is None:
+            return 0.0
+        until_s = suspect.tried_from_s if is_idempotent else suspect.avoided_until_s
+        return max(0.0, until_s - now_s)
 
     def record_success(self, target: str, *, now_s: float) -> None:
         """Note an answer; it ends the avoidance of a target."""
-        suspect = self._suspects.get(target)
-        if suspect is None:
-            return
+        suspect = self._suspects.setdefault(target, _Suspect())
         suspect.succeeded_s = now_s
         suspect.path_hold_s = PATH_HOLD_S
         suspect.avoided_until_s = 0.0
+        suspect.tried_from_s = 0.0
 
     def record_failure(
         self, target: str, symptom: Symptom, *, now_s: float
@@ -123,23 +126,25 @@
         report = FailureReport(target, symptom, self._daemon)
         suspect = self._note(report, now_s)
         if symptom in _PATH_SYMPTOMS:
-            self._avoid(suspect, now_s, suspect.path_hold_s)
+            self._avoid(suspect, now_s + suspect.path_hold_s)
             suspect.path_hold_s = min(MAX_PATH_HOLD_S, suspect.path_hold_s * 2)
         elif (
             symptom is Symptom.RESET
             or self._errors(suspect, now_s) >= ERRORS_TO_SUSPECT
         ):
-            self._avoid(suspect, now_s, self._hold_s())
+            self._hold(suspect, now_s)
         return report
 
     def absorb(self, report: FailureReport, *, now_s: float) -> bool:
-        """Take another daemon's report; tell whether the target is avoided now."""
+        """Take another daemon's report; tell whether it made a new suspect."""
         suspect = self._note(report, now_s)
         if self._is_doubtful(report.reporter, now_s):
             return False
-        if self._is_convincing(suspect, report, now_s):
-            self._avoid(suspect, now_s, self._hold_s())
-        return now_s < suspect.avoided_until_s
+        if not self._is_convincing(suspect, report, now_s):
+            return False
+        was_avoided = now_s < suspect.avoided_until_s
+        self._hold(suspect, now_s)
+        return not was_avoided
 
     def forget(self, target: str) -> None:
         """Drop what is known of a target that is gone."""
@@ -184,8 +189,12 @@
         recent = sum(now_s - at_s < DOUBT_S for at_s in failed.values())
         return recent >= DOUBT_TARGETS
 
-    def _hold_s(self) -> float:
-        return HOLD_S + self._rng.uniform(0, HOLD_SPREAD_S)
+    def _hold(self, suspect: _Suspect, now_s: float) -> None:
+        spread_s = self._rng.uniform(0, HOLD_SPREAD_S)
+        tried_from_s = max(suspect.tried_from_s, now_s + TRIAL_HOLD_S + spread_s)
+        self._avoid(suspect, now_s + HOLD_S + spread_s)
+        suspect.tried_from_s = tried_from_s
 
-    def _avoid(self, suspect: _Suspect, now_s: float, hold_s: float) -> None:
-        suspect.avoided_until_s = max(suspect.avoided_until_s, now_s + hold_s)
+    def _avoid(self, suspect: _Suspect, until_s: float) -> None:
+        suspect.avoided_until_s = max(suspect.avoided_until_s, until_s)
+        suspect.tried_from_s = max(suspect.tried_from_s, until_s)
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -6,7 +6,6 @@
 from aiohttp import web
 
 from dogwoodhook.events import REQUEST_FAILED, log
-from dogwoodhook.readiness import Readiness
 from dogwoodhook.transport.listening import HttpListener
 from dogwoodhook.vm_settings import Address
 
@@ -52,6 +51,9 @@
         await self._listener.stop_accepting()
         while self._in_flight and loop.time() - began_s < grace_s - EXIT_MARGIN_S:
             await asyncio.sleep(0.02)
+
+    async def close(self) -> None:
+        """Close every connection."""
         await self._listener.close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -77,8 +79,8 @@
 class ReadinessListener:
     """Answers the balancer."""
 
-    def __init__(self, readiness: Readiness, address: Address) -> None:
-        self._readiness = readiness
+    def __init__(self, is_ready: Callable[[], bool], address: Address) -> None:
+        self._is_ready = is_ready
         self._listener = HttpListener(
             self._handle, host=address.host, port=address.port
         )
@@ -87,6 +89,9 @@
         """Open the listener."""
         await self._listener.start()
 
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._listener.close()
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        is_ready = self._readiness.accepts_requests
-        return web.Response(status=200 if is_ready else 503)
+        return web.Response(status=200 if self._is_ready() else 503)
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -175,6 +175,7 @@
             candidate = self._fleet.placement.choose(
                 self._fleet.directory.serving(routed.service, now_s=now_s),
                 tried=frozenset(routed.tried),
+                is_idempotent=routed.route.is_idempotent,
                 now_s=now_s,
             )
             if candidate is None:
--- /dev/null
+++ b/tests/platform_adapter/conftest.py
@@ -0,0 +1,133 @@
+"""A daemon on a stand-in platform, in one process."""
+
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+
+import aiohttp
+import pytest
+from yarl import URL
+
+from dogwoodhook.clock import SystemClock
+from dogwoodhook.gateway import Gateway, PlatformAdapter
+from dogwoodhook.platform.headers import PLATFORM_DIALECT
+from dogwoodhook.platform.rows import PlatformRows
+from dogwoodhook.platform.store_client import HttpStore
+from dogwoodhook.testing.fleet import free_port
+from dogwoodhook.vm_settings import Address, ServiceBounds, VmSettings
+from tests.exchanges import until
+from tests.platform_adapter.store_server import StoreServer, running_store
+from tests.platform_adapter.target_server import running_target
+
+HOST = "127.0.0.1"
+
+
+def make_route(prefix, *, kind="unsafe", timeout="3000ms", **changes):
+    return {
+        "hostname": HOST,
+        "prefix": prefix,
+        "routeType": kind,
+        "timeout": timeout,
+        "targetLatency": "1000ms",
+        "priority": 1,
+        "backend": "payouts",
+        "attempts": 2,
+        **changes,
+    }
+
+
+def make_configuration(version=1, **routes):
+    """Return a configuration with a safe and an unsafe route, and others."""
+    defaults = {"read": make_route("/read/", kind="safe"), "post": make_route("/post/")}
+    return {
+        "configVersion": version,
+        "routes": {**defaults, **routes},
+        "backends": {"payouts": {"healthPath": "/healthz", "maxConnections": 390}},
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 1024 * 1024,
+            "headerTimeout": "3000ms",
+            "idleTimeout": "15000ms",
+        },
+    }
+
+
+@dataclass(frozen=True)
+class Reply:
+    """What a caller got."""
+
+    status: int
+    headers: dict
+    body: bytes
+
+
+class Platform:
+    """The store, the daemons and targets on it, and a caller."""
+
+    def __init__(self, store: StoreServer, stack: AsyncExitStack) -> None:
+        self.store = store
+        self.gateways = []
+        self._stack = stack
+        self._session = None
+        self._requests = 0
+
+    async def start_target(self, name, *behaviours, **entry):
+        target = await self._stack.enter_async_context(
+            running_target(name, *behaviours)
+        )
+        await self.store.put("servers", name, target.entry(**entry))
+        return target
+
+    async def configure(self, version=1, **routes):
+        await self.store.put("op", "config", make_configuration(version, **routes))
+
+    async def start_gateway(self, name="vm-1", *, is_ready=True, **bounds):
+        address = Address(HOST, free_port())
+        settings = VmSettings(
+            vm_name=name,
+            data_centre="oulu-1",
+            caller_address=address,
+            readiness_address=Address(HOST, free_port()),
+            peer_address=Address(HOST, free_port()),
+            store_address=self.store.address,
+            bounds=ServiceBounds(**bounds),
+        )
+        store = HttpStore(self.store.address)
+        gateway = Gateway(
+            PlatformAdapter(settings, store, PlatformRows(), PLATFORM_DIALECT),
+            SystemClock(),
+        )
+        await gateway.start()
+        self._stack.push_async_callback(store.close)
+        self._stack.push_async_callback(gateway.close)
+        gateway.url = f"http://{address}"
+        gateway.settings = settings
+        self.gateways.append(gateway)
+        if is_ready:
+            await until(lambda: gateway.is_ready)
+        return gateway
+
+    async def send(self, path, *, gateway=None, method=None, headers=None, **options):
+        """Send one request on a kept connection and return the reply."""
+        if self._session is None:
+            self._session = aiohttp.ClientSession(auto_decompress=False)
+            self._stack.push_async_callback(self._session.close)
+        self._requests += 1
+        gateway = gateway or self.gateways[0]
+        method = method or ("GET" if path.startswith("/read") else "POST")
+        sent = {
+            "Request-Id": f"request-{self._requests}",
+            "Deadline-Ms": "5000",
+            **(headers or {}),
+        }
+        async with self._session.request(
+            method, URL(gateway.url + path, encoded=True), headers=sent, **options
+        ) as response:
+            body = await response.read()
+            return Reply(response.status, dict(response.headers), body)
+
+
+@pytest.fixture
+async def platform():
+    async with AsyncExitStack() as stack:
+        store = await stack.enter_async_context(running_store())
+        yield Platform(store, stack)
--- /dev/null
+++ b/tests/platform_adapter/store_server.py
@@ -0,0 +1,141 @@
+"""A stand-in for the platform's store: tables with a feed, over HTTP, with faults."""
+
+import asyncio
+import base64
+import json
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from dogwoodhook.testing.fleet import free_port
+from dogwoodhook.vm_settings import Address
+
+HOST = "127.0.0.1"
+
+
+@dataclass
+class StoreFaults:
+    """``refused`` names the status of every answer; ``is_silent`` gives none."""
+
+    refused: int = 0
+    is_silent: bool = False
+    delay_s: float = 0.0
+
+
+@dataclass
+class StoreServer:
+    """Rows by table and key, each with its version."""
+
+    address: Address
+    faults: StoreFaults = field(default_factory=StoreFaults)
+    calls: list = field(default_factory=list)
+    version: int = 0
+    oldest_version: int = 0
+    page_rows: int = 500
+
+    def __post_init__(self):
+        self._rows = {}
+        self._changed = asyncio.Condition()
+
+    async def put(self, table, key, value):
+        """Write a row as the operator or a target does."""
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        await self._write({(table, key): base64.b64encode(raw).decode()})
+
+    async def remove(self, table, key):
+        """Remove a row."""
+        await self._write({(table, key): None})
+
+    def forget_history(self):
+        """Drop the changes so far, as the platform does after a while."""
+        self.oldest_version = self.version
+
+    async def _write(self, values):
+        async with self._changed:
+            self.version += 1
+            for place, value in values.items():
+                self._rows[place] = (value, self.version)
+            self._changed.notify_all()
+
+    def _body(self, rows, **more):
+        return web.json_response(
+            {"rows": rows, "ver": self.version, "now": "1ms", **more}
+        )
+
+    def _row(self, table, key):
+        value, version = self._rows.get((table, key), (None, 0))
+        row = {"table": table, "part": "", "key": key, "ver": version}
+        return {**row, "deleted": True} if value is None else {**row, "value": value}
+
+    async def handle(self, request):
+        """Answer one call."""
+        self.calls.append(request.path_qs)
+        if self.faults.is_silent:
+            await asyncio.sleep(60)
+        await asyncio.sleep(self.faults.delay_s)
+        if self.faults.refused:
+            return web.json_response({}, status=self.faults.refused)
+        match request.path:
+            case "/rows-get":
+                return self._get(request.query["table"], request.query.get("from", ""))
+            case "/rows-feed":
+                return await self._feed(request.query)
+            case "/rows-tx":
+                return await self._transact(await request.json())
+        return web.Response(status=404)
+
+    def _get(self, table, start):
+        keys = sorted(
+            key
+            for (each, key), (value, _) in self._rows.items()
+            if each == table and value is not None and key >= start
+        )
+        page = keys[: self.page_rows]
+        rows = [self._row(table, key) for key in page]
+        return self._body(rows, hasMore=len(keys) > len(page))
+
+    async def _feed(self, query):
+        table, after = query["table"], int(query["after"])
+        if after < self.oldest_version:
+            return web.json_response({}, status=410)
+
+        def changes():
+            found = [
+                (version, key)
+                for (each, key), (_, version) in self._rows.items()
+                if each == table and version > after
+            ]
+            return [self._row(table, key) for _, key in sorted(found)]
+
+        async with self._changed:
+            try:
+                async with asyncio.timeout(int(query.get("waitMs", 0)) / 1000):
+                    await self._changed.wait_for(changes)
+            except TimeoutError:
+                pass
+            return self._body(changes())
+
+    async def _transact(self, body):
+        for expected in body.get("expected", []):
+            row = self._row(expected["table"], expected["key"])
+            if row["ver"] != expected["ver"]:
+                return web.json_response({"rows": [row]}, status=412)
+        await self._write(
+            {(row["table"], row["key"]): row["value"] for row in body["put"]}
+        )
+        return web.json_response({"ver": self.version, "now": "1ms"})
+
+
+@asynccontextmanager
+async def running_store():
+    """Run a store until the context ends."""
+    port = free_port()
+    store = StoreServer(Address(HOST, port))
+    runner = web.ServerRunner(web.Server(store.handle), shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, HOST, port).start()
+    try:
+        yield store
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/tests/platform_adapter/target_server.py
@@ -0,0 +1,227 @@
+"""A stand-in target over raw sockets, which can answer in every wrong way."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from dogwoodhook.testing.fleet import free_port
+
+HOST = "127.0.0.1"
+HEAD_END = b"\r\n\r\n"
+
+
+@dataclass
+class Received:
+    """One request as the target got it."""
+
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+    connection: int
+
+    @property
+    def request_id(self):
+        return self.headers.get("request-id", "")
+
+
+Behaviour = Callable[["TargetServer", Received, asyncio.StreamWriter], Awaitable[None]]
+
+
+def head(status, received, *, length=None, **more):
+    """Return the head of an answer."""
+    lines = [f"HTTP/1.1 {status}", f"Request-Id: {received.request_id}"]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in more.items()]
+    return ("\r\n".join(lines)).encode() + HEAD_END
+
+
+async def answer(server, received, writer):
+    """Answer as a sound target does."""
+    body = f"{server.name} ran {received.path}".encode()
+    writer.write(
+        head("200 OK", received, length=len(body), Server_Signature=server.name) + body
+    )
+
+
+async def reset(server, received, writer):
+    """Break the connection with a reset, without an answer."""
+    reset_connection(writer)
+
+
+async def refuse(server, received, writer):
+    """Refuse, saying that the request was not run."""
+    writer.write(head("503 Busy", received, length=0, Not_Executed="1"))
+
+
+async def misdirected(server, received, writer):
+    """Refuse as another target at the same address does."""
+    writer.write(head("421 Misdirected Request", received, length=0))
+
+
+async def bare_503(server, received, writer):
+    """Answer with a status that promises, without saying that nothing ran."""
+    writer.write(head("503 Busy", received, length=0, Server_Signature=server.name))
+
+
+async def server_error(server, received, writer):
+    """Fail after running the request."""
+    writer.write(head("500 Error", received, length=0, Server_Signature=server.name))
+
+
+async def foreign_answer(server, received, writer):
+    """Answer with the id of another request."""
+    other = Received("GET", "/", {"request-id": "another"}, b"", 0)
+    writer.write(head("200 OK", other, length=2, Server_Signature=server.name) + b"no")
+
+
+async def unsigned(server, received, writer):
+    """Answer with success that the target did not sign."""
+    writer.write(head("200 OK", received, length=2) + b"no")
+
+
+async def truncated(server, received, writer):
+    """Close in the middle of the body."""
+    writer.write(head("200 OK", received, length=99, Server_Signature=server.name))
+    writer.write(b"half")
+    writer.close()
+
+
+async def unframed(server, received, writer):
+    """Answer without a length; the closing ends it."""
+    writer.write(head("200 OK", received, Server_Signature=server.name) + b"whole")
+    writer.close()
+
+
+async def unframed_reset(server, received, writer):
+    """Answer without a length and reset before the end."""
+    writer.write(head("200 OK", received, Server_Signature=server.name) + b"half")
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    reset_connection(writer)
+
+
+async def extra(server, received, writer):
+    """Send a second answer right behind the first."""
+    await answer(server, received, writer)
+    await foreign_answer(server, received, writer)
+
+
+async def hang(server, received, writer):
+    """Never answer."""
+    await asyncio.sleep(60)
+
+
+def after(delay_s, behaviour=answer):
+    """Behave so after a while."""
+
+    async def behave(server, received, writer):
+        await asyncio.sleep(delay_s)
+        await behaviour(server, received, writer)
+
+    return behave
+
+
+def reset_connection(writer):
+    """Close with a reset instead of an end."""
+    connection = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+@dataclass
+class TargetServer:
+    """One target; ``behaviours`` are taken in turn, the last one stays."""
+
+    name: str
+    port: int
+    behaviours: list = field(default_factory=lambda: [answer])
+    received: list = field(default_factory=list)
+    cut: int = 0
+    connections: int = 0
+    answers_early: bool = False
+
+    def entry(self, *, service="payouts", **changes):
+        """Return the target's row in the store."""
+        return {
+            "backend": service,
+            "address": f"{HOST}:{self.port}",
+            "zone": "oulu-1",
+            "configVersion": "v1",
+            "slots": 3,
+            "state": "ready",
+            "warmupLeft": "0ms",
+            "sequence": 1,
+            "born": 1_790_000_000_000,
+            **changes,
+        }
+
+    async def serve(self, reader, writer):
+        """Serve one connection."""
+        self.connections += 1
+        number = self.connections
+        try:
+            while not writer.is_closing():
+                await self._serve_one(reader, writer, number)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _serve_one(self, reader, writer, number):
+        received, length = await self._read_head(reader, number)
+        if self.answers_early:
+            await answer(self, received, writer)
+            received.body = await reader.readexactly(length)
+            self.received.append(received)
+            return
+        received.body = await reader.readexactly(length)
+        self.received.append(received)
+        behave = self.behaviours[0]
+        if len(self.behaviours) > 1:
+            self.behaviours.pop(0)
+        work = asyncio.ensure_future(behave(self, received, writer))
+        watch = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait([work, watch], return_when=asyncio.FIRST_COMPLETED)
+        if not work.done():
+            self.cut += 1
+            work.cancel()
+            raise ConnectionResetError
+        reader_byte = await self._next_byte(watch, writer)
+        reader._buffer[:0] = reader_byte
+
+    async def _next_byte(self, watch, writer):
+        if writer.is_closing():
+            watch.cancel()
+            raise ConnectionResetError
+        first = await watch
+        if not first:
+            raise ConnectionResetError
+        return first
+
+    async def _read_head(self, reader, number):
+        text = (await reader.readuntil(HEAD_END)).decode()
+        request_line, *lines = text.strip().split("\r\n")
+        method, path, _ = request_line.split(" ")
+        headers = {}
+        for line in lines:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+        length = int(headers.get("content-length", 0))
+        return Received(method, path, headers, b"", number), length
+
+
+@asynccontextmanager
+async def running_target(name, *behaviours):
+    """Run a target until the context ends."""
+    target = TargetServer(name, free_port(), list(behaviours) or [answer])
+    server = await asyncio.start_server(target.serve, HOST, target.port)
+    try:
+        yield target
+    finally:
+        server.close()
--- /dev/null
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -0,0 +1,214 @@
+"""What callers and targets see of requests through a daemon on the platform."""
+
+import asyncio
+
+import pytest
+
+from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES
+from tests.exchanges import until
+from tests.platform_adapter import target_server as behave
+from tests.platform_adapter.conftest import make_route
+
+BROKEN_ANSWERS = [
+    behave.reset,
+    behave.foreign_answer,
+    behave.unsigned,
+    behave.truncated,
+    behave.unframed_reset,
+    behave.bare_503,
+]
+REFUSALS = [behave.refuse, behave.misdirected]
+
+
+async def start(platform, *behaviours, others=()):
+    await platform.configure()
+    target = await platform.start_target("t1", *behaviours)
+    for name in others:
+        await platform.start_target(name)
+    await platform.start_gateway()
+    return target
+
+
+async def test_a_request_passes_unchanged_and_names_its_target(platform):
+    target = await start(platform)
+    reply = await platform.send(
+        "/post/a%20b?q=%2F", data=b"hours", headers={"X-Own": "kept"}
+    )
+    assert (reply.status, reply.body) == (200, b"t1 ran /post/a%20b?q=%2F")
+    assert reply.headers["Server-Signature"] == "t1"
+    assert reply.headers["Request-Id"] == "request-1"
+    received = target.received[0]
+    assert (received.method, received.body) == ("POST", b"hours")
+    assert received.headers["expected-instance"] == "t1"
+    assert received.headers["x-own"] == "kept"
+    assert 2000 < int(received.headers["deadline-ms"]) <= 3000
+
+
+@pytest.mark.parametrize("behaviour", BROKEN_ANSWERS)
+async def test_what_may_have_run_is_not_run_again_and_promises_nothing(
+    platform, behaviour
+):
+    target = await start(platform, behaviour)
+    reply = await platform.send("/post/1", data=b"x")
+    assert reply.status == 502
+    assert "Server-Signature" not in reply.headers
+    assert len(target.received) == 1
+
+
+@pytest.mark.parametrize("behaviour", [*BROKEN_ANSWERS, behave.server_error])
+async def test_what_may_be_repeated_goes_to_another_target(platform, behaviour):
+    target = await start(platform, behaviour)
+    other = await platform.start_target("t2", behaviour)
+    await until(lambda: platform.gateways[0].knows_target("t2"))
+    other.behaviours = [behave.answer]
+    target.behaviours = [behaviour]
+    replies = [await platform.send("/read/1") for _ in range(4)]
+    assert {reply.status for reply in replies} == {200}
+    assert {reply.body for reply in replies} == {b"t2 ran /read/1"}
+
+
+@pytest.mark.parametrize("behaviour", REFUSALS)
+async def test_a_refused_request_goes_to_another_target(platform, behaviour):
+    await start(platform, behaviour, others=["t2"])
+    for _ in range(3):
+        reply = await platform.send("/post/1", data=b"x")
+        assert (reply.status, reply.body) == (200, b"t2 ran /post/1")
+
+
+@pytest.mark.parametrize("behaviour", REFUSALS)
+async def test_a_request_that_all_refuse_is_refused_at_once_as_not_run(
+    platform, behaviour
+):
+    await start(platform, behaviour)
+    async with asyncio.timeout(1.0):
+        reply = await platform.send("/post/1", data=b"x")
+    assert reply.status == 503
+    assert float(reply.headers["Retry-After"]) > 0
+
+
+async def test_a_target_that_is_gone_is_no_reason_to_lose_a_request(platform):
+    await platform.configure()
+    gone = await platform.start_target("t1")
+    await platform.store.put("servers", "t1", gone.entry(address="127.0.0.1:9"))
+    await platform.start_target("t2")
+    await platform.start_gateway()
+    for _ in range(3):
+        assert (await platform.send("/post/1", data=b"x")).status == 200
+
+
+async def test_a_server_error_of_an_unsafe_request_is_passed_on(platform):
+    await start(platform, behave.server_error)
+    reply = await platform.send("/post/1", data=b"x")
+    assert (reply.status, reply.headers["Server-Signature"]) == (500, "t1")
+
+
+async def test_an_answer_without_length_that_ends_well_is_whole(platform):
+    await start(platform, behave.unframed)
+    reply = await platform.send("/post/1", data=b"x")
+    assert (reply.status, reply.body) == (200, b"whole")
+
+
+async def test_a_second_answer_is_never_given_to_the_next_request(platform):
+    await start(platform, behave.extra, behave.answer)
+    bodies = [(await platform.send(f"/post/{n}", data=b"x")).body for n in range(3)]
+    assert bodies == [b"t1 ran /post/0", b"t1 ran /post/1", b"t1 ran /post/2"]
+
+
+async def test_an_early_answer_leaves_no_bytes_for_the_next_request(platform):
+    target = await start(platform)
+    target.answers_early = True
+    body = bytes(range(256)) * 2000
+    for number in range(3):
+        reply = await platform.send(f"/post/{number}", data=body)
+        assert reply.status == 200
+    await until(lambda: target.received)
+    assert all(each.body == body for each in target.received)
+    assert {each.method for each in target.received} == {"POST"}
+
+
+async def test_a_large_answer_is_streamed_whole(platform):
+    size = 4 * BUFFERED_ANSWER_BYTES
+
+    async def large(server, received, writer):
+        writer.write(behave.head("200 OK", received, length=size, Server_Signature="s"))
+        writer.write(b"x" * size)
+
+    await start(platform, large)
+    reply = await platform.send("/read/1")
+    assert reply.body == b"x" * size
+
+
+async def test_a_large_answer_that_breaks_off_does_not_look_whole(platform):
+    size = 4 * BUFFERED_ANSWER_BYTES
+
+    async def large(server, received, writer):
+        writer.write(behave.head("200 OK", received, length=size, Server_Signature="s"))
+        writer.write(b"x" * (size - 1))
+        writer.close()
+
+    await start(platform, large)
+    with pytest.raises(Exception, match=r"payload|disconnected"):
+        await platform.send("/read/1")
+
+
+async def test_a_request_gets_its_final_answer_at_the_routes_timeout(platform):
+    target = await start(platform, behave.hang)
+    await platform.configure(2, post=make_route("/post/", timeout="300ms"))
+    await until(lambda: platform.gateways[0].configuration_version == 2)
+    async with asyncio.timeout(0.5):
+        assert (await platform.send("/post/1", data=b"x")).status == 504
+    assert len(target.received) == 1
+
+
+async def test_a_silent_target_costs_a_repeatable_request_only_part_of_its_time(
+    platform,
+):
+    target = await start(platform, behave.hang, others=["t2"])
+    for _ in range(3):
+        async with asyncio.timeout(1.0):
+            assert (await platform.send("/read/1")).body == b"t2 ran /read/1"
+    assert len(target.received) <= 1
+
+
+async def test_a_repeatable_request_ends_when_its_caller_leaves(platform):
+    target = await start(platform, behave.hang)
+    task = asyncio.ensure_future(platform.send("/read/1"))
+    await until(lambda: target.received)
+    task.cancel()
+    await until(lambda: target.cut == 1, timeout_s=0.5)
+
+
+async def test_a_request_that_may_not_be_repeated_is_followed_to_its_end(platform):
+    target = await start(platform, behave.after(0.2))
+    task = asyncio.ensure_future(platform.send("/post/1", data=b"x"))
+    await until(lambda: target.received)
+    task.cancel()
+    await asyncio.sleep(0.4)
+    assert target.cut == 0
+
+
+async def test_pipelined_requests_are_answered_in_their_order(platform):
+    await start(platform, behave.after(0.1), behave.answer)
+    gateway = platform.gateways[0]
+    address = gateway.settings.caller_address
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    for number in range(3):
+        writer.write(
+            f"GET /read/{number} HTTP/1.1\r\nHost: {address.host}\r\n"
+            f"Request-Id: p{number}\r\nDeadline-Ms: 5000\r\n\r\n".encode()
+        )
+    text = b""
+    async with asyncio.timeout(3):
+        while text.count(b"ran /read/") < 3:
+            text += await reader.read(65536)
+    writer.close()
+    assert [text.index(f"ran /read/{n}".encode()) for n in range(3)] == sorted(
+        text.index(f"ran /read/{n}".encode()) for n in range(3)
+    )
+
+
+async def test_a_body_over_the_limit_is_refused(platform):
+    target = await start(platform)
+    reply = await platform.send("/post/1", data=b"x" * (1024 * 1024 + 1))
+    assert reply.status == 413
+    assert not target.received
--- /dev/null
+++ b/tests/platform_adapter/test_gateway_store.py
@@ -0,0 +1,167 @@
+"""What a daemon makes of the store: configurations, targets, outages, peers."""
+
+import asyncio
+
+from dogwoodhook.state.target_directory import LAPSE_HOLD_S
+from tests.exchanges import until
+from tests.platform_adapter import target_server as behave
+from tests.platform_adapter.conftest import make_route
+
+DRAIN_BOUND_S = 2.0
+CONFIGURATION_BOUND_S = 2.0
+
+
+async def test_without_a_configuration_nothing_is_denied(platform):
+    await platform.start_target("t1")
+    await platform.start_gateway(is_ready=False)
+    reply = await platform.send("/post/1", data=b"x")
+    assert reply.status == 503
+    assert not platform.gateways[0].is_ready
+
+
+async def test_an_unknown_route_is_denied_by_a_known_configuration(platform):
+    await platform.configure()
+    await platform.start_target("t1")
+    await platform.start_gateway()
+    assert (await platform.send("/unknown/1")).status == 404
+
+
+async def test_a_new_configuration_is_in_force_within_the_bound(platform):
+    await platform.configure()
+    await platform.start_target("t1")
+    await platform.start_target("t9", service="archive")
+    await platform.start_gateway()
+    assert (await platform.send("/post/1", data=b"x")).body == b"t1 ran /post/1"
+    await platform.configure(5, post=make_route("/post/", backend="archive"))
+    async with asyncio.timeout(CONFIGURATION_BOUND_S):
+        while (await platform.send("/post/1", data=b"x")).body != b"t9 ran /post/1":
+            await asyncio.sleep(0.02)
+
+
+async def test_an_older_configuration_is_never_taken_back(platform):
+    await platform.configure(7, new=make_route("/new/"))
+    await platform.start_target("t1")
+    await platform.start_gateway()
+    await platform.configure(6)
+    await platform.configure(8, new=make_route("/new/"), newer=make_route("/newer/"))
+    await until(lambda: platform.gateways[0].configuration_version == 8)
+    await platform.configure(5)
+    await asyncio.sleep(0.3)
+    assert platform.gateways[0].configuration_version == 8
+    assert (await platform.send("/new/1")).status == 200
+
+
+async def test_a_malformed_configuration_leaves_the_old_one_in_force(platform):
+    await platform.configure()
+    await platform.start_target("t1")
+    await platform.start_gateway()
+    await platform.store.put("op", "config", b"{")
+    await asyncio.sleep(0.3)
+    assert (await platform.send("/post/1", data=b"x")).status == 200
+    await platform.configure(2, new=make_route("/new/"))
+    await until(lambda: platform.gateways[0].configuration_version == 2)
+
+
+async def test_a_draining_target_gets_nothing_new_within_the_bound(platform):
+    await platform.configure()
+    leaving = await platform.start_target("t1")
+    await platform.start_target("t2")
+    gateways = [await platform.start_gateway(f"vm-{n}") for n in range(3)]
+    await platform.store.put("servers", "t1", leaving.entry(state="draining"))
+    await asyncio.sleep(DRAIN_BOUND_S)
+    before = len(leaving.received)
+    for gateway in gateways:
+        for _ in range(5):
+            reply = await platform.send("/post/1", gateway=gateway, data=b"x")
+            assert reply.body == b"t2 ran /post/1"
+    assert len(leaving.received) == before
+
+
+async def test_one_daemon_of_a_data_centre_reads_for_the_others(platform):
+    await platform.configure()
+    await platform.start_target("t1")
+    for number in range(4):
+        await platform.start_gateway(f"vm-{number}")
+    await asyncio.sleep(1.5)
+    before = len(platform.store.calls)
+    await asyncio.sleep(2.0)
+    reads = [each for each in platform.store.calls[before:] if "servers" in each]
+    assert len(reads) <= 8, "one daemon reads twice a second, and a fallback may"
+
+
+async def test_forged_entries_name_no_target_and_the_others_hold(platform):
+    await platform.configure()
+    await platform.start_target("t1")
+    await platform.store.put("servers", "forged", b"\xff\x00")
+    await platform.store.put("servers", "half", {"backend": "payouts"})
+    await platform.start_gateway()
+    await platform.store.put("servers", "later", b"{")
+    await asyncio.sleep(0.8)
+    for _ in range(3):
+        assert (await platform.send("/post/1", data=b"x")).body == b"t1 ran /post/1"
+
+
+async def test_requests_are_served_while_the_store_is_away(platform):
+    await platform.configure()
+    await platform.start_target("t1")
+    await platform.start_gateway()
+    platform.store.faults.refused = 503
+    await asyncio.sleep(1.5)
+    assert platform.gateways[0].is_ready
+    assert (await platform.send("/post/1", data=b"x")).status == 200
+
+
+async def test_an_entry_that_lapsed_during_an_outage_serves_until_it_could_return(
+    platform,
+):
+    await platform.configure()
+    await platform.start_target("t1")
+    await platform.start_target("t2")
+    gateway = await platform.start_gateway()
+    platform.store.faults.refused = 503
+    await asyncio.sleep(1.2)
+    await platform.store.remove("servers", "t1")
+    platform.store.faults.refused = 0
+    await asyncio.sleep(1.5)
+    assert gateway.knows_target("t1")
+    await until(lambda: not gateway.knows_target("t1"), timeout_s=LAPSE_HOLD_S + 2)
+
+
+async def test_lost_history_is_made_good_by_a_whole_read(platform):
+    await platform.configure()
+    await platform.start_target("t1")
+    gateway = await platform.start_gateway()
+    await platform.start_target("t2")
+    await platform.store.remove("servers", "t1")
+    platform.store.forget_history()
+    await until(lambda: not gateway.knows_target("t1"))
+    assert gateway.knows_target("t2")
+
+
+async def test_a_failure_at_one_daemon_moves_the_others_at_once(platform):
+    await platform.configure()
+    gray = await platform.start_target("t1", behave.reset)
+    await platform.start_target("t2")
+    gateways = [await platform.start_gateway(f"vm-{n}") for n in range(3)]
+    await until(lambda: all(len(each.peers) == 2 for each in gateways))
+    while not gray.received:
+        await platform.send("/post/1", gateway=gateways[0], data=b"x")
+    await asyncio.sleep(0.05)
+    for gateway in gateways[1:]:
+        for _ in range(5):
+            reply = await platform.send("/post/1", gateway=gateway, data=b"x")
+            assert reply.status == 200
+    assert len(gray.received) == 1
+
+
+async def test_a_stopping_daemon_finishes_what_is_in_flight(platform):
+    await platform.configure()
+    target = await platform.start_target("t1", behave.after(0.6))
+    gateway = await platform.start_gateway(grace_s=3.0)
+    task = asyncio.ensure_future(platform.send("/post/1", data=b"x"))
+    await until(lambda: target.received)
+    drain = asyncio.ensure_future(gateway.drain())
+    reply = await task
+    assert (reply.status, reply.headers["Connection"]) == (200, "close")
+    assert not gateway.is_ready
+    await drain
--- /dev/null
+++ b/tests/platform_adapter/test_settings_file.py
@@ -0,0 +1,55 @@
+"""The platform's settings file."""
+
+import pytest
+
+from dogwoodhook.findings import FindingsError
+from dogwoodhook.platform.settings_file import parse_settings
+from dogwoodhook.vm_settings import Address
+
+TEXT = """\
+nodeName=edge-kigali-1
+ip=10.1.0.15
+zone=kigali-1
+listen.frontend=10.1.0.15:8641
+listen.readiness=10.1.0.15:8640
+portRange=7620,7635
+provider.address=10.200.1.7:8642
+bounds.drain=2000ms
+bounds.grace=6s
+bounds.retryBudgetExtra=62
+a.field.of.tomorrow=1,2
+"""
+
+
+def findings_of(text):
+    with pytest.raises(FindingsError) as caught:
+        parse_settings(text, place="boot.conf")
+    return [str(finding) for finding in caught.value.findings]
+
+
+def test_fields_become_settings_and_unknown_ones_are_ignored():
+    settings = parse_settings(TEXT, place="boot.conf")
+    assert settings.vm_name == "edge-kigali-1"
+    assert settings.data_centre == "kigali-1"
+    assert settings.caller_address == Address("10.1.0.15", 8641)
+    assert settings.peer_address == Address("10.1.0.15", 7620)
+    assert settings.bounds.drain_s == 2.0
+    assert settings.bounds.grace_s == 6.0
+    assert settings.bounds.retry_extra == 62
+
+
+def test_every_problem_is_reported_with_its_line():
+    text = TEXT.replace("10.1.0.15:8641", "10.1.0.15").replace("2000ms", "soon")
+    text = text.replace("zone=kigali-1\n", "") + "no equals sign\n"
+    assert findings_of(text) == [
+        "boot.conf:11: received 'no equals sign'; allowed is name=value",
+        "boot.conf:3: listen.frontend: received '10.1.0.15'; allowed is host:port",
+        "boot.conf: zone is missing",
+        "boot.conf:7: bounds.drain: received 'soon'; allowed is a number with ms or s",
+    ]
+
+
+@pytest.mark.parametrize("port", ["0", "65536", "x"])
+def test_a_port_outside_the_range_is_refused(port):
+    text = TEXT.replace("10.200.1.7:8642", f"10.200.1.7:{port}")
+    assert len(findings_of(text)) == 1
--- /dev/null
+++ b/tests/platform_adapter/test_store_client.py
@@ -0,0 +1,79 @@
+"""The client of the platform's store, against a stand-in."""
+
+from contextlib import asynccontextmanager
+
+import pytest
+from expression import Result
+
+from dogwoodhook.coordination.store import (
+    HistoryLost,
+    RowExists,
+    StoreRow,
+    StoreUnavailable,
+    Table,
+)
+from dogwoodhook.platform import store_client
+from dogwoodhook.platform.store_client import HttpStore
+from tests.platform_adapter.store_server import running_store
+
+
+@asynccontextmanager
+async def open_client():
+    async with running_store() as server:
+        client = HttpStore(server.address)
+        try:
+            yield server, client
+        finally:
+            await client.close()
+
+
+async def test_a_table_is_read_whole_over_several_pages():
+    async with open_client() as (server, client):
+        server.page_rows = 2
+        for number in range(5):
+            await server.put("servers", f"t{number}", b"x")
+        rows = (await client.read_table(Table.TARGETS)).ok
+        assert [row.key for row in rows.rows] == ["t0", "t1", "t2", "t3", "t4"]
+        assert rows.version == 5
+        assert rows.is_whole
+
+
+async def test_changes_come_in_order_with_removals():
+    async with open_client() as (server, client):
+        await server.put("servers", "t1", b"old")
+        await server.put("servers", "t2", b"new")
+        await server.remove("servers", "t1")
+        changes = (await client.read_changes(Table.TARGETS, after_version=1)).ok
+        assert changes.rows == (StoreRow("t2", b"new", 2), StoreRow("t1", None, 3))
+
+
+async def test_lost_history_is_told_apart_from_an_outage():
+    async with open_client() as (server, client):
+        await server.put("servers", "t1", b"x")
+        server.forget_history()
+        lost = await client.read_changes(Table.TARGETS, after_version=0)
+        assert lost == Result.Error(HistoryLost())
+        server.faults.refused = 503
+        refused = await client.read_changes(Table.TARGETS, after_version=1)
+        assert isinstance(refused.error, StoreUnavailable)
+
+
+async def test_a_row_is_created_once():
+    async with open_client() as (_, client):
+        assert (await client.create_row(Table.DAEMONS, "key", b"first")).ok == 1
+        second = await client.create_row(Table.DAEMONS, "key", b"second")
+        assert second == Result.Error(RowExists(StoreRow("key", b"first", 1)))
+
+
+@pytest.mark.parametrize("fault", ["refused", "is_silent"])
+async def test_a_store_that_does_not_answer_is_unavailable(fault, monkeypatch):
+    monkeypatch.setattr(store_client, "CALL_TIMEOUT_S", 0.1)
+    async with open_client() as (server, client):
+        setattr(server.faults, fault, 429)
+        for call in (
+            client.read_table(Table.TARGETS),
+            client.read_changes(Table.TARGETS, after_version=0),
+            client.put_row(Table.DAEMONS, "vm-1", b"x"),
+            client.create_row(Table.DAEMONS, "vm-1", b"x"),
+        ):
+            assert isinstance((await call).error, StoreUnavailable)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,74 @@
+"""Which target a request goes to."""
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from dogwoodhook.state.placement import Placement
+from dogwoodhook.state.suspicion import Suspicion, Symptom
+from dogwoodhook.state.target_directory import TargetEntry
+
+HERE = TargetEntry("here", "payouts", "10.0.0.1", 80, "oulu-1", 3, False, 0.0, 1)
+AWAY = replace(HERE, name="away", host="10.0.0.2", data_centre="oulu-2")
+
+
+@pytest.fixture
+def suspicion():
+    return Suspicion(daemon="vm-1", rng=random.Random(7))
+
+
+@pytest.fixture
+def idle():
+    return set()
+
+
+@pytest.fixture
+def placement(suspicion, idle):
+    return Placement(
+        suspicion,
+        data_centre="oulu-1",
+        rng=random.Random(7),
+        has_idle_connection=lambda target: target.name in idle,
+    )
+
+
+def choose(placement, targets, *, tried=frozenset(), now_s=0.0, is_idempotent=False):
+    found = placement.choose(
+        targets, tried=tried, is_idempotent=is_idempotent, now_s=now_s
+    )
+    return found.target if found else None
+
+
+def test_the_own_data_centre_goes_first(placement):
+    assert all(choose(placement, [AWAY, HERE]) is HERE for _ in range(100))
+
+
+def test_a_busy_data_centre_spills_to_others(placement):
+    for _ in range(3):
+        placement.start(HERE)
+    assert all(choose(placement, [HERE, AWAY]) is AWAY for _ in range(100))
+    for _ in range(3):
+        placement.finish(HERE)
+    assert choose(placement, [HERE, AWAY]) is HERE
+
+
+def test_a_suspect_is_used_only_where_nothing_else_is_left(placement, suspicion):
+    suspicion.record_failure("here", Symptom.RESET, now_s=0.0)
+    assert choose(placement, [HERE, AWAY]) is AWAY
+    assert choose(placement, [HERE]) is HERE
+
+
+def test_what_was_tried_is_not_chosen_again(placement):
+    assert choose(placement, [HERE], tried=frozenset({"here"})) is None
+
+
+def test_an_idle_connection_decides_among_equals_but_newcomers_get_work(
+    placement, idle
+):
+    used = [replace(HERE, name=f"used-{number}") for number in range(4)]
+    idle.update(each.name for each in used)
+    new = replace(HERE, name="new")
+    counts = Counter(choose(placement, [*used, new]).name for _ in range(2000))
+    assert 0 < counts["new"] < min(counts[each.name] for each in used)
--- /dev/null
+++ b/tests/test_reader_duty.py
@@ -0,0 +1,28 @@
+"""Which daemon of a data centre reads the store."""
+
+from dogwoodhook.state.reader_duty import (
+    MAX_RANKED,
+    READ_INTERVAL_S,
+    rank_of,
+    silence_limit_s,
+)
+
+DRAIN_BOUND_S = 2.0
+"""The platform's bound for leaving targets on the small sites."""
+
+STORE_ANSWER_S = 0.4
+"""The store's slowest answers."""
+
+
+def test_all_daemons_rank_the_same_way():
+    daemons = [f"vm-{number}" for number in range(20)]
+    ranks = [rank_of(each, reversed(daemons)) for each in daemons]
+    assert sorted(ranks) == list(range(20))
+
+
+def test_a_daemon_that_knows_no_other_reads_for_itself():
+    assert silence_limit_s(rank_of("vm-1", [])) == READ_INTERVAL_S
+
+
+def test_leaving_targets_are_known_in_time_even_by_the_last_rank():
+    assert silence_limit_s(MAX_RANKED + 10) + 2 * STORE_ANSWER_S < DRAIN_BOUND_S
--- /dev/null
+++ b/tests/test_suspicion.py
@@ -0,0 +1,106 @@
+"""Which targets a daemon avoids."""
+
+import random
+
+import pytest
+
+from dogwoodhook.state.suspicion import (
+    DOUBT_TARGETS,
+    HOLD_S,
+    HOLD_SPREAD_S,
+    OWN_SUCCESS_S,
+    PATH_HOLD_S,
+    TRIAL_HOLD_S,
+    FailureReport,
+    Suspicion,
+    Symptom,
+)
+
+PATH_SYMPTOMS = [Symptom.OVERDUE, Symptom.UNREACHABLE]
+
+
+@pytest.fixture
+def suspicion():
+    return Suspicion(daemon="vm-1", rng=random.Random(7))
+
+
+def is_avoided(suspicion, *, now_s, is_idempotent=False, target="t1"):
+    return suspicion.avoided_s(target, is_idempotent=is_idempotent, now_s=now_s) > 0
+
+
+def report(symptom, *, reporter="vm-2", target="t1"):
+    return FailureReport(target, symptom, reporter)
+
+
+def test_one_reset_at_another_daemon_moves_this_one(suspicion):
+    assert suspicion.absorb(report(Symptom.RESET), now_s=1.0)
+    assert is_avoided(suspicion, now_s=1.0)
+    assert is_avoided(suspicion, now_s=1.0, is_idempotent=True)
+
+
+def test_a_second_report_makes_no_new_suspect(suspicion):
+    suspicion.absorb(report(Symptom.RESET), now_s=1.0)
+    assert not suspicion.absorb(report(Symptom.RESET), now_s=1.1)
+
+
+def test_repeatable_requests_return_first(suspicion):
+    suspicion.record_failure("t1", Symptom.RESET, now_s=0.0)
+    returned_s = TRIAL_HOLD_S + HOLD_SPREAD_S
+    assert not is_avoided(suspicion, now_s=returned_s, is_idempotent=True)
+    assert is_avoided(suspicion, now_s=returned_s)
+    assert not is_avoided(suspicion, now_s=HOLD_S + HOLD_SPREAD_S)
+
+
+def test_a_success_ends_avoidance(suspicion):
+    suspicion.record_failure("t1", Symptom.RESET, now_s=0.0)
+    suspicion.record_success("t1", now_s=3.0)
+    assert not is_avoided(suspicion, now_s=3.0)
+
+
+@pytest.mark.parametrize("symptom", PATH_SYMPTOMS)
+def test_one_daemons_timeout_does_not_accuse_a_target(suspicion, symptom):
+    suspicion.absorb(report(symptom), now_s=1.0)
+    suspicion.absorb(report(symptom), now_s=1.1)
+    assert not is_avoided(suspicion, now_s=1.1)
+
+
+@pytest.mark.parametrize("symptom", PATH_SYMPTOMS)
+def test_timeouts_of_two_daemons_do(suspicion, symptom):
+    suspicion.absorb(report(symptom), now_s=1.0)
+    assert suspicion.absorb(report(symptom, reporter="vm-3"), now_s=1.1)
+    assert is_avoided(suspicion, now_s=1.1)
+
+
+def test_an_own_success_outweighs_timeouts_of_others(suspicion):
+    suspicion.record_success("t1", now_s=1.0)
+    for reporter in ("vm-2", "vm-3", "vm-4"):
+        suspicion.absorb(report(Symptom.OVERDUE, reporter=reporter), now_s=1.5)
+    assert not is_avoided(suspicion, now_s=1.5)
+    later_s = 1.0 + OWN_SUCCESS_S
+    suspicion.absorb(report(Symptom.OVERDUE, reporter="vm-5"), now_s=later_s)
+    assert is_avoided(suspicion, now_s=later_s)
+
+
+def test_one_server_error_is_no_reason_two_are(suspicion):
+    suspicion.record_failure("t1", Symptom.ERROR, now_s=0.0)
+    assert not is_avoided(suspicion, now_s=0.0)
+    suspicion.absorb(report(Symptom.ERROR), now_s=1.0)
+    assert is_avoided(suspicion, now_s=1.0)
+
+
+@pytest.mark.parametrize("symptom", PATH_SYMPTOMS)
+def test_an_own_timeout_is_enough_for_oneself_and_holds_longer_each_time(
+    suspicion, symptom
+):
+    suspicion.record_failure("t1", symptom, now_s=0.0)
+    assert is_avoided(suspicion, now_s=PATH_HOLD_S - 0.1, is_idempotent=True)
+    assert not is_avoided(suspicion, now_s=PATH_HOLD_S)
+    suspicion.record_failure("t1", symptom, now_s=PATH_HOLD_S)
+    assert is_avoided(suspicion, now_s=PATH_HOLD_S * 2.9)
+
+
+def test_a_daemon_for_which_everything_fails_at_once_is_not_believed(suspicion):
+    targets = [f"t{number}" for number in range(DOUBT_TARGETS)]
+    for target in targets:
+        suspicion.absorb(report(Symptom.RESET, target=target), now_s=1.0)
+    assert not is_avoided(suspicion, now_s=1.0, target=targets[-1])
--- /dev/null
+++ b/tests/test_target_directory.py
@@ -0,0 +1,91 @@
+"""The targets that the store lists, under changes in any order."""
+
+from dataclasses import replace
+
+import pytest
+
+from dogwoodhook.state.target_directory import (
+    LAPSE_HOLD_S,
+    TargetChange,
+    TargetDirectory,
+    TargetEntry,
+)
+
+T1 = TargetEntry("t1", "payouts", "10.0.0.1", 80, "oulu-1", 3, False, 0.0, 17)
+T2 = replace(T1, name="t2", host="10.0.0.2")
+
+
+@pytest.fixture
+def directory():
+    directory = TargetDirectory()
+    directory.replace_all(
+        [TargetChange("t1", 4, T1), TargetChange("t2", 5, T2)], version=9, now_s=0.0
+    )
+    return directory
+
+
+def names(directory, *, now_s=0.0, service="payouts"):
+    return sorted(each.name for each in directory.serving(service, now_s=now_s))
+
+
+def test_a_draining_target_takes_no_new_work(directory):
+    draining = replace(T1, is_draining=True)
+    directory.apply([TargetChange("t1", 10, draining)], version=10, now_s=0.0)
+    assert names(directory) == ["t2"]
+    assert directory.get("t1") == draining
+
+
+def test_an_older_row_changes_nothing(directory):
+    draining = replace(T1, is_draining=True)
+    assert directory.apply([TargetChange("t1", 4, draining)], version=4, now_s=0) == ()
+    assert names(directory) == ["t1", "t2"]
+    assert directory.version == 9
+
+
+def test_a_late_copy_does_not_bring_a_removed_target_back(directory):
+    directory.apply([TargetChange("t1", 12, None)], version=12, now_s=0.0)
+    directory.apply([TargetChange("t1", 11, T1)], version=12, now_s=0.1)
+    assert names(directory) == ["t2"]
+
+
+def test_a_whole_read_removes_what_it_lacks(directory):
+    directory.replace_all([TargetChange("t2", 5, T2)], version=20, now_s=0.0)
+    assert names(directory) == ["t2"]
+
+
+def test_a_lapsed_entry_serves_on_until_the_hold_ends(directory):
+    directory.apply(
+        [TargetChange("t1", 10, None)],
+        version=10,
+        now_s=1.0,
+        removal_hold_s=LAPSE_HOLD_S,
+    )
+    assert names(directory, now_s=1.0 + LAPSE_HOLD_S - 0.1) == ["t1", "t2"]
+    assert names(directory, now_s=1.0 + LAPSE_HOLD_S) == ["t2"]
+
+
+def test_an_entry_that_returns_within_the_hold_stays(directory):
+    directory.apply(
+        [TargetChange("t1", 10, None)], version=10, now_s=1.0, removal_hold_s=2.0
+    )
+    directory.apply([TargetChange("t1", 11, T1)], version=11, now_s=2.0)
+    assert names(directory, now_s=9.0) == ["t1", "t2"]
+
+
+def test_only_changes_that_matter_are_returned(directory):
+    colder = replace(T1, warmup_s=2.0)
+    changes = directory.apply([TargetChange("t1", 10, colder)], version=10, now_s=0.0)
+    assert changes == (TargetChange("t1", 10, colder),)
+    warmer = replace(T1, warmup_s=1.0)
+    assert directory.apply([TargetChange("t1", 11, warmer)], version=11, now_s=0) == ()
+
+
+def test_an_address_used_again_belongs_to_the_new_target(directory):
+    reused = replace(T1, name="t3", service="stock")
+    directory.apply(
+        [TargetChange("t1", 10, None), TargetChange("t3", 11, reused)],
+        version=11,
+        now_s=0.0,
+    )
+    assert names(directory) == ["t2"]
+    assert names(directory, service="stock") == ["t3"]
