Take over changed settings on SIGHUP and without it

Cause: SIGHUP ended the daemon, and a changed settings file went unread.

Change: the file is looked at on SIGHUP and every 2 s; a bad one is logged with its lines and the old settings stay.

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -74,6 +74,15 @@
 DAEMON_STOPPED = _event(
     105, "daemon-stopped", Level.NOTICE, "The daemon has ended its last request."
 )
+SETTINGS_IN_FORCE = _event(
+    120, "settings-in-force", Level.NOTICE, "Settings that changed were taken over."
+)
+SETTINGS_REFUSED = _event(
+    121,
+    "settings-refused",
+    Level.ERROR,
+    "The settings cannot be read; those in force stay.",
+)
 TASK_FAILED = _event(
     106,
     "task-failed",
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -8,8 +8,8 @@
 import random
 import secrets
 import signal
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from dogwoodhook.clock import Clock, SystemClock
 from dogwoodhook.coordination.fleet_messages import (
@@ -26,10 +26,13 @@
 from dogwoodhook.events import (
     DAEMON_STARTED,
     DAEMON_STOPPED,
+    SETTINGS_IN_FORCE,
+    SETTINGS_REFUSED,
     TARGET_SUSPECTED,
     TASK_FAILED,
     log,
 )
+from dogwoodhook.findings import FindingsError
 from dogwoodhook.fleet_joining import FleetJoining
 from dogwoodhook.protocol.http_dialect import HttpDialect
 from dogwoodhook.readiness import Readiness
@@ -43,18 +46,23 @@
 from dogwoodhook.transport.target_connections import TargetConnections
 from dogwoodhook.vm_settings import VmSettings
 
-if TYPE_CHECKING:
-    from collections.abc import Awaitable
+SETTINGS_INTERVAL_S = 2.0
+"""Time between looks at the settings, which may change without a signal."""
 
 
 @dataclass(frozen=True, slots=True)
 class PlatformAdapter:
-    """All that the daemon needs of a platform."""
+    """All that the daemon needs of a platform.
+
+    ``reread_settings`` returns the settings if they have changed, or raises
+    ``FindingsError``.
+    """
 
     settings: VmSettings
     store: Store
     decoder: RowDecoder
     dialect: HttpDialect
+    reread_settings: Callable[[], VmSettings | None]
 
 
 class Gateway:
@@ -62,6 +70,7 @@
 
     def __init__(self, platform: PlatformAdapter, clock: Clock) -> None:
         settings = platform.settings
+        self._platform = platform
         rng = random.Random(secrets.randbits(64))
         self._settings = settings
         self._clock = clock
@@ -126,6 +135,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await stop.wait()
         await self.drain()
@@ -156,6 +166,7 @@
         self._spawn(self._configuration.run())
         self._spawn(self._joining.run())
         self._spawn(self._keep_ready())
+        self._spawn(self._watch_settings())
         log(
             DAEMON_STARTED,
             daemon=self._settings.vm_name,
@@ -176,6 +187,29 @@
         await self._connections.close()
         self.peers.close()
 
+    def reload(self) -> None:
+        """Take over settings that have changed; keep the old ones if they are bad."""
+        try:
+            settings = self._platform.reread_settings()
+        except FindingsError as error:
+            log(SETTINGS_REFUSED, findings=str(error))
+            return
+        if settings is None:
+            return
+        self._settings = settings
+        bounds = settings.bounds
+        self._budget.resize(
+            ratio=bounds.retry_ratio,
+            extra=bounds.retry_extra,
+            window_s=bounds.retry_window_s,
+        )
+        log(SETTINGS_IN_FORCE, bounds=bounds, store=settings.store_address)
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_INTERVAL_S)
+            self.reload()
+
     async def _keep_ready(self) -> None:
         """Become ready once targets and routes are known."""
         while True:
@@ -215,7 +249,7 @@
                 reporter=failure.daemon,
             )
 
-    def _spawn(self, work: "Awaitable[None]") -> None:
+    def _spawn(self, work: Awaitable[None]) -> None:
         async def guarded() -> None:
             try:
                 await work
--- /dev/null
+++ b/dogwoodhook/platform/adapter.py
@@ -0,0 +1,51 @@
+"""Builds the adapter from the settings file."""
+
+from pathlib import Path
+
+from dogwoodhook.gateway import PlatformAdapter
+from dogwoodhook.platform.headers import PLATFORM_DIALECT
+from dogwoodhook.platform.rows import PlatformRows
+from dogwoodhook.platform.settings_file import parse_settings
+from dogwoodhook.platform.store_client import HttpStore
+from dogwoodhook.vm_settings import VmSettings
+
+
+class SettingsFile:
+    """The settings file, and what it said last."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._text = path.read_text()
+        self.settings = parse_settings(self._text, place=str(path))
+
+    def reread(self) -> VmSettings | None:
+        """Return the settings if the file has changed, or raise ``FindingsError``.
+
+        A bad file is reported once.
+        """
+        text = self._path.read_text()
+        if text == self._text:
+            return None
+        self._text = text
+        self.settings = parse_settings(text, place=str(self._path))
+        return self.settings
+
+
+def make_adapter(path: Path) -> PlatformAdapter:
+    """Return the adapter of a VM; raise ``FindingsError`` if its settings are bad."""
+    file = SettingsFile(path)
+    store = HttpStore(file.settings.store_address)
+
+    def reread() -> VmSettings | None:
+        settings = file.reread()
+        if settings is not None:
+            store.address = settings.store_address
+        return settings
+
+    return PlatformAdapter(
+        settings=file.settings,
+        store=store,
+        decoder=PlatformRows(),
+        dialect=PLATFORM_DIALECT,
+        reread_settings=reread,
+    )
--- a/dogwoodhook/platform/store_client.py
+++ b/dogwoodhook/platform/store_client.py
@@ -31,10 +31,10 @@
 
 
 class HttpStore:
-    """Client of the store; one connection pool."""
+    """Client of the store; one connection pool. ``address`` may change."""
 
     def __init__(self, address: Address) -> None:
-        self._base_url = f"http://{address}"
+        self.address = address
         self._session: aiohttp.ClientSession | None = None
         self.calls = 0
 
@@ -129,7 +129,7 @@
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
                 async with self._session.request(
-                    method, self._base_url + path, params=query, json=body
+                    method, f"http://{self.address}{path}", params=query, json=body
                 ) as response:
                     return response.status, json.loads(await response.read() or "null")
         except (aiohttp.ClientError, OSError, ValueError):
--- a/dogwoodhook/state/fleet_budget.py
+++ b/dogwoodhook/state/fleet_budget.py
@@ -40,6 +40,12 @@
         self._rng = rng
         self._services: dict[str, _Spending] = {}
 
+    def resize(self, *, ratio: float, extra: float, window_s: float) -> None:
+        """Take over other bounds."""
+        self._ratio = ratio
+        self._extra = extra
+        self._window_s = window_s
+
     def record_request(self, service: str, *, now_s: float) -> None:
         """Count a caller's request at this daemon."""
         self._spending(service, now_s).own_requests_s.append(now_s)
--- a/tests/platform_adapter/conftest.py
+++ b/tests/platform_adapter/conftest.py
@@ -93,7 +93,9 @@
         )
         store = HttpStore(self.store.address)
         gateway = Gateway(
-            PlatformAdapter(settings, store, PlatformRows(), PLATFORM_DIALECT),
+            PlatformAdapter(
+                settings, store, PlatformRows(), PLATFORM_DIALECT, lambda: None
+            ),
             SystemClock(),
         )
         await gateway.start()
--- a/tests/platform_adapter/test_settings_file.py
+++ b/tests/platform_adapter/test_settings_file.py
@@ -3,6 +3,7 @@
 import pytest
 
 from dogwoodhook.findings import FindingsError
+from dogwoodhook.platform.adapter import make_adapter
 from dogwoodhook.platform.settings_file import parse_settings
 from dogwoodhook.vm_settings import Address
 
@@ -53,3 +54,16 @@
 def test_a_port_outside_the_range_is_refused(port):
     text = TEXT.replace("10.200.1.7:8642", f"10.200.1.7:{port}")
     assert len(findings_of(text)) == 1
+
+
+def test_a_file_that_changes_is_taken_over_and_a_bad_one_is_not(tmp_path):
+    path = tmp_path / "boot.conf"
+    path.write_text(TEXT)
+    adapter = make_adapter(path)
+    assert adapter.reread_settings() is None
+    path.write_text(TEXT.replace("retryBudgetExtra=62", "retryBudgetExtra=10"))
+    assert adapter.reread_settings().bounds.retry_extra == 10
+    path.write_text(TEXT.replace("6s", "six"))
+    with pytest.raises(FindingsError):
+        adapter.reread_settings()
+    assert adapter.reread_settings() is None
