Race an overdue request instead of cutting it; begin pipelined requests early

Pipelined requests waited for the sum of the times before them, which their route's timeout does not allow.

Ruled out: longer attempts alone, which leave silent targets undetected for longer.

Change: an overdue repeatable request goes to a second target as well, and the first answer wins; nothing is cut without one. Pipelined repeatable requests go to targets when they are read, and only their answers wait.

--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -123,7 +123,11 @@
         forwarder = RouteForwarder(
             fleet, platform.dialect, clock, daemon=settings.vm_name, rng=rng
         )
-        self._callers = CallerListener(forwarder.forward, settings.caller_address)
+        self._callers = CallerListener(
+            forwarder.forward,
+            settings.caller_address,
+            may_begin=forwarder.is_repeatable,
+        )
         self._readiness_listener = ReadinessListener(
             lambda: self.is_ready, settings.readiness_address
         )
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -1,16 +1,15 @@
 """Listeners for callers and for the balancer's readiness questions."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from aiohttp import web
 
 from dogwoodhook.events import REQUEST_FAILED, log
 from dogwoodhook.transport.listening import HttpListener
+from dogwoodhook.transport.pipelining import Forward, MayBegin
 from dogwoodhook.vm_settings import Address
 
-Forward = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
 SERVE_SHARE = 0.7
 """Share of the grace period in which a stopping daemon still serves requests."""
 
@@ -25,10 +24,12 @@
 class CallerListener:
     """Counts requests, and ends them well when the daemon stops."""
 
-    def __init__(self, forward: Forward, address: Address) -> None:
+    def __init__(
+        self, forward: Forward, address: Address, *, may_begin: MayBegin
+    ) -> None:
         self._forward = forward
         self._listener = HttpListener(
-            self._handle, host=address.host, port=address.port
+            self._handle, host=address.host, port=address.port, may_begin=may_begin
         )
         self._in_flight = 0
         self._is_closing = False
--- a/dogwoodhook/transport/listening.py
+++ b/dogwoodhook/transport/listening.py
@@ -1,9 +1,12 @@
 """Starting and ending aiohttp servers."""
 
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from aiohttp import web
 
+from dogwoodhook.transport.pipelining import MayBegin, PipelinedServer
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 IDLE_TIMEOUT_S = 75.0
@@ -13,16 +16,28 @@
     """An HTTP server on one address.
 
     A handler is cancelled when its caller leaves; what must go on regardless is
-    shielded by the handler itself.
+    shielded by the handler itself. ``may_begin``, if given, tells which pipelined
+    requests are handled before those in front of them are answered.
     """
 
-    def __init__(self, handler: Handler, *, host: str, port: int) -> None:
-        server = web.Server(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=IDLE_TIMEOUT_S,
-            auto_decompress=False,
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        host: str,
+        port: int,
+        may_begin: MayBegin | None = None,
+    ) -> None:
+        options: dict[str, Any] = {
+            "handler_cancellation": True,
+            "access_log": None,
+            "keepalive_timeout": IDLE_TIMEOUT_S,
+            "auto_decompress": False,
+        }
+        server = (
+            web.Server(handler, **options)
+            if may_begin is None
+            else PipelinedServer(handler, may_begin=may_begin, **options)
         )
         self._runner = web.ServerRunner(server)
         self._host = host
--- /dev/null
+++ b/dogwoodhook/transport/pipelining.py
@@ -0,0 +1,139 @@
+"""Pipelined requests: begun when they are read, answered in their order.
+
+aiohttp handles the requests of a connection one after the other. A caller that
+sends several before the first answer would wait for the sum of their times. Here
+the repeatable ones among them go to targets at once; only their answers wait.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage, StreamWriter
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+from aiohttp.web_protocol import RequestHandler
+
+MAX_BEGUN = 16
+"""Requests of one connection that are at targets at the same time."""
+
+Forward = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+MayBegin = Callable[[web.BaseRequest], bool]
+
+
+class PipelinedRequest(web.BaseRequest):
+    """A request that may be begun before its turn to be answered comes."""
+
+    def begin(self, forward: Forward) -> None:
+        """Start to forward the request."""
+        self._turn = asyncio.Event()
+        self._answer = asyncio.ensure_future(forward(self))
+
+    async def answer(self) -> web.StreamResponse:
+        """Return the answer, now that its turn has come."""
+        self._turn.set()
+        return await self._answer
+
+    async def wait_for_turn(self) -> None:
+        """Wait until the answers before this one have been written."""
+        await self._turn.wait()
+
+    def abandon(self) -> None:
+        """Stop forwarding: the caller has left."""
+        self._answer.cancel()
+
+
+class _PipelinedHandler(RequestHandler):
+    """A connection that begins the requests behind the one it answers."""
+
+    __slots__ = ("_begun", "_forward", "_may_begin")
+
+    def __init__(
+        self,
+        manager: "PipelinedServer",
+        *,
+        loop: asyncio.AbstractEventLoop,
+        **options: Any,
+    ) -> None:
+        super().__init__(manager, loop=loop, **options)
+        self._begun: dict[int, PipelinedRequest] = {}
+        self._forward = manager.forward
+        self._may_begin = manager.may_begin
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        # While nothing is being answered, the first message is next anyway.
+        next_ones = 1 if self._current_request is None else 0
+        for message, payload in itertools.islice(self._messages, next_ones, None):
+            if len(self._begun) >= MAX_BEGUN:
+                return
+            if id(message) not in self._begun and payload is EMPTY_PAYLOAD:
+                self._begin(message, payload)
+
+    def _begin(self, message: Any, payload: StreamReader) -> None:
+        if not isinstance(message, RawRequestMessage):
+            return
+        request = PipelinedRequest(
+            message,
+            payload,
+            self,
+            StreamWriter(self, self._loop),
+            self._task_handler,  # type: ignore[arg-type]
+            self._loop,
+        )
+        if self._may_begin(request):
+            request.begin(self._forward)
+            self._begun[id(message)] = request
+
+    def take_begun(self, message: RawRequestMessage) -> PipelinedRequest | None:
+        """Return the request that was begun with a message, whose turn has come."""
+        return self._begun.pop(id(message), None)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        for request in self._begun.values():
+            request.abandon()
+        self._begun.clear()
+        super().connection_lost(exc)
+
+
+class PipelinedServer(web.Server):
+    """A server whose ``forward`` may be called for several requests at once.
+
+    ``may_begin`` tells which requests may be forwarded before their turn.
+    """
+
+    def __init__(
+        self, forward: Forward, *, may_begin: MayBegin, **options: Any
+    ) -> None:
+        super().__init__(self._handle, request_factory=self._request, **options)
+        self.forward = forward
+        self.may_begin = may_begin
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        return _PipelinedHandler(self, loop=self._loop, **self._kwargs)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if not isinstance(request, PipelinedRequest):
+            return await self.forward(request)
+        try:
+            return await request.answer()
+        except asyncio.CancelledError:
+            request.abandon()
+            raise
+
+    def _request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: RequestHandler,
+        writer: AbstractStreamWriter,
+        task: "asyncio.Task[None]",
+    ) -> web.BaseRequest:
+        if isinstance(protocol, _PipelinedHandler):
+            begun = protocol.take_begun(message)
+            if begun is not None:
+                return begun
+        return web.BaseRequest(message, payload, protocol, writer, task, self._loop)
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -40,6 +40,7 @@
     attempt,
 )
 from dogwoodhook.transport.bodies import RequestBody, read_prelude
+from dogwoodhook.transport.pipelining import PipelinedRequest
 from dogwoodhook.transport.resend_guard import AttemptTrace
 from dogwoodhook.transport.target_connections import TargetConnections
 
@@ -69,7 +70,8 @@
     """A request on its way, and what became of its attempts.
 
     ``deadline_s`` is on the elapsed clock. ``runs`` counts the attempts that may
-    have run; ``refusals`` those that did not.
+    have run; ``refusals`` those that did not. ``failure`` is a target's own
+    error, kept while another target may still do better.
     """
 
     request: web.BaseRequest
@@ -85,6 +87,10 @@
     arrivals: int = 0
     tried: set[str] = field(default_factory=set)
     last_target: str = ""
+    started_s: float = 0.0
+    has_raced: bool = False
+    failure: WholeAnswer | None = None
+    failed_at: TargetEntry | None = None
 
     @property
     def has_run(self) -> bool:
@@ -145,6 +151,14 @@
         # Followed to its end even if the caller leaves: it may not run again.
         return await asyncio.shield(asyncio.ensure_future(self._run(routed)))
 
+    def is_repeatable(self, request: web.BaseRequest) -> bool:
+        """Tell whether a request's route says that it may be repeated."""
+        configuration = self._fleet.configuration()
+        if configuration is None:
+            return False
+        route = configuration.match(request.host, request.path)
+        return route is not None and route.is_idempotent
+
     async def _read(
         self, request: web.BaseRequest, route: RoutePolicy, arrived_s: float
     ) -> RoutedRequest:
@@ -168,59 +182,128 @@
         )
 
     async def _run(self, routed: RoutedRequest) -> web.StreamResponse:
+        race: dict[asyncio.Task[AttemptResult], TargetEntry] = {}
+        try:
+            return await self._race(routed, race)
+        finally:
+            for task in race:
+                task.cancel()
+
+    async def _race(
+        self,
+        routed: RoutedRequest,
+        race: dict[asyncio.Task[AttemptResult], TargetEntry],
+    ) -> web.StreamResponse:
+        """Send the request until there is an answer; at most one at a time but for
+        repeatable requests, of which an overdue one is sent a second time.
+        """
+        target = self._next_target(routed)
+        detail = "no target serves it"
         while True:
-            now_s = self._clock.now_s()
-            if routed.deadline_s - now_s < MIN_SENDING_S:
-                return self._give_up(routed, "the deadline is too close")
-            candidate = self._fleet.placement.choose(
-                self._fleet.directory.serving(routed.service, now_s=now_s),
-                tried=frozenset(routed.tried),
-                is_idempotent=routed.route.is_idempotent,
-                now_s=now_s,
+            if target is not None:
+                race[self._start(routed, target)] = target
+                routed.started_s = self._clock.now_s()
+            if not race:
+                return self._conclude(routed, detail)
+            finished, _ = await asyncio.wait(
+                race,
+                timeout=self._overdue_in_s(routed, len(race)),
+                return_when=asyncio.FIRST_COMPLETED,
             )
-            if candidate is None:
-                return self._give_up(routed, "no other target serves it")
-            answer = await self._attempt(routed, candidate)
-            if answer is not None:
-                return answer
-
-    async def _attempt(
-        self, routed: RoutedRequest, candidate: Candidate
-    ) -> web.StreamResponse | None:
-        """Send the request; return the caller's answer, or ``None`` to go on."""
-        target = candidate.target
-        routed.tried.add(target.name)
-        routed.last_target = target.name
-        result = await self._send(routed, target)
+            target = None
+            if not finished:
+                target = self._second_target(routed)
+                continue
+            for task in finished:
+                answer = await self._settle(routed, race.pop(task), task.result())
+                if isinstance(answer, web.StreamResponse):
+                    return answer
+                detail = answer
+            if not race and self._may_send_again(routed):
+                target = self._next_target(routed)
+
+    def _next_target(self, routed: RoutedRequest) -> TargetEntry | None:
+        candidate = self._choose(routed)
+        return candidate.target if candidate else None
+
+    def _second_target(self, routed: RoutedRequest) -> TargetEntry | None:
+        """Return where an overdue request goes as well, if it may and it helps."""
+        routed.has_raced = True
+        candidate = self._choose(routed)
+        if candidate is None or candidate.is_suspect:
+            return None
+        return candidate.target if self._take_repeat(routed) else None
+
+    def _choose(self, routed: RoutedRequest) -> Candidate | None:
+        now_s = self._clock.now_s()
+        if routed.deadline_s - now_s < MIN_SENDING_S:
+            return None
+        return self._fleet.placement.choose(
+            self._fleet.directory.serving(routed.service, now_s=now_s),
+            tried=frozenset(routed.tried),
+            is_idempotent=routed.route.is_idempotent,
+            now_s=now_s,
+        )
+
+    def _overdue_in_s(self, routed: RoutedRequest, in_flight: int) -> float | None:
+        """Return when the request is to be sent a second time, ``None`` for never."""
+        may_race = (
+            routed.route.is_idempotent
+            and routed.body.is_whole
+            and not routed.has_raced
+            and routed.runs + in_flight < routed.route.max_targets
+        )
+        if not may_race:
+            return None
+        overdue_s = routed.started_s + routed.route.target_latency_s * OVERDUE_SHARE
+        return max(0.0, overdue_s - self._clock.now_s())
+
+    async def _settle(
+        self, routed: RoutedRequest, target: TargetEntry, result: AttemptResult
+    ) -> web.StreamResponse | str:
+        """Return the caller's answer, or why there is none yet."""
         match result:
-            case WholeAnswer(status=status):
-                if status >= SERVER_ERROR_STATUS:
-                    routed.runs += 1
-                    if self._fail(routed, target, Symptom.ERROR, f"status {status}"):
-                        return None
+            case WholeAnswer(status=status) if status >= SERVER_ERROR_STATUS:
+                routed.runs += 1
+                routed.arrivals += 1
+                self._fail(routed, target, Symptom.ERROR, f"status {status}")
+                if not routed.route.is_idempotent:
+                    return self._deliver(routed, target, result)
+                routed.failure = result
+                return f"status {status}"
+            case WholeAnswer():
                 return self._deliver(routed, target, result)
             case OpenAnswer():
                 return await self._stream(routed, target, result)
             case NotRunThere(detail, symptom, has_arrived):
                 routed.refusals += 1
-                if self._fail(routed, target, symptom, detail, has_arrived=has_arrived):
-                    return None
-                return self._give_up(routed, detail)
+                routed.arrivals += has_arrived
+                self._fail(routed, target, symptom, detail)
+                return detail
             case MayHaveRun(detail, symptom):
                 routed.runs += 1
-                if self._fail(routed, target, symptom, detail):
-                    return None
-                return self._give_up(routed, detail)
+                routed.arrivals += 1
+                self._fail(routed, target, symptom, detail)
+                return detail
+
+    def _conclude(self, routed: RoutedRequest, detail: str) -> web.StreamResponse:
+        """Return the final answer of a request that no target answered well."""
+        if routed.failure is not None:
+            return self._deliver(routed, routed.failed_at, routed.failure)
+        return self._give_up(routed, detail)
+
+    def _start(
+        self, routed: RoutedRequest, target: TargetEntry
+    ) -> asyncio.Task[AttemptResult]:
+        routed.tried.add(target.name)
+        routed.last_target = target.name
+        return asyncio.ensure_future(self._send(routed, target))
 
     async def _send(self, routed: RoutedRequest, target: TargetEntry) -> AttemptResult:
         fleet = self._fleet
         now_s = self._clock.now_s()
         remaining_s = routed.deadline_s - now_s
         overdue_s = routed.route.target_latency_s * OVERDUE_SHARE
-        timeout_s = remaining_s
-        may_repeat = routed.runs + 1 < routed.route.max_targets
-        if routed.route.is_idempotent and routed.body.is_whole and may_repeat:
-            timeout_s = min(remaining_s, overdue_s)
         headers = routed.headers.copy()
         headers[self._dialect.remaining_ms] = str(int(remaining_s * 1000))
         sending = Attempt(
@@ -229,7 +312,7 @@
             headers=headers,
             body=routed.body.content(),
             request_id=routed.request_id,
-            timeout_s=timeout_s,
+            timeout_s=remaining_s,
         )
         trace = AttemptTrace()
         loop = asyncio.get_running_loop()
@@ -259,39 +342,48 @@
         target: TargetEntry,
         symptom: Symptom | None,
         detail: str,
-        *,
-        has_arrived: bool = True,
-    ) -> bool:
-        """Note a failed attempt; tell whether the request goes to another target."""
-        routed.arrivals += has_arrived
-        goes_on = self._may_go_on(routed)
-        if goes_on and routed.arrivals:
-            goes_on = self._fleet.budget.try_take(
-                routed.service,
-                daemons=self._fleet.count_daemons(),
-                now_s=self._clock.now_s(),
-            )
-        was_repeated = goes_on and routed.arrivals > 0
-        if symptom is Symptom.OVERDUE:
-            symptom = None  # Reported when it became overdue.
-        if symptom is not None or was_repeated:
-            self._report(routed, target, symptom, was_repeated=was_repeated)
+    ) -> None:
+        """Note a failed attempt, and tell the others of it."""
+        routed.failed_at = target
+        # What was overdue has been reported when it became so.
+        if symptom is not None and symptom is not Symptom.OVERDUE:
+            self._report(routed, target, symptom, was_repeated=False)
         log(
             ATTEMPT_FAILED,
             request=routed.request_id,
             target=target.name,
             detail=detail,
-            goes_on=goes_on,
             since_ms=int((self._clock.now_s() - routed.arrived_s) * 1000),
         )
-        return goes_on
 
-    def _may_go_on(self, routed: RoutedRequest) -> bool:
+    def _may_send_again(self, routed: RoutedRequest) -> bool:
+        """Tell whether a request without an answer goes to another target."""
         if not routed.body.is_whole or routed.refusals > MAX_REFUSALS:
             return False
         if routed.has_run and not routed.route.is_idempotent:
             return False
-        return routed.runs < routed.route.max_targets
+        if routed.runs >= routed.route.max_targets:
+            return False
+        return not routed.arrivals or self._take_repeat(routed)
+
+    def _take_repeat(self, routed: RoutedRequest) -> bool:
+        """Draw on the fleet's budget for one more sending."""
+        if not self._fleet.budget.try_take(
+            routed.service,
+            daemons=self._fleet.count_daemons(),
+            now_s=self._clock.now_s(),
+        ):
+            return False
+        self._fleet.tell_failure(
+            TargetFailure(
+                daemon=self._daemon,
+                service=routed.service,
+                target=routed.last_target,
+                symptom=None,
+                was_repeated=True,
+            )
+        )
+        return True
 
     def _report(
         self,
@@ -316,12 +408,12 @@
         )
 
     def _deliver(
-        self, routed: RoutedRequest, target: TargetEntry, answer: WholeAnswer
+        self, routed: RoutedRequest, target: TargetEntry | None, answer: WholeAnswer
     ) -> web.Response:
         log(
             REQUEST_ANSWERED,
             request=routed.request_id,
-            target=target.name,
+            target=target.name if target else "",
             status=answer.status,
             attempts=len(routed.tried),
             after_ms=int((self._clock.now_s() - routed.arrived_s) * 1000),
@@ -346,6 +438,8 @@
         )
         try:
             async with asyncio.timeout(routed.deadline_s - self._clock.now_s()):
+                if isinstance(routed.request, PipelinedRequest):
+                    await routed.request.wait_for_turn()
                 await answer.prepare(routed.request)
                 await answer.write(opened.body)
                 async for chunk in opened.response.content.iter_any():
--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -187,24 +187,84 @@
     assert target.cut == 0
 
 
-async def test_pipelined_requests_are_answered_in_their_order(platform):
-    await start(platform, behave.after(0.1), behave.answer)
-    gateway = platform.gateways[0]
-    address = gateway.settings.caller_address
+async def pipeline(platform, paths, *, count):
+    """Send requests on one connection at once; return all that comes back."""
+    address = platform.gateways[0].settings.caller_address
     reader, writer = await asyncio.open_connection(address.host, address.port)
-    for number in range(3):
+    for number, path in enumerate(paths):
+        method = "GET" if path.startswith("/read") else "POST"
         writer.write(
-            f"GET /read/{number} HTTP/1.1\r\nHost: {address.host}\r\n"
+            f"{method} {path} HTTP/1.1\r\nHost: {address.host}\r\n"
             f"Request-Id: p{number}\r\nDeadline-Ms: 5000\r\n\r\n".encode()
         )
     text = b""
-    async with asyncio.timeout(3):
-        while text.count(b"ran /read/") < 3:
-            text += await reader.read(65536)
-    writer.close()
-    assert [text.index(f"ran /read/{n}".encode()) for n in range(3)] == sorted(
-        text.index(f"ran /read/{n}".encode()) for n in range(3)
+    try:
+        async with asyncio.timeout(3):
+            while text.count(b"t1 ran ") < count:
+                text += await reader.read(1024 * 1024)
+    finally:
+        writer.close()
+    return text
+
+
+async def test_pipelined_requests_are_answered_in_their_order(platform):
+    await start(platform, behave.after(0.3), behave.after(0.1), behave.answer)
+    paths = [f"/read/{number}" for number in range(5)]
+    text = await pipeline(platform, paths, count=5)
+    places = [text.index(f"t1 ran {path}".encode()) for path in paths]
+    assert places == sorted(places)
+
+
+async def test_pipelined_repeatable_requests_run_at_the_same_time(platform):
+    target = await start(platform, behave.after(0.4))
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    await pipeline(platform, ["/read/1", "/read/2", "/read/3"], count=3)
+    assert loop.time() - began_s < 0.8
+    assert len(target.received) == 3
+
+
+async def test_a_pipelined_request_that_may_not_be_repeated_waits_for_its_turn(
+    platform,
+):
+    target = await start(platform, behave.after(0.3))
+    task = asyncio.ensure_future(
+        pipeline(platform, ["/read/1", "/post/2", "/read/3"], count=3)
+    )
+    await until(lambda: target.received)
+    await asyncio.sleep(0.1)
+    assert {each.path for each in target.received} == {"/read/1", "/read/3"}
+    await task
+
+
+async def test_a_large_answer_to_a_pipelined_request_waits_for_its_turn(platform):
+    body = b"x" * 2 * BUFFERED_ANSWER_BYTES
+
+    async def large_second(server, received, writer):
+        if received.path != "/read/2":
+            await asyncio.sleep(0.3)
+            await behave.answer(server, received, writer)
+            return
+        length = len(body)
+        writer.write(
+            behave.head("200 OK", received, length=length, Server_Signature="s") + body
+        )
+
+    await start(platform, large_second)
+    text = await pipeline(platform, ["/read/1", "/read/2", "/read/3"], count=2)
+    marks = (b"ran /read/1", body, b"ran /read/3")
+    places = [text.index(mark) for mark in marks]
+    assert places == sorted(places)
+
+
+async def test_pipelined_requests_end_when_their_caller_leaves(platform):
+    target = await start(platform, behave.hang)
+    task = asyncio.ensure_future(
+        pipeline(platform, ["/read/1", "/read/2", "/read/3"], count=3)
     )
+    await until(lambda: len(target.received) == 3)
+    task.cancel()
+    await until(lambda: target.cut == 3, timeout_s=0.5)
 
 
 async def test_a_body_over_the_limit_is_refused(platform):
@@ -212,3 +272,20 @@
     reply = await platform.send("/post/1", data=b"x" * (1024 * 1024 + 1))
     assert reply.status == 413
     assert not target.received
+
+
+async def test_an_overdue_request_is_not_cut_where_no_other_target_is_left(platform):
+    target = await start(platform, behave.after(0.9))
+    assert (await platform.send("/read/1")).body == b"t1 ran /read/1"
+    assert (len(target.received), target.cut) == (1, 0)
+
+
+async def test_an_overdue_request_gets_whichever_answer_comes_first(platform):
+    target = await start(platform, behave.after(0.9))
+    other = await platform.start_target("t2", behave.hang)
+    await until(lambda: platform.gateways[0].knows_target("t2"))
+    other.behaviours = [behave.hang]
+    reply = await platform.send("/read/1")
+    while not (target.received and other.received):
+        reply = await platform.send("/read/1")
+    assert reply.status == 200
