Let only answers to later requests clear a suspect

Requests in flight when a gray episode begins are answered well after the first reset, and each such answer ended the avoidance.

Change: an answer ends avoidance only if its request was sent after the last failure; a test that failed first.

--- a/dogwoodhook/state/suspicion.py
+++ b/dogwoodhook/state/suspicion.py
@@ -90,6 +90,7 @@
     )
     avoided_until_s: float = 0.0
     tried_from_s: float = 0.0
+    failed_s: float = float("-inf")
     succeeded_s: float = float("-inf")
     path_hold_s: float = PATH_HOLD_S
 
@@ -111,10 +112,16 @@
         until_s = suspect.tried_from_s if is_idempotent else suspect.avoided_until_s
         return max(0.0, until_s - now_s)
 
-    def record_success(self, target: str, *, now_s: float) -> None:
-        """Note an answer; it ends the avoidance of a target."""
+    def record_success(self, target: str, *, sent_s: float, now_s: float) -> None:
+        """Note an answer; it ends the avoidance of a target.
+
+        An answer to a request that was sent before the last failure ends nothing:
+        it only shows that the target was well before.
+        """
         suspect = self._suspects.setdefault(target, _Suspect())
         suspect.succeeded_s = now_s
+        if sent_s <= suspect.failed_s:
+            return
         suspect.path_hold_s = PATH_HOLD_S
         suspect.avoided_until_s = 0.0
         suspect.tried_from_s = 0.0
@@ -180,6 +187,7 @@
     def _note(self, report: FailureReport, now_s: float) -> _Suspect:
         suspect = self._suspects.setdefault(report.target, _Suspect())
         suspect.reports.append((now_s, report))
+        suspect.failed_s = now_s
         failed = self._failed_by_reporter.setdefault(report.reporter, {})
         failed[report.target] = now_s
         return suspect
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -330,7 +330,9 @@
             fleet.connections.record_idle(target)
             is_late = self._clock.now_s() - now_s >= overdue_s
             if result.status < SERVER_ERROR_STATUS and not is_late:
-                fleet.suspicion.record_success(target.name, now_s=self._clock.now_s())
+                fleet.suspicion.record_success(
+                    target.name, sent_s=now_s, now_s=self._clock.now_s()
+                )
         return result
 
     def _note_overdue(self, routed: RoutedRequest, target: TargetEntry) -> None:
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -53,10 +53,17 @@
 
 def test_a_success_ends_avoidance(suspicion):
     suspicion.record_failure("t1", Symptom.RESET, now_s=0.0)
-    suspicion.record_success("t1", now_s=3.0)
+    suspicion.record_success("t1", sent_s=2.5, now_s=3.0)
     assert not is_avoided(suspicion, now_s=3.0)
 
 
+def test_an_answer_to_what_was_sent_before_the_failure_ends_nothing(suspicion):
+    suspicion.record_failure("t1", Symptom.RESET, now_s=1.0)
+    suspicion.record_success("t1", sent_s=0.9, now_s=1.2)
+    assert is_avoided(suspicion, now_s=1.2)
+    assert is_avoided(suspicion, now_s=1.2, is_idempotent=True)
+
+
 @pytest.mark.parametrize("symptom", PATH_SYMPTOMS)
 def test_one_daemons_timeout_does_not_accuse_a_target(suspicion, symptom):
     suspicion.absorb(report(symptom), now_s=1.0)
@@ -72,7 +79,7 @@
 
 
 def test_an_own_success_outweighs_timeouts_of_others(suspicion):
-    suspicion.record_success("t1", now_s=1.0)
+    suspicion.record_success("t1", sent_s=0.5, now_s=1.0)
     for reporter in ("vm-2", "vm-3", "vm-4"):
         suspicion.absorb(report(Symptom.OVERDUE, reporter=reporter), now_s=1.5)
     assert not is_avoided(suspicion, now_s=1.5)
