--- a/dogwoodhook/state/placement.py
+++ b/dogwoodhook/state/placement.py
@@ -4,7 +4,7 @@
 and shares every target's few slots with all others. A daemon knows its own
 requests in flight only, so it spreads them: the target with the fewest of them
 wins, its own data centre goes first until that is busier, and among equals one
-with an idle connection saves a new one. Suspects come last.
+with an idle connection saves a new one. Failing targets come last.
 """
 
 import random
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from dogwoodhook.state.suspicion import Suspicion
+from dogwoodhook.state.suspicion import Standing, Suspicion
 from dogwoodhook.state.target_directory import TargetEntry
 
 REMOTE_COST = 1.5
@@ -29,8 +29,11 @@
 """Largest random cost; it spreads requests, and finds targets that have just joined
 although others have idle connections."""
 
-SUSPECT_COST = 1000.0
-"""Puts every suspect behind all other targets."""
+SLOW_COST = 4.0
+"""Requests in flight by which other targets may be busier than a slow one."""
+
+FAILING_COST = 1000.0
+"""Puts every failing target behind all others."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +42,7 @@
 
     target: TargetEntry
     cost: float
-    is_suspect: bool
+    standing: Standing
 
 
 class Placement:
@@ -88,7 +91,7 @@
     def _weigh(
         self, target: TargetEntry, *, is_idempotent: bool, now_s: float
     ) -> Candidate:
-        avoided_s = self._suspicion.avoided_s(
+        avoidance = self._suspicion.avoidance(
             target.name, is_idempotent=is_idempotent, now_s=now_s
         )
         cost = self._in_flight[target.name] + self._rng.uniform(0, RANDOM_COST)
@@ -96,8 +99,13 @@
             cost += REMOTE_COST
         if target.warmup_s > 0:
             cost += WARMUP_COST
-        if avoided_s > 0:
-            cost += SUSPECT_COST + avoided_s
-        elif not self._has_idle_connection(target):
+        if not self._has_idle_connection(target):
             cost += NEW_CONNECTION_COST
-        return Candidate(target, cost, is_suspect=avoided_s > 0)
+        match avoidance.standing:
+            case Standing.FAILING:
+                cost += FAILING_COST + avoidance.left_s
+            case Standing.SLOW:
+                cost += SLOW_COST
+            case Standing.SOUND:
+                pass
+        return Candidate(target, cost, avoidance.standing)
--- a/dogwoodhook/state/suspicion.py
+++ b/dogwoodhook/state/suspicion.py
@@ -8,6 +8,9 @@
 other daemons only where several tell of them and none of their own requests
 succeeded since. Server errors happen at healthy targets too, and count by twos.
 
+Slow is not failing. Under load all targets are slow, and to treat them alike would
+hide the ones that fail; a slow target costs as much as some requests in flight.
+
 Avoidance removes no capacity: an avoided target is used where no other is left.
 It ends after a holding time that differs from daemon to daemon, so that the first
 one to return finds out for the others. What may be repeated returns sooner, since
@@ -17,7 +20,7 @@
 import random
 from collections import deque
 from dataclasses import dataclass, field
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 
 HOLD_S = 5.0
 """Holding time after a failure for requests that may run only once. Gray episodes
@@ -62,16 +65,37 @@
 
     ``RESET``: it broke the connection, or answered with anything but an answer
     to the request. ``ERROR``: it answered with a server error. ``OVERDUE``: no
-    answer after a time in which nearly all come. ``UNREACHABLE``: no connection.
+    answer after a time in which nearly all come. ``SILENT``: none until the
+    deadline. ``UNREACHABLE``: no connection.
     """
 
     RESET = "reset"
     ERROR = "error"
     OVERDUE = "overdue"
+    SILENT = "silent"
     UNREACHABLE = "unreachable"
 
 
-_PATH_SYMPTOMS = frozenset({Symptom.OVERDUE, Symptom.UNREACHABLE})
+_PATH_SYMPTOMS = frozenset({Symptom.OVERDUE, Symptom.SILENT, Symptom.UNREACHABLE})
+
+
+class Standing(IntEnum):
+    """What a daemon holds of a target; higher is worse."""
+
+    SOUND = 0
+    SLOW = 1
+    FAILING = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Avoidance:
+    """A target's standing, and for how much longer it holds."""
+
+    standing: Standing
+    left_s: float = 0.0
+
+
+_SOUND = Avoidance(Standing.SOUND)
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +114,7 @@
     )
     avoided_until_s: float = 0.0
     tried_from_s: float = 0.0
+    slow_until_s: float = 0.0
     failed_s: float = float("-inf")
     succeeded_s: float = float("-inf")
     path_hold_s: float = PATH_HOLD_S
@@ -104,13 +129,17 @@
         self._suspects: dict[str, _Suspect] = {}
         self._failed_by_reporter: dict[str, dict[str, float]] = {}
 
-    def avoided_s(self, target: str, *, is_idempotent: bool, now_s: float) -> float:
-        """Return for how much longer a target gets work only where no other is left."""
+    def avoidance(self, target: str, *, is_idempotent: bool, now_s: float) -> Avoidance:
+        """Return a target's standing for a request."""
         suspect = self._suspects.get(target)
         if suspect is None:
-            return 0.0
+            return _SOUND
         until_s = suspect.tried_from_s if is_idempotent else suspect.avoided_until_s
-        return max(0.0, until_s - now_s)
+        if now_s < until_s:
+            return Avoidance(Standing.FAILING, until_s - now_s)
+        if now_s < suspect.slow_until_s:
+            return Avoidance(Standing.SLOW, suspect.slow_until_s - now_s)
+        return _SOUND
 
     def record_success(self, target: str, *, sent_s: float, now_s: float) -> None:
         """Note an answer; it ends the avoidance of a target.
@@ -125,6 +154,7 @@
         suspect.path_hold_s = PATH_HOLD_S
         suspect.avoided_until_s = 0.0
         suspect.tried_from_s = 0.0
+        suspect.slow_until_s = 0.0
 
     def record_failure(
         self, target: str, symptom: Symptom, *, now_s: float
@@ -133,7 +163,7 @@
         report = FailureReport(target, symptom, self._daemon)
         suspect = self._note(report, now_s)
         if symptom in _PATH_SYMPTOMS:
-            self._avoid(suspect, now_s + suspect.path_hold_s)
+            self._hold_path(suspect, symptom, now_s + suspect.path_hold_s)
             suspect.path_hold_s = min(MAX_PATH_HOLD_S, suspect.path_hold_s * 2)
         elif (
             symptom is Symptom.RESET
@@ -149,8 +179,11 @@
             return False
         if not self._is_convincing(suspect, report, now_s):
             return False
-        was_avoided = now_s < suspect.avoided_until_s
-        self._hold(suspect, now_s)
+        was_avoided = now_s < max(suspect.avoided_until_s, suspect.slow_until_s)
+        if report.symptom in _PATH_SYMPTOMS:
+            self._hold_path(suspect, report.symptom, now_s + PATH_HOLD_S)
+        else:
+            self._hold(suspect, now_s)
         return not was_avoided
 
     def forget(self, target: str) -> None:
@@ -165,7 +198,7 @@
                 return True
             case Symptom.ERROR:
                 return self._errors(suspect, now_s) >= ERRORS_TO_SUSPECT
-            case Symptom.OVERDUE | Symptom.UNREACHABLE:
+            case Symptom.OVERDUE | Symptom.SILENT | Symptom.UNREACHABLE:
                 if now_s - suspect.succeeded_s < OWN_SUCCESS_S:
                     return False
                 return len(self._path_reporters(suspect, now_s)) >= AGREEING_REPORTERS
@@ -203,6 +236,12 @@
         self._avoid(suspect, now_s + HOLD_S + spread_s)
         suspect.tried_from_s = tried_from_s
 
+    def _hold_path(self, suspect: _Suspect, symptom: Symptom, until_s: float) -> None:
+        if symptom is Symptom.OVERDUE:
+            suspect.slow_until_s = max(suspect.slow_until_s, until_s)
+        else:
+            self._avoid(suspect, until_s)
+
     def _avoid(self, suspect: _Suspect, until_s: float) -> None:
         suspect.avoided_until_s = max(suspect.avoided_until_s, until_s)
         suspect.tried_from_s = max(suspect.tried_from_s, until_s)
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -180,7 +180,7 @@
 def _after_timeout(trace: AttemptTrace) -> AttemptResult:
     if not trace.is_connected:
         return NotRunThere("no connection in time", Symptom.UNREACHABLE, False)
-    return MayHaveRun("no answer in time", Symptom.OVERDUE)
+    return MayHaveRun("no answer in time", Symptom.SILENT)
 
 
 def _after_error(trace: AttemptTrace, error: Exception) -> AttemptResult:
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -27,8 +28,9 @@
 from dogwoodhook.state.fleet_budget import FleetBudget
 from dogwoodhook.state.placement import Candidate, Placement
 from dogwoodhook.state.route_policy import RoutePolicy, RoutingConfiguration
-from dogwoodhook.state.suspicion import Suspicion, Symptom
+from dogwoodhook.state.suspicion import Standing, Suspicion, Symptom
 from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
+from dogwoodhook.state.typical_latency import TypicalLatency
 from dogwoodhook.transport.answers import cut_caller
 from dogwoodhook.transport.attempts import (
     Attempt,
@@ -47,9 +49,6 @@
 REPLAY_BUFFER_BYTES = 512 * 1024
 """Bodies up to this size can be sent to another target."""
 
-OVERDUE_SHARE = 0.6
-"""Share of a route's target latency after which an answer is overdue."""
-
 ANSWER_MARGIN_S = 0.05
 """Time before the route's timeout at which the daemon gives its own answer."""
 
@@ -129,6 +128,7 @@
         self._clock = clock
         self._daemon = daemon
         self._rng = rng
+        self._typical: defaultdict[str, TypicalLatency] = defaultdict(TypicalLatency)
 
     async def forward(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the caller's answer."""
@@ -230,7 +230,7 @@
         """Return where an overdue request goes as well, if it may and it helps."""
         routed.has_raced = True
         candidate = self._choose(routed)
-        if candidate is None or candidate.is_suspect:
+        if candidate is None or candidate.standing is Standing.FAILING:
             return None
         return candidate.target if self._take_repeat(routed) else None
 
@@ -255,8 +255,10 @@
         )
         if not may_race:
             return None
-        overdue_s = routed.started_s + routed.route.target_latency_s * OVERDUE_SHARE
-        return max(0.0, overdue_s - self._clock.now_s())
+        race_s = self._typical[routed.service].race_s(
+            target_latency_s=routed.route.target_latency_s
+        )
+        return max(0.0, routed.started_s + race_s - self._clock.now_s())
 
     async def _settle(
         self, routed: RoutedRequest, target: TargetEntry, result: AttemptResult
@@ -303,7 +305,8 @@
         fleet = self._fleet
         now_s = self._clock.now_s()
         remaining_s = routed.deadline_s - now_s
-        overdue_s = routed.route.target_latency_s * OVERDUE_SHARE
+        typical = self._typical[routed.service]
+        overdue_s = typical.overdue_s(target_latency_s=routed.route.target_latency_s)
         headers = routed.headers.copy()
         headers[self._dialect.remaining_ms] = str(int(remaining_s * 1000))
         sending = Attempt(
@@ -328,7 +331,9 @@
             overdue.cancel()
         if isinstance(result, WholeAnswer):
             fleet.connections.record_idle(target)
-            is_late = self._clock.now_s() - now_s >= overdue_s
+            latency_s = self._clock.now_s() - now_s
+            typical.record(latency_s)
+            is_late = latency_s >= overdue_s
             if result.status < SERVER_ERROR_STATUS and not is_late:
                 fleet.suspicion.record_success(
                     target.name, sent_s=now_s, now_s=self._clock.now_s()
@@ -347,8 +352,7 @@
     ) -> None:
         """Note a failed attempt, and tell the others of it."""
         routed.failed_at = target
-        # What was overdue has been reported when it became so.
-        if symptom is not None and symptom is not Symptom.OVERDUE:
+        if symptom is not None:
             self._report(routed, target, symptom, was_repeated=False)
         log(
             ATTEMPT_FAILED,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -72,3 +72,14 @@
     new = replace(HERE, name="new")
     counts = Counter(choose(placement, [*used, new]).name for _ in range(2000))
     assert 0 < counts["new"] < min(counts[each.name] for each in used)
+
+
+def test_a_failing_target_is_told_from_slow_ones_when_all_are_suspects(
+    placement, suspicion
+):
+    slow = [replace(HERE, name=f"slow-{number}") for number in range(3)]
+    for target in slow:
+        suspicion.record_failure(target.name, Symptom.OVERDUE, now_s=0.0)
+    suspicion.record_failure("here", Symptom.RESET, now_s=0.0)
+    chosen = {choose(placement, [HERE, *slow], now_s=0.1).name for _ in range(100)}
+    assert chosen == {"slow-0", "slow-1", "slow-2"}
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -12,11 +12,12 @@
     PATH_HOLD_S,
     TRIAL_HOLD_S,
     FailureReport,
+    Standing,
     Suspicion,
     Symptom,
 )
 
-PATH_SYMPTOMS = [Symptom.OVERDUE, Symptom.UNREACHABLE]
+PATH_SYMPTOMS = [Symptom.OVERDUE, Symptom.SILENT, Symptom.UNREACHABLE]
 
 
 @pytest.fixture
@@ -24,8 +25,13 @@
     return Suspicion(daemon="vm-1", rng=random.Random(7))
 
 
-def is_avoided(suspicion, *, now_s, is_idempotent=False, target="t1"):
-    return suspicion.avoided_s(target, is_idempotent=is_idempotent, now_s=now_s) > 0
+def standing(suspicion, *, now_s, is_idempotent=False, target="t1"):
+    found = suspicion.avoidance(target, is_idempotent=is_idempotent, now_s=now_s)
+    return found.standing
+
+
+def is_avoided(suspicion, **options):
+    return standing(suspicion, **options) is not Standing.SOUND
 
 
 def report(symptom, *, reporter="vm-2", target="t1"):
@@ -111,3 +117,10 @@
     for target in targets:
         suspicion.absorb(report(Symptom.RESET, target=target), now_s=1.0)
     assert not is_avoided(suspicion, now_s=1.0, target=targets[-1])
+
+
+def test_a_slow_target_is_not_taken_for_a_failing_one(suspicion):
+    suspicion.record_failure("t1", Symptom.OVERDUE, now_s=0.0)
+    assert standing(suspicion, now_s=1.0) is Standing.SLOW
+    suspicion.record_failure("t1", Symptom.SILENT, now_s=1.0)
+    assert standing(suspicion, now_s=1.0) is Standing.FAILING
--- /dev/null
+++ b/tests/test_typical_latency.py
@@ -0,0 +1,28 @@
+"""How long a service's answers usually take."""
+
+from dogwoodhook.state.typical_latency import RECENT_ANSWERS, TypicalLatency
+
+
+def limits(latencies_s):
+    typical = TypicalLatency()
+    for latency_s in latencies_s:
+        typical.record(latency_s)
+    return (
+        typical.race_s(target_latency_s=1.0),
+        typical.overdue_s(target_latency_s=1.0),
+    )
+
+
+def test_quick_answers_leave_the_share_of_the_target_latency():
+    race_s, overdue_s = limits([0.1] * 30)
+    assert race_s == overdue_s == 0.6
+
+
+def test_a_burst_in_which_all_is_slow_makes_nothing_overdue():
+    _, overdue_s = limits([0.3] * 30 + [0.9] * RECENT_ANSWERS)
+    assert overdue_s > 2.0
+
+
+def test_a_few_slow_answers_do_not_hide_a_slow_target():
+    _, overdue_s = limits([0.3] * 16 + [3.0] * 8)
+    assert overdue_s < 1.0
