Be back at the store within three seconds of its return; leave in time on SIGTERM

Two daemons were still there when the grace period ended: closing gave requests in flight another minute.

Change: shorter pauses, which end when another daemon's reading comes; the configuration is asked for only while the targets can be read; closing takes 0.1 s.

--- a/dogwoodhook/coordination/store_following.py
+++ b/dogwoodhook/coordination/store_following.py
@@ -49,8 +49,9 @@
 """Time that the reader's call for a new configuration waits at the store."""
 
 MIN_RETRY_S = 0.4
-MAX_RETRY_S = 2.0
-"""Pauses between calls while the store does not answer."""
+MAX_RETRY_S = 0.8
+"""Pauses between calls while the store does not answer. The longest one and the
+deadline of a call end before the platform counts the store as stable again."""
 
 MAX_CHANGES_PER_READING = 5
 """Changes that fit a datagram."""
@@ -146,7 +147,9 @@
 
     @property
     def is_reader(self) -> bool:
-        """Tell whether this daemon reads the store for its data centre now."""
+        """Tell whether this daemon reads the store, which answers it, for others."""
+        if self._availability.failed_since_s is not None:
+            return False
         return self._rank() == 0 or self._is_silent()
 
     async def run(self) -> None:
@@ -154,12 +157,12 @@
         while True:
             pause_s = self._pause_s()
             if pause_s > 0 and not self._must_read.is_set():
-                await self._wait(pause_s)
+                await _wait_for(self._must_read, pause_s)
                 continue
             self._must_read.clear()
             if not await self._read():
-                failures_s = self._availability.retry_s
-                await asyncio.sleep(failures_s * self._rng.uniform(0.7, 1.3))
+                spread = self._rng.uniform(0.7, 1.3)
+                await _wait_for(self._must_read, self._availability.retry_s * spread)
 
     def hear(self, reading: StoreReading) -> None:
         """Take another daemon's reading."""
@@ -176,13 +179,6 @@
         )
         _log_changes(applied, source=reading.daemon, version=reading.version)
 
-    async def _wait(self, pause_s: float) -> None:
-        try:
-            async with asyncio.timeout(pause_s):
-                await self._must_read.wait()
-        except TimeoutError:
-            return
-
     def _rank(self) -> int:
         return rank_of(self._daemon, self._links.neighbours())
 
@@ -302,10 +298,10 @@
             elif self._is_reader():
                 result = await self._wait_at_store()
             else:
-                await self._wait()
+                await self._wait(READ_INTERVAL_S)
                 continue
             if not self._take(result):
-                await asyncio.sleep(self._availability.retry_s)
+                await self._wait(self._availability.retry_s)
 
     def hear(self, row_version: int) -> None:
         """Take note of the configuration that another daemon knows of."""
@@ -313,13 +309,9 @@
             self._wanted_row = row_version
             self._wake.set()
 
-    async def _wait(self) -> None:
+    async def _wait(self, pause_s: float) -> None:
         self._wake.clear()
-        try:
-            async with asyncio.timeout(READ_INTERVAL_S):
-                await self._wake.wait()
-        except TimeoutError:
-            return
+        await _wait_for(self._wake, pause_s)
 
     async def _wait_at_store(self) -> Result[TableRows, StoreUnavailable]:
         changes = await self._store.read_changes(
@@ -370,6 +362,15 @@
         self._on_change()
 
 
+async def _wait_for(event: asyncio.Event, timeout_s: float) -> None:
+    """Wait for an event, but no longer than a timeout."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        return
+
+
 def _log_changes(
     changes: tuple[TargetChange, ...], *, source: str, version: int
 ) -> None:
--- a/dogwoodhook/platform/store_client.py
+++ b/dogwoodhook/platform/store_client.py
@@ -18,7 +18,7 @@
 )
 from dogwoodhook.vm_settings import Address
 
-CALL_TIMEOUT_S = 1.2
+CALL_TIMEOUT_S = 1.0
 """Deadline of a call, besides the time it may wait for a change. A connection that
 went silent shows by it; the store's slow answers take 0.4 s."""
 
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -17,7 +17,10 @@
 """Time for which a stopping daemon listens on: the balancer sends new callers until
 it has missed two of its questions, which come once a second."""
 
-EXIT_MARGIN_S = 0.4
+CLOSE_TIMEOUT_S = 0.1
+"""Time for closing what is left after the drain."""
+
+EXIT_MARGIN_S = 0.6
 """Time before the end of the grace period at which the daemon exits."""
 
 
@@ -29,7 +32,11 @@
     ) -> None:
         self._forward = forward
         self._listener = HttpListener(
-            self._handle, host=address.host, port=address.port, may_begin=may_begin
+            self._handle,
+            host=address.host,
+            port=address.port,
+            may_begin=may_begin,
+            close_timeout_s=CLOSE_TIMEOUT_S,
         )
         self._in_flight = 0
         self._is_closing = False
@@ -83,7 +90,10 @@
     def __init__(self, is_ready: Callable[[], bool], address: Address) -> None:
         self._is_ready = is_ready
         self._listener = HttpListener(
-            self._handle, host=address.host, port=address.port
+            self._handle,
+            host=address.host,
+            port=address.port,
+            close_timeout_s=CLOSE_TIMEOUT_S,
         )
 
     async def start(self) -> None:
--- a/dogwoodhook/transport/listening.py
+++ b/dogwoodhook/transport/listening.py
@@ -11,6 +11,9 @@
 
 IDLE_TIMEOUT_S = 75.0
 
+CLOSE_TIMEOUT_S = 60.0
+"""Time that closing a listener gives to requests in flight."""
+
 
 class HttpListener:
     """An HTTP server on one address.
@@ -27,6 +30,7 @@
         host: str,
         port: int,
         may_begin: MayBegin | None = None,
+        close_timeout_s: float = CLOSE_TIMEOUT_S,
     ) -> None:
         options: dict[str, Any] = {
             "handler_cancellation": True,
@@ -39,7 +43,7 @@
             if may_begin is None
             else PipelinedServer(handler, may_begin=may_begin, **options)
         )
-        self._runner = web.ServerRunner(server)
+        self._runner = web.ServerRunner(server, shutdown_timeout=close_timeout_s)
         self._host = host
         self._port = port
         self._site: web.TCPSite | None = None
--- a/tests/platform_adapter/test_gateway_store.py
+++ b/tests/platform_adapter/test_gateway_store.py
@@ -165,3 +165,28 @@
     assert (reply.status, reply.headers["Connection"]) == (200, "close")
     assert not gateway.is_ready
     await drain
+
+
+async def test_a_change_made_as_a_silent_store_returns_is_in_force_in_time(platform):
+    """The platform counts the store as stable three seconds after its return."""
+    await platform.configure()
+    await platform.start_target("t1")
+    gateways = [await platform.start_gateway(f"vm-{n}") for n in range(3)]
+    platform.store.faults.is_silent = True
+    await asyncio.sleep(4.0)
+    platform.store.faults.is_silent = False
+    await platform.configure(2, new=make_route("/new/"))
+    async with asyncio.timeout(3.0):
+        await until(lambda: all(each.configuration_version == 2 for each in gateways))
+
+
+async def test_a_stopping_daemon_is_gone_before_the_grace_period_ends(platform):
+    await platform.configure()
+    target = await platform.start_target("t1", behave.hang)
+    gateway = await platform.start_gateway(grace_s=2.0)
+    task = asyncio.ensure_future(platform.send("/post/1", data=b"x"))
+    await until(lambda: target.received)
+    async with asyncio.timeout(2.0):
+        await gateway.drain()
+        await gateway.close()
+    task.cancel()
