--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -34,6 +34,7 @@
 )
 from dogwoodhook.findings import FindingsError
 from dogwoodhook.fleet_joining import FleetJoining
+from dogwoodhook.metrics import Metrics
 from dogwoodhook.protocol.http_dialect import HttpDialect
 from dogwoodhook.readiness import Readiness
 from dogwoodhook.state.fleet_budget import FleetBudget
@@ -41,11 +42,14 @@
 from dogwoodhook.state.suspicion import FailureReport, Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory
 from dogwoodhook.transport.datagrams import DatagramPeers
-from dogwoodhook.transport.gateway_listener import CallerListener, ReadinessListener
+from dogwoodhook.transport.gateway_listener import CallerListener, OperatorListener
 from dogwoodhook.transport.route_forwarder import FleetView, RouteForwarder
 from dogwoodhook.transport.target_connections import TargetConnections
 from dogwoodhook.vm_settings import VmSettings
 
+MAX_ROUTE_SERIES = 50
+"""Routes with metric series of their own; later ones share one."""
+
 SETTINGS_INTERVAL_S = 2.0
 """Time between looks at the settings, which may change without a signal."""
 
@@ -120,17 +124,28 @@
             tell_failure=self.peers.broadcast,
             count_daemons=lambda: len(self.peers) + 1,
         )
+        self._metrics = Metrics(
+            daemon=settings.vm_name, max_workspace_series=MAX_ROUTE_SERIES
+        )
+        self._metrics.watch_peer_bytes(lambda: self.peers.sent_bytes)
         forwarder = RouteForwarder(
-            fleet, platform.dialect, clock, daemon=settings.vm_name, rng=rng
+            fleet,
+            platform.dialect,
+            clock,
+            self._metrics,
+            daemon=settings.vm_name,
+            rng=rng,
         )
         self._callers = CallerListener(
             forwarder.forward,
             settings.caller_address,
             may_begin=forwarder.is_repeatable,
         )
-        self._readiness_listener = ReadinessListener(
-            lambda: self.is_ready, settings.readiness_address
-        )
+        self._operator_listeners = [
+            OperatorListener(lambda: self.is_ready, self._metrics, address)
+            for address in (settings.readiness_address, settings.metrics_address)
+            if address is not None
+        ]
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -164,7 +179,8 @@
     async def start(self) -> None:
         """Open the listeners and start the background tasks."""
         await self.peers.start(self._settings.peer_address)
-        await self._readiness_listener.start()
+        for listener in self._operator_listeners:
+            await listener.start()
         await self._callers.start()
         self._spawn(self._targets.run())
         self._spawn(self._configuration.run())
@@ -185,7 +201,8 @@
     async def close(self) -> None:
         """End the tasks and close every socket."""
         await self._callers.close()
-        await self._readiness_listener.close()
+        for listener in self._operator_listeners:
+            await listener.close()
         for task in self._tasks:
             task.cancel()
         await self._connections.close()
--- a/dogwoodhook/platform/settings_file.py
+++ b/dogwoodhook/platform/settings_file.py
@@ -14,6 +14,9 @@
 
 SETTINGS_VARIABLE = "DOGWOODHOOK_SETTINGS"
 
+METRICS_PORT = 9464
+"""Port of the metrics on the VM's own address, as ``deploy/system.toml`` names it."""
+
 T = TypeVar("T")
 
 
@@ -78,7 +81,7 @@
     # The range is free for traffic between daemons; its first port is used.
     peer_port = fields.required("portRange", _first_port)
     bounds = _parse_bounds(fields)
-    admin_address = fields.optional("listen.admin", parse_address, None)
+    metrics_address = Address(host, METRICS_PORT) if host else None
     if (
         fields.findings
         or caller_address is None
@@ -97,7 +100,7 @@
         readiness_address=readiness_address,
         peer_address=Address(host, peer_port),
         store_address=store_address,
-        admin_address=admin_address,
+        metrics_address=metrics_address,
         bounds=bounds,
     )
 
--- a/dogwoodhook/transport/admin.py
+++ b/dogwoodhook/transport/admin.py
@@ -43,10 +43,7 @@
                 text = "ready\n" if is_ready else f"{reason}\n"
                 return web.Response(status=200 if is_ready else 503, text=text)
             case ["metrics"]:
-                return web.Response(
-                    body=self._metrics.exposition(),
-                    headers={"Content-Type": _PROMETHEUS_CONTENT_TYPE},
-                )
+                return metrics_answer(self._metrics)
             case ["status"]:
                 return _json(self._source.status().model_dump_json())
             case ["explain", service]:
@@ -62,5 +59,12 @@
                 )
 
 
+def metrics_answer(metrics: Metrics) -> web.Response:
+    """Return the metrics in the Prometheus text format."""
+    return web.Response(
+        body=metrics.exposition(), headers={"Content-Type": _PROMETHEUS_CONTENT_TYPE}
+    )
+
+
 def _json(text: str) -> web.Response:
     return web.Response(text=text, content_type="application/json")
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -6,6 +6,8 @@
 from aiohttp import web
 
 from dogwoodhook.events import REQUEST_FAILED, log
+from dogwoodhook.metrics import Metrics
+from dogwoodhook.transport.admin import metrics_answer
 from dogwoodhook.transport.listening import HttpListener
 from dogwoodhook.transport.pipelining import Forward, MayBegin
 from dogwoodhook.vm_settings import Address
@@ -84,11 +86,14 @@
         return answer
 
 
-class ReadinessListener:
-    """Answers the balancer."""
+class OperatorListener:
+    """Answers the balancer's readiness questions, and serves the metrics."""
 
-    def __init__(self, is_ready: Callable[[], bool], address: Address) -> None:
+    def __init__(
+        self, is_ready: Callable[[], bool], metrics: Metrics, address: Address
+    ) -> None:
         self._is_ready = is_ready
+        self._metrics = metrics
         self._listener = HttpListener(
             self._handle,
             host=address.host,
@@ -105,4 +110,10 @@
         await self._listener.close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        return web.Response(status=200 if self._is_ready() else 503)
+        match request.path:
+            case "/readyz":
+                return web.Response(status=200 if self._is_ready() else 503)
+            case "/metrics":
+                return metrics_answer(self._metrics)
+            case _:
+                return web.Response(status=404, text="allowed: /readyz /metrics\n")
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -23,6 +23,7 @@
     REQUEST_UNANSWERED,
     log,
 )
+from dogwoodhook.metrics import Metrics
 from dogwoodhook.protocol.headers import end_to_end_headers
 from dogwoodhook.protocol.http_dialect import HttpDialect
 from dogwoodhook.state.fleet_budget import FleetBudget
@@ -88,6 +89,7 @@
     last_target: str = ""
     started_s: float = 0.0
     has_raced: bool = False
+    target_s: float = 0.0
     failure: WholeAnswer | None = None
     failed_at: TargetEntry | None = None
 
@@ -119,10 +121,12 @@
         fleet: FleetView,
         dialect: HttpDialect,
         clock: Clock,
+        metrics: Metrics,
         *,
         daemon: str,
         rng: random.Random,
     ) -> None:
+        self._metrics = metrics
         self._fleet = fleet
         self._dialect = dialect
         self._clock = clock
@@ -184,10 +188,25 @@
     async def _run(self, routed: RoutedRequest) -> web.StreamResponse:
         race: dict[asyncio.Task[AttemptResult], TargetEntry] = {}
         try:
-            return await self._race(routed, race)
+            answer = await self._race(routed, race)
         finally:
             for task in race:
                 task.cancel()
+        self._count(routed, answer)
+        return answer
+
+    def _count(self, routed: RoutedRequest, answer: web.StreamResponse) -> None:
+        duration_s = self._clock.now_s() - routed.arrived_s
+        self._metrics.record_request(
+            service=routed.service,
+            workspace=routed.route.name,
+            request_class="idempotent" if routed.route.is_idempotent else "once",
+            outcome=str(answer.status),
+            duration_ms=duration_s * 1000,
+            target_ms=routed.target_s * 1000,
+            queueing_ms=0.0,
+            retries=max(0, len(routed.tried) - 1),
+        )
 
     async def _race(
         self,
@@ -327,6 +346,7 @@
                 fleet.connections.session, target, sending, self._dialect, trace
             )
         finally:
+            routed.target_s += self._clock.now_s() - now_s
             fleet.placement.finish(target)
             overdue.cancel()
         if isinstance(result, WholeAnswer):
--- a/dogwoodhook/vm_settings.py
+++ b/dogwoodhook/vm_settings.py
@@ -37,7 +37,8 @@
 class VmSettings:
     """A VM's name, place, addresses and bounds.
 
-    ``peer_address`` is free for datagrams between daemons.
+    ``peer_address`` is free for datagrams between daemons. The metrics are served
+    on the readiness address, and on ``metrics_address`` if there is one.
     """
 
     vm_name: str
@@ -46,5 +47,5 @@
     readiness_address: Address
     peer_address: Address
     store_address: Address
-    admin_address: Address | None = None
+    metrics_address: Address | None = None
     bounds: ServiceBounds = ServiceBounds()
--- a/tests/platform_adapter/test_gateway_store.py
+++ b/tests/platform_adapter/test_gateway_store.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import aiohttp
+
 from dogwoodhook.state.target_directory import LAPSE_HOLD_S
 from tests.exchanges import until
 from tests.platform_adapter import target_server as behave
@@ -190,3 +192,18 @@
         await gateway.drain()
         await gateway.close()
     task.cancel()
+
+
+async def test_metrics_and_readiness_are_served_to_operators(platform):
+    await platform.configure()
+    await platform.start_target("t1")
+    gateway = await platform.start_gateway()
+    await platform.send("/read/1")
+    address = gateway.settings.readiness_address
+    async with aiohttp.ClientSession(f"http://{address}") as session:
+        async with session.get("/readyz") as response:
+            assert response.status == 200
+        async with session.get("/metrics") as response:
+            text = await response.text()
+    assert 'service="payouts"' in text
+    assert "dogwoodhook_request_duration" in text
--- a/tests/test_reader_duty.py
+++ b/tests/test_reader_duty.py
@@ -1,5 +1,7 @@
 """Which daemon of a data centre reads the store."""
 
+from dogwoodhook.coordination.store_following import MAX_RETRY_S
+from dogwoodhook.platform.store_client import CALL_TIMEOUT_S
 from dogwoodhook.state.reader_duty import (
     MAX_RANKED,
     READ_INTERVAL_S,
@@ -10,6 +12,12 @@
 DRAIN_BOUND_S = 2.0
 """The platform's bound for leaving targets on the small sites."""
 
+STABLE_S = 3.0
+"""Time after its return from which the platform counts its store as stable."""
+
+RETRY_SPREAD = 1.3
+"""Largest factor by which a pause between calls is spread."""
+
 STORE_ANSWER_S = 0.4
 """The store's slowest answers."""
 
@@ -26,3 +34,8 @@
 
 def test_leaving_targets_are_known_in_time_even_by_the_last_rank():
     assert silence_limit_s(MAX_RANKED + 10) + 2 * STORE_ANSWER_S < DRAIN_BOUND_S
+
+
+def test_the_store_is_read_again_before_it_counts_as_stable():
+    longest_s = CALL_TIMEOUT_S + MAX_RETRY_S * RETRY_SPREAD + 2 * STORE_ANSWER_S
+    assert longest_s < STABLE_S
