--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -9,10 +9,9 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from aiohttp import web
-from multidict import CIMultiDict
 
 from dogwoodhook.clock import Clock
 from dogwoodhook.coordination.fleet_messages import TargetFailure
@@ -42,9 +41,10 @@
     WholeAnswer,
     attempt,
 )
-from dogwoodhook.transport.bodies import RequestBody, read_prelude
+from dogwoodhook.transport.bodies import read_prelude
 from dogwoodhook.transport.pipelining import PipelinedRequest
 from dogwoodhook.transport.resend_guard import AttemptTrace
+from dogwoodhook.transport.routed_request import RoutedRequest
 from dogwoodhook.transport.target_connections import TargetConnections
 
 REPLAY_BUFFER_BYTES = 512 * 1024
@@ -65,40 +65,6 @@
 SERVER_ERROR_STATUS = 500
 
 
-@dataclass(slots=True)
-class RoutedRequest:
-    """A request on its way, and what became of its attempts.
-
-    ``deadline_s`` is on the elapsed clock. ``runs`` counts the attempts that may
-    have run; ``refusals`` those that did not. ``failure`` is a target's own
-    error, kept while another target may still do better.
-    """
-
-    request: web.BaseRequest
-    request_id: str
-    route: RoutePolicy
-    service: str
-    headers: CIMultiDict[str]
-    body: RequestBody
-    arrived_s: float
-    deadline_s: float
-    runs: int = 0
-    refusals: int = 0
-    arrivals: int = 0
-    tried: set[str] = field(default_factory=set)
-    last_target: str = ""
-    started_s: float = 0.0
-    has_raced: bool = False
-    target_s: float = 0.0
-    failure: WholeAnswer | None = None
-    failed_at: TargetEntry | None = None
-
-    @property
-    def has_run(self) -> bool:
-        """Tell whether the request may have run."""
-        return self.runs > 0
-
-
 @dataclass(frozen=True, slots=True)
 class FleetView:
     """What a forwarder needs to know of the fleet and to tell it."""
@@ -149,6 +115,7 @@
         if (request.content_length or 0) > limit:
             return self._refusal(request, 413, f"a body over {limit} bytes")
         routed = await self._read(request, route, arrived_s)
+        routed.configuration_version = configuration.version
         self._fleet.budget.record_request(routed.service, now_s=arrived_s)
         if route.is_idempotent:
             return await self._run(routed)
@@ -243,7 +210,10 @@
 
     def _next_target(self, routed: RoutedRequest) -> TargetEntry | None:
         candidate = self._choose(routed)
-        return candidate.target if candidate else None
+        if candidate is None:
+            return None
+        routed.last_standing = candidate.standing
+        return candidate.target
 
     def _second_target(self, routed: RoutedRequest) -> TargetEntry | None:
         """Return where an overdue request goes as well, if it may and it helps."""
@@ -257,6 +227,7 @@
         now_s = self._clock.now_s()
         if routed.deadline_s - now_s < MIN_SENDING_S:
             return None
+        routed.directory_version = self._fleet.directory.version
         return self._fleet.placement.choose(
             self._fleet.directory.serving(routed.service, now_s=now_s),
             tried=frozenset(routed.tried),
@@ -374,13 +345,8 @@
         routed.failed_at = target
         if symptom is not None:
             self._report(routed, target, symptom, was_repeated=False)
-        log(
-            ATTEMPT_FAILED,
-            request=routed.request_id,
-            target=target.name,
-            detail=detail,
-            since_ms=int((self._clock.now_s() - routed.arrived_s) * 1000),
-        )
+        fields = routed.log_fields(now_s=self._clock.now_s())
+        log(ATTEMPT_FAILED, **{**fields, "target": target.name}, detail=detail)
 
     def _may_send_again(self, routed: RoutedRequest) -> bool:
         """Tell whether a request without an answer goes to another target."""
@@ -436,14 +402,7 @@
     def _deliver(
         self, routed: RoutedRequest, target: TargetEntry | None, answer: WholeAnswer
     ) -> web.Response:
-        log(
-            REQUEST_ANSWERED,
-            request=routed.request_id,
-            target=target.name if target else "",
-            status=answer.status,
-            attempts=len(routed.tried),
-            after_ms=int((self._clock.now_s() - routed.arrived_s) * 1000),
-        )
+        self._log_answered(routed, target, answer.status)
         headers = end_to_end_headers(answer.headers)
         headers.popall("Content-Length", None)
         return web.Response(
@@ -472,52 +431,44 @@
                     await answer.write(chunk)
         except Exception as error:
             cut_caller(routed.request)
-            log(
-                REQUEST_UNANSWERED,
-                request=routed.request_id,
-                target=target.name,
-                detail=f"the answer broke off: {error!r}",
-            )
+            fields = routed.log_fields(now_s=self._clock.now_s())
+            log(REQUEST_UNANSWERED, **fields, detail=f"the answer broke off: {error!r}")
             return answer
         finally:
             opened.response.close()
-        log(
-            REQUEST_ANSWERED,
-            request=routed.request_id,
-            target=target.name,
-            status=opened.status,
-            attempts=len(routed.tried),
-        )
+        self._log_answered(routed, target, opened.status)
         return answer
 
+    def _log_answered(
+        self, routed: RoutedRequest, target: TargetEntry | None, status: int
+    ) -> None:
+        fields = routed.log_fields(now_s=self._clock.now_s())
+        name = target.name if target else ""
+        log(REQUEST_ANSWERED, **{**fields, "target": name}, status=status)
+
     def _give_up(self, routed: RoutedRequest, detail: str) -> web.Response:
+        now_s = self._clock.now_s()
+        fields = routed.log_fields(now_s=now_s)
         if not routed.has_run:
-            return self._refusal(routed.request, 503, detail)
-        is_late = self._clock.now_s() + MIN_SENDING_S >= routed.deadline_s
-        log(
-            REQUEST_UNANSWERED,
-            request=routed.request_id,
-            target=routed.last_target,
-            detail=detail,
-            attempts=len(routed.tried),
-            after_ms=int((self._clock.now_s() - routed.arrived_s) * 1000),
-        )
-        return self._own_answer(routed.request, 504 if is_late else 502, detail)
+            log(REQUEST_REFUSED, **fields, status=503, detail=detail)
+            return self._own_answer(routed.request, 503, detail)
+        status = 504 if now_s + MIN_SENDING_S >= routed.deadline_s else 502
+        log(REQUEST_UNANSWERED, **fields, status=status, detail=detail)
+        return self._own_answer(routed.request, status, detail)
 
     def _refusal(
         self, request: web.BaseRequest, status: int, detail: str
     ) -> web.Response:
+        """Refuse a request that no route took."""
+        request_id = request.headers.get(self._dialect.request_id, "")
         log(
             REQUEST_REFUSED,
-            request=request.headers.get(self._dialect.request_id, ""),
+            request=request_id,
             path=request.path,
             status=status,
             detail=detail,
         )
-        answer = self._own_answer(request, status, detail)
-        if status == 503:
-            answer.headers["Retry-After"] = str(RETRY_AFTER_S)
-        return answer
+        return self._own_answer(request, status, detail)
 
     def _own_answer(
         self, request: web.BaseRequest, status: int, detail: str
@@ -526,4 +477,6 @@
         request_id = request.headers.get(self._dialect.request_id)
         if request_id is not None:
             answer.headers[self._dialect.request_id] = request_id
+        if status == 503:
+            answer.headers["Retry-After"] = str(RETRY_AFTER_S)
         return answer
--- /dev/null
+++ b/dogwoodhook/transport/routed_request.py
@@ -0,0 +1,68 @@
+"""A request on its way through the daemon, by the operator's route."""
+
+from dataclasses import dataclass, field
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from dogwoodhook.state.route_policy import RoutePolicy
+from dogwoodhook.state.suspicion import Standing
+from dogwoodhook.state.target_directory import TargetEntry
+from dogwoodhook.transport.attempts import WholeAnswer
+from dogwoodhook.transport.bodies import RequestBody
+
+
+@dataclass(slots=True)
+class RoutedRequest:
+    """A request on its way, and what became of its attempts.
+
+    ``deadline_s`` is on the elapsed clock. ``runs`` counts the attempts that may
+    have run; ``refusals`` those that did not. ``failure`` is a target's own
+    error, kept while another target may still do better.
+    """
+
+    request: web.BaseRequest
+    request_id: str
+    route: RoutePolicy
+    service: str
+    headers: CIMultiDict[str]
+    body: RequestBody
+    arrived_s: float
+    deadline_s: float
+    runs: int = 0
+    refusals: int = 0
+    arrivals: int = 0
+    tried: set[str] = field(default_factory=set)
+    last_target: str = ""
+    started_s: float = 0.0
+    has_raced: bool = False
+    target_s: float = 0.0
+    failure: WholeAnswer | None = None
+    failed_at: TargetEntry | None = None
+    configuration_version: int = 0
+    directory_version: int = 0
+    last_standing: Standing = Standing.SOUND
+
+    @property
+    def has_run(self) -> bool:
+        """Tell whether the request may have run."""
+        return self.runs > 0
+
+    def log_fields(self, *, now_s: float) -> dict[str, object]:
+        """Return what decided the request so far, for the log.
+
+        ``configuration`` and ``targets`` are the versions that were in force.
+        """
+        return {
+            "request": self.request_id,
+            "route": self.route.name,
+            "service": self.service,
+            "target": self.last_target,
+            "standing": self.last_standing.name.lower(),
+            "configuration": self.configuration_version,
+            "targets": self.directory_version,
+            "attempts": len(self.tried),
+            "runs": self.runs,
+            "after_ms": int((now_s - self.arrived_s) * 1000),
+            "left_ms": int((self.deadline_s - now_s) * 1000),
+        }
