Spend the fleet's budget by what daemons tell of their requests

Change: each report carries the daemon's requests in the window; the draw is for the three tenths of the daemons that may spend at once; overdue requests leave half of the budget to those that were not run anywhere.

--- a/dogwoodhook/coordination/fleet_messages.py
+++ b/dogwoodhook/coordination/fleet_messages.py
@@ -24,13 +24,18 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetFailure:
-    """A request failed at a target; ``was_repeated`` draws on the fleet's budget."""
+    """A request failed at a target, or is sent a second time, or both.
+
+    ``was_repeated`` draws on the fleet's budget for the service, to which the
+    daemon's ``requests`` in the budget's window add.
+    """
 
     daemon: str
     service: str
     target: str
     symptom: Symptom | None
     was_repeated: bool
+    requests: int = 0
     kind: Literal["failure"] = "failure"
 
 
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -257,8 +257,13 @@
 
     def _hear_failure(self, failure: TargetFailure) -> None:
         now_s = self._clock.now_s()
-        if failure.was_repeated:
-            self._budget.record_peer_repeat(failure.service, now_s=now_s)
+        self._budget.hear(
+            failure.service,
+            daemon=failure.daemon,
+            requests=failure.requests,
+            was_repeated=failure.was_repeated,
+            now_s=now_s,
+        )
         if failure.symptom is None:
             return
         report = FailureReport(failure.target, failure.symptom, failure.daemon)
--- a/dogwoodhook/state/fleet_budget.py
+++ b/dogwoodhook/state/fleet_budget.py
@@ -1,25 +1,37 @@
 """The fleet's budget for sending requests a second time.
 
 Over any window, a service may get a share of its requests plus a fixed number a
-second time, summed over all daemons. Each daemon tells the others of what it
-spends. Those that spend at the same moment have not heard of one another, so what
-is left is drawn for: where it is less than one for each daemon, a daemon gets one
-with the probability that makes the sum right.
+second time, summed over all daemons. Each daemon tells the others of each repeat,
+and with it of its requests in the window, so all know the sums well enough. Those
+that spend at the same moment have not heard of one another, so the last ones are
+drawn for.
+
+Load that this answers: targets that refuse or break off a good part of all requests.
+What was not run anywhere would be lost without a repeat; an overdue request may still
+be answered, so it takes only from the better half of the budget.
 """
 
 import random
 from collections import deque
 from dataclasses import dataclass, field
 
-SAFETY_SHARE = 0.75
+SAFETY_SHARE = 0.8
 """Share of the budget that is spent; the rest covers reports that were lost or
 are on their way."""
 
+CONCURRENT_SHARE = 0.3
+"""Share of the daemons that may spend on a service at the same moment: those that
+have a request for it in flight."""
+
+RACE_RESERVE_SHARE = 0.5
+"""Share of the budget that is left to requests that no target has run."""
+
 
 @dataclass(slots=True)
 class _Spending:
-    own_requests_s: deque[float] = field(default_factory=deque)
+    requests_s: deque[float] = field(default_factory=deque)
     repeats_s: deque[float] = field(default_factory=deque)
+    peer_requests: dict[str, tuple[float, int]] = field(default_factory=dict)
 
 
 class FleetBudget:
@@ -48,31 +60,56 @@
 
     def record_request(self, service: str, *, now_s: float) -> None:
         """Count a caller's request at this daemon."""
-        self._spending(service, now_s).own_requests_s.append(now_s)
+        self._spending(service, now_s).requests_s.append(now_s)
+
+    def own_requests(self, service: str, *, now_s: float) -> int:
+        """Return the callers' requests at this daemon in the window."""
+        return len(self._spending(service, now_s).requests_s)
 
-    def record_peer_repeat(self, service: str, *, now_s: float) -> None:
-        """Count a repeat that another daemon told of."""
-        self._spending(service, now_s).repeats_s.append(now_s)
+    def hear(
+        self,
+        service: str,
+        *,
+        daemon: str,
+        requests: int,
+        was_repeated: bool,
+        now_s: float,
+    ) -> None:
+        """Take another daemon's requests in the window, and a repeat of one."""
+        spending = self._spending(service, now_s)
+        spending.peer_requests[daemon] = (now_s, requests)
+        if was_repeated:
+            spending.repeats_s.append(now_s)
 
-    def try_take(self, service: str, *, daemons: int, now_s: float) -> bool:
-        """Take one repeat if the fleet, of so many daemons, can bear it."""
+    def try_take(
+        self, service: str, *, daemons: int, now_s: float, is_race: bool = False
+    ) -> bool:
+        """Take one repeat if the fleet, of so many daemons, can bear it.
+
+        ``is_race`` tells that the first sending may still be answered.
+        """
         spending = self._spending(service, now_s)
-        # The fleet's requests are taken for as many at each daemon as here, but
-        # for no more than the extra would cover anyway.
-        requests = min(
-            len(spending.own_requests_s) * daemons, self._extra / self._ratio
-        )
-        allowed = SAFETY_SHARE * (self._extra + 0.5 * self._ratio * requests)
+        allowed = SAFETY_SHARE * (self._extra + self._ratio * self._requests(spending))
         left = allowed - len(spending.repeats_s)
-        if left < 1 or self._rng.random() * daemons >= left:
+        if is_race:
+            left -= RACE_RESERVE_SHARE * allowed
+        concurrent = max(1.0, CONCURRENT_SHARE * daemons)
+        if left < 1 or self._rng.random() * concurrent >= left:
             return False
         spending.repeats_s.append(now_s)
         return True
 
+    def _requests(self, spending: _Spending) -> int:
+        told = sum(requests for _, requests in spending.peer_requests.values())
+        return len(spending.requests_s) + told
+
     def _spending(self, service: str, now_s: float) -> _Spending:
         spending = self._services.setdefault(service, _Spending())
         oldest_s = now_s - self._window_s
-        for times_s in (spending.own_requests_s, spending.repeats_s):
+        for times_s in (spending.requests_s, spending.repeats_s):
             while times_s and times_s[0] < oldest_s:
                 times_s.popleft()
+        told = spending.peer_requests
+        for daemon in [each for each, (at_s, _) in told.items() if at_s < oldest_s]:
+            del told[daemon]
         return spending
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -221,7 +221,7 @@
         candidate = self._choose(routed)
         if candidate is None or candidate.standing is Standing.FAILING:
             return None
-        return candidate.target if self._take_repeat(routed) else None
+        return candidate.target if self._take_repeat(routed, is_race=True) else None
 
     def _choose(self, routed: RoutedRequest) -> Candidate | None:
         now_s = self._clock.now_s()
@@ -332,7 +332,7 @@
         return result
 
     def _note_overdue(self, routed: RoutedRequest, target: TargetEntry) -> None:
-        self._report(routed, target, Symptom.OVERDUE, was_repeated=False)
+        self._report(routed, target, Symptom.OVERDUE)
 
     def _fail(
         self,
@@ -344,7 +344,7 @@
         """Note a failed attempt, and tell the others of it."""
         routed.failed_at = target
         if symptom is not None:
-            self._report(routed, target, symptom, was_repeated=False)
+            self._report(routed, target, symptom)
         fields = routed.log_fields(now_s=self._clock.now_s())
         log(ATTEMPT_FAILED, **{**fields, "target": target.name}, detail=detail)
 
@@ -358,47 +358,47 @@
             return False
         return not routed.arrivals or self._take_repeat(routed)
 
-    def _take_repeat(self, routed: RoutedRequest) -> bool:
+    def _take_repeat(self, routed: RoutedRequest, *, is_race: bool = False) -> bool:
         """Draw on the fleet's budget for one more sending."""
         if not self._fleet.budget.try_take(
             routed.service,
             daemons=self._fleet.count_daemons(),
             now_s=self._clock.now_s(),
+            is_race=is_race,
         ):
             return False
-        self._fleet.tell_failure(
-            TargetFailure(
-                daemon=self._daemon,
-                service=routed.service,
-                target=routed.last_target,
-                symptom=None,
-                was_repeated=True,
-            )
-        )
+        self._tell(routed, routed.last_target, None, was_repeated=True)
         return True
 
-    def _report(
+    def _tell(
         self,
         routed: RoutedRequest,
-        target: TargetEntry,
+        target: str,
         symptom: Symptom | None,
         *,
         was_repeated: bool,
     ) -> None:
-        if symptom is not None:
-            self._fleet.suspicion.record_failure(
-                target.name, symptom, now_s=self._clock.now_s()
-            )
+        now_s = self._clock.now_s()
         self._fleet.tell_failure(
             TargetFailure(
                 daemon=self._daemon,
                 service=routed.service,
-                target=target.name,
+                target=target,
                 symptom=symptom,
                 was_repeated=was_repeated,
+                requests=self._fleet.budget.own_requests(routed.service, now_s=now_s),
             )
         )
 
+    def _report(
+        self, routed: RoutedRequest, target: TargetEntry, symptom: Symptom
+    ) -> None:
+        """Avoid a target that failed, and tell the others of it."""
+        self._fleet.suspicion.record_failure(
+            target.name, symptom, now_s=self._clock.now_s()
+        )
+        self._tell(routed, target.name, symptom, was_repeated=False)
+
     def _deliver(
         self, routed: RoutedRequest, target: TargetEntry | None, answer: WholeAnswer
     ) -> web.Response:
