Keep to targets with an idle connection; give newcomers their first request

A daemon with one idle connection chose an unused target half of the time; services with few requests a daemon rarely used one again.

--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -118,6 +118,9 @@
                 data_centre=settings.data_centre,
                 rng=rng,
                 has_idle_connection=self._connections.has_idle,
+                has_joined_lately=lambda name, now_s: self._directory.has_joined_lately(
+                    name, now_s=now_s
+                ),
             ),
             budget=self._budget,
             connections=self._connections,
--- a/dogwoodhook/state/placement.py
+++ b/dogwoodhook/state/placement.py
@@ -19,15 +19,15 @@
 """Requests in flight by which a target of the own data centre may be busier than
 one of another, before the other one is chosen."""
 
-NEW_CONNECTION_COST = 0.4
-"""Requests in flight that a new connection is worth."""
+NEW_CONNECTION_COST = 0.8
+"""Requests in flight that a new connection is worth. A target that has just joined is
+spared it until this daemon has used it once."""
 
 WARMUP_COST = 0.7
 """Requests in flight that the slowness of a target that has just started is worth."""
 
 RANDOM_COST = 1.0
-"""Largest random cost; it spreads requests, and finds targets that have just joined
-although others have idle connections."""
+"""Largest random cost; it spreads requests among the targets in use."""
 
 SLOW_COST = 4.0
 """Requests in flight by which other targets may be busier than a slow one."""
@@ -55,16 +55,21 @@
         data_centre: str,
         rng: random.Random,
         has_idle_connection: Callable[[TargetEntry], bool],
+        has_joined_lately: Callable[[str, float], bool],
     ) -> None:
         self._suspicion = suspicion
         self._data_centre = data_centre
         self._rng = rng
         self._has_idle_connection = has_idle_connection
+        self._has_joined_lately = has_joined_lately
         self._in_flight: Counter[str] = Counter()
+        self._used_newcomers: set[str] = set()
 
-    def start(self, target: TargetEntry) -> None:
+    def start(self, target: TargetEntry, *, now_s: float) -> None:
         """Count a request sent to a target."""
         self._in_flight[target.name] += 1
+        if self._has_joined_lately(target.name, now_s):
+            self._used_newcomers.add(target.name)
 
     def finish(self, target: TargetEntry) -> None:
         """Count its end."""
@@ -99,7 +104,9 @@
             cost += REMOTE_COST
         if target.warmup_s > 0:
             cost += WARMUP_COST
-        if not self._has_idle_connection(target):
+        if not self._has_idle_connection(target) and not self._is_untried(
+            target, now_s
+        ):
             cost += NEW_CONNECTION_COST
         match avoidance.standing:
             case Standing.FAILING:
@@ -109,3 +116,9 @@
             case Standing.SOUND:
                 pass
         return Candidate(target, cost, avoidance.standing)
+
+    def _is_untried(self, target: TargetEntry, now_s: float) -> bool:
+        """Tell whether a target joined lately and got no request from here."""
+        if target.name in self._used_newcomers:
+            return False
+        return self._has_joined_lately(target.name, now_s)
--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -14,6 +14,9 @@
 """Time after the store's return in which lapsed entries come back (the platform's
 two seconds, and a little more)."""
 
+NEWCOMER_S = 10.0
+"""Time after its joining for which a target counts as new."""
+
 MAX_TOMBSTONES = 4096
 """Removed entries whose versions are remembered."""
 
@@ -60,6 +63,7 @@
         self._entries: dict[str, TargetEntry] = {}
         self._versions: dict[str, int] = {}
         self._lapsing: dict[str, float] = {}
+        self._joined_s: dict[str, float] = {}
         self._serving: dict[str, tuple[TargetEntry, ...]] = {}
 
     def __len__(self) -> int:
@@ -69,17 +73,9 @@
         """Return a target's entry, draining ones included."""
         return self._entries.get(name)
 
-    def entries(self) -> tuple[TargetEntry, ...]:
-        """Return every entry."""
-        return tuple(self._entries.values())
-
-    def versioned(self) -> tuple[TargetChange, ...]:
-        """Return every entry with the version of its row, oldest row first."""
-        changes = (
-            TargetChange(name, self._versions[name], entry)
-            for name, entry in self._entries.items()
-        )
-        return tuple(sorted(changes, key=lambda change: change.version))
+    def has_joined_lately(self, name: str, *, now_s: float) -> bool:
+        """Tell whether a target joined after this daemon started, and not long ago."""
+        return now_s - self._joined_s.get(name, float("-inf")) < NEWCOMER_S
 
     def serving(self, service: str, *, now_s: float) -> tuple[TargetEntry, ...]:
         """Return the targets of a service that take new work."""
@@ -104,6 +100,8 @@
             if change.version <= self._versions.get(change.name, 0):
                 continue
             self._versions[change.name] = change.version
+            if self.version and change.name not in self._entries:
+                self._joined_s[change.name] = now_s
             if self._apply_one(change, now_s + removal_hold_s):
                 applied.append(change)
         self.version = max(self.version, version)
@@ -152,6 +150,7 @@
         for name in due:
             del self._lapsing[name]
             self._entries.pop(name, None)
+            self._joined_s.pop(name, None)
         if due:
             self._index()
 
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -310,7 +310,7 @@
         trace = AttemptTrace()
         loop = asyncio.get_running_loop()
         overdue = loop.call_later(overdue_s, self._note_overdue, routed, target)
-        fleet.placement.start(target)
+        fleet.placement.start(target, now_s=now_s)
         fleet.connections.record_use(target)
         try:
             result = await attempt(
--- a/tests/test_target_directory.py
+++ b/tests/test_target_directory.py
@@ -6,6 +6,7 @@
 
 from dogwoodhook.state.target_directory import (
     LAPSE_HOLD_S,
+    NEWCOMER_S,
     TargetChange,
     TargetDirectory,
     TargetEntry,
@@ -89,3 +90,11 @@
     )
     assert names(directory) == ["t2"]
     assert names(directory, service="stock") == ["t3"]
+
+
+def test_only_targets_that_join_later_are_new_and_not_for_long(directory):
+    late = replace(T1, name="t3")
+    directory.apply([TargetChange("t3", 10, late)], version=10, now_s=5.0)
+    assert directory.has_joined_lately("t3", now_s=6.0)
+    assert not directory.has_joined_lately("t3", now_s=5.0 + NEWCOMER_S)
+    assert not directory.has_joined_lately("t1", now_s=6.0)
