Spread the return of refused callers over the time until there is room

Cause: every refused caller was told to come back after 0.5 s, so a mass of refusals returned as a mass.

--- a/dogwoodhook/state/fleet_budget.py
+++ b/dogwoodhook/state/fleet_budget.py
@@ -99,6 +99,11 @@
         spending.repeats_s.append(now_s)
         return True
 
+    def room_in_s(self, service: str, *, now_s: float) -> float:
+        """Return the time until the oldest repeat leaves the window."""
+        repeats_s = self._spending(service, now_s).repeats_s
+        return repeats_s[0] + self._window_s - now_s if repeats_s else 0.0
+
     def _requests(self, spending: _Spending) -> int:
         told = sum(requests for _, requests in spending.peer_requests.values())
         return len(spending.requests_s) + told
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -27,6 +27,12 @@
 from dogwoodhook.protocol.http_dialect import HttpDialect
 from dogwoodhook.state.fleet_budget import FleetBudget
 from dogwoodhook.state.placement import Candidate, Placement
+from dogwoodhook.state.return_times import (
+    NothingToServe,
+    RefusalCause,
+    TargetsRefused,
+    retry_after_s,
+)
 from dogwoodhook.state.route_policy import RoutePolicy, RoutingConfiguration
 from dogwoodhook.state.suspicion import Standing, Suspicion, Symptom
 from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
@@ -59,9 +65,6 @@
 MAX_REFUSALS = 8
 """Targets that may refuse a request before the caller is told."""
 
-RETRY_AFTER_S = 0.5
-"""Time after which a refused caller may come back."""
-
 SERVER_ERROR_STATUS = 500
 
 
@@ -105,7 +108,9 @@
         arrived_s = self._clock.now_s()
         configuration = self._fleet.configuration()
         if configuration is None:
-            return self._refusal(request, 503, "no configuration is known yet")
+            detail = "no configuration is known yet"
+            self._log_refusal(request, 503, detail)
+            return self._unavailable(request, detail, NothingToServe())
         route = configuration.match(request.host, request.path)
         if route is None:
             return self._refusal(
@@ -451,24 +456,41 @@
         fields = routed.log_fields(now_s=now_s)
         if not routed.has_run:
             log(REQUEST_REFUSED, **fields, status=503, detail=detail)
-            return self._own_answer(routed.request, 503, detail)
+            return self._unavailable(routed.request, detail, self._cause(routed))
         status = 504 if now_s + MIN_SENDING_S >= routed.deadline_s else 502
         log(REQUEST_UNANSWERED, **fields, status=status, detail=detail)
         return self._own_answer(routed.request, status, detail)
 
+    def _cause(self, routed: RoutedRequest) -> RefusalCause:
+        if not routed.arrivals:
+            return NothingToServe()
+        now_s = self._clock.now_s()
+        return TargetsRefused(self._fleet.budget.room_in_s(routed.service, now_s=now_s))
+
+    def _unavailable(
+        self, request: web.BaseRequest, detail: str, cause: RefusalCause
+    ) -> web.Response:
+        """Return the answer that promises that the request has not run."""
+        answer = self._own_answer(request, 503, detail)
+        retry_s = retry_after_s(cause, rng=self._rng)
+        answer.headers["Retry-After"] = f"{retry_s:.2f}"
+        return answer
+
     def _refusal(
         self, request: web.BaseRequest, status: int, detail: str
     ) -> web.Response:
-        """Refuse a request that no route took."""
-        request_id = request.headers.get(self._dialect.request_id, "")
+        """Refuse a request that is not for any route, for good."""
+        self._log_refusal(request, status, detail)
+        return self._own_answer(request, status, detail)
+
+    def _log_refusal(self, request: web.BaseRequest, status: int, detail: str) -> None:
         log(
             REQUEST_REFUSED,
-            request=request_id,
+            request=request.headers.get(self._dialect.request_id, ""),
             path=request.path,
             status=status,
             detail=detail,
         )
-        return self._own_answer(request, status, detail)
 
     def _own_answer(
         self, request: web.BaseRequest, status: int, detail: str
@@ -477,6 +499,4 @@
         request_id = request.headers.get(self._dialect.request_id)
         if request_id is not None:
             answer.headers[self._dialect.request_id] = request_id
-        if status == 503:
-            answer.headers["Retry-After"] = str(RETRY_AFTER_S)
         return answer
