--- a/dogwoodhook/coordination/fleet_messages.py
+++ b/dogwoodhook/coordination/fleet_messages.py
@@ -58,4 +58,13 @@
     kind: Literal["reading"] = "reading"
 
 
-FleetMessage = DaemonHello | TargetFailure | StoreReading
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """A daemon's requests in flight by target; it replaces the last report."""
+
+    daemon: str
+    in_flight: dict[str, int]
+    kind: Literal["load"] = "load"
+
+
+FleetMessage = DaemonHello | TargetFailure | StoreReading | LoadReport
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -14,9 +14,11 @@
 from dogwoodhook.clock import Clock, SystemClock
 from dogwoodhook.coordination.fleet_messages import (
     FleetMessage,
+    LoadReport,
     StoreReading,
     TargetFailure,
 )
+from dogwoodhook.coordination.load_sharing import LoadSharing
 from dogwoodhook.coordination.store import Store
 from dogwoodhook.coordination.store_following import (
     ConfigurationFollower,
@@ -38,6 +40,7 @@
 from dogwoodhook.protocol.http_dialect import HttpDialect
 from dogwoodhook.readiness import Readiness
 from dogwoodhook.state.fleet_budget import FleetBudget
+from dogwoodhook.state.fleet_load import FleetLoad
 from dogwoodhook.state.placement import Placement
 from dogwoodhook.state.suspicion import FailureReport, Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory
@@ -81,6 +84,7 @@
         self._readiness = Readiness()
         self._suspicion = Suspicion(daemon=settings.vm_name, rng=rng)
         self._directory = TargetDirectory()
+        self._load = FleetLoad()
         self._connections = TargetConnections(clock)
         self.peers = DatagramPeers(
             self._receive, daemon=settings.vm_name, data_centre=settings.data_centre
@@ -115,6 +119,7 @@
             suspicion=self._suspicion,
             placement=Placement(
                 self._suspicion,
+                self._load,
                 data_centre=settings.data_centre,
                 rng=rng,
                 has_idle_connection=self._connections.has_idle,
@@ -125,6 +130,9 @@
             budget=self._budget,
             connections=self._connections,
             tell_failure=self.peers.broadcast,
+            tell_load=LoadSharing(
+                self._load, self.peers, daemon=settings.vm_name
+            ).note_change,
             count_daemons=lambda: len(self.peers) + 1,
         )
         self._metrics = Metrics(
@@ -252,6 +260,8 @@
         match message:
             case TargetFailure():
                 self._hear_failure(message)
+            case LoadReport(daemon, in_flight):
+                self._load.hear(daemon, in_flight, now_s=self._clock.now_s())
             case StoreReading():
                 self._targets.hear(message)
                 self._configuration.hear(message.configuration_row)
--- /dev/null
+++ b/dogwoodhook/state/fleet_load.py
@@ -0,0 +1,54 @@
+"""Requests in flight at each target, from all daemons of a data centre.
+
+Load that this answers: days on which half of all slots are busy. A target has a few
+slots and is shared by dozens of daemons with a few requests each; a daemon that knows
+only its own would fill the slots of one target while those of another are free.
+"""
+
+from collections import Counter
+from collections.abc import Mapping
+
+FRESH_S = 10.0
+"""Time for which a report counts; long requests last that long without another."""
+
+
+class FleetLoad:
+    """Own requests in flight, and what the neighbours told of theirs.
+
+    >>> load = FleetLoad()
+    >>> load.start("t1")
+    >>> load.hear("vm-2", {"t1": 2}, now_s=0.0)
+    >>> load.at("t1", now_s=1.0), load.at("t1", now_s=60.0)
+    (3, 1)
+    """
+
+    def __init__(self) -> None:
+        self._own: Counter[str] = Counter()
+        self._told: dict[str, tuple[float, Mapping[str, int]]] = {}
+
+    def start(self, target: str) -> None:
+        """Count a request sent to a target."""
+        self._own[target] += 1
+
+    def finish(self, target: str) -> None:
+        """Count its end."""
+        self._own[target] -= 1
+        if not self._own[target]:
+            del self._own[target]
+
+    def own(self) -> dict[str, int]:
+        """Return this daemon's requests in flight by target."""
+        return dict(self._own)
+
+    def hear(self, daemon: str, in_flight: Mapping[str, int], *, now_s: float) -> None:
+        """Take a neighbour's requests in flight, in place of its last ones."""
+        self._told[daemon] = (now_s, in_flight)
+
+    def at(self, target: str, *, now_s: float) -> int:
+        """Return the requests in flight at a target."""
+        told = sum(
+            in_flight.get(target, 0)
+            for at_s, in_flight in self._told.values()
+            if now_s - at_s < FRESH_S
+        )
+        return self._own[target] + told
--- a/dogwoodhook/state/placement.py
+++ b/dogwoodhook/state/placement.py
@@ -1,23 +1,26 @@
 """Which target a request goes to.
 
 Load that this answers: a fleet in which each daemon sees a few requests a second
-and shares every target's few slots with all others. A daemon knows its own
-requests in flight only, so it spreads them: the target with the fewest of them
-wins, its own data centre goes first until that is busier, and among equals one
-with an idle connection saves a new one. Failing targets come last.
+and shares every target's few slots with all others. The target with the fewest
+requests in flight from the data centre wins; targets of the own data centre go first
+until their slots are taken, and among equals one with an idle connection saves a
+new one. Failing targets come last.
 """
 
 import random
-from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from dogwoodhook.state.fleet_load import FleetLoad
 from dogwoodhook.state.suspicion import Standing, Suspicion
 from dogwoodhook.state.target_directory import TargetEntry
 
-REMOTE_COST = 1.5
+REMOTE_COST = 3.0
 """Requests in flight by which a target of the own data centre may be busier than
-one of another, before the other one is chosen."""
+one of another, before the other one is chosen: its slots."""
+
+USUAL_SLOTS = 3.0
+"""Slots at which a request in flight costs 1; more slots make it cost less."""
 
 NEW_CONNECTION_COST = 0.8
 """Requests in flight that a new connection is worth. A target that has just joined is
@@ -26,7 +29,7 @@
 WARMUP_COST = 0.7
 """Requests in flight that the slowness of a target that has just started is worth."""
 
-RANDOM_COST = 1.0
+RANDOM_COST = 0.6
 """Largest random cost; it spreads requests among the targets in use."""
 
 SLOW_COST = 4.0
@@ -46,11 +49,12 @@
 
 
 class Placement:
-    """Chooses targets, and counts this daemon's requests at each."""
+    """Chooses targets, and counts this daemon's requests at each of them."""
 
     def __init__(
         self,
         suspicion: Suspicion,
+        load: FleetLoad,
         *,
         data_centre: str,
         rng: random.Random,
@@ -62,20 +66,18 @@
         self._rng = rng
         self._has_idle_connection = has_idle_connection
         self._has_joined_lately = has_joined_lately
-        self._in_flight: Counter[str] = Counter()
+        self._load = load
         self._used_newcomers: set[str] = set()
 
     def start(self, target: TargetEntry, *, now_s: float) -> None:
         """Count a request sent to a target."""
-        self._in_flight[target.name] += 1
+        self._load.start(target.name)
         if self._has_joined_lately(target.name, now_s):
             self._used_newcomers.add(target.name)
 
     def finish(self, target: TargetEntry) -> None:
         """Count its end."""
-        self._in_flight[target.name] -= 1
-        if not self._in_flight[target.name]:
-            del self._in_flight[target.name]
+        self._load.finish(target.name)
 
     def choose(
         self,
@@ -99,7 +101,9 @@
         avoidance = self._suspicion.avoidance(
             target.name, is_idempotent=is_idempotent, now_s=now_s
         )
-        cost = self._in_flight[target.name] + self._rng.uniform(0, RANDOM_COST)
+        in_flight = self._load.at(target.name, now_s=now_s)
+        cost = in_flight * USUAL_SLOTS / target.slots
+        cost += self._rng.uniform(0, RANDOM_COST)
         if target.data_centre != self._data_centre:
             cost += REMOTE_COST
         if target.warmup_s > 0:
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -79,6 +79,7 @@
     budget: FleetBudget
     connections: TargetConnections
     tell_failure: Callable[[TargetFailure], None]
+    tell_load: Callable[[], None]
     count_daemons: Callable[[], int]
 
 
@@ -316,6 +317,7 @@
         loop = asyncio.get_running_loop()
         overdue = loop.call_later(overdue_s, self._note_overdue, routed, target)
         fleet.placement.start(target, now_s=now_s)
+        fleet.tell_load()
         fleet.connections.record_use(target)
         try:
             result = await attempt(
@@ -324,6 +326,7 @@
         finally:
             routed.target_s += self._clock.now_s() - now_s
             fleet.placement.finish(target)
+            fleet.tell_load()
             overdue.cancel()
         if isinstance(result, WholeAnswer):
             fleet.connections.record_idle(target)
