Tell doubtful targets from failing ones, and tell of successes

Change: one failure makes a target doubtful, which costs as much as six requests in flight; failures in a row make it failing, the worst last; a success at a suspect is told and takes one failure back. A success of others' reports no longer counts as older than reports that convinced nobody. Suspects are bounded in number.

--- a/dogwoodhook/coordination/fleet_messages.py
+++ b/dogwoodhook/coordination/fleet_messages.py
@@ -39,6 +39,15 @@
     kind: Literal["failure"] = "failure"
 
 
+@dataclass(frozen=True, slots=True)
+class TargetSuccess:
+    """A suspect answered a request well."""
+
+    daemon: str
+    target: str
+    kind: Literal["success"] = "success"
+
+
 @dataclass(frozen=True, slots=True)
 class StoreReading:
     """What a daemon read from the store.
@@ -67,4 +76,4 @@
     kind: Literal["load"] = "load"
 
 
-FleetMessage = DaemonHello | TargetFailure | StoreReading | LoadReport
+FleetMessage = DaemonHello | TargetFailure | TargetSuccess | StoreReading | LoadReport
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -17,6 +17,7 @@
     LoadReport,
     StoreReading,
     TargetFailure,
+    TargetSuccess,
 )
 from dogwoodhook.coordination.load_sharing import LoadSharing
 from dogwoodhook.coordination.store import Store
@@ -129,7 +130,7 @@
             ),
             budget=self._budget,
             connections=self._connections,
-            tell_failure=self.peers.broadcast,
+            tell=self.peers.broadcast,
             tell_load=LoadSharing(
                 self._load, self.peers, daemon=settings.vm_name
             ).note_change,
@@ -260,6 +261,8 @@
         match message:
             case TargetFailure():
                 self._hear_failure(message)
+            case TargetSuccess(target=target):
+                self._suspicion.absorb_success(target)
             case LoadReport(daemon, in_flight):
                 self._load.hear(daemon, in_flight, now_s=self._clock.now_s())
             case StoreReading():
--- a/dogwoodhook/state/placement.py
+++ b/dogwoodhook/state/placement.py
@@ -35,8 +35,11 @@
 SLOW_COST = 4.0
 """Requests in flight by which other targets may be busier than a slow one."""
 
+DOUBTFUL_COST = 6.0
+"""The same for one that failed a request lately."""
+
 FAILING_COST = 1000.0
-"""Puts every failing target behind all others."""
+"""Puts every failing target behind all others, and the worst last."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +117,9 @@
             cost += NEW_CONNECTION_COST
         match avoidance.standing:
             case Standing.FAILING:
-                cost += FAILING_COST + avoidance.left_s
+                cost += FAILING_COST * avoidance.failures
+            case Standing.DOUBTFUL:
+                cost += DOUBTFUL_COST
             case Standing.SLOW:
                 cost += SLOW_COST
             case Standing.SOUND:
--- a/dogwoodhook/state/suspicion.py
+++ b/dogwoodhook/state/suspicion.py
@@ -8,6 +8,12 @@
 other daemons only where several tell of them and none of their own requests
 succeeded since. Server errors happen at healthy targets too, and count by twos.
 
+One failure may be a flake: an answer that got lost, an extra one. It makes a target
+doubtful, which costs as much as some requests in flight. Failures that follow without
+a success between them make it failing. A success at a suspect is told as well, and
+takes one failure back, so that a target that fails now and then is soon sound again
+and one that fails most requests is not.
+
 Slow is not failing. Under load all targets are slow, and to treat them alike would
 hide the ones that fail; a slow target costs as much as some requests in flight.
 
@@ -18,7 +24,7 @@
 """
 
 import random
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
@@ -59,6 +65,18 @@
 MAX_REPORTS = 16
 """Reports kept for each target."""
 
+FAILING_FAILURES = 2
+"""Failures, less successes, from which a target is failing and not only doubtful."""
+
+MAX_FAILURES = 6
+"""Failures that are counted; as many successes make the target sound again."""
+
+MEMORY_S = 15.0
+"""Time after the last failure for which earlier ones still count."""
+
+MAX_SUSPECTS = 4096
+"""Targets remembered; the one that failed longest ago goes first."""
+
 
 class Symptom(StrEnum):
     """How a target failed a request.
@@ -84,18 +102,20 @@
 
     SOUND = 0
     SLOW = 1
-    FAILING = 2
+    DOUBTFUL = 2
+    FAILING = 3
 
 
 @dataclass(frozen=True, slots=True)
 class Avoidance:
-    """A target's standing, and for how much longer it holds."""
+    """A target's standing, and the failures behind it."""
 
     standing: Standing
-    left_s: float = 0.0
+    failures: int = 0
 
 
 _SOUND = Avoidance(Standing.SOUND)
+_SLOW = Avoidance(Standing.SLOW)
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +132,7 @@
     reports: deque[tuple[float, FailureReport]] = field(
         default_factory=lambda: deque(maxlen=MAX_REPORTS)
     )
+    failures: int = 0
     avoided_until_s: float = 0.0
     tried_from_s: float = 0.0
     slow_until_s: float = 0.0
@@ -126,7 +147,7 @@
     def __init__(self, *, daemon: str, rng: random.Random) -> None:
         self._daemon = daemon
         self._rng = rng
-        self._suspects: dict[str, _Suspect] = {}
+        self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
         self._failed_by_reporter: dict[str, dict[str, float]] = {}
 
     def avoidance(self, target: str, *, is_idempotent: bool, now_s: float) -> Avoidance:
@@ -136,25 +157,30 @@
             return _SOUND
         until_s = suspect.tried_from_s if is_idempotent else suspect.avoided_until_s
         if now_s < until_s:
-            return Avoidance(Standing.FAILING, until_s - now_s)
-        if now_s < suspect.slow_until_s:
-            return Avoidance(Standing.SLOW, suspect.slow_until_s - now_s)
-        return _SOUND
+            is_failing = suspect.failures >= FAILING_FAILURES
+            standing = Standing.FAILING if is_failing else Standing.DOUBTFUL
+            return Avoidance(standing, suspect.failures)
+        return _SLOW if now_s < suspect.slow_until_s else _SOUND
 
-    def record_success(self, target: str, *, sent_s: float, now_s: float) -> None:
-        """Note an answer; it ends the avoidance of a target.
+    def record_success(self, target: str, *, sent_s: float, now_s: float) -> bool:
+        """Note an answer; tell whether others should know of it.
 
-        An answer to a request that was sent before the last failure ends nothing:
+        An answer to a request that was sent before the last failure changes nothing:
         it only shows that the target was well before.
         """
-        suspect = self._suspects.setdefault(target, _Suspect())
+        suspect = self._suspect(target)
         suspect.succeeded_s = now_s
         if sent_s <= suspect.failed_s:
-            return
+            return False
         suspect.path_hold_s = PATH_HOLD_S
-        suspect.avoided_until_s = 0.0
-        suspect.tried_from_s = 0.0
         suspect.slow_until_s = 0.0
+        was_suspect = suspect.failures > 0
+        self._take_back(suspect)
+        return was_suspect
+
+    def absorb_success(self, target: str) -> None:
+        """Take another daemon's success at a suspect."""
+        self._take_back(self._suspect(target))
 
     def record_failure(
         self, target: str, symptom: Symptom, *, now_s: float
@@ -163,7 +189,7 @@
         report = FailureReport(target, symptom, self._daemon)
         suspect = self._note(report, now_s)
         if symptom in _PATH_SYMPTOMS:
-            self._hold_path(suspect, symptom, now_s + suspect.path_hold_s)
+            self._hold_path(suspect, symptom, now_s)
             suspect.path_hold_s = min(MAX_PATH_HOLD_S, suspect.path_hold_s * 2)
         elif (
             symptom is Symptom.RESET
@@ -175,20 +201,23 @@
     def absorb(self, report: FailureReport, *, now_s: float) -> bool:
         """Take another daemon's report; tell whether it made a new suspect."""
         suspect = self._note(report, now_s)
-        if self._is_doubtful(report.reporter, now_s):
+        if self._is_doubtful(report.reporter):
             return False
         if not self._is_convincing(suspect, report, now_s):
             return False
-        was_avoided = now_s < max(suspect.avoided_until_s, suspect.slow_until_s)
+        before = self.avoidance(report.target, is_idempotent=False, now_s=now_s)
         if report.symptom in _PATH_SYMPTOMS:
-            self._hold_path(suspect, report.symptom, now_s + PATH_HOLD_S)
+            self._hold_path(suspect, report.symptom, now_s)
         else:
             self._hold(suspect, now_s)
-        return not was_avoided
+        return before.standing is Standing.SOUND
 
-    def forget(self, target: str) -> None:
-        """Drop what is known of a target that is gone."""
-        self._suspects.pop(target, None)
+    def _suspect(self, target: str) -> _Suspect:
+        suspect = self._suspects.setdefault(target, _Suspect())
+        self._suspects.move_to_end(target)
+        if len(self._suspects) > MAX_SUSPECTS:
+            self._suspects.popitem(last=False)
+        return suspect
 
     def _is_convincing(
         self, suspect: _Suspect, report: FailureReport, now_s: float
@@ -218,30 +247,43 @@
         )
 
     def _note(self, report: FailureReport, now_s: float) -> _Suspect:
-        suspect = self._suspects.setdefault(report.target, _Suspect())
+        suspect = self._suspect(report.target)
         suspect.reports.append((now_s, report))
-        suspect.failed_s = now_s
-        failed = self._failed_by_reporter.setdefault(report.reporter, {})
-        failed[report.target] = now_s
+        failed = self._failed_by_reporter.get(report.reporter, {})
+        recent = {
+            target: at_s for target, at_s in failed.items() if now_s - at_s < DOUBT_S
+        }
+        self._failed_by_reporter[report.reporter] = {**recent, report.target: now_s}
         return suspect
 
-    def _is_doubtful(self, reporter: str, now_s: float) -> bool:
-        failed = self._failed_by_reporter[reporter]
-        recent = sum(now_s - at_s < DOUBT_S for at_s in failed.values())
-        return recent >= DOUBT_TARGETS
+    def _is_doubtful(self, reporter: str) -> bool:
+        return len(self._failed_by_reporter[reporter]) >= DOUBT_TARGETS
 
     def _hold(self, suspect: _Suspect, now_s: float) -> None:
+        self._count(suspect, 1, now_s)
         spread_s = self._rng.uniform(0, HOLD_SPREAD_S)
-        tried_from_s = max(suspect.tried_from_s, now_s + TRIAL_HOLD_S + spread_s)
-        self._avoid(suspect, now_s + HOLD_S + spread_s)
-        suspect.tried_from_s = tried_from_s
+        tried_from_s = now_s + TRIAL_HOLD_S + spread_s
+        avoided_until_s = now_s + HOLD_S + spread_s
+        suspect.tried_from_s = max(suspect.tried_from_s, tried_from_s)
+        suspect.avoided_until_s = max(suspect.avoided_until_s, avoided_until_s)
 
-    def _hold_path(self, suspect: _Suspect, symptom: Symptom, until_s: float) -> None:
+    def _hold_path(self, suspect: _Suspect, symptom: Symptom, now_s: float) -> None:
+        until_s = now_s + suspect.path_hold_s
         if symptom is Symptom.OVERDUE:
             suspect.slow_until_s = max(suspect.slow_until_s, until_s)
-        else:
-            self._avoid(suspect, until_s)
-
-    def _avoid(self, suspect: _Suspect, until_s: float) -> None:
-        suspect.avoided_until_s = max(suspect.avoided_until_s, until_s)
+            return
+        self._count(suspect, FAILING_FAILURES, now_s)
         suspect.tried_from_s = max(suspect.tried_from_s, until_s)
+        suspect.avoided_until_s = max(suspect.avoided_until_s, until_s)
+
+    def _count(self, suspect: _Suspect, failures: int, now_s: float) -> None:
+        if now_s - suspect.failed_s > MEMORY_S:
+            suspect.failures = 0
+        suspect.failures = min(MAX_FAILURES, suspect.failures + failures)
+        suspect.failed_s = now_s
+
+    def _take_back(self, suspect: _Suspect) -> None:
+        suspect.failures = max(0, suspect.failures - 1)
+        if not suspect.failures:
+            suspect.avoided_until_s = 0.0
+            suspect.tried_from_s = 0.0
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from dogwoodhook.clock import Clock
-from dogwoodhook.coordination.fleet_messages import TargetFailure
+from dogwoodhook.coordination.fleet_messages import TargetFailure, TargetSuccess
 from dogwoodhook.events import (
     ATTEMPT_FAILED,
     REQUEST_ANSWERED,
@@ -78,7 +78,7 @@
     placement: Placement
     budget: FleetBudget
     connections: TargetConnections
-    tell_failure: Callable[[TargetFailure], None]
+    tell: Callable[[TargetFailure | TargetSuccess], None]
     tell_load: Callable[[], None]
     count_daemons: Callable[[], int]
 
@@ -334,9 +334,10 @@
             typical.record(latency_s)
             is_late = latency_s >= overdue_s
             if result.status < SERVER_ERROR_STATUS and not is_late:
-                fleet.suspicion.record_success(
+                if fleet.suspicion.record_success(
                     target.name, sent_s=now_s, now_s=self._clock.now_s()
-                )
+                ):
+                    fleet.tell(TargetSuccess(self._daemon, target.name))
         return result
 
     def _note_overdue(self, routed: RoutedRequest, target: TargetEntry) -> None:
@@ -387,7 +388,7 @@
         was_repeated: bool,
     ) -> None:
         now_s = self._clock.now_s()
-        self._fleet.tell_failure(
+        self._fleet.tell(
             TargetFailure(
                 daemon=self._daemon,
                 service=routed.service,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -105,7 +105,8 @@
     slow = [replace(HERE, name=f"slow-{number}") for number in range(3)]
     for target in slow:
         suspicion.record_failure(target.name, Symptom.OVERDUE, now_s=0.0)
-    suspicion.record_failure("here", Symptom.RESET, now_s=0.0)
+    for _ in range(2):
+        suspicion.record_failure("here", Symptom.RESET, now_s=0.0)
     chosen = {choose(placement, [HERE, *slow], now_s=0.1).name for _ in range(100)}
     assert chosen == {"slow-0", "slow-1", "slow-2"}
 
@@ -173,3 +174,12 @@
     alone = queueing_share(hears_neighbours=False)
     together = queueing_share(hears_neighbours=True)
     assert together < alone / 2
+
+
+def test_where_all_failed_the_one_that_failed_least_is_chosen(placement, suspicion):
+    flaky = replace(HERE, name="flaky")
+    for now_s in (0.0, 0.1, 0.2):
+        suspicion.record_failure("here", Symptom.RESET, now_s=now_s)
+    suspicion.record_failure("flaky", Symptom.RESET, now_s=0.3)
+    chosen = {choose(placement, [HERE, flaky], now_s=0.4).name for _ in range(100)}
+    assert chosen == {"flaky"}
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -8,6 +8,8 @@
     DOUBT_TARGETS,
     HOLD_S,
     HOLD_SPREAD_S,
+    MAX_SUSPECTS,
+    MEMORY_S,
     OWN_SUCCESS_S,
     PATH_HOLD_S,
     TRIAL_HOLD_S,
@@ -57,10 +59,37 @@
     assert not is_avoided(suspicion, now_s=HOLD_S + HOLD_SPREAD_S)
 
 
-def test_a_success_ends_avoidance(suspicion):
+def test_one_failure_makes_doubtful_and_one_success_sound(suspicion):
     suspicion.record_failure("t1", Symptom.RESET, now_s=0.0)
-    suspicion.record_success("t1", sent_s=2.5, now_s=3.0)
-    assert not is_avoided(suspicion, now_s=3.0)
+    assert standing(suspicion, now_s=0.1) is Standing.DOUBTFUL
+    assert suspicion.record_success("t1", sent_s=2.5, now_s=3.0)
+    assert standing(suspicion, now_s=3.0) is Standing.SOUND
+    assert not suspicion.record_success("t1", sent_s=3.5, now_s=4.0)
+
+
+def test_failures_in_a_row_make_failing_and_one_success_does_not_clear_it(suspicion):
+    for now_s in (0.0, 0.2, 0.4):
+        suspicion.absorb(report(Symptom.RESET), now_s=now_s)
+    assert standing(suspicion, now_s=0.5) is Standing.FAILING
+    suspicion.absorb_success("t1")
+    assert standing(suspicion, now_s=0.5) is Standing.FAILING
+    suspicion.absorb_success("t1")
+    assert standing(suspicion, now_s=0.5) is Standing.DOUBTFUL
+    suspicion.absorb_success("t1")
+    assert standing(suspicion, now_s=0.5) is Standing.SOUND
+
+
+def test_failures_far_apart_are_not_in_a_row(suspicion):
+    suspicion.record_failure("t1", Symptom.RESET, now_s=0.0)
+    suspicion.record_failure("t1", Symptom.RESET, now_s=MEMORY_S + 0.1)
+    assert standing(suspicion, now_s=MEMORY_S + 0.2) is Standing.DOUBTFUL
+
+
+def test_targets_that_are_gone_are_forgotten_in_the_end(suspicion):
+    suspicion.record_failure("t1", Symptom.RESET, now_s=0.0)
+    for number in range(MAX_SUSPECTS):
+        suspicion.record_success(f"other-{number}", sent_s=0.0, now_s=0.1)
+    assert standing(suspicion, now_s=0.1) is Standing.SOUND
 
 
 def test_an_answer_to_what_was_sent_before_the_failure_ends_nothing(suspicion):
