Turn from targets that refuse for a moment; wait for the first reading at a start

Requests that came within 50 ms of a restart were refused for want of a configuration (8 at one data centre).

Change: a refusal makes its target slow for 0.3 s everywhere; a doubtful target is tried with what may be repeated; a daemon that has just started lets requests wait for up to 0.3 s. Tests of each.

--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -54,6 +54,9 @@
 MAX_ROUTE_SERIES = 50
 """Routes with metric series of their own; later ones share one."""
 
+STARTING_INTERVAL_S = 0.02
+"""Time between looks at whether a daemon that starts is ready."""
+
 SETTINGS_INTERVAL_S = 2.0
 """Time between looks at the settings, which may change without a signal."""
 
@@ -83,6 +86,7 @@
         self._settings = settings
         self._clock = clock
         self._readiness = Readiness()
+        self._has_been_ready = asyncio.Event()
         self._suspicion = Suspicion(daemon=settings.vm_name, rng=rng)
         self._directory = TargetDirectory()
         self._load = FleetLoad()
@@ -130,6 +134,7 @@
             ),
             budget=self._budget,
             connections=self._connections,
+            is_ready=self._has_been_ready,
             tell=self.peers.broadcast,
             tell_load=LoadSharing(
                 self._load, self.peers, daemon=settings.vm_name
@@ -247,7 +252,7 @@
         """Become ready once targets and routes are known."""
         while True:
             self._update_readiness()
-            await asyncio.sleep(0.1 if not self._readiness.accepts_requests else 1.0)
+            await asyncio.sleep(1.0 if self.is_ready else STARTING_INTERVAL_S)
 
     def _update_readiness(self) -> None:
         if self._configuration.in_force is None:
@@ -255,6 +260,7 @@
         elif not self._directory.version:
             self._readiness.update("no target is known yet")
         else:
+            self._has_been_ready.set()
             self._readiness.update(None)
 
     def _receive(self, message: FleetMessage) -> None:
--- a/dogwoodhook/state/placement.py
+++ b/dogwoodhook/state/placement.py
@@ -38,6 +38,10 @@
 DOUBTFUL_COST = 6.0
 """The same for one that failed a request lately."""
 
+TRIAL_COST = 2.5
+"""The same for a request that may be repeated: a failure costs it a second sending,
+waiting for the slots of the others would cost it as much."""
+
 FAILING_COST = 1000.0
 """Puts every failing target behind all others, and the worst last."""
 
@@ -118,6 +122,8 @@
         match avoidance.standing:
             case Standing.FAILING:
                 cost += FAILING_COST * avoidance.failures
+            case Standing.DOUBTFUL if is_idempotent:
+                cost += TRIAL_COST
             case Standing.DOUBTFUL:
                 cost += DOUBTFUL_COST
             case Standing.SLOW:
--- a/dogwoodhook/state/suspicion.py
+++ b/dogwoodhook/state/suspicion.py
@@ -44,6 +44,10 @@
 MAX_PATH_HOLD_S = 16.0
 """Longest holding time of a path that fails again and again."""
 
+BUSY_HOLD_S = 0.3
+"""Time for which a target that refused a request counts as slow: about the work of
+one request, after which a slot is free."""
+
 AGREEMENT_S = 3.0
 """Time within which failures seen by several daemons speak together."""
 
@@ -84,7 +88,7 @@
     ``RESET``: it broke the connection, or answered with anything but an answer
     to the request. ``ERROR``: it answered with a server error. ``OVERDUE``: no
     answer after a time in which nearly all come. ``SILENT``: none until the
-    deadline. ``UNREACHABLE``: no connection.
+    deadline. ``UNREACHABLE``: no connection. ``BUSY``: it refused the request.
     """
 
     RESET = "reset"
@@ -92,6 +96,7 @@
     OVERDUE = "overdue"
     SILENT = "silent"
     UNREACHABLE = "unreachable"
+    BUSY = "busy"
 
 
 _PATH_SYMPTOMS = frozenset({Symptom.OVERDUE, Symptom.SILENT, Symptom.UNREACHABLE})
@@ -187,6 +192,9 @@
     ) -> FailureReport:
         """Note an own failure; return the report for the other daemons."""
         report = FailureReport(target, symptom, self._daemon)
+        if symptom is Symptom.BUSY:
+            self._hold_busy(target, now_s)
+            return report
         suspect = self._note(report, now_s)
         if symptom in _PATH_SYMPTOMS:
             self._hold_path(suspect, symptom, now_s)
@@ -200,6 +208,9 @@
 
     def absorb(self, report: FailureReport, *, now_s: float) -> bool:
         """Take another daemon's report; tell whether it made a new suspect."""
+        if report.symptom is Symptom.BUSY:
+            self._hold_busy(report.target, now_s)
+            return False
         suspect = self._note(report, now_s)
         if self._is_doubtful(report.reporter):
             return False
@@ -231,6 +242,8 @@
                 if now_s - suspect.succeeded_s < OWN_SUCCESS_S:
                     return False
                 return len(self._path_reporters(suspect, now_s)) >= AGREEING_REPORTERS
+            case Symptom.BUSY:
+                return False
 
     def _errors(self, suspect: _Suspect, now_s: float) -> int:
         return sum(
@@ -267,6 +280,10 @@
         suspect.tried_from_s = max(suspect.tried_from_s, tried_from_s)
         suspect.avoided_until_s = max(suspect.avoided_until_s, avoided_until_s)
 
+    def _hold_busy(self, target: str, now_s: float) -> None:
+        suspect = self._suspect(target)
+        suspect.slow_until_s = max(suspect.slow_until_s, now_s + BUSY_HOLD_S)
+
     def _hold_path(self, suspect: _Suspect, symptom: Symptom, now_s: float) -> None:
         until_s = now_s + suspect.path_hold_s
         if symptom is Symptom.OVERDUE:
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -145,7 +145,9 @@
     if problem is not None:
         return MayHaveRun(problem, Symptom.RESET)
     if dialect.says_not_run(response.status, headers):
-        return NotRunThere(f"status {response.status}", None, has_arrived=True)
+        is_busy = response.status not in dialect.not_run_statuses
+        symptom = Symptom.BUSY if is_busy else None
+        return NotRunThere(f"status {response.status}", symptom, has_arrived=True)
     reason = response.reason or ""
     if is_whole:
         return WholeAnswer(response.status, reason, headers, bytes(body))
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -9,6 +9,7 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -62,6 +63,10 @@
 MIN_SENDING_S = 0.05
 """Time left below which a request is not sent to a target any more."""
 
+FIRST_CONFIGURATION_S = 0.3
+"""Time for which a daemon that has just started lets a request wait until it knows
+routes and targets: some calls to the store."""
+
 MAX_REFUSALS = 8
 """Targets that may refuse a request before the caller is told."""
 
@@ -78,6 +83,7 @@
     placement: Placement
     budget: FleetBudget
     connections: TargetConnections
+    is_ready: asyncio.Event
     tell: Callable[[TargetFailure | TargetSuccess], None]
     tell_load: Callable[[], None]
     count_daemons: Callable[[], int]
@@ -107,7 +113,7 @@
     async def forward(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the caller's answer."""
         arrived_s = self._clock.now_s()
-        configuration = self._fleet.configuration()
+        configuration = await self._first_configuration()
         if configuration is None:
             detail = "no configuration is known yet"
             self._log_refusal(request, 503, detail)
@@ -128,6 +134,13 @@
         # Followed to its end even if the caller leaves: it may not run again.
         return await asyncio.shield(asyncio.ensure_future(self._run(routed)))
 
+    async def _first_configuration(self) -> RoutingConfiguration | None:
+        """Return the configuration; one that has just started waits for it briefly."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_CONFIGURATION_S):
+                await self._fleet.is_ready.wait()
+        return self._fleet.configuration()
+
     def is_repeatable(self, request: web.BaseRequest) -> bool:
         """Tell whether a request's route says that it may be repeated."""
         configuration = self._fleet.configuration()
--- a/tests/platform_adapter/test_gateway_store.py
+++ b/tests/platform_adapter/test_gateway_store.py
@@ -21,6 +21,17 @@
     assert not platform.gateways[0].is_ready
 
 
+async def test_a_request_that_comes_with_the_start_waits_for_the_first_reading(
+    platform,
+):
+    await platform.configure()
+    await platform.start_target("t1")
+    platform.store.faults.delay_s = 0.1
+    await platform.start_gateway(is_ready=False)
+    reply = await platform.send("/post/1", data=b"x")
+    assert reply.status == 200
+
+
 async def test_an_unknown_route_is_denied_by_a_known_configuration(platform):
     await platform.configure()
     await platform.start_target("t1")
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -183,3 +183,16 @@
     suspicion.record_failure("flaky", Symptom.RESET, now_s=0.3)
     chosen = {choose(placement, [HERE, flaky], now_s=0.4).name for _ in range(100)}
     assert chosen == {"flaky"}
+
+
+def test_a_doubtful_target_is_tried_with_what_may_be_repeated(placement, suspicion):
+    other = replace(HERE, name="other")
+    suspicion.record_failure("here", Symptom.RESET, now_s=0.0)
+    for _ in range(4):
+        placement.start(other, now_s=0.0)
+    options = {"now_s": 0.1}
+    chosen = {choose(placement, [HERE, other], **options).name for _ in range(50)}
+    assert chosen == {"other"}
+    options["is_idempotent"] = True
+    chosen = {choose(placement, [HERE, other], **options).name for _ in range(50)}
+    assert chosen == {"here"}
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -153,3 +153,14 @@
     assert standing(suspicion, now_s=1.0) is Standing.SLOW
     suspicion.record_failure("t1", Symptom.SILENT, now_s=1.0)
     assert standing(suspicion, now_s=1.0) is Standing.FAILING
+
+
+def test_a_refusal_makes_a_target_slow_everywhere_for_a_moment(suspicion):
+    for target in ("t1", "t2", "t3", "t4", "t5"):
+        suspicion.absorb(report(Symptom.BUSY, target=target), now_s=0.0)
+    suspicion.record_failure("t6", Symptom.BUSY, now_s=0.0)
+    for target in ("t1", "t5", "t6"):
+        assert standing(suspicion, now_s=0.1, target=target) is Standing.SLOW
+        assert standing(suspicion, now_s=0.4, target=target) is Standing.SOUND
+    suspicion.absorb(report(Symptom.RESET), now_s=0.1)
+    assert standing(suspicion, now_s=0.1) is Standing.DOUBTFUL
