Send nothing on for a caller that has left; close an answer that lost the race

Cause: found in reading. A request that may not be repeated is followed to its end when its caller leaves, and a refusal then sent it to a further target. A large answer that finished together with the winner was never closed.

Change: both; a test of the first, which failed before.

--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -177,7 +177,7 @@
             answer = await self._race(routed, race)
         finally:
             for task in race:
-                task.cancel()
+                _abandon(task)
         self._count(routed, answer)
         return answer
 
@@ -374,6 +374,8 @@
         """Tell whether a request without an answer goes to another target."""
         if not routed.body.is_whole or routed.refusals > MAX_REFUSALS:
             return False
+        if routed.has_caller_left:
+            return False
         if routed.has_run and not routed.route.is_idempotent:
             return False
         if routed.runs >= routed.route.max_targets:
@@ -517,3 +519,11 @@
         if request_id is not None:
             answer.headers[self._dialect.request_id] = request_id
         return answer
+
+
+def _abandon(task: asyncio.Task[AttemptResult]) -> None:
+    """Give up an attempt whose answer is not needed any more."""
+    if not task.cancel() and not task.cancelled() and task.exception() is None:
+        result = task.result()
+        if isinstance(result, OpenAnswer):
+            result.response.close()
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -48,6 +48,12 @@
         """Tell whether the request may have run."""
         return self.runs > 0
 
+    @property
+    def has_caller_left(self) -> bool:
+        """Tell whether the caller has closed its connection."""
+        transport = self.request.transport
+        return transport is None or transport.is_closing()
+
     def log_fields(self, *, now_s: float) -> dict[str, object]:
         """Return what decided the request so far, for the log.
 
--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -187,6 +187,17 @@
     assert target.cut == 0
 
 
+async def test_a_request_whose_caller_has_left_goes_to_no_further_target(platform):
+    first = await start(platform, behave.after(1.0, behave.refuse))
+    task = asyncio.ensure_future(platform.send("/post/1", data=b"x"))
+    await until(lambda: first.received)
+    other = await platform.start_target("t2")
+    await until(lambda: platform.gateways[0].knows_target("t2"))
+    task.cancel()
+    await asyncio.sleep(1.0)
+    assert not other.received
+
+
 async def pipeline(platform, paths, *, count):
     """Send requests on one connection at once; return all that comes back."""
     address = platform.gateways[0].settings.caller_address
