Break off a large answer without length whose target reset it

Cause: found in reading.

Change: the connection is asked at the end of the stream; a test that failed without.

--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
 
 import aiohttp
@@ -61,6 +61,12 @@
     headers: CIMultiDictProxy[str]
     body: bytes
     response: aiohttp.ClientResponse
+    protocol: asyncio.BaseProtocol | None
+
+    @property
+    def was_reset(self) -> bool:
+        """Tell whether an answer without a length, read to its end, was reset."""
+        return not _has_length(self.headers) and _was_reset(self.protocol)
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,11 +141,7 @@
         if len(body) > BUFFERED_ANSWER_BYTES:
             break
     is_whole = response.content.at_eof()
-    has_length = "Content-Length" in headers or (
-        headers.get("Transfer-Encoding", "").lower() == "chunked"
-    )
-    if is_whole and not has_length and _was_reset(protocol):
-        # The client library ends a body without a length even on a reset.
+    if is_whole and not _has_length(headers) and _was_reset(protocol):
         return MayHaveRun("an answer without a length was reset", Symptom.RESET)
     problem = _problem(response, sending, dialect)
     if problem is not None:
@@ -151,10 +153,19 @@
     reason = response.reason or ""
     if is_whole:
         return WholeAnswer(response.status, reason, headers, bytes(body))
-    return OpenAnswer(response.status, reason, headers, bytes(body), response)
+    return OpenAnswer(response.status, reason, headers, bytes(body), response, protocol)
+
+
+def _has_length(headers: Mapping[str, str]) -> bool:
+    coding = headers.get("Transfer-Encoding", "").lower()
+    return "Content-Length" in headers or coding == "chunked"
 
 
 def _was_reset(protocol: asyncio.BaseProtocol | None) -> bool:
+    """Tell whether a connection was reset.
+
+    The client library ends a body without a length even then.
+    """
     exception = getattr(protocol, "exception", None)
     return exception is not None and isinstance(exception(), aiohttp.ClientOSError)
 
--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 
 from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES
@@ -151,6 +152,21 @@
         await platform.send("/read/1")
 
 
+async def test_a_large_answer_without_length_that_is_reset_does_not_look_whole(
+    platform,
+):
+    async def large(server, received, writer):
+        writer.write(behave.head("200 OK", received, Server_Signature="s"))
+        writer.write(b"x" * 2 * BUFFERED_ANSWER_BYTES)
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        behave.reset_connection(writer)
+
+    await start(platform, large)
+    with pytest.raises(aiohttp.ClientError):
+        await platform.send("/read/1")
+
+
 async def test_a_request_gets_its_final_answer_at_the_routes_timeout(platform):
     target = await start(platform, behave.hang)
     await platform.configure(2, post=make_route("/post/", timeout="300ms"))
