--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -152,7 +152,7 @@
         await platform.send("/read/1")
 
 
-async def test_a_large_answer_without_length_that_is_reset_does_not_look_whole(
+async def test_a_large_answer_without_length_that_is_reset_is_not_whole(
     platform,
 ):
     async def large(server, received, writer):
