--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -54,6 +54,9 @@
 MAX_ROUTE_SERIES = 50
 """Routes with metric series of their own; later ones share one."""
 
+TASK_RESTART_S = 0.5
+"""Pause before a background task that failed begins again."""
+
 STARTING_INTERVAL_S = 0.02
 """Time between looks at whether a daemon that starts is ready."""
 
@@ -199,11 +202,11 @@
         for listener in self._operator_listeners:
             await listener.start()
         await self._callers.start()
-        self._spawn(self._targets.run())
-        self._spawn(self._configuration.run())
-        self._spawn(self._joining.run())
-        self._spawn(self._keep_ready())
-        self._spawn(self._watch_settings())
+        self._spawn(self._targets.run)
+        self._spawn(self._configuration.run)
+        self._spawn(self._joining.run)
+        self._spawn(self._keep_ready)
+        self._spawn(self._watch_settings)
         log(
             DAEMON_STARTED,
             daemon=self._settings.vm_name,
@@ -297,19 +300,20 @@
                 reporter=failure.daemon,
             )
 
-    def _spawn(self, work: Awaitable[None]) -> None:
-        async def guarded() -> None:
-            try:
-                await work
-            except Exception as error:
-                log(
-                    TASK_FAILED,
-                    task=getattr(work, "__qualname__", ""),
-                    error=repr(error),
-                )
-                raise
-
-        task = asyncio.create_task(guarded())
+    def _spawn(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Run a background task; one that fails is logged and begun again."""
+
+        async def keep_running() -> None:
+            while True:
+                try:
+                    await work()
+                    return
+                except Exception as error:
+                    name = getattr(work, "__qualname__", repr(work))
+                    log(TASK_FAILED, task=name, error=repr(error))
+                    await asyncio.sleep(TASK_RESTART_S)
+
+        task = asyncio.create_task(keep_running())
         self._tasks.add(task)
 
 
--- /dev/null
+++ b/tests/platform_adapter/test_program.py
@@ -0,0 +1,53 @@
+"""The daemon's program: bad settings, and signals at any moment."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+from dogwoodhook.testing.fleet import free_port
+from tests.platform_adapter.test_settings_file import TEXT
+
+
+def start(tmp_path, text):
+    path = tmp_path / "boot.conf"
+    path.write_text(text)
+    return subprocess.Popen(
+        [sys.executable, "-m", "dogwoodhook.platform"],
+        env={**os.environ, "DOGWOODHOOK_SETTINGS": str(path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def local(text):
+    """Put addresses of this machine into a settings file."""
+    text = text.replace("10.1.0.15", "127.0.0.1").replace("10.200.1.7", "127.0.0.1")
+    for port in ("8641", "8640", "7620", "8642"):
+        text = text.replace(port, str(free_port()))
+    return text
+
+
+def test_bad_settings_end_the_program_with_every_finding(tmp_path):
+    process = start(tmp_path, TEXT.replace("zone=kigali-1\n", "").replace("6s", "six"))
+    _, errors = process.communicate(timeout=30)
+    assert process.returncode == 2
+    assert "zone is missing" in errors
+    assert "bounds.grace" in errors
+
+
+@pytest.mark.parametrize("delay_s", [0.1, 2.5])
+def test_sighup_ends_no_daemon_and_sigterm_does(tmp_path, delay_s):
+    process = start(tmp_path, local(TEXT))
+    time.sleep(delay_s)
+    process.send_signal(signal.SIGHUP)
+    time.sleep(3.0)
+    assert process.poll() is None
+    process.send_signal(signal.SIGTERM)
+    output, errors = process.communicate(timeout=30)
+    assert process.returncode == 0, errors
+    assert "daemon-stopped" in output
