--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -46,8 +46,9 @@
 from dogwoodhook.state.suspicion import FailureReport, Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory
 from dogwoodhook.transport.datagrams import DatagramPeers
+from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.gateway_listener import CallerListener, OperatorListener
-from dogwoodhook.transport.route_forwarder import FleetView, RouteForwarder
+from dogwoodhook.transport.route_forwarder import RouteForwarder
 from dogwoodhook.transport.target_connections import TargetConnections
 from dogwoodhook.vm_settings import VmSettings
 
--- /dev/null
+++ b/dogwoodhook/transport/fleet_view.py
@@ -0,0 +1,33 @@
+"""What a forwarder knows of the fleet, and how it tells the fleet."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from dogwoodhook.coordination.fleet_messages import TargetFailure, TargetSuccess
+from dogwoodhook.state.fleet_budget import FleetBudget
+from dogwoodhook.state.placement import Placement
+from dogwoodhook.state.route_policy import RoutingConfiguration
+from dogwoodhook.state.suspicion import Suspicion
+from dogwoodhook.state.target_directory import TargetDirectory
+from dogwoodhook.transport.target_connections import TargetConnections
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """The parts that a forwarder shares with the rest of the daemon.
+
+    ``is_ready`` is set once routes and targets are known. ``tell`` reaches all
+    daemons, ``tell_load`` those of the own data centre.
+    """
+
+    configuration: Callable[[], RoutingConfiguration | None]
+    directory: TargetDirectory
+    suspicion: Suspicion
+    placement: Placement
+    budget: FleetBudget
+    connections: TargetConnections
+    is_ready: asyncio.Event
+    tell: Callable[[TargetFailure | TargetSuccess], None]
+    tell_load: Callable[[], None]
+    count_daemons: Callable[[], int]
--- /dev/null
+++ b/dogwoodhook/transport/own_answers.py
@@ -0,0 +1,65 @@
+"""The daemon's own answers to callers, by the operator's routes."""
+
+import random
+
+from aiohttp import web
+
+from dogwoodhook.events import REQUEST_REFUSED, log
+from dogwoodhook.protocol.http_dialect import HttpDialect
+from dogwoodhook.state.return_times import (
+    NothingToServe,
+    RefusalCause,
+    retry_after_s,
+)
+
+UNAVAILABLE_STATUS = 503
+"""Promises that the request has not run and will not."""
+
+
+class OwnAnswers:
+    """Makes answers that carry the request's id."""
+
+    def __init__(self, dialect: HttpDialect, rng: random.Random) -> None:
+        self._dialect = dialect
+        self._rng = rng
+
+    def failure(
+        self, request: web.BaseRequest, status: int, detail: str
+    ) -> web.Response:
+        """Return an answer that says nothing about whether the request ran."""
+        answer = web.Response(status=status, text=f"{detail}\n")
+        request_id = request.headers.get(self._dialect.request_id)
+        if request_id is not None:
+            answer.headers[self._dialect.request_id] = request_id
+        return answer
+
+    def unavailable(
+        self, request: web.BaseRequest, detail: str, cause: RefusalCause
+    ) -> web.Response:
+        """Return the answer that promises that the request has not run."""
+        answer = self.failure(request, UNAVAILABLE_STATUS, detail)
+        retry_s = retry_after_s(cause, rng=self._rng)
+        answer.headers["Retry-After"] = f"{retry_s:.2f}"
+        return answer
+
+    def no_configuration(self, request: web.BaseRequest) -> web.Response:
+        """Refuse a request whose route cannot be told yet."""
+        detail = "no configuration is known yet"
+        self._log(request, UNAVAILABLE_STATUS, detail)
+        return self.unavailable(request, detail, NothingToServe())
+
+    def denial(
+        self, request: web.BaseRequest, status: int, detail: str
+    ) -> web.Response:
+        """Refuse a request that no route or limit allows, for good."""
+        self._log(request, status, detail)
+        return self.failure(request, status, detail)
+
+    def _log(self, request: web.BaseRequest, status: int, detail: str) -> None:
+        log(
+            REQUEST_REFUSED,
+            request=request.headers.get(self._dialect.request_id, ""),
+            path=request.path,
+            status=status,
+            detail=detail,
+        )
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -8,9 +8,7 @@
 import asyncio
 import random
 from collections import defaultdict
-from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
 
 from aiohttp import web
 
@@ -26,17 +24,15 @@
 from dogwoodhook.metrics import Metrics
 from dogwoodhook.protocol.headers import end_to_end_headers
 from dogwoodhook.protocol.http_dialect import HttpDialect
-from dogwoodhook.state.fleet_budget import FleetBudget
-from dogwoodhook.state.placement import Candidate, Placement
+from dogwoodhook.state.placement import Candidate
 from dogwoodhook.state.return_times import (
     NothingToServe,
     RefusalCause,
     TargetsRefused,
-    retry_after_s,
 )
 from dogwoodhook.state.route_policy import RoutePolicy, RoutingConfiguration
-from dogwoodhook.state.suspicion import Standing, Suspicion, Symptom
-from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
+from dogwoodhook.state.suspicion import Standing, Symptom
+from dogwoodhook.state.target_directory import TargetEntry
 from dogwoodhook.state.typical_latency import TypicalLatency
 from dogwoodhook.transport.answers import cut_caller
 from dogwoodhook.transport.attempts import (
@@ -49,10 +45,11 @@
     attempt,
 )
 from dogwoodhook.transport.bodies import read_prelude
+from dogwoodhook.transport.fleet_view import FleetView
+from dogwoodhook.transport.own_answers import OwnAnswers
 from dogwoodhook.transport.pipelining import PipelinedRequest
 from dogwoodhook.transport.resend_guard import AttemptTrace
 from dogwoodhook.transport.routed_request import RoutedRequest
-from dogwoodhook.transport.target_connections import TargetConnections
 
 REPLAY_BUFFER_BYTES = 512 * 1024
 """Bodies up to this size can be sent to another target."""
@@ -73,22 +70,6 @@
 SERVER_ERROR_STATUS = 500
 
 
-@dataclass(frozen=True, slots=True)
-class FleetView:
-    """What a forwarder needs to know of the fleet and to tell it."""
-
-    configuration: Callable[[], RoutingConfiguration | None]
-    directory: TargetDirectory
-    suspicion: Suspicion
-    placement: Placement
-    budget: FleetBudget
-    connections: TargetConnections
-    is_ready: asyncio.Event
-    tell: Callable[[TargetFailure | TargetSuccess], None]
-    tell_load: Callable[[], None]
-    count_daemons: Callable[[], int]
-
-
 class RouteForwarder:
     """Carries callers' requests to targets."""
 
@@ -105,6 +86,7 @@
         self._metrics = metrics
         self._fleet = fleet
         self._dialect = dialect
+        self._own_answers = OwnAnswers(dialect, rng)
         self._clock = clock
         self._daemon = daemon
         self._rng = rng
@@ -115,17 +97,15 @@
         arrived_s = self._clock.now_s()
         configuration = await self._first_configuration()
         if configuration is None:
-            detail = "no configuration is known yet"
-            self._log_refusal(request, 503, detail)
-            return self._unavailable(request, detail, NothingToServe())
+            return self._own_answers.no_configuration(request)
         route = configuration.match(request.host, request.path)
         if route is None:
-            return self._refusal(
+            return self._own_answers.denial(
                 request, 404, f"no route in version {configuration.version}"
             )
         limit = configuration.limits.max_body_bytes
         if (request.content_length or 0) > limit:
-            return self._refusal(request, 413, f"a body over {limit} bytes")
+            return self._own_answers.denial(request, 413, f"a body over {limit} bytes")
         routed = await self._read(request, route, arrived_s)
         routed.configuration_version = configuration.version
         self._fleet.budget.record_request(routed.service, now_s=arrived_s)
@@ -477,10 +457,11 @@
         fields = routed.log_fields(now_s=now_s)
         if not routed.has_run:
             log(REQUEST_REFUSED, **fields, status=503, detail=detail)
-            return self._unavailable(routed.request, detail, self._cause(routed))
+            cause = self._cause(routed)
+            return self._own_answers.unavailable(routed.request, detail, cause)
         status = 504 if now_s + MIN_SENDING_S >= routed.deadline_s else 502
         log(REQUEST_UNANSWERED, **fields, status=status, detail=detail)
-        return self._own_answer(routed.request, status, detail)
+        return self._own_answers.failure(routed.request, status, detail)
 
     def _cause(self, routed: RoutedRequest) -> RefusalCause:
         if not routed.arrivals:
@@ -488,40 +469,6 @@
         now_s = self._clock.now_s()
         return TargetsRefused(self._fleet.budget.room_in_s(routed.service, now_s=now_s))
 
-    def _unavailable(
-        self, request: web.BaseRequest, detail: str, cause: RefusalCause
-    ) -> web.Response:
-        """Return the answer that promises that the request has not run."""
-        answer = self._own_answer(request, 503, detail)
-        retry_s = retry_after_s(cause, rng=self._rng)
-        answer.headers["Retry-After"] = f"{retry_s:.2f}"
-        return answer
-
-    def _refusal(
-        self, request: web.BaseRequest, status: int, detail: str
-    ) -> web.Response:
-        """Refuse a request that is not for any route, for good."""
-        self._log_refusal(request, status, detail)
-        return self._own_answer(request, status, detail)
-
-    def _log_refusal(self, request: web.BaseRequest, status: int, detail: str) -> None:
-        log(
-            REQUEST_REFUSED,
-            request=request.headers.get(self._dialect.request_id, ""),
-            path=request.path,
-            status=status,
-            detail=detail,
-        )
-
-    def _own_answer(
-        self, request: web.BaseRequest, status: int, detail: str
-    ) -> web.Response:
-        answer = web.Response(status=status, text=f"{detail}\n")
-        request_id = request.headers.get(self._dialect.request_id)
-        if request_id is not None:
-            answer.headers[self._dialect.request_id] = request_id
-        return answer
-
 
 def _abandon(task: asyncio.Task[AttemptResult]) -> None:
     """Give up an attempt whose answer is not needed any more."""
