Greet peers again; remove what nothing uses

Cause: found in reading. A daemon whose greeting was lost, to a cut or by chance, stayed unknown to the others for good, and heard no failure and no reading. A refusal by a stopping daemon was not logged. Two bounds, a return value and a cause of refusal had no use.

Change: greetings 1, 5 and 20 s after the first; the refusal is logged; the unused are gone. Tests of joining.

--- a/dogwoodhook/fleet_joining.py
+++ b/dogwoodhook/fleet_joining.py
@@ -21,6 +21,9 @@
 _DAEMON_ROW = "daemon/"
 KEY_BYTES = 16
 
+GREETING_PAUSES_S = (1.0, 4.0, 15.0)
+"""Pauses before the greeting is sent again, for those that the first one missed."""
+
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 4.0
 """Pauses between tries while the store does not answer."""
@@ -43,6 +46,9 @@
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_RETRY_S, pause_s * 2)
         log(FLEET_JOINED, peers=len(self._peers))
+        for pause_s in GREETING_PAUSES_S:
+            await asyncio.sleep(pause_s)
+            self._greet()
 
     async def _join(self) -> bool:
         key = await self._fleet_key()
@@ -50,13 +56,12 @@
             return False
         settings = self._settings
         address = settings.peer_address
-        row = json.dumps(
-            {
-                "data_centre": settings.data_centre,
-                "host": address.host,
-                "port": address.port,
-            }
-        ).encode()
+        place = {
+            "data_centre": settings.data_centre,
+            "host": address.host,
+            "port": address.port,
+        }
+        row = json.dumps(place).encode()
         written = await self._store.put_row(
             Table.DAEMONS, _DAEMON_ROW + settings.vm_name, row
         )
@@ -69,12 +74,15 @@
             case _:
                 return False
         self._peers.key = key
+        self._greet()
+        return True
+
+    def _greet(self) -> None:
+        settings = self._settings
+        host, port = settings.peer_address.host, settings.peer_address.port
         self._peers.broadcast(
-            DaemonHello(
-                settings.vm_name, settings.data_centre, address.host, address.port
-            )
+            DaemonHello(settings.vm_name, settings.data_centre, host, port)
         )
-        return True
 
     async def _fleet_key(self) -> bytes | None:
         created = secrets.token_bytes(KEY_BYTES)
--- a/dogwoodhook/platform/settings_file.py
+++ b/dogwoodhook/platform/settings_file.py
@@ -120,10 +120,6 @@
 def _parse_bounds(fields: _Fields) -> ServiceBounds:
     default = ServiceBounds()
     return ServiceBounds(
-        drain_s=fields.optional("bounds.drain", parse_duration_s, default.drain_s),
-        configuration_s=fields.optional(
-            "bounds.config", parse_duration_s, default.configuration_s
-        ),
         grace_s=fields.optional("bounds.grace", parse_duration_s, default.grace_s),
         retry_ratio=fields.optional(
             "bounds.retryBudgetRatio", float, default.retry_ratio
--- a/dogwoodhook/state/return_times.py
+++ b/dogwoodhook/state/return_times.py
@@ -19,11 +19,6 @@
 """Time in which targets or a configuration may appear: two readings of the store."""
 
 
-@dataclass(frozen=True, slots=True)
-class Elsewhere:
-    """The daemon is stopping; any other serves the caller at once."""
-
-
 @dataclass(frozen=True, slots=True)
 class NothingToServe:
     """No configuration or no target is known."""
@@ -36,18 +31,16 @@
     room_in_s: float
 
 
-RefusalCause = Elsewhere | NothingToServe | TargetsRefused
+RefusalCause = NothingToServe | TargetsRefused
 
 
 def retry_after_s(cause: RefusalCause, *, rng: random.Random) -> float:
     """Return the time after which a refused caller may come back.
 
-    >>> retry_after_s(Elsewhere(), rng=random.Random(7))
-    0.0
+    >>> 1.0 <= retry_after_s(NothingToServe(), rng=random.Random(7)) <= 2.0
+    True
     """
     match cause:
-        case Elsewhere():
-            return 0.0
         case NothingToServe():
             return rng.uniform(NO_TARGET_S, 2 * NO_TARGET_S)
         case TargetsRefused(room_in_s):
--- a/dogwoodhook/state/suspicion.py
+++ b/dogwoodhook/state/suspicion.py
@@ -187,14 +187,12 @@
         """Take another daemon's success at a suspect."""
         self._take_back(self._suspect(target))
 
-    def record_failure(
-        self, target: str, symptom: Symptom, *, now_s: float
-    ) -> FailureReport:
-        """Note an own failure; return the report for the other daemons."""
+    def record_failure(self, target: str, symptom: Symptom, *, now_s: float) -> None:
+        """Note an own failure."""
         report = FailureReport(target, symptom, self._daemon)
         if symptom is Symptom.BUSY:
             self._hold_busy(target, now_s)
-            return report
+            return
         suspect = self._note(report, now_s)
         if symptom in _PATH_SYMPTOMS:
             self._hold_path(suspect, symptom, now_s)
@@ -204,7 +202,6 @@
             or self._errors(suspect, now_s) >= ERRORS_TO_SUSPECT
         ):
             self._hold(suspect, now_s)
-        return report
 
     def absorb(self, report: FailureReport, *, now_s: float) -> bool:
         """Take another daemon's report; tell whether it made a new suspect."""
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from dogwoodhook.events import REQUEST_FAILED, log
+from dogwoodhook.events import REQUEST_FAILED, REQUEST_REFUSED, log
 from dogwoodhook.metrics import Metrics
 from dogwoodhook.transport.admin import metrics_answer
 from dogwoodhook.transport.listening import HttpListener
@@ -68,14 +68,10 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if self._is_refusing:
-            answer: web.StreamResponse = web.Response(
-                status=503, headers={"Retry-After": "0"}
-            )
-            answer.force_close()
-            return answer
+            return _stopping_answer(request)
         self._in_flight += 1
         try:
-            answer = await self._forward(request)
+            answer: web.StreamResponse = await self._forward(request)
         except Exception as error:
             log(REQUEST_FAILED, error=repr(error))
             answer = web.Response(status=502)
@@ -86,6 +82,14 @@
         return answer
 
 
+def _stopping_answer(request: web.BaseRequest) -> web.Response:
+    """Refuse a request as not run; any other daemon serves it at once."""
+    log(REQUEST_REFUSED, path=request.path, status=503, detail="the daemon stops")
+    answer = web.Response(status=503, headers={"Retry-After": "0"})
+    answer.force_close()
+    return answer
+
+
 class OperatorListener:
     """Answers the balancer's readiness questions, and serves the metrics."""
 
--- a/dogwoodhook/vm_settings.py
+++ b/dogwoodhook/vm_settings.py
@@ -18,15 +18,11 @@
 class ServiceBounds:
     """Bounds that the platform sets for every daemon.
 
-    ``drain_s`` is the time after a target's announced leaving from which it gets
-    no request; ``configuration_s`` the time in which a new configuration is in
-    force; ``grace_s`` the time between SIGTERM and SIGKILL. Over any
+    ``grace_s`` is the time between SIGTERM and SIGKILL. Over any
     ``retry_window_s``, the fleet may send ``retry_ratio`` of a service's requests
     plus ``retry_extra`` a second time.
     """
 
-    drain_s: float = 2.0
-    configuration_s: float = 2.0
     grace_s: float = 6.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
--- a/tests/platform_adapter/test_settings_file.py
+++ b/tests/platform_adapter/test_settings_file.py
@@ -15,7 +15,7 @@
 listen.readiness=10.1.0.15:8640
 portRange=7620,7635
 provider.address=10.200.1.7:8642
-bounds.drain=2000ms
+bounds.budgetWindow=10000ms
 bounds.grace=6s
 bounds.retryBudgetExtra=62
 a.field.of.tomorrow=1,2
@@ -34,19 +34,20 @@
     assert settings.data_centre == "kigali-1"
     assert settings.caller_address == Address("10.1.0.15", 8641)
     assert settings.peer_address == Address("10.1.0.15", 7620)
-    assert settings.bounds.drain_s == 2.0
+    assert settings.bounds.retry_window_s == 10.0
     assert settings.bounds.grace_s == 6.0
     assert settings.bounds.retry_extra == 62
 
 
 def test_every_problem_is_reported_with_its_line():
-    text = TEXT.replace("10.1.0.15:8641", "10.1.0.15").replace("2000ms", "soon")
+    text = TEXT.replace("10.1.0.15:8641", "10.1.0.15").replace("10000ms", "soon")
     text = text.replace("zone=kigali-1\n", "") + "no equals sign\n"
     assert findings_of(text) == [
         "boot.conf:11: received 'no equals sign'; allowed is name=value",
         "boot.conf:3: listen.frontend: received '10.1.0.15'; allowed is host:port",
         "boot.conf: zone is missing",
-        "boot.conf:7: bounds.drain: received 'soon'; allowed is a number with ms or s",
+        "boot.conf:7: bounds.budgetWindow: received 'soon';"
+        " allowed is a number with ms or s",
     ]
 
 
--- /dev/null
+++ b/tests/test_fleet_joining.py
@@ -0,0 +1,97 @@
+"""How a daemon finds the others."""
+
+import asyncio
+
+from expression import Error, Ok
+
+from dogwoodhook import fleet_joining
+from dogwoodhook.coordination.fleet_messages import DaemonHello
+from dogwoodhook.coordination.store import (
+    RowExists,
+    StoreRow,
+    StoreUnavailable,
+    TableRows,
+)
+from dogwoodhook.fleet_joining import FleetJoining
+from dogwoodhook.transport.datagrams import DatagramPeers
+from dogwoodhook.vm_settings import Address, VmSettings
+from tests.exchanges import until
+
+
+class MemoryStore:
+    """Rows in memory; the first ``failures`` calls get no answer."""
+
+    def __init__(self, *, failures=0):
+        self.rows = {}
+        self.failures = failures
+
+    def _fails(self):
+        self.failures -= 1
+        return self.failures >= 0
+
+    async def create_row(self, table, key, value):
+        if self._fails():
+            return Error(StoreUnavailable("down"))
+        if key in self.rows:
+            return Error(RowExists(StoreRow(key, self.rows[key], 1)))
+        self.rows[key] = value
+        return Ok(1)
+
+    async def put_row(self, table, key, value):
+        if self._fails():
+            return Error(StoreUnavailable("down"))
+        self.rows[key] = value
+        return Ok(1)
+
+    async def read_table(self, table):
+        if self._fails():
+            return Error(StoreUnavailable("down"))
+        rows = tuple(StoreRow(key, value, 1) for key, value in self.rows.items())
+        return Ok(TableRows(rows, 1, is_whole=True))
+
+
+class RecordingPeers(DatagramPeers):
+    """Keeps what would be sent."""
+
+    def __init__(self, daemon):
+        super().__init__(lambda message: None, daemon=daemon, data_centre="oulu-1")
+        self.sent = []
+
+    def broadcast(self, message):
+        self.sent.append(message)
+
+
+def joining(store, name):
+    address = Address("127.0.0.1", 7620)
+    settings = VmSettings(name, "oulu-1", address, address, address, address)
+    peers = RecordingPeers(name)
+    return FleetJoining(store, peers, settings), peers
+
+
+async def test_the_second_daemon_finds_the_first_and_shares_its_key(monkeypatch):
+    monkeypatch.setattr(fleet_joining, "GREETING_PAUSES_S", ())
+    store = MemoryStore()
+    first, first_peers = joining(store, "vm-1")
+    second, second_peers = joining(store, "vm-2")
+    await first.run()
+    await second.run()
+    assert first_peers.key == second_peers.key
+    assert second_peers.neighbours() == ["vm-1"]
+    assert second_peers.sent == [DaemonHello("vm-2", "oulu-1", "127.0.0.1", 7620)]
+
+
+async def test_joining_is_tried_until_the_store_answers(monkeypatch):
+    monkeypatch.setattr(fleet_joining, "MIN_RETRY_S", 0.01)
+    monkeypatch.setattr(fleet_joining, "GREETING_PAUSES_S", ())
+    store = MemoryStore(failures=5)
+    member, peers = joining(store, "vm-1")
+    await member.run()
+    assert peers.key is not None
+
+
+async def test_a_greeting_that_was_lost_is_made_good(monkeypatch):
+    monkeypatch.setattr(fleet_joining, "GREETING_PAUSES_S", (0.01, 0.01))
+    member, peers = joining(MemoryStore(), "vm-1")
+    task = asyncio.create_task(member.run())
+    await until(lambda: len(peers.sent) == 3)
+    await task
--- a/tests/test_return_times.py
+++ b/tests/test_return_times.py
@@ -5,7 +5,6 @@
 from dogwoodhook.state.return_times import (
     LATEST_S,
     SOONEST_S,
-    Elsewhere,
     NothingToServe,
     TargetsRefused,
     retry_after_s,
@@ -17,10 +16,6 @@
     return sorted(retry_after_s(cause, rng=rng) for _ in range(count))
 
 
-def test_a_stopping_daemon_sends_callers_elsewhere_at_once():
-    assert set(returns(Elsewhere())) == {0.0}
-
-
 def test_callers_of_refusing_targets_are_spread_over_the_time_until_there_is_room():
     times_s = returns(TargetsRefused(room_in_s=1.5))
     assert times_s[0] >= SOONEST_S
