--- a/dogwoodhook/coordination/store.py
+++ b/dogwoodhook/coordination/store.py
@@ -63,6 +63,10 @@
 class Store(Protocol):
     """The store's calls; each has a deadline of its own."""
 
+    async def close(self) -> None:
+        """Close the connections."""
+        ...
+
     async def read_table(self, table: Table) -> Result[TableRows, StoreUnavailable]:
         """Read a whole table as of one moment."""
         ...
--- a/dogwoodhook/coordination/store_following.py
+++ b/dogwoodhook/coordination/store_following.py
@@ -53,6 +53,9 @@
 """Pauses between calls while the store does not answer. The longest one and the
 deadline of a call end before the platform counts the store as stable again."""
 
+RETRY_FACTOR = 1.5
+"""Growth of the pause with each call that gets no answer."""
+
 MAX_CHANGES_PER_READING = 5
 """Changes that fit a datagram."""
 
@@ -91,15 +94,13 @@
     returned_s: float = float("-inf")
     retry_s: float = MIN_RETRY_S
 
-    def record_failure(self, detail: str, *, now_s: float) -> float:
-        """Note a call without an answer; return the pause before the next."""
+    def record_failure(self, detail: str, *, now_s: float) -> None:
+        """Note a call without an answer; ``retry_s`` is the pause before the next."""
         if self.failed_since_s is None:
             self.failed_since_s = now_s
             self.retry_s = MIN_RETRY_S
             log(STORE_UNAVAILABLE, detail=detail)
-        pause_s = self.retry_s
-        self.retry_s = min(MAX_RETRY_S, pause_s * 1.5)
-        return pause_s
+        self.retry_s = min(MAX_RETRY_S, self.retry_s * RETRY_FACTOR)
 
     def record_answer(self, *, heard_s: float, now_s: float) -> None:
         """Note an answer; ``heard_s`` is when another daemon's reading came last."""
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -266,9 +266,6 @@
 ATTEMPT_FAILED = _event(
     513, "attempt-failed", Level.INFO, "One sending of a request to a target failed."
 )
-CALLER_LEFT = _event(
-    514, "caller-left", Level.INFO, "The caller closed its connection before an answer."
-)
 DATAGRAM_DROPPED = _event(
     810, "datagram-dropped", Level.WARNING, "A datagram was not from this fleet."
 )
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -227,6 +227,7 @@
         for task in self._tasks:
             task.cancel()
         await self._connections.close()
+        await self._platform.store.close()
         self.peers.close()
 
     def reload(self) -> None:
--- a/dogwoodhook/platform/store_client.py
+++ b/dogwoodhook/platform/store_client.py
@@ -36,7 +36,6 @@
     def __init__(self, address: Address) -> None:
         self.address = address
         self._session: aiohttp.ClientSession | None = None
-        self.calls = 0
 
     async def close(self) -> None:
         """Close the connections."""
@@ -44,10 +43,10 @@
             await self._session.close()
 
     async def read_table(self, table: Table) -> Result[TableRows, StoreUnavailable]:
-        """Read a whole table as of one moment.
+        """Read a whole table.
 
-        A table of more than one page is read as the first page and the changes
-        since, so that no row is missed between the pages.
+        The version is that of the first page, so that whoever reads the changes
+        since misses nothing that was written between the pages.
         """
         rows: list[StoreRow] = []
         version = 0
@@ -125,7 +124,6 @@
         """Return the status and body of an answer, and 0 where there was none."""
         if self._session is None:
             self._session = aiohttp.ClientSession()
-        self.calls += 1
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
                 async with self._session.request(
--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -59,16 +59,12 @@
 
     def __init__(self) -> None:
         self.version = 0
-        self.revision = 0
         self._entries: dict[str, TargetEntry] = {}
         self._versions: dict[str, int] = {}
         self._lapsing: dict[str, float] = {}
         self._joined_s: dict[str, float] = {}
         self._serving: dict[str, tuple[TargetEntry, ...]] = {}
 
-    def __len__(self) -> int:
-        return len(self._entries)
-
     def get(self, name: str) -> TargetEntry | None:
         """Return a target's entry, draining ones included."""
         return self._entries.get(name)
@@ -100,7 +96,8 @@
             if change.version <= self._versions.get(change.name, 0):
                 continue
             self._versions[change.name] = change.version
-            if self.version and change.name not in self._entries:
+            is_new = change.entry is not None and change.name not in self._entries
+            if is_new and self.version:
                 self._joined_s[change.name] = now_s
             if self._apply_one(change, now_s + removal_hold_s):
                 applied.append(change)
@@ -160,7 +157,6 @@
             if not entry.is_draining:
                 serving[entry.service].append(entry)
         self._serving = {name: tuple(each) for name, each in serving.items()}
-        self.revision += 1
 
     def _trim(self) -> None:
         if len(self._versions) <= MAX_TOMBSTONES + len(self._entries):
