One way to read what is newer, one protocol of links, loads summed once a choice

Both followers of the store had their own "changes, or the whole table where the history is lost"; two protocols described the same links; two methods listed the peers of the own data centre; own and foreign failures were judged by two copies of the same rule; the lowest server error stood three times and 503 in places beside its name; a class only passed two functions on. Each choice of a target summed the neighbours' reports once for every target, a rank was worked out up to three times for one pause, and every request entered a timeout for a configuration that was there.

Change: one piece each; a constant that nothing used is gone. Behaviour stays but for one log field: a target's own error that is delivered after another target failed too was logged under that other one's name.

--- a/dogwoodhook/coordination/load_sharing.py
+++ b/dogwoodhook/coordination/load_sharing.py
@@ -1,8 +1,8 @@
 """Tells the neighbours of this daemon's requests in flight, as they change."""
 
 import asyncio
-from typing import Protocol
 
+from dogwoodhook.coordination.fleet_links import FleetLinks
 from dogwoodhook.coordination.fleet_messages import LoadReport
 from dogwoodhook.state.fleet_load import FleetLoad
 
@@ -11,22 +11,10 @@
 reports of a large data centre cost each of its daemons a bounded part of a core."""
 
 
-class LoadLinks(Protocol):
-    """The other daemons of the data centre."""
-
-    def neighbours(self) -> list[str]:
-        """Return their names."""
-        ...
-
-    def tell_neighbours(self, message: LoadReport) -> None:
-        """Send them a report."""
-        ...
-
-
 class LoadSharing:
     """Sends a report at a change, and one for all changes soon after another."""
 
-    def __init__(self, load: FleetLoad, links: LoadLinks, *, daemon: str) -> None:
+    def __init__(self, load: FleetLoad, links: FleetLinks, *, daemon: str) -> None:
         self._load = load
         self._links = links
         self._daemon = daemon
--- a/dogwoodhook/coordination/store_following.py
+++ b/dogwoodhook/coordination/store_following.py
@@ -9,14 +9,13 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
 
-from expression import Result
+from expression import Error, Ok, Result
 
 from dogwoodhook.clock import Clock
+from dogwoodhook.coordination.fleet_links import FleetLinks
 from dogwoodhook.coordination.fleet_messages import StoreReading
 from dogwoodhook.coordination.store import (
-    HistoryLost,
     Store,
     StoreRow,
     StoreUnavailable,
@@ -60,30 +59,17 @@
 """Changes that fit a datagram."""
 
 
-class RowDecoder(Protocol):
-    """Decodes the platform's rows; ``configuration_key`` names the one in force."""
+@dataclass(frozen=True, slots=True)
+class RowDecoder:
+    """Decodes the platform's rows; ``configuration_key`` names the one in force.
 
-    configuration_key: str
-
-    def target(self, row: StoreRow) -> TargetEntry | None:
-        """Return the target that a row names, or ``None``."""
-        ...
-
-    def configuration(self, row: StoreRow) -> RoutingConfiguration:
-        """Return the configuration in a row, or raise ``FindingsError``."""
-        ...
-
-
-class FleetLinks(Protocol):
-    """The other daemons of the data centre."""
-
-    def neighbours(self) -> list[str]:
-        """Return their names."""
-        ...
+    ``target`` returns ``None`` for a row that names no target. ``configuration``
+    raises ``FindingsError`` for one that cannot be read.
+    """
 
-    def tell_neighbours(self, message: StoreReading) -> None:
-        """Send them a reading."""
-        ...
+    configuration_key: str
+    target: Callable[[StoreRow], TargetEntry | None]
+    configuration: Callable[[StoreRow], RoutingConfiguration]
 
 
 @dataclass(slots=True)
@@ -151,7 +137,8 @@
         """Tell whether this daemon reads the store, which answers it, for others."""
         if self._availability.failed_since_s is not None:
             return False
-        return self._rank() == 0 or self._is_silent()
+        rank = self._rank()
+        return rank == 0 or self._clock.now_s() - self._heard_s > silence_limit_s(rank)
 
     async def run(self) -> None:
         """Read when it is due, until cancelled."""
@@ -184,19 +171,14 @@
         return rank_of(self._daemon, self._links.neighbours())
 
     def _pause_s(self) -> float:
-        latest_s = max(self._read_s, self._heard_s)
-        limit_s = silence_limit_s(self._rank())
-        if self._rank() == 0:
-            latest_s = self._read_s
-        return latest_s + limit_s - self._clock.now_s()
-
-    def _is_silent(self) -> bool:
-        return self._clock.now_s() - self._heard_s > silence_limit_s(self._rank())
+        rank = self._rank()
+        latest_s = self._read_s if rank == 0 else max(self._read_s, self._heard_s)
+        return latest_s + silence_limit_s(rank) - self._clock.now_s()
 
     async def _read(self) -> bool:
         started_s = self._clock.now_s()
         before = self._directory.version
-        result = await self._read_rows()
+        result = await _read_newer(self._store, Table.TARGETS, after_version=before)
         now_s = self._clock.now_s()
         match result:
             case Result(tag="ok", ok=rows):
@@ -208,18 +190,6 @@
                 self._availability.record_failure(problem.detail, now_s=now_s)
                 return False
 
-    async def _read_rows(self) -> Result[TableRows, StoreUnavailable]:
-        if self._directory.version:
-            changes = await self._store.read_changes(
-                Table.TARGETS, after_version=self._directory.version
-            )
-            match changes:
-                case Result(tag="error", error=HistoryLost()):
-                    pass
-                case _:
-                    return changes  # type: ignore[return-value]
-        return await self._store.read_table(Table.TARGETS)
-
     def _apply(self, rows: TableRows, before: int, now_s: float) -> None:
         changes = [
             TargetChange(row.key, row.version, self._decoder.target(row))
@@ -297,7 +267,12 @@
             if not self._known_version or self._wanted_row > self.row_version:
                 result = await self._store.read_table(Table.CONFIGURATION)
             elif self._is_reader():
-                result = await self._wait_at_store()
+                result = await _read_newer(
+                    self._store,
+                    Table.CONFIGURATION,
+                    after_version=self._known_version,
+                    wait_s=CONFIGURATION_WAIT_S,
+                )
             else:
                 await self._wait(READ_INTERVAL_S)
                 continue
@@ -314,18 +289,6 @@
         self._wake.clear()
         await _wait_for(self._wake, pause_s)
 
-    async def _wait_at_store(self) -> Result[TableRows, StoreUnavailable]:
-        changes = await self._store.read_changes(
-            Table.CONFIGURATION,
-            after_version=self._known_version,
-            wait_s=CONFIGURATION_WAIT_S,
-        )
-        match changes:
-            case Result(tag="error", error=HistoryLost()):
-                return await self._store.read_table(Table.CONFIGURATION)
-            case _:
-                return changes  # type: ignore[return-value]
-
     def _take(self, result: Result[TableRows, StoreUnavailable]) -> bool:
         now_s = self._clock.now_s()
         match result:
@@ -363,6 +326,21 @@
         self._on_change()
 
 
+async def _read_newer(
+    store: Store, table: Table, *, after_version: int, wait_s: float = 0.0
+) -> Result[TableRows, StoreUnavailable]:
+    """Read the changes after a version; the whole table where they are not kept."""
+    if not after_version:
+        return await store.read_table(table)
+    match await store.read_changes(table, after_version=after_version, wait_s=wait_s):
+        case Result(tag="ok", ok=rows):
+            return Ok(rows)
+        case Result(error=StoreUnavailable() as problem):
+            return Error(problem)
+        case _:
+            return await store.read_table(table)
+
+
 async def _wait_for(event: asyncio.Event, timeout_s: float) -> None:
     """Wait for an event, but no longer than a timeout."""
     try:
--- a/dogwoodhook/platform/rows.py
+++ b/dogwoodhook/platform/rows.py
@@ -18,6 +18,7 @@
 from pydantic.alias_generators import to_camel
 
 from dogwoodhook.coordination.store import StoreRow
+from dogwoodhook.coordination.store_following import RowDecoder
 from dogwoodhook.findings import Finding, FindingsError
 from dogwoodhook.platform.durations import parse_duration_s
 from dogwoodhook.platform.settings_file import parse_address
@@ -165,15 +166,8 @@
     )
 
 
-class PlatformRows:
-    """Decodes the platform's rows for the followers of its store."""
-
-    configuration_key = CONFIGURATION_KEY
-
-    def target(self, row: StoreRow) -> TargetEntry | None:
-        """Return the target that a row names, or ``None``."""
-        return decode_target(row)
-
-    def configuration(self, row: StoreRow) -> RoutingConfiguration:
-        """Return the configuration in a row, or raise ``FindingsError``."""
-        return decode_configuration(row)
+PLATFORM_ROWS = RowDecoder(
+    configuration_key=CONFIGURATION_KEY,
+    target=decode_target,
+    configuration=decode_configuration,
+)
--- a/dogwoodhook/protocol/fleet_codec.py
+++ b/dogwoodhook/protocol/fleet_codec.py
@@ -14,8 +14,6 @@
 from dogwoodhook.coordination.fleet_messages import FleetMessage
 
 DIGEST_BYTES = 8
-MAX_DATAGRAM_BYTES = 1200
-"""Fits one packet on every usual path."""
 
 _ADAPTER: TypeAdapter[FleetMessage] = TypeAdapter(
     Annotated[FleetMessage, Field(discriminator="kind")]
--- a/dogwoodhook/protocol/headers.py
+++ b/dogwoodhook/protocol/headers.py
@@ -47,6 +47,9 @@
 The latter two carry a reason, as in ``not-run; reason=target-shed``.
 """
 
+SERVER_ERROR_STATUS = 500
+"""Lowest status of a server error."""
+
 _HOP_BY_HOP = frozenset(
     {
         "connection",
--- a/dogwoodhook/state/fleet_load.py
+++ b/dogwoodhook/state/fleet_load.py
@@ -18,7 +18,7 @@
     >>> load = FleetLoad()
     >>> load.start("t1")
     >>> load.hear("vm-2", {"t1": 2}, now_s=0.0)
-    >>> load.at("t1", now_s=1.0), load.at("t1", now_s=60.0)
+    >>> load.by_target(now_s=1.0)["t1"], load.by_target(now_s=60.0)["t1"]
     (3, 1)
     """
 
@@ -44,11 +44,10 @@
         """Take a neighbour's requests in flight, in place of its last ones."""
         self._told[daemon] = (now_s, in_flight)
 
-    def at(self, target: str, *, now_s: float) -> int:
-        """Return the requests in flight at a target."""
-        told = sum(
-            in_flight.get(target, 0)
-            for at_s, in_flight in self._told.values()
-            if now_s - at_s < FRESH_S
-        )
-        return self._own[target] + told
+    def by_target(self, *, now_s: float) -> Counter[str]:
+        """Return the requests in flight at each target."""
+        total = self._own.copy()
+        for at_s, in_flight in self._told.values():
+            if now_s - at_s < FRESH_S:
+                total.update(in_flight)
+        return total
--- a/dogwoodhook/state/placement.py
+++ b/dogwoodhook/state/placement.py
@@ -95,20 +95,30 @@
         now_s: float,
     ) -> Candidate | None:
         """Return the best target that was not tried, or ``None``."""
+        in_flight = self._load.by_target(now_s=now_s)
         candidates = (
-            self._weigh(target, is_idempotent=is_idempotent, now_s=now_s)
+            self._weigh(
+                target,
+                in_flight=in_flight[target.name],
+                is_idempotent=is_idempotent,
+                now_s=now_s,
+            )
             for target in targets
             if target.name not in tried
         )
         return min(candidates, key=lambda each: each.cost, default=None)
 
     def _weigh(
-        self, target: TargetEntry, *, is_idempotent: bool, now_s: float
+        self,
+        target: TargetEntry,
+        *,
+        in_flight: int,
+        is_idempotent: bool,
+        now_s: float,
     ) -> Candidate:
         avoidance = self._suspicion.avoidance(
             target.name, is_idempotent=is_idempotent, now_s=now_s
         )
-        in_flight = self._load.at(target.name, now_s=now_s)
         cost = in_flight * USUAL_SLOTS / target.slots
         cost += self._rng.uniform(0, RANDOM_COST)
         if target.data_centre != self._data_centre:
--- a/dogwoodhook/state/suspicion.py
+++ b/dogwoodhook/state/suspicion.py
@@ -145,6 +145,11 @@
     succeeded_s: float = float("-inf")
     path_hold_s: float = PATH_HOLD_S
 
+    def avoid(self, *, until_s: float, tried_from_s: float) -> None:
+        """Lengthen the holding times; neither one gets shorter."""
+        self.avoided_until_s = max(self.avoided_until_s, until_s)
+        self.tried_from_s = max(self.tried_from_s, tried_from_s)
+
 
 class Suspicion:
     """The targets that one daemon avoids."""
@@ -197,10 +202,7 @@
         if symptom in _PATH_SYMPTOMS:
             self._hold_path(suspect, symptom, now_s)
             suspect.path_hold_s = min(MAX_PATH_HOLD_S, suspect.path_hold_s * 2)
-        elif (
-            symptom is Symptom.RESET
-            or self._errors(suspect, now_s) >= ERRORS_TO_SUSPECT
-        ):
+        elif self._is_convincing(suspect, report, now_s):
             self._hold(suspect, now_s)
 
     def absorb(self, report: FailureReport, *, now_s: float) -> bool:
@@ -272,10 +274,10 @@
     def _hold(self, suspect: _Suspect, now_s: float) -> None:
         self._count(suspect, 1, now_s)
         spread_s = self._rng.uniform(0, HOLD_SPREAD_S)
-        tried_from_s = now_s + TRIAL_HOLD_S + spread_s
-        avoided_until_s = now_s + HOLD_S + spread_s
-        suspect.tried_from_s = max(suspect.tried_from_s, tried_from_s)
-        suspect.avoided_until_s = max(suspect.avoided_until_s, avoided_until_s)
+        suspect.avoid(
+            until_s=now_s + HOLD_S + spread_s,
+            tried_from_s=now_s + TRIAL_HOLD_S + spread_s,
+        )
 
     def _hold_busy(self, target: str, now_s: float) -> None:
         suspect = self._suspect(target)
@@ -287,8 +289,7 @@
             suspect.slow_until_s = max(suspect.slow_until_s, until_s)
             return
         self._count(suspect, FAILING_FAILURES, now_s)
-        suspect.tried_from_s = max(suspect.tried_from_s, until_s)
-        suspect.avoided_until_s = max(suspect.avoided_until_s, until_s)
+        suspect.avoid(until_s=until_s, tried_from_s=until_s)
 
     def _count(self, suspect: _Suspect, failures: int, now_s: float) -> None:
         if now_s - suspect.failed_s > MEMORY_S:
--- a/dogwoodhook/transport/datagrams.py
+++ b/dogwoodhook/transport/datagrams.py
@@ -67,11 +67,7 @@
 
     def neighbours(self) -> list[str]:
         """Return the names of the peers in the own data centre."""
-        return [
-            peer.daemon
-            for peer in self._peers.values()
-            if peer.data_centre == self._data_centre
-        ]
+        return [peer.daemon for peer in self._near()]
 
     def broadcast(self, message: FleetMessage) -> None:
         """Send a message to every peer."""
@@ -79,10 +75,14 @@
 
     def tell_neighbours(self, message: FleetMessage) -> None:
         """Send a message to the peers in the own data centre."""
-        peers = self._peers.values()
-        self._send(
-            message, [each for each in peers if each.data_centre == self._data_centre]
-        )
+        self._send(message, self._near())
+
+    def _near(self) -> list[Peer]:
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.data_centre == self._data_centre
+        ]
 
     def _send(self, message: FleetMessage, peers: list[Peer]) -> None:
         if self._transport is None or self.key is None:
--- a/dogwoodhook/transport/forwarder.py
+++ b/dogwoodhook/transport/forwarder.py
@@ -13,7 +13,7 @@
 
 from dogwoodhook.coordination.quarantine import QuarantineBook
 from dogwoodhook.events import ANSWER_CUT, REQUEST_RETRIED, REQUEST_UNKNOWN, log
-from dogwoodhook.protocol.headers import TIMEOUT_HEADER
+from dogwoodhook.protocol.headers import SERVER_ERROR_STATUS, TIMEOUT_HEADER
 from dogwoodhook.state.admission import Granted, Rejected
 from dogwoodhook.state.outcomes import (
     Answered,
@@ -47,8 +47,6 @@
 BLAME_SHARE = 0.25
 """Share of the service's deadline below which a timeout is the caller's choice."""
 
-SERVER_ERROR_STATUS = 500
-
 
 @dataclass(frozen=True, slots=True)
 class Reply:
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -9,6 +9,7 @@
 from dogwoodhook.metrics import Metrics
 from dogwoodhook.transport.admin import metrics_answer
 from dogwoodhook.transport.listening import HttpListener
+from dogwoodhook.transport.own_answers import UNAVAILABLE_STATUS
 from dogwoodhook.transport.pipelining import Forward, MayBegin
 from dogwoodhook.vm_settings import Address
 
@@ -84,8 +85,9 @@
 
 def _stopping_answer(request: web.BaseRequest) -> web.Response:
     """Refuse a request as not run; any other daemon serves it at once."""
-    log(REQUEST_REFUSED, path=request.path, status=503, detail="the daemon stops")
-    answer = web.Response(status=503, headers={"Retry-After": "0"})
+    detail = "the daemon stops"
+    log(REQUEST_REFUSED, path=request.path, status=UNAVAILABLE_STATUS, detail=detail)
+    answer = web.Response(status=UNAVAILABLE_STATUS, headers={"Retry-After": "0"})
     answer.force_close()
     return answer
 
--- a/dogwoodhook/transport/probes.py
+++ b/dogwoodhook/transport/probes.py
@@ -2,11 +2,11 @@
 
 import aiohttp
 
+from dogwoodhook.protocol.headers import SERVER_ERROR_STATUS
 from dogwoodhook.state.model import Target
 
 HEALTH_PATH = "/healthz"
 PROBE_TIMEOUT_S = 1.0
-_SERVER_ERROR_STATUS = 500
 
 
 class Prober:
@@ -25,7 +25,7 @@
         url = f"http://{target.address}{HEALTH_PATH}"
         try:
             async with self._session.get(url) as response:
-                return response.status < _SERVER_ERROR_STATUS
+                return response.status < SERVER_ERROR_STATUS
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
 
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -22,7 +22,7 @@
     log,
 )
 from dogwoodhook.metrics import Metrics
-from dogwoodhook.protocol.headers import end_to_end_headers
+from dogwoodhook.protocol.headers import SERVER_ERROR_STATUS, end_to_end_headers
 from dogwoodhook.protocol.http_dialect import HttpDialect
 from dogwoodhook.state.placement import Candidate
 from dogwoodhook.state.return_times import (
@@ -46,7 +46,7 @@
 )
 from dogwoodhook.transport.bodies import read_prelude
 from dogwoodhook.transport.fleet_view import FleetView
-from dogwoodhook.transport.own_answers import OwnAnswers
+from dogwoodhook.transport.own_answers import UNAVAILABLE_STATUS, OwnAnswers
 from dogwoodhook.transport.pipelining import PipelinedRequest
 from dogwoodhook.transport.resend_guard import AttemptTrace
 from dogwoodhook.transport.routed_request import RoutedRequest
@@ -67,8 +67,6 @@
 MAX_REFUSALS = 8
 """Targets that may refuse a request before the caller is told."""
 
-SERVER_ERROR_STATUS = 500
-
 
 class RouteForwarder:
     """Carries callers' requests to targets."""
@@ -116,6 +114,8 @@
 
     async def _first_configuration(self) -> RoutingConfiguration | None:
         """Return the configuration; one that has just started waits for it briefly."""
+        if self._fleet.is_ready.is_set():
+            return self._fleet.configuration()
         with suppress(TimeoutError):
             async with asyncio.timeout(FIRST_CONFIGURATION_S):
                 await self._fleet.is_ready.wait()
@@ -259,13 +259,13 @@
                 routed.arrivals += 1
                 self._fail(routed, target, Symptom.ERROR, f"status {status}")
                 if not routed.route.is_idempotent:
-                    return self._deliver(routed, target, result)
-                routed.failure = result
+                    return self._deliver(routed, target.name, result)
+                routed.failure, routed.failed_target = result, target.name
                 return f"status {status}"
             case WholeAnswer():
-                return self._deliver(routed, target, result)
+                return self._deliver(routed, target.name, result)
             case OpenAnswer():
-                return await self._stream(routed, target, result)
+                return await self._stream(routed, target.name, result)
             case NotRunThere(detail, symptom, has_arrived):
                 routed.refusals += 1
                 routed.arrivals += has_arrived
@@ -280,7 +280,7 @@
     def _conclude(self, routed: RoutedRequest, detail: str) -> web.StreamResponse:
         """Return the final answer of a request that no target answered well."""
         if routed.failure is not None:
-            return self._deliver(routed, routed.failed_at, routed.failure)
+            return self._deliver(routed, routed.failed_target, routed.failure)
         return self._give_up(routed, detail)
 
     def _start(
@@ -344,7 +344,6 @@
         detail: str,
     ) -> None:
         """Note a failed attempt, and tell the others of it."""
-        routed.failed_at = target
         if symptom is not None:
             self._report(routed, target, symptom)
         fields = routed.log_fields(now_s=self._clock.now_s())
@@ -404,7 +403,7 @@
         self._tell(routed, target.name, symptom, was_repeated=False)
 
     def _deliver(
-        self, routed: RoutedRequest, target: TargetEntry | None, answer: WholeAnswer
+        self, routed: RoutedRequest, target: str, answer: WholeAnswer
     ) -> web.Response:
         self._log_answered(routed, target, answer.status)
         headers = end_to_end_headers(answer.headers)
@@ -417,7 +416,7 @@
         )
 
     async def _stream(
-        self, routed: RoutedRequest, target: TargetEntry, opened: OpenAnswer
+        self, routed: RoutedRequest, target: str, opened: OpenAnswer
     ) -> web.StreamResponse:
         """Pass a large answer on as it comes; one that breaks off is broken off."""
         answer = web.StreamResponse(
@@ -445,18 +444,15 @@
         self._log_answered(routed, target, opened.status)
         return answer
 
-    def _log_answered(
-        self, routed: RoutedRequest, target: TargetEntry | None, status: int
-    ) -> None:
+    def _log_answered(self, routed: RoutedRequest, target: str, status: int) -> None:
         fields = routed.log_fields(now_s=self._clock.now_s())
-        name = target.name if target else ""
-        log(REQUEST_ANSWERED, **{**fields, "target": name}, status=status)
+        log(REQUEST_ANSWERED, **{**fields, "target": target}, status=status)
 
     def _give_up(self, routed: RoutedRequest, detail: str) -> web.Response:
         now_s = self._clock.now_s()
         fields = routed.log_fields(now_s=now_s)
         if not routed.has_run:
-            log(REQUEST_REFUSED, **fields, status=503, detail=detail)
+            log(REQUEST_REFUSED, **fields, status=UNAVAILABLE_STATUS, detail=detail)
             cause = self._cause(routed)
             return self._own_answers.unavailable(routed.request, detail, cause)
         status = 504 if now_s + MIN_SENDING_S >= routed.deadline_s else 502
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -7,7 +7,6 @@
 
 from dogwoodhook.state.route_policy import RoutePolicy
 from dogwoodhook.state.suspicion import Standing
-from dogwoodhook.state.target_directory import TargetEntry
 from dogwoodhook.transport.attempts import WholeAnswer
 from dogwoodhook.transport.bodies import RequestBody
 
@@ -17,8 +16,8 @@
     """A request on its way, and what became of its attempts.
 
     ``deadline_s`` is on the elapsed clock. ``runs`` counts the attempts that may
-    have run; ``refusals`` those that did not. ``failure`` is a target's own
-    error, kept while another target may still do better.
+    have run; ``refusals`` those that did not. ``failure`` is the
+    own error of ``failed_target``, kept while another one may still do better.
     """
 
     request: web.BaseRequest
@@ -38,7 +37,7 @@
     has_raced: bool = False
     target_s: float = 0.0
     failure: WholeAnswer | None = None
-    failed_at: TargetEntry | None = None
+    failed_target: str = ""
     configuration_version: int = 0
     directory_version: int = 0
     last_standing: Standing = Standing.SOUND
--- a/tests/platform_adapter/conftest.py
+++ b/tests/platform_adapter/conftest.py
@@ -10,7 +10,7 @@
 from dogwoodhook.clock import SystemClock
 from dogwoodhook.gateway import Gateway, PlatformAdapter
 from dogwoodhook.platform.headers import PLATFORM_DIALECT
-from dogwoodhook.platform.rows import PlatformRows
+from dogwoodhook.platform.rows import PLATFORM_ROWS
 from dogwoodhook.platform.store_client import HttpStore
 from dogwoodhook.testing.fleet import free_port
 from dogwoodhook.vm_settings import Address, ServiceBounds, VmSettings
@@ -94,7 +94,7 @@
         store = HttpStore(self.store.address)
         gateway = Gateway(
             PlatformAdapter(
-                settings, store, PlatformRows(), PLATFORM_DIALECT, lambda: None
+                settings, store, PLATFORM_ROWS, PLATFORM_DIALECT, lambda: None
             ),
             SystemClock(),
         )
