--- a/dogwoodhook/fleet_joining.py
+++ b/dogwoodhook/fleet_joining.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import secrets
 
@@ -21,16 +22,23 @@
 _DAEMON_ROW = "daemon/"
 KEY_BYTES = 16
 
-GREETING_PAUSES_S = (1.0, 4.0, 15.0)
+FIRST_GREETING_PAUSES_S = (1.0, 4.0)
 """Pauses before the greeting is sent again, for those that the first one missed."""
 
+GREETING_INTERVAL_S = 3.0
+"""Time between greetings in the own data centre, which tell that a daemon lives."""
+
+REMOTE_GREETING_EVERY = 7
+"""Each so many greetings one goes to all data centres: every 21 s, three within the
+silence after which a daemon there is taken for gone."""
+
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 4.0
 """Pauses between tries while the store does not answer."""
 
 
 class FleetJoining:
-    """Joins a daemon to the fleet once, as soon as the store lets it."""
+    """Joins a daemon to the fleet as soon as the store lets it, and keeps it known."""
 
     def __init__(
         self, store: Store, peers: DatagramPeers, settings: VmSettings
@@ -40,15 +48,18 @@
         self._settings = settings
 
     async def run(self) -> None:
-        """Try until joined."""
+        """Try until joined, then greet the others until cancelled."""
         pause_s = MIN_RETRY_S
         while not await self._join():
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_RETRY_S, pause_s * 2)
         log(FLEET_JOINED, peers=len(self._peers))
-        for pause_s in GREETING_PAUSES_S:
+        for pause_s in FIRST_GREETING_PAUSES_S:
             await asyncio.sleep(pause_s)
-            self._greet()
+            self._greet(all_data_centres=True)
+        for count in itertools.count(1):
+            await asyncio.sleep(GREETING_INTERVAL_S)
+            self._greet(all_data_centres=count % REMOTE_GREETING_EVERY == 0)
 
     async def _join(self) -> bool:
         key = await self._fleet_key()
@@ -74,14 +85,15 @@
             case _:
                 return False
         self._peers.key = key
-        self._greet()
+        self._greet(all_data_centres=True)
         return True
 
-    def _greet(self) -> None:
+    def _greet(self, *, all_data_centres: bool) -> None:
         settings = self._settings
         host, port = settings.peer_address.host, settings.peer_address.port
-        self._peers.broadcast(
-            DaemonHello(settings.vm_name, settings.data_centre, host, port)
+        self._peers.greet(
+            DaemonHello(settings.vm_name, settings.data_centre, host, port),
+            all_data_centres=all_data_centres,
         )
 
     async def _fleet_key(self) -> bytes | None:
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -96,7 +96,10 @@
         self._load = FleetLoad()
         self._connections = TargetConnections(clock)
         self.peers = DatagramPeers(
-            self._receive, daemon=settings.vm_name, data_centre=settings.data_centre
+            self._receive,
+            clock,
+            daemon=settings.vm_name,
+            data_centre=settings.data_centre,
         )
         self._joining = FleetJoining(platform.store, self.peers, settings)
         self._configuration = ConfigurationFollower(
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -199,7 +199,8 @@
 def _after_error(trace: AttemptTrace, error: Exception) -> AttemptResult:
     if isinstance(error.__cause__, CallerBodyError):
         return MayHaveRun("the caller's upload broke off", None)
-    detail = f"{type(error).__name__}: {error}"
+    connection = "used" if trace.is_reused else "new"
+    detail = f"{type(error).__name__} on a {connection} connection: {error}"
     if not trace.is_connected:
         return NotRunThere(detail, Symptom.UNREACHABLE, has_arrived=False)
     if trace.is_reused and isinstance(error, aiohttp.ServerDisconnectedError):
--- a/dogwoodhook/transport/datagrams.py
+++ b/dogwoodhook/transport/datagrams.py
@@ -7,12 +7,18 @@
 
 from expression import Result
 
+from dogwoodhook.clock import Clock
 from dogwoodhook.coordination.fleet_messages import (
     DaemonHello,
     FleetMessage,
 )
 from dogwoodhook.events import DATAGRAM_DROPPED, log
 from dogwoodhook.protocol.fleet_codec import decode_datagram, encode_datagram
+from dogwoodhook.state.peer_liveness import (
+    NEIGHBOUR_SILENCE_S,
+    REMOTE_SILENCE_S,
+    PeerLiveness,
+)
 from dogwoodhook.vm_settings import Address
 
 Receiver = Callable[[FleetMessage], None]
@@ -28,13 +34,21 @@
 
 
 class DatagramPeers(asyncio.DatagramProtocol):
-    """One socket for all peers. Nothing is sent or heard before the key is known."""
+    """One socket for all peers. Nothing is sent or heard before the key is known.
+
+    Greetings go to every daemon that was ever known, everything else to those that
+    are live: one that was cut off is found again by its greeting or by ours.
+    """
 
-    def __init__(self, receive: Receiver, *, daemon: str, data_centre: str) -> None:
+    def __init__(
+        self, receive: Receiver, clock: Clock, *, daemon: str, data_centre: str
+    ) -> None:
         self.key: bytes | None = None
         self.sent_bytes = 0
         self.dropped = 0
         self._receive = receive
+        self._clock = clock
+        self._liveness = PeerLiveness()
         self._daemon = daemon
         self._data_centre = data_centre
         self._peers: dict[str, Peer] = {}
@@ -58,32 +72,50 @@
             self._transport.close()
 
     def __len__(self) -> int:
-        return len(self._peers)
+        """Return the number of live peers."""
+        return len(self._live())
 
     def add(self, peer: Peer) -> None:
         """Take in a peer, or its new address."""
-        if peer.daemon != self._daemon:
-            self._peers[peer.daemon] = peer
+        if peer.daemon == self._daemon:
+            return
+        self._peers[peer.daemon] = peer
+        self._liveness.hear(peer.daemon, now_s=self._clock.now_s())
 
     def neighbours(self) -> list[str]:
-        """Return the names of the peers in the own data centre."""
-        return [peer.daemon for peer in self._near()]
+        """Return the names of the live peers in the own data centre."""
+        return [peer.daemon for peer in self._near(self._live())]
 
     def broadcast(self, message: FleetMessage) -> None:
-        """Send a message to every peer."""
-        self._send(message, list(self._peers.values()))
+        """Send a message to every live peer."""
+        self._send(message, self._live())
 
     def tell_neighbours(self, message: FleetMessage) -> None:
-        """Send a message to the peers in the own data centre."""
-        self._send(message, self._near())
+        """Send a message to the live peers in the own data centre."""
+        self._send(message, self._near(self._live()))
 
-    def _near(self) -> list[Peer]:
+    def greet(self, hello: DaemonHello, *, all_data_centres: bool) -> None:
+        """Greet the known peers of the own data centre, or of all of them."""
+        known = list(self._peers.values())
+        self._send(hello, known if all_data_centres else self._near(known))
+
+    def _live(self) -> list[Peer]:
+        now_s = self._clock.now_s()
         return [
             peer
             for peer in self._peers.values()
-            if peer.data_centre == self._data_centre
+            if self._liveness.is_live(
+                peer.daemon, silence_s=self._silence_s(peer), now_s=now_s
+            )
         ]
 
+    def _silence_s(self, peer: Peer) -> float:
+        is_near = peer.data_centre == self._data_centre
+        return NEIGHBOUR_SILENCE_S if is_near else REMOTE_SILENCE_S
+
+    def _near(self, peers: list[Peer]) -> list[Peer]:
+        return [peer for peer in peers if peer.data_centre == self._data_centre]
+
     def _send(self, message: FleetMessage, peers: list[Peer]) -> None:
         if self._transport is None or self.key is None:
             return
@@ -100,6 +132,7 @@
             case Result(tag="ok", ok=message):
                 if isinstance(message, DaemonHello):
                     self.add(_peer_of(message))
+                self._liveness.hear(message.daemon, now_s=self._clock.now_s())
                 self._receive(message)
             case Result(error=problem):
                 self.dropped += 1
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -2,7 +2,13 @@
 
 from contextlib import asynccontextmanager
 
-from dogwoodhook.coordination.fleet_messages import DaemonHello, TargetFailure
+from dogwoodhook.clock import ManualClock
+from dogwoodhook.coordination.fleet_messages import (
+    DaemonHello,
+    TargetFailure,
+    TargetSuccess,
+)
+from dogwoodhook.state.peer_liveness import NEIGHBOUR_SILENCE_S
 from dogwoodhook.state.suspicion import Symptom
 from dogwoodhook.testing.fleet import free_port
 from dogwoodhook.transport.datagrams import DatagramPeers, Peer
@@ -15,8 +21,9 @@
 @asynccontextmanager
 async def open_pair(*, keys=(b"k" * 16, b"k" * 16)):
     heard = []
-    first = DatagramPeers(heard.append, daemon="vm-1", data_centre="oulu-1")
-    second = DatagramPeers(heard.append, daemon="vm-2", data_centre="oulu-2")
+    clock = ManualClock()
+    first = DatagramPeers(heard.append, clock, daemon="vm-1", data_centre="oulu-1")
+    second = DatagramPeers(heard.append, clock, daemon="vm-2", data_centre="oulu-2")
     addresses = [Address("127.0.0.1", free_port()) for _ in range(2)]
     await first.start(addresses[0])
     await second.start(addresses[1])
@@ -57,3 +64,32 @@
         first.tell_neighbours(FAILURE)
         first.broadcast(FAILURE)
         await until(lambda: heard == [FAILURE])
+
+
+def make_neighbours(clock, *names):
+    peers = DatagramPeers(
+        lambda message: None, clock, daemon="vm-1", data_centre="oulu-1"
+    )
+    for name in names:
+        peers.add(Peer(name, "oulu-1", Address("127.0.0.1", 7620)))
+    return peers
+
+
+def test_a_neighbour_that_falls_silent_holds_no_rank_among_the_readers():
+    clock = ManualClock()
+    peers = make_neighbours(clock, "vm-2", "vm-3")
+    clock.advance(NEIGHBOUR_SILENCE_S + 1)
+    peers.add(Peer("vm-3", "oulu-1", Address("127.0.0.1", 7620)))
+    assert peers.neighbours() == ["vm-3"]
+    assert len(peers) == 1
+
+
+async def test_a_silent_peer_is_greeted_and_found_again():
+    async with open_pair() as (first, second, heard, addresses):
+        hello = DaemonHello("vm-1", "oulu-1", addresses[0].host, addresses[0].port)
+        first._clock.advance(3600)
+        first.broadcast(FAILURE)
+        first.greet(hello, all_data_centres=True)
+        await until(lambda: heard == [hello])
+        second.broadcast(TargetSuccess("vm-2", "t1"))
+        await until(lambda: len(first) == 1)
--- a/tests/test_fleet_joining.py
+++ b/tests/test_fleet_joining.py
@@ -5,6 +5,7 @@
 from expression import Error, Ok
 
 from dogwoodhook import fleet_joining
+from dogwoodhook.clock import ManualClock
 from dogwoodhook.coordination.fleet_messages import DaemonHello
 from dogwoodhook.coordination.store import (
     RowExists,
@@ -13,6 +14,7 @@
     TableRows,
 )
 from dogwoodhook.fleet_joining import FleetJoining
+from dogwoodhook.state.peer_liveness import NEIGHBOUR_SILENCE_S, REMOTE_SILENCE_S
 from dogwoodhook.transport.datagrams import DatagramPeers
 from dogwoodhook.vm_settings import Address, VmSettings
 from tests.exchanges import until
@@ -54,11 +56,20 @@
     """Keeps what would be sent."""
 
     def __init__(self, daemon):
-        super().__init__(lambda message: None, daemon=daemon, data_centre="oulu-1")
+        super().__init__(
+            lambda message: None, ManualClock(), daemon=daemon, data_centre="oulu-1"
+        )
         self.sent = []
 
-    def broadcast(self, message):
-        self.sent.append(message)
+    def greet(self, hello, *, all_data_centres):
+        self.sent.append((hello, all_data_centres))
+
+
+async def joined(member, peers):
+    """Run a daemon's joining until its first greeting."""
+    task = asyncio.create_task(member.run())
+    await until(lambda: peers.sent)
+    task.cancel()
 
 
 def joining(store, name):
@@ -68,30 +79,40 @@
     return FleetJoining(store, peers, settings), peers
 
 
-async def test_the_second_daemon_finds_the_first_and_shares_its_key(monkeypatch):
-    monkeypatch.setattr(fleet_joining, "GREETING_PAUSES_S", ())
+async def test_the_second_daemon_finds_the_first_and_shares_its_key():
     store = MemoryStore()
     first, first_peers = joining(store, "vm-1")
     second, second_peers = joining(store, "vm-2")
-    await first.run()
-    await second.run()
+    await joined(first, first_peers)
+    await joined(second, second_peers)
     assert first_peers.key == second_peers.key
     assert second_peers.neighbours() == ["vm-1"]
-    assert second_peers.sent == [DaemonHello("vm-2", "oulu-1", "127.0.0.1", 7620)]
+    hello = DaemonHello("vm-2", "oulu-1", "127.0.0.1", 7620)
+    assert second_peers.sent == [(hello, True)]
 
 
 async def test_joining_is_tried_until_the_store_answers(monkeypatch):
     monkeypatch.setattr(fleet_joining, "MIN_RETRY_S", 0.01)
-    monkeypatch.setattr(fleet_joining, "GREETING_PAUSES_S", ())
     store = MemoryStore(failures=5)
     member, peers = joining(store, "vm-1")
-    await member.run()
+    await joined(member, peers)
     assert peers.key is not None
 
 
-async def test_a_greeting_that_was_lost_is_made_good(monkeypatch):
-    monkeypatch.setattr(fleet_joining, "GREETING_PAUSES_S", (0.01, 0.01))
+async def test_a_daemon_goes_on_greeting_its_neighbours_and_at_times_all(monkeypatch):
+    monkeypatch.setattr(fleet_joining, "FIRST_GREETING_PAUSES_S", (0.01, 0.01))
+    monkeypatch.setattr(fleet_joining, "GREETING_INTERVAL_S", 0.01)
+    monkeypatch.setattr(fleet_joining, "REMOTE_GREETING_EVERY", 2)
     member, peers = joining(MemoryStore(), "vm-1")
     task = asyncio.create_task(member.run())
-    await until(lambda: len(peers.sent) == 3)
-    await task
+    await until(lambda: len(peers.sent) >= 7)
+    task.cancel()
+    reach = [to_all for _, to_all in peers.sent[:7]]
+    assert reach == [True, True, True, False, True, False, True]
+
+
+def test_three_greetings_fit_into_the_silence_that_ends_a_membership():
+    interval_s = fleet_joining.GREETING_INTERVAL_S
+    assert 3 * interval_s <= NEIGHBOUR_SILENCE_S
+    remote_s = interval_s * fleet_joining.REMOTE_GREETING_EVERY
+    assert 3 * remote_s <= REMOTE_SILENCE_S
