Do not flood a data centre with the readings of a mass of changes

Each daemon that read told its 45 neighbours of all changes, also those that read because they had missed a reading: some 80 datagrams of 1 kB to each, over links of 10 Mbit/s. Ruled out: the store's rates (272 of 6,000 reads a second), memory, processor time.

Change: who reads because it missed something tells nobody unless it is the reader; over 60 changes at once are not told, and everybody reads for itself.

--- a/dogwoodhook/coordination/store_following.py
+++ b/dogwoodhook/coordination/store_following.py
@@ -58,6 +58,10 @@
 MAX_CHANGES_PER_READING = 5
 """Changes that fit a datagram."""
 
+MAX_CHANGES_TOLD = 60
+"""Changes at once beyond which the others read for themselves: to tell 45 of them
+of more takes over half a second of a slow VM's link of 10 Mbit/s."""
+
 
 @dataclass(frozen=True, slots=True)
 class RowDecoder:
@@ -147,8 +151,9 @@
             if pause_s > 0 and not self._must_read.is_set():
                 await _wait_for(self._must_read, pause_s)
                 continue
+            others_know = self._must_read.is_set() and self._rank() > 0
             self._must_read.clear()
-            if not await self._read():
+            if not await self._read(is_told=not others_know):
                 spread = self._rng.uniform(0.7, 1.3)
                 await _wait_for(self._must_read, self._availability.retry_s * spread)
 
@@ -175,7 +180,8 @@
         latest_s = self._read_s if rank == 0 else max(self._read_s, self._heard_s)
         return latest_s + silence_limit_s(rank) - self._clock.now_s()
 
-    async def _read(self) -> bool:
+    async def _read(self, *, is_told: bool) -> bool:
+        """Read what is new, and tell the others unless they know it."""
         started_s = self._clock.now_s()
         before = self._directory.version
         result = await _read_newer(self._store, Table.TARGETS, after_version=before)
@@ -184,13 +190,18 @@
             case Result(tag="ok", ok=rows):
                 self._availability.record_answer(heard_s=self._heard_s, now_s=now_s)
                 self._read_s = started_s
-                self._apply(rows, before, now_s)
+                applied, hold_s = self._apply(rows, now_s)
+                if before and is_told:
+                    self._tell(applied, before, rows.version, hold_s)
                 return True
             case Result(error=problem):
                 self._availability.record_failure(problem.detail, now_s=now_s)
                 return False
 
-    def _apply(self, rows: TableRows, before: int, now_s: float) -> None:
+    def _apply(
+        self, rows: TableRows, now_s: float
+    ) -> tuple[tuple[TargetChange, ...], float]:
+        """Apply rows; return what mattered, and how long removals wait."""
         changes = [
             TargetChange(row.key, row.version, self._decoder.target(row))
             for row in rows.rows
@@ -201,8 +212,7 @@
             changes, version=rows.version, now_s=now_s, removal_hold_s=hold_s
         )
         _log_changes(applied, source="store", version=rows.version)
-        if before:
-            self._tell(applied, before, rows.version, hold_s)
+        return applied, hold_s
 
     def _tell(
         self,
@@ -212,6 +222,9 @@
         hold_s: float,
     ) -> None:
         """Send the changes in datagrams that follow on one another."""
+        if len(applied) > MAX_CHANGES_TOLD:
+            # Nobody knows this version yet, so everybody reads.
+            applied, before = (), version
         ordered = sorted(applied, key=lambda change: change.version)
         while True:
             part, ordered = (
--- /dev/null
+++ b/tests/test_target_following.py
@@ -0,0 +1,114 @@
+"""How a daemon follows the list of targets, and what it tells the others."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from expression import Ok
+
+from dogwoodhook.clock import SystemClock
+from dogwoodhook.coordination.fleet_messages import StoreReading
+from dogwoodhook.coordination.store import StoreRow, TableRows
+from dogwoodhook.coordination.store_following import (
+    MAX_CHANGES_TOLD,
+    RowDecoder,
+    TargetFollower,
+)
+from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
+from tests.exchanges import until
+
+
+class ChangingStore:
+    """A table of targets; ``add`` makes as many new ones."""
+
+    def __init__(self):
+        self.rows = []
+        self.reads = 0
+
+    def add(self, count):
+        for _ in range(count):
+            version = len(self.rows) + 1
+            self.rows.append(StoreRow(f"t{version}", b"{}", version))
+
+    async def read_table(self, table):
+        self.reads += 1
+        return Ok(TableRows(tuple(self.rows), len(self.rows), is_whole=True))
+
+    async def read_changes(self, table, *, after_version, wait_s=0.0):
+        self.reads += 1
+        newer = tuple(self.rows[after_version:])
+        return Ok(TableRows(newer, len(self.rows), is_whole=False))
+
+
+class RecordingLinks:
+    """Links to neighbours; keeps what they would be told."""
+
+    def __init__(self, *neighbours):
+        self.names = list(neighbours)
+        self.told = []
+
+    def neighbours(self):
+        return self.names
+
+    def tell_neighbours(self, message):
+        self.told.append(message)
+
+
+def decode(row):
+    return TargetEntry(row.key, "payouts", "10.0.0.1", 80, "oulu-1", 3, False, 0.0, 1)
+
+
+@asynccontextmanager
+async def following(daemon, *neighbours, targets=1):
+    store, links, directory = ChangingStore(), RecordingLinks(*neighbours), None
+    store.add(targets)
+    directory = TargetDirectory()
+    follower = TargetFollower(
+        store,
+        directory,
+        RowDecoder("config", decode, lambda row: None),
+        links,
+        SystemClock(),
+        daemon=daemon,
+        configuration_row=lambda: 0,
+    )
+    task = asyncio.create_task(follower.run())
+    await until(lambda: directory.version == targets)
+    try:
+        yield store, links, directory, follower
+    finally:
+        task.cancel()
+
+
+def reading(after, version):
+    return StoreReading("vm-9", after, version, 0, 0.0)
+
+
+async def test_the_reader_tells_its_neighbours_of_each_change():
+    async with following("vm-1") as (store, links, _, _):
+        store.add(2)
+        await until(lambda: links.told and links.told[-1].version == 3)
+        changes = [each for told in links.told for each in told.changes]
+        assert [each.name for each in changes] == ["t2", "t3"]
+
+
+async def test_a_mass_of_changes_is_read_by_each_and_not_told():
+    async with following("vm-1") as (store, links, _, _):
+        store.add(MAX_CHANGES_TOLD + 1)
+        version = MAX_CHANGES_TOLD + 2
+        await until(lambda: any(told.version == version for told in links.told))
+        [told] = [told for told in links.told if told.version == version][:1]
+        assert (told.after_version, told.changes) == (version, ())
+
+
+async def test_a_daemon_that_missed_a_reading_reads_and_tells_nobody(monkeypatch):
+    ranks = {"vm-1": 3}
+    monkeypatch.setattr(
+        "dogwoodhook.coordination.store_following.rank_of",
+        lambda daemon, daemons: ranks[daemon],
+    )
+    async with following("vm-1", "vm-9") as (store, links, directory, follower):
+        links.told.clear()
+        store.add(2)
+        follower.hear(reading(2, 3))
+        await until(lambda: directory.version == 3)
+        assert links.told == []
