Name the request in a stopping daemon's refusal

Test: the refusal of a request that comes after the serving share of the grace period carries its id, and no target gets it.

--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -164,6 +164,7 @@
             forwarder.forward,
             settings.caller_address,
             may_begin=forwarder.is_repeatable,
+            refuse=forwarder.refuse_stopping,
         )
         self._operator_listeners = [
             OperatorListener(lambda: self.is_ready, self._metrics, address)
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -5,11 +5,10 @@
 
 from aiohttp import web
 
-from dogwoodhook.events import REQUEST_FAILED, REQUEST_REFUSED, log
+from dogwoodhook.events import REQUEST_FAILED, log
 from dogwoodhook.metrics import Metrics
 from dogwoodhook.transport.admin import metrics_answer
 from dogwoodhook.transport.listening import HttpListener
-from dogwoodhook.transport.own_answers import UNAVAILABLE_STATUS
 from dogwoodhook.transport.pipelining import Forward, MayBegin
 from dogwoodhook.vm_settings import Address
 
@@ -28,12 +27,21 @@
 
 
 class CallerListener:
-    """Counts requests, and ends them well when the daemon stops."""
+    """Counts requests, and ends them well when the daemon stops.
+
+    ``refuse`` answers those that come too late for that.
+    """
 
     def __init__(
-        self, forward: Forward, address: Address, *, may_begin: MayBegin
+        self,
+        forward: Forward,
+        address: Address,
+        *,
+        may_begin: MayBegin,
+        refuse: Callable[[web.BaseRequest], web.Response],
     ) -> None:
         self._forward = forward
+        self._refuse = refuse
         self._listener = HttpListener(
             self._handle,
             host=address.host,
@@ -69,7 +77,7 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if self._is_refusing:
-            return _stopping_answer(request)
+            return self._refuse(request)
         self._in_flight += 1
         try:
             answer: web.StreamResponse = await self._forward(request)
@@ -83,15 +91,6 @@
         return answer
 
 
-def _stopping_answer(request: web.BaseRequest) -> web.Response:
-    """Refuse a request as not run; any other daemon serves it at once."""
-    detail = "the daemon stops"
-    log(REQUEST_REFUSED, path=request.path, status=UNAVAILABLE_STATUS, detail=detail)
-    answer = web.Response(status=UNAVAILABLE_STATUS, headers={"Retry-After": "0"})
-    answer.force_close()
-    return answer
-
-
 class OperatorListener:
     """Answers the balancer's readiness questions, and serves the metrics."""
 
--- a/dogwoodhook/transport/own_answers.py
+++ b/dogwoodhook/transport/own_answers.py
@@ -48,6 +48,15 @@
         self._log(request, UNAVAILABLE_STATUS, detail)
         return self.unavailable(request, detail, NothingToServe())
 
+    def stopping(self, request: web.BaseRequest) -> web.Response:
+        """Refuse a request as not run; any other daemon serves it at once."""
+        detail = "the daemon stops"
+        self._log(request, UNAVAILABLE_STATUS, detail)
+        answer = self.failure(request, UNAVAILABLE_STATUS, detail)
+        answer.headers["Retry-After"] = "0"
+        answer.force_close()
+        return answer
+
     def denial(
         self, request: web.BaseRequest, status: int, detail: str
     ) -> web.Response:
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -112,6 +112,10 @@
         # Followed to its end even if the caller leaves: it may not run again.
         return await asyncio.shield(asyncio.ensure_future(self._run(routed)))
 
+    def refuse_stopping(self, request: web.BaseRequest) -> web.Response:
+        """Return the answer of a daemon that takes no more requests."""
+        return self._own_answers.stopping(request)
+
     async def _first_configuration(self) -> RoutingConfiguration | None:
         """Return the configuration; one that has just started waits for it briefly."""
         if self._fleet.is_ready.is_set():
--- a/tests/platform_adapter/test_gateway_store.py
+++ b/tests/platform_adapter/test_gateway_store.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from dogwoodhook.state.target_directory import LAPSE_HOLD_S
+from dogwoodhook.transport.gateway_listener import SERVE_SHARE
 from tests.exchanges import until
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.conftest import make_route
@@ -179,6 +180,24 @@
     await drain
 
 
+async def test_a_daemon_that_takes_no_more_requests_says_so_to_each(platform):
+    await platform.configure()
+    target = await platform.start_target("t1", behave.hang)
+    gateway = await platform.start_gateway(grace_s=2.0)
+    await platform.send("/nowhere/")
+    held = asyncio.ensure_future(platform.send("/post/1", data=b"x"))
+    await until(lambda: target.received)
+    drain = asyncio.ensure_future(gateway.drain())
+    await asyncio.sleep(2.0 * SERVE_SHARE + 0.05)
+    reply = await platform.send("/post/2", data=b"x", headers={"Request-Id": "late"})
+    assert (reply.status, reply.headers["Request-Id"]) == (503, "late")
+    assert reply.headers["Retry-After"] == "0"
+    assert len(target.received) == 1
+    await drain
+    held.cancel()
+    await asyncio.gather(held, return_exceptions=True)
+
+
 async def test_a_change_made_as_a_silent_store_returns_is_in_force_in_time(platform):
     """The platform counts the store as stable three seconds after its return."""
     await platform.configure()
