--- a/tests/platform_adapter/test_gateway_store.py
+++ b/tests/platform_adapter/test_gateway_store.py
@@ -184,7 +184,8 @@
     await platform.configure()
     target = await platform.start_target("t1", behave.hang)
     gateway = await platform.start_gateway(grace_s=2.0)
-    await platform.send("/nowhere/")
+    # Opens a connection for each of the two requests below.
+    await asyncio.gather(platform.send("/nowhere/"), platform.send("/nowhere/"))
     held = asyncio.ensure_future(platform.send("/post/1", data=b"x"))
     await until(lambda: target.received)
     drain = asyncio.ensure_future(gateway.drain())
