Read the whole table after a gap; believe readings that follow on a gap

The changes since a version hold each heartbeat of 404 targets, 270 rows a second; after some eight seconds away they take longer than a call's deadline of 1 s, so every try failed until the history was dropped. Meanwhile a reading told by a neighbour did not connect and was dropped whole, also the target that was leaving; a request reached it 2.8 s later. Ruled out: the store's rates and outages (it was stable from 5.3 s on).

Change: what is known is older than 2 s: the whole table is read, which the changes of 1.5 s already outweigh. Changes after a gap are applied, their versions are their rows' own; only the version up to which all is known stays.

Tests: test_target_following.py, both failed first.

--- a/dogwoodhook/coordination/store_following.py
+++ b/dogwoodhook/coordination/store_following.py
@@ -44,6 +44,11 @@
     TargetEntry,
 )
 
+MAX_CATCH_UP_S = 2.0
+"""Age of what a daemon knows above which it reads the whole table: the changes since
+hold every heartbeat of every target, and outgrow the table in one interval of them.
+A slow VM cannot read ten seconds of them within the deadline of a call."""
+
 CONFIGURATION_WAIT_S = 1.5
 """Time that the reader's call for a new configuration waits at the store."""
 
@@ -160,13 +165,16 @@
     def hear(self, reading: StoreReading) -> None:
         """Take another daemon's reading."""
         now_s = self._clock.now_s()
+        version = reading.version
         if reading.after_version > self._directory.version:
+            # The changes hold although others before them were missed.
+            version = self._directory.version
             self._must_read.set()
-            return
-        self._heard_s = now_s
+        else:
+            self._heard_s = now_s
         applied = self._directory.apply(
             reading.changes,
-            version=reading.version,
+            version=version,
             now_s=now_s,
             removal_hold_s=reading.removal_hold_s,
         )
@@ -184,7 +192,11 @@
         """Read what is new, and tell the others unless they know it."""
         started_s = self._clock.now_s()
         before = self._directory.version
-        result = await _read_newer(self._store, Table.TARGETS, after_version=before)
+        age_s = started_s - max(self._read_s, self._heard_s)
+        if age_s > MAX_CATCH_UP_S:
+            result = await self._store.read_table(Table.TARGETS)
+        else:
+            result = await _read_newer(self._store, Table.TARGETS, after_version=before)
         now_s = self._clock.now_s()
         match result:
             case Result(tag="ok", ok=rows):
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -3,17 +3,21 @@
 import asyncio
 from contextlib import asynccontextmanager
 
-from expression import Ok
+from expression import Error, Ok
 
 from dogwoodhook.clock import SystemClock
 from dogwoodhook.coordination.fleet_messages import StoreReading
-from dogwoodhook.coordination.store import StoreRow, TableRows
+from dogwoodhook.coordination.store import StoreRow, StoreUnavailable, TableRows
 from dogwoodhook.coordination.store_following import (
     MAX_CHANGES_TOLD,
     RowDecoder,
     TargetFollower,
 )
-from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
+from dogwoodhook.state.target_directory import (
+    TargetChange,
+    TargetDirectory,
+    TargetEntry,
+)
 from tests.exchanges import until
 
 
@@ -22,7 +26,8 @@
 
     def __init__(self):
         self.rows = []
-        self.reads = 0
+        self.whole_reads = 0
+        self.is_down = False
 
     def add(self, count):
         for _ in range(count):
@@ -30,11 +35,14 @@
             self.rows.append(StoreRow(f"t{version}", b"{}", version))
 
     async def read_table(self, table):
-        self.reads += 1
+        if self.is_down:
+            return Error(StoreUnavailable("down"))
+        self.whole_reads += 1
         return Ok(TableRows(tuple(self.rows), len(self.rows), is_whole=True))
 
     async def read_changes(self, table, *, after_version, wait_s=0.0):
-        self.reads += 1
+        if self.is_down:
+            return Error(StoreUnavailable("down"))
         newer = tuple(self.rows[after_version:])
         return Ok(TableRows(newer, len(self.rows), is_whole=False))
 
@@ -112,3 +120,30 @@
         follower.hear(reading(2, 3))
         await until(lambda: directory.version == 3)
         assert links.told == []
+
+
+async def test_what_a_neighbour_reads_is_believed_despite_a_gap(monkeypatch):
+    monkeypatch.setattr(
+        "dogwoodhook.coordination.store_following.rank_of", lambda daemon, daemons: 3
+    )
+    async with following("vm-1", "vm-9") as (store, _, directory, follower):
+        store.is_down = True
+        store.add(6)
+        change = TargetChange("t1", 7, None)
+        follower.hear(StoreReading("vm-9", 6, 7, 0, 0.0, (change,)))
+        assert directory.get("t1") is None
+        assert directory.version == 1
+        store.is_down = False
+        await until(lambda: directory.version == 7)
+
+
+async def test_a_daemon_that_was_away_for_long_reads_the_whole_table(monkeypatch):
+    monkeypatch.setattr("dogwoodhook.coordination.store_following.MAX_CATCH_UP_S", 0.3)
+    async with following("vm-1") as (store, _, directory, _):
+        store.is_down = True
+        await asyncio.sleep(1.0)
+        store.add(2)
+        reads = store.whole_reads
+        store.is_down = False
+        await until(lambda: directory.version == 3)
+        assert store.whole_reads == reads + 1
