Send callers back at once to targets that shed although they have slots

What the budget for second sendings cannot carry is refused, and callers were told to return in 0.2 to 2 s, past their target latency, although nothing changes by waiting.

Change: where less than 0.7 of the data centre's slots are in use, they return within 0.02 to 0.12 s.

During the shedding the budget binds.

--- a/dogwoodhook/state/placement.py
+++ b/dogwoodhook/state/placement.py
@@ -42,6 +42,10 @@
 """The same for a request that may be repeated: a failure costs it a second sending,
 waiting for the slots of the others would cost it as much."""
 
+FREE_SLOTS_SHARE = 0.7
+"""Share of the slots in use below which targets that refuse requests are not full;
+the rest covers requests that other data centres sent here."""
+
 FAILING_COST = 1000.0
 """Puts every failing target behind all others, and the worst last."""
 
@@ -86,6 +90,15 @@
         """Count its end."""
         self._load.finish(target.name)
 
+    def has_free_slots(self, targets: Iterable[TargetEntry], *, now_s: float) -> bool:
+        """Tell whether targets of the own data centre, or else all, have free slots."""
+        listed = list(targets)
+        near = [each for each in listed if each.data_centre == self._data_centre]
+        counted = near or listed
+        in_flight = self._load.by_target(now_s=now_s)
+        busy = sum(in_flight[each.name] for each in counted)
+        return busy < FREE_SLOTS_SHARE * sum(each.slots for each in counted)
+
     def choose(
         self,
         targets: Iterable[TargetEntry],
--- a/dogwoodhook/state/return_times.py
+++ b/dogwoodhook/state/return_times.py
@@ -2,8 +2,10 @@
 
 Load that this answers: refusals come in masses, when targets shed or a service has
 no target for a moment. Callers that all return after the same time meet the same
-refusal; they are spread over the time in which room comes back. A caller's own
-retry is a new request, for which the budget for second sendings is not needed.
+refusal; they are spread over the time in which room comes back. Where targets shed
+part of their requests although they have free slots, there is nothing to wait for,
+and a caller that returns at once is still answered in time. A caller's own retry is
+a new request, for which the budget for second sendings is not needed.
 """
 
 import random
@@ -15,6 +17,10 @@
 LATEST_S = 2.0
 """Latest return; callers with short deadlines would not come back at all."""
 
+SHED_RETURN_S = (0.02, 0.12)
+"""Earliest and latest return to targets with free slots: a few round trips, so that
+several tries fit into the target latency of a short request."""
+
 NO_TARGET_S = 1.0
 """Time in which targets or a configuration may appear: two readings of the store."""
 
@@ -31,7 +37,12 @@
     room_in_s: float
 
 
-RefusalCause = NothingToServe | TargetsRefused
+@dataclass(frozen=True, slots=True)
+class TargetsShed:
+    """Targets refused the request although they have free slots."""
+
+
+RefusalCause = NothingToServe | TargetsRefused | TargetsShed
 
 
 def retry_after_s(cause: RefusalCause, *, rng: random.Random) -> float:
@@ -46,3 +57,5 @@
         case TargetsRefused(room_in_s):
             latest_s = min(LATEST_S, max(2 * SOONEST_S, room_in_s))
             return rng.uniform(SOONEST_S, latest_s)
+        case TargetsShed():
+            return rng.uniform(*SHED_RETURN_S)
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -29,6 +29,7 @@
     NothingToServe,
     RefusalCause,
     TargetsRefused,
+    TargetsShed,
 )
 from dogwoodhook.state.route_policy import RoutePolicy, RoutingConfiguration
 from dogwoodhook.state.suspicion import Standing, Symptom
@@ -467,6 +468,9 @@
         if not routed.arrivals:
             return NothingToServe()
         now_s = self._clock.now_s()
+        targets = self._fleet.directory.serving(routed.service, now_s=now_s)
+        if self._fleet.placement.has_free_slots(targets, now_s=now_s):
+            return TargetsShed()
         return TargetsRefused(self._fleet.budget.room_in_s(routed.service, now_s=now_s))
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -196,3 +196,11 @@
     options["is_idempotent"] = True
     chosen = {choose(placement, [HERE, other], **options).name for _ in range(50)}
     assert chosen == {"here"}
+
+
+def test_free_slots_are_counted_at_the_targets_of_the_own_data_centre(placement):
+    assert placement.has_free_slots([HERE, AWAY], now_s=0.0)
+    for _ in range(3):
+        placement.start(HERE, now_s=0.0)
+    assert not placement.has_free_slots([HERE, AWAY], now_s=0.0)
+    assert placement.has_free_slots([AWAY], now_s=0.0)
