Give up on targets out of reach; bound what one daemon spends unheard

A daemon whose link or VM is slow took eight targets one after the other for unreachable, 0.3 s each, and its refusal came back late too.

Change: the deadline for a connection doubles with each target that was not reached in time, and after four the caller is told that its request was not run. Targets that refuse a connection do not count. One daemon spends at most four times its equal share of the budget (four at least). A caller is answered 0.1 s before its own deadline.

--- a/dogwoodhook/state/fleet_budget.py
+++ b/dogwoodhook/state/fleet_budget.py
@@ -23,6 +23,13 @@
 """Share of the daemons that may spend on a service at the same moment: those that
 have a request for it in flight."""
 
+OWN_SHARE_FACTOR = 4.0
+"""Multiple of its equal share that one daemon may spend, whatever it has heard: a VM
+that is too slow to read the others' messages takes the budget for unspent."""
+
+MIN_OWN_REPEATS = 4.0
+"""Repeats that each daemon may spend within the budget, however many share it."""
+
 RACE_RESERVE_SHARE = 0.5
 """Share of the budget that is left to requests that no target has run."""
 
@@ -31,6 +38,7 @@
 class _Spending:
     requests_s: deque[float] = field(default_factory=deque)
     repeats_s: deque[float] = field(default_factory=deque)
+    own_repeats_s: deque[float] = field(default_factory=deque)
     peer_requests: dict[str, tuple[float, int]] = field(default_factory=dict)
 
 
@@ -93,10 +101,14 @@
         left = allowed - len(spending.repeats_s)
         if is_race:
             left -= RACE_RESERVE_SHARE * allowed
+        own_share = max(MIN_OWN_REPEATS, OWN_SHARE_FACTOR * allowed / daemons)
+        if len(spending.own_repeats_s) >= own_share:
+            return False
         concurrent = max(1.0, CONCURRENT_SHARE * daemons)
         if left < 1 or self._rng.random() * concurrent >= left:
             return False
         spending.repeats_s.append(now_s)
+        spending.own_repeats_s.append(now_s)
         return True
 
     def room_in_s(self, service: str, *, now_s: float) -> float:
@@ -111,7 +123,11 @@
     def _spending(self, service: str, now_s: float) -> _Spending:
         spending = self._services.setdefault(service, _Spending())
         oldest_s = now_s - self._window_s
-        for times_s in (spending.requests_s, spending.repeats_s):
+        for times_s in (
+            spending.requests_s,
+            spending.repeats_s,
+            spending.own_repeats_s,
+        ):
             while times_s and times_s[0] < oldest_s:
                 times_s.popleft()
         told = spending.peer_requests
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -23,9 +23,6 @@
 BUFFERED_ANSWER_BYTES = 256 * 1024
 """Answers up to this size are read whole before the caller gets any of them."""
 
-CONNECT_TIMEOUT_S = 0.3
-"""Deadline for a new connection: several round trips between data centres."""
-
 _PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request has not run."""
 
@@ -40,6 +37,7 @@
     body: bytes | AsyncIterator[bytes]
     request_id: str
     timeout_s: float
+    connect_timeout_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,11 +69,15 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRunThere:
-    """The target did not run the request: no connection, or its own word."""
+    """The target did not run the request: no connection, or its own word.
+
+    ``has_timed_out`` tells that the connection was not refused but too slow.
+    """
 
     detail: str
     symptom: Symptom | None
     has_arrived: bool
+    has_timed_out: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +113,7 @@
                 data=sending.body or None,
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(
-                    total=None, sock_connect=CONNECT_TIMEOUT_S
+                    total=None, sock_connect=sending.connect_timeout_s
                 ),
                 trace_request_ctx=trace,
                 middlewares=(trace.block_resend,),
@@ -192,7 +194,12 @@
 
 def _after_timeout(trace: AttemptTrace) -> AttemptResult:
     if not trace.is_connected:
-        return NotRunThere("no connection in time", Symptom.UNREACHABLE, False)
+        return NotRunThere(
+            "no connection in time",
+            Symptom.UNREACHABLE,
+            has_arrived=False,
+            has_timed_out=True,
+        )
     return MayHaveRun("no answer in time", Symptom.SILENT)
 
 
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -68,6 +68,17 @@
 MAX_REFUSALS = 8
 """Targets that may refuse a request before the caller is told."""
 
+CONNECT_TIMEOUT_S = 0.3
+"""Deadline for a request's first new connection: several round trips between data
+centres. It doubles with each target that was not reached, since several at once say
+that this VM or its link is slow."""
+
+MAX_UNREACHABLE = 4
+"""Targets that may not be reached before the caller is told: 4.5 s with the last."""
+
+CALLER_MARGIN_S = 0.1
+"""Time before a caller's deadline at which it is answered: the way back to it."""
+
 
 class RouteForwarder:
     """Carries callers' requests to targets."""
@@ -143,7 +154,7 @@
         allowed_s = route.timeout_s - ANSWER_MARGIN_S
         remaining_ms = request.headers.get(dialect.remaining_ms, "")
         if remaining_ms.isascii() and remaining_ms.isdigit():
-            allowed_s = min(allowed_s, int(remaining_ms) / 1000)
+            allowed_s = min(allowed_s, int(remaining_ms) / 1000 - CALLER_MARGIN_S)
         body = await read_prelude(request, buffer_bytes=REPLAY_BUFFER_BYTES)
         return RoutedRequest(
             request=request,
@@ -271,8 +282,9 @@
                 return self._deliver(routed, target.name, result)
             case OpenAnswer():
                 return await self._stream(routed, target.name, result)
-            case NotRunThere(detail, symptom, has_arrived):
+            case NotRunThere(detail, symptom, has_arrived, has_timed_out):
                 routed.refusals += 1
+                routed.unreachable += has_timed_out
                 routed.arrivals += has_arrived
                 self._fail(routed, target, symptom, detail)
                 return detail
@@ -310,6 +322,7 @@
             body=routed.body.content(),
             request_id=routed.request_id,
             timeout_s=remaining_s,
+            connect_timeout_s=CONNECT_TIMEOUT_S * 2**routed.unreachable,
         )
         trace = AttemptTrace()
         loop = asyncio.get_running_loop()
@@ -358,6 +371,8 @@
         """Tell whether a request without an answer goes to another target."""
         if not routed.body.is_whole or routed.refusals > MAX_REFUSALS:
             return False
+        if routed.unreachable >= MAX_UNREACHABLE:
+            return False
         if routed.has_caller_left:
             return False
         if routed.has_run and not routed.route.is_idempotent:
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -16,8 +16,9 @@
     """A request on its way, and what became of its attempts.
 
     ``deadline_s`` is on the elapsed clock. ``runs`` counts the attempts that may
-    have run; ``refusals`` those that did not. ``failure`` is the
-    own error of ``failed_target``, kept while another one may still do better.
+    have run; ``refusals`` those that did not, and ``unreachable`` those among them
+    that got no connection in time. ``failure`` is the own error of
+    ``failed_target``, kept while another one may still do better.
     """
 
     request: web.BaseRequest
@@ -30,6 +31,7 @@
     deadline_s: float
     runs: int = 0
     refusals: int = 0
+    unreachable: int = 0
     arrivals: int = 0
     tried: set[str] = field(default_factory=set)
     last_target: str = ""
--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -5,7 +5,9 @@
 import aiohttp
 import pytest
 
-from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES
+from dogwoodhook.state.suspicion import Symptom
+from dogwoodhook.transport import route_forwarder
+from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES, NotRunThere
 from tests.exchanges import until
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.conftest import make_route
@@ -316,3 +318,41 @@
     while not (target.received and other.received):
         reply = await platform.send("/read/1")
     assert reply.status == 200
+
+
+async def test_a_request_gives_up_once_several_targets_are_out_of_reach(
+    platform, monkeypatch
+):
+    await start(platform, others=("t2", "t3", "t4", "t5", "t6"))
+    timeouts_s = []
+
+    async def never_connect(session, target, sending, dialect, trace):
+        timeouts_s.append(sending.connect_timeout_s)
+        return NotRunThere("too slow", Symptom.UNREACHABLE, False, has_timed_out=True)
+
+    monkeypatch.setattr(route_forwarder, "attempt", never_connect)
+    reply = await platform.send("/post/1", data=b"x")
+    assert reply.status == 503
+    assert timeouts_s == [0.3, 0.6, 1.2, 2.4]
+
+
+async def test_targets_that_are_gone_do_not_end_a_request(platform, monkeypatch):
+    names = [f"t{number}" for number in range(2, 8)]
+    await start(platform, others=names)
+    send_once = route_forwarder.attempt
+
+    async def refuse_all_but_the_first(session, target, sending, dialect, trace):
+        if target.name != "t1":
+            return NotRunThere("refused", Symptom.UNREACHABLE, False)
+        return await send_once(session, target, sending, dialect, trace)
+
+    monkeypatch.setattr(route_forwarder, "attempt", refuse_all_but_the_first)
+    reply = await platform.send("/post/1", data=b"x")
+    assert reply.status == 200
+
+
+async def test_a_target_gets_less_time_than_the_caller_has(platform):
+    target = await start(platform, behave.hang)
+    reply = await platform.send("/post/1", data=b"x", headers={"Deadline-Ms": "600"})
+    assert reply.status == 504
+    assert int(target.received[0].headers["deadline-ms"]) <= 500
--- a/tests/test_fleet_budget.py
+++ b/tests/test_fleet_budget.py
@@ -2,7 +2,7 @@
 
 import random
 
-from dogwoodhook.state.fleet_budget import FleetBudget
+from dogwoodhook.state.fleet_budget import OWN_SHARE_FACTOR, FleetBudget
 
 
 def make_budget(*, extra, seed=7):
@@ -102,3 +102,10 @@
                     )
     bound = 62 + 0.2 * requests
     assert 0.5 * bound < spent <= bound
+
+
+def test_a_daemon_that_hears_nobody_spends_a_bounded_part_of_the_budget():
+    budget = make_budget(extra=100)
+    hear(budget, was_repeated=False, requests=1000)
+    allowed = 0.8 * (100 + 0.2 * 1000)
+    assert taken(budget, tries=500, daemons=40) == OWN_SHARE_FACTOR * allowed / 40
