Race an overdue request only into a free slot

Change: the second sending needs a target with a free slot by the count of the data centre. The test has failed first: one slot, held by another request.

Tried beside it and not kept: each data centre tells the others sums of its requests in flight.

--- a/dogwoodhook/state/placement.py
+++ b/dogwoodhook/state/placement.py
@@ -52,11 +52,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A target with its cost; the lowest one is chosen."""
+    """A target with its cost; the lowest one is chosen.
+
+    ``has_free_slot`` is by the count of the own data centre's requests.
+    """
 
     target: TargetEntry
     cost: float
     standing: Standing
+    has_free_slot: bool
 
 
 class Placement:
@@ -153,7 +157,7 @@
                 cost += SLOW_COST
             case Standing.SOUND:
                 pass
-        return Candidate(target, cost, avoidance.standing)
+        return Candidate(target, cost, avoidance.standing, in_flight < target.slots)
 
     def _is_untried(self, target: TargetEntry, now_s: float) -> bool:
         """Tell whether a target joined lately and got no request from here."""
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -231,11 +231,16 @@
         return candidate.target
 
     def _second_target(self, routed: RoutedRequest) -> TargetEntry | None:
-        """Return where an overdue request goes as well, if it may and it helps."""
+        """Return where an overdue request goes as well, if it may and it helps.
+
+        While all slots are busy it would only take another request's place.
+        """
         routed.has_raced = True
         candidate = self._choose(routed)
         if candidate is None or candidate.standing is Standing.FAILING:
             return None
+        if not candidate.has_free_slot:
+            return None
         return candidate.target if self._take_repeat(routed, is_race=True) else None
 
     def _choose(self, routed: RoutedRequest) -> Candidate | None:
--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -356,3 +356,23 @@
     reply = await platform.send("/post/1", data=b"x", headers={"Deadline-Ms": "600"})
     assert reply.status == 504
     assert int(target.received[0].headers["deadline-ms"]) <= 500
+
+
+async def test_an_overdue_request_does_not_take_the_place_of_another(platform):
+    """The only other target has one slot, which a request holds all the while."""
+    await platform.configure()
+    targets = [
+        await platform.start_target(name, behave.after(2.5), slots=1)
+        for name in ("t1", "t2")
+    ]
+    await platform.start_gateway()
+    await until(lambda: all(map(platform.gateways[0].knows_target, ("t1", "t2"))))
+    held = asyncio.ensure_future(platform.send("/post/1", data=b"x"))
+    await until(lambda: any(each.received for each in targets))
+    reply = await platform.send("/read/1")
+    assert reply.status == 200
+    await held
+    assert sorted(each.path for target in targets for each in target.received) == [
+        "/post/1",
+        "/read/1",
+    ]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -204,3 +204,11 @@
         placement.start(HERE, now_s=0.0)
     assert not placement.has_free_slots([HERE, AWAY], now_s=0.0)
     assert placement.has_free_slots([AWAY], now_s=0.0)
+
+
+def test_a_candidate_tells_whether_it_has_a_free_slot(placement):
+    options = {"tried": frozenset(), "is_idempotent": True, "now_s": 0.0}
+    for _ in range(HERE.slots):
+        assert placement.choose([HERE], **options).has_free_slot
+        placement.start(HERE, now_s=0.0)
+    assert not placement.choose([HERE], **options).has_free_slot
