A randomised soak of real daemons on the users' platform

Daemons are processes with settings files of their own; the store and targets are the stand-ins of the tests. Seeds that ever fail are kept in test_soak.py; none has. A run of 6 s with seed 1 is part of the tests.

--- /dev/null
+++ b/tests/platform_adapter/soak/__init__.py
@@ -0,0 +1,12 @@
+"""A randomised soak of real daemons, disturbed from outside.
+
+::
+
+    python -m tests.platform_adapter.soak --seed 7 --seconds 60
+    python -m tests.platform_adapter.soak --seed 100 --count 50 --seconds 20
+
+Daemons are processes of their own; the store and the targets are stand-ins. Signals
+stop, pause, kill and restart daemons, relays cut and silence their connections, and the
+stand-ins misbehave, in series that overlap. ``records`` tells what must hold, from what
+callers and targets saw.
+"""
--- /dev/null
+++ b/tests/platform_adapter/soak/__main__.py
@@ -0,0 +1,41 @@
+"""Runs soaks with the seeds asked for; fails if one found a violation."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+from absl import app, flags
+
+from tests.platform_adapter.soak.run import Report, soak
+
+SEED = flags.DEFINE_integer("seed", 1, "First seed.")
+COUNT = flags.DEFINE_integer("count", 1, "Seeds to run.", lower_bound=1)
+SECONDS = flags.DEFINE_float("seconds", 20.0, "Disturbed time of each.", lower_bound=1)
+FOLDER = flags.DEFINE_string("folder", None, "Folder to keep settings and logs in.")
+
+
+async def _soak(seed: int) -> Report:
+    """Run one soak; SIGTERM ends it together with its daemons."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    folder = Path(FOLDER.value) / str(seed) if FOLDER.value else None
+    if folder is not None:
+        folder.mkdir(parents=True, exist_ok=True)
+    return await soak(seed=seed, seconds=SECONDS.value, folder=folder)
+
+
+def main(_: list[str]) -> None:
+    """Run the soaks one after the other."""
+    failed = []
+    for seed in range(SEED.value, SEED.value + COUNT.value):
+        report = asyncio.run(_soak(seed))
+        print(report, flush=True)
+        if report.violations:
+            failed.append(seed)
+    print(f"failed seeds: {failed}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/tests/platform_adapter/soak/faults.py
@@ -0,0 +1,141 @@
+"""What disturbs a soak: series of faults that overlap."""
+
+import asyncio
+import signal
+
+from tests.platform_adapter import target_server as behave
+from tests.platform_adapter.soak.world import World
+
+GRAY_BEHAVIOURS = (
+    behave.reset,
+    behave.hang,
+    behave.refuse,
+    behave.misdirected,
+    behave.server_error,
+    behave.foreign_answer,
+    behave.unsigned,
+    behave.truncated,
+    behave.unframed_reset,
+    behave.extra,
+    behave.bare_503,
+)
+
+MIN_TARGETS = 3
+
+
+def _running(world: World):
+    return [each for each in world.daemons if each.is_running and not each.is_stopping]
+
+
+async def kill_daemons(world: World) -> None:
+    """Kill one daemon, or most of them at once, and start them again."""
+    running = _running(world)
+    count = world.rng.choice([1, 1, 1, len(running)])
+    killed = running[:count]
+    for daemon in killed:
+        daemon.is_stopping = True
+        world.kill(daemon)
+    await asyncio.sleep(world.rng.uniform(0.1, 1.0))
+    for daemon in killed:
+        await world.restart(daemon)
+
+
+async def stop_daemon(world: World) -> None:
+    """Stop a daemon as planned work does, and start it again."""
+    running = _running(world)
+    if len(running) < 2:
+        return
+    daemon = world.rng.choice(running)
+    await world.stop(daemon)
+    await world.restart(daemon)
+
+
+async def pause_daemon(world: World) -> None:
+    """Let a daemon stand still for seconds."""
+    running = _running(world)
+    if not running:
+        return
+    daemon = world.rng.choice(running)
+    daemon.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(world.rng.uniform(0.5, 3.0))
+    daemon.send_signal(signal.SIGCONT)
+
+
+async def reload_daemon(world: World) -> None:
+    """Change a settings file, with or without a signal."""
+    daemon = world.rng.choice(world.daemons)
+    world.rewrite_settings(daemon)
+    if world.rng.random() < 0.5:
+        daemon.send_signal(signal.SIGHUP)
+
+
+async def disturb_store(world: World) -> None:
+    """Let the store refuse, answer late, fall silent or forget."""
+    faults = world.store.faults
+    match world.rng.choice(["refuse", "silent", "slow", "forget"]):
+        case "refuse":
+            faults.refused = world.rng.choice([429, 503])
+        case "silent":
+            faults.is_silent = True
+        case "slow":
+            faults.delay_s = 0.3
+        case "forget":
+            world.store.forget_history()
+    await asyncio.sleep(world.rng.uniform(0.5, 4.0))
+    faults.refused, faults.is_silent, faults.delay_s = 0, False, 0.0
+
+
+async def cut_connections(world: World) -> None:
+    """Cut the connections of a daemon to the store or to a target, one way or both."""
+    relays = [each.store for each in world.daemons]
+    relays += [each.relay for each in world.targets.values()]
+    relay = world.rng.choice(relays)
+    relay.is_cut_to_server = world.rng.random() < 0.7
+    relay.is_cut_to_client = not relay.is_cut_to_server or world.rng.random() < 0.5
+    await asyncio.sleep(world.rng.uniform(0.5, 4.0))
+    relay.is_cut_to_server = relay.is_cut_to_client = False
+
+
+async def make_gray(world: World) -> None:
+    """Let a target fail most requests for some seconds."""
+    target = world.rng.choice(list(world.targets.values()))
+    target.gray = world.rng.choice(GRAY_BEHAVIOURS)
+    await asyncio.sleep(world.rng.uniform(1.0, 5.0))
+    target.gray = None
+
+
+async def replace_target(world: World) -> None:
+    """Let a target leave and another one come."""
+    await world.add_target(world.rng.choice(["dc-1", "dc-2"]))
+    if len(world.targets) > MIN_TARGETS:
+        await world.drain_target(world.rng.choice(list(world.targets)))
+
+
+async def change_configuration(world: World) -> None:
+    """Write one version or a quick succession of them."""
+    for _ in range(world.rng.choice([1, 1, 4])):
+        await world.configure()
+        await asyncio.sleep(0.1)
+
+
+FAULTS = (
+    kill_daemons,
+    stop_daemon,
+    pause_daemon,
+    reload_daemon,
+    disturb_store,
+    cut_connections,
+    make_gray,
+    make_gray,
+    replace_target,
+    change_configuration,
+)
+
+
+async def run_series(world: World, injected: list[str]) -> None:
+    """Inject one fault after the other until cancelled; several series overlap."""
+    while True:
+        await asyncio.sleep(world.rng.uniform(0.1, 1.0))
+        fault = world.rng.choice(FAULTS)
+        injected.append(fault.__name__)
+        await fault(world)
--- /dev/null
+++ b/tests/platform_adapter/soak/records.py
@@ -0,0 +1,107 @@
+"""What callers and targets saw, and what must hold of it."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that its request has not run and will not."""
+
+DENIALS = frozenset({400, 401, 403, 404, 413, 431})
+
+
+class Ending(StrEnum):
+    """How an exchange ended for its caller."""
+
+    ANSWERED = "answered"
+    UNSENT = "no connection"
+    BROKEN = "broken off"
+    TIMED_OUT = "timed out"
+
+
+@dataclass(frozen=True, slots=True)
+class CallRecord:
+    """One exchange; ``echoed_id`` and ``signature`` are headers of the answer."""
+
+    request_id: str
+    is_idempotent: bool
+    path: str
+    daemon: str
+    sent_s: float
+    ended_s: float
+    ending: Ending
+    status: int = 0
+    body: str = ""
+    echoed_id: str = ""
+    signature: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class RunRecord:
+    """A target began to run a request."""
+
+    request_id: str
+    target: str
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Kill:
+    """A daemon was killed, with what it held."""
+
+    daemon: str
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A promise that was broken."""
+
+    rule: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.rule}: {self.detail}"
+
+
+def find_violations(
+    calls: Sequence[CallRecord], runs: Iterable[RunRecord], kills: Sequence[Kill]
+) -> list[Violation]:
+    """Return every broken promise."""
+    by_request: defaultdict[str, list[str]] = defaultdict(list)
+    for run in runs:
+        by_request[run.request_id].append(run.target)
+    found = [
+        Violation("unasked", f"{request_id} ran at {targets}")
+        for request_id, targets in by_request.items()
+        if request_id not in {call.request_id for call in calls}
+    ]
+    for call in calls:
+        found += _check(call, by_request[call.request_id], kills)
+    return found
+
+
+def _check(
+    call: CallRecord, ran_at: list[str], kills: Sequence[Kill]
+) -> list[Violation]:
+    found = []
+    if len(ran_at) > 1 and not call.is_idempotent:
+        found.append(Violation("run twice", f"{call} at {ran_at}"))
+    if call.status in PROMISES and ran_at:
+        found.append(Violation("said not to have run", f"{call} at {ran_at}"))
+    if call.status in DENIALS:
+        found.append(Violation("denied", str(call)))
+    if call.status and call.echoed_id != call.request_id:
+        found.append(Violation("answer of another request", str(call)))
+    if 200 <= call.status < 300 and (
+        call.signature not in ran_at or call.body != f"{call.signature} ran {call.path}"
+    ):
+        found.append(Violation("not the target's answer", f"{call} at {ran_at}"))
+    was_killed = any(
+        kill.daemon == call.daemon and call.sent_s <= kill.at_s <= call.ended_s
+        for kill in kills
+    )
+    if call.ending is Ending.BROKEN and ran_at and not was_killed:
+        found.append(Violation("cut", f"{call} at {ran_at}"))
+    return found
--- /dev/null
+++ b/tests/platform_adapter/soak/world.py
@@ -0,0 +1,214 @@
+"""The processes and stand-ins of a soak."""
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import time
+from asyncio.subprocess import Process
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from dogwoodhook.testing.fleet import free_port
+from dogwoodhook.testing.relay import Relay
+from tests.platform_adapter import target_server as behave
+from tests.platform_adapter.conftest import make_configuration, make_route
+from tests.platform_adapter.soak.records import Kill, RunRecord
+from tests.platform_adapter.store_server import StoreServer, running_store
+from tests.platform_adapter.target_server import TargetServer
+
+STOP_TIMEOUT_S = 15.0
+"""Time in which a daemon must be gone after SIGTERM; its grace period is 3 s."""
+
+REFUSALS = (behave.refuse, behave.misdirected)
+
+
+@dataclass
+class SoakTarget(TargetServer):
+    """A target whose behaviour is drawn anew for each request.
+
+    ``gray`` is how it fails ``gray_share`` of them.
+    """
+
+    rng: random.Random = field(default_factory=random.Random)
+    runs: list = field(default_factory=list)
+    gray: object = None
+    gray_share: float = 0.8
+    relay: Relay | None = None
+
+    def __post_init__(self):
+        self.behaviours = [self._behave]
+
+    async def _behave(self, server, received, writer):
+        if received.headers.get("expected-instance") != self.name:
+            await behave.misdirected(server, received, writer)
+            return
+        fails = self.gray is not None and self.rng.random() < self.gray_share
+        behaviour = self.gray if fails else behave.answer
+        if behaviour in REFUSALS:
+            await behaviour(server, received, writer)
+            return
+        self.runs.append(RunRecord(received.request_id, self.name, time.monotonic()))
+        await asyncio.sleep(self.rng.uniform(0.005, 0.15))
+        await behaviour(server, received, writer)
+
+
+@dataclass
+class Daemon:
+    """One daemon as a process; ``store`` relays its connections to the store."""
+
+    name: str
+    data_centre: str
+    host: str
+    caller_port: int
+    settings_path: Path
+    log_path: Path
+    store: Relay
+    process: Process | None = None
+    is_stopping: bool = False
+
+    @property
+    def url(self):
+        """Address for callers."""
+        return f"http://{self.host}:{self.caller_port}"
+
+    @property
+    def is_running(self):
+        """Tell whether the process is there."""
+        return self.process is not None and self.process.returncode is None
+
+    def write_settings(self, ports, *, grace="3s"):
+        """Write the settings file; ``ports`` are those of readiness and peers."""
+        readiness, peers = ports
+        self.settings_path.write_text(
+            f"nodeName={self.name}\nip={self.host}\nzone={self.data_centre}\n"
+            f"listen.frontend={self.host}:{self.caller_port}\n"
+            f"listen.readiness={self.host}:{readiness}\n"
+            f"portRange={peers},{peers + 15}\n"
+            f"provider.address=127.0.0.1:{self.store.port}\n"
+            f"bounds.grace={grace}\nbounds.retryBudgetExtra=62\n"
+        )
+
+    async def start(self):
+        """Start the process."""
+        self.is_stopping = False
+        with self.log_path.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "dogwoodhook.platform",
+                env={**os.environ, "DOGWOODHOOK_SETTINGS": str(self.settings_path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def send_signal(self, number):
+        """Signal the process, if it is there."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+
+class World:
+    """The store, the targets and the daemons of one soak."""
+
+    def __init__(self, folder: Path, rng: random.Random) -> None:
+        self.rng = rng
+        self.kills: list[Kill] = []
+        self.targets: dict[str, SoakTarget] = {}
+        self.all_targets: list[SoakTarget] = []
+        self.daemons: list[Daemon] = []
+        self.routes = {}
+        self._folder = folder
+        self._stack = AsyncExitStack()
+        self._version = 0
+        self._ports = [free_port() for _ in range(3)]
+        self.store: StoreServer
+
+    async def __aenter__(self):
+        self.store = await self._stack.enter_async_context(running_store())
+        return self
+
+    async def __aexit__(self, *error):
+        for daemon in self.daemons:
+            daemon.send_signal(signal.SIGCONT)
+            daemon.send_signal(signal.SIGKILL)
+            if daemon.process is not None:
+                await daemon.process.wait()
+        await self._stack.aclose()
+
+    async def configure(self):
+        """Write the next version of the configuration."""
+        self._version += self.rng.randint(1, 3)
+        self.routes[f"extra{self._version}"] = make_route(f"/extra{self._version}/")
+        await self.store.put(
+            "op", "config", make_configuration(self._version, **self.routes)
+        )
+
+    async def add_target(self, data_centre, *, port=None):
+        """Start a target and register it; a port makes it take over an address."""
+        name = f"i-{len(self.all_targets):04x}"
+        target = SoakTarget(name, port or free_port(), rng=self.rng)
+        server = await asyncio.start_server(target.serve, "127.0.0.1", target.port)
+        self._stack.callback(server.close)
+        target.relay = await self._stack.enter_async_context(Relay(port=target.port))
+        self.targets[name] = target
+        self.all_targets.append(target)
+        await self._register(target, data_centre=data_centre)
+
+    async def drain_target(self, name):
+        """Announce that a target leaves; it goes on serving what it has."""
+        await self._register(self.targets.pop(name), state="draining")
+        await asyncio.sleep(3.0)
+        await self.store.remove("servers", name)
+
+    async def _register(self, target, *, data_centre="dc-1", state="ready"):
+        address = f"127.0.0.1:{target.relay.port}"
+        entry = target.entry(zone=data_centre, state=state, address=address)
+        await self.store.put("servers", target.name, entry)
+
+    async def add_daemon(self, data_centre):
+        """Start a daemon with an address of its own on this machine."""
+        number = len(self.daemons) + 1
+        relay = await self._stack.enter_async_context(
+            Relay(port=self.store.address.port)
+        )
+        caller, *others = self._ports
+        daemon = Daemon(
+            name=f"vm-{number}",
+            data_centre=data_centre,
+            host=f"127.0.1.{number}",
+            caller_port=caller,
+            settings_path=self._folder / f"vm-{number}.conf",
+            log_path=self._folder / f"vm-{number}.log",
+            store=relay,
+        )
+        daemon.write_settings(others)
+        self.daemons.append(daemon)
+        await daemon.start()
+
+    def rewrite_settings(self, daemon):
+        """Change a daemon's settings file."""
+        daemon.write_settings(self._ports[1:], grace=self.rng.choice(["3s", "3500ms"]))
+
+    def kill(self, daemon):
+        """Kill a daemon with what it holds."""
+        self.kills.append(Kill(daemon.name, time.monotonic()))
+        daemon.send_signal(signal.SIGKILL)
+
+    async def stop(self, daemon):
+        """Stop a daemon with SIGTERM; one that stays on counts as killed."""
+        daemon.is_stopping = True
+        daemon.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await daemon.process.wait()
+        except TimeoutError:
+            self.kill(daemon)
+            raise
+
+    async def restart(self, daemon):
+        """Start a daemon again once it has ended."""
+        await daemon.process.wait()
+        await daemon.start()
--- a/tests/platform_adapter/store_server.py
+++ b/tests/platform_adapter/store_server.py
@@ -132,7 +132,9 @@
     """Run a store until the context ends."""
     port = free_port()
     store = StoreServer(Address(HOST, port))
-    runner = web.ServerRunner(web.Server(store.handle), shutdown_timeout=0.1)
+    runner = web.ServerRunner(
+        web.Server(store.handle, access_log=None), shutdown_timeout=0.1
+    )
     await runner.setup()
     await web.TCPSite(runner, HOST, port).start()
     try:
--- /dev/null
+++ b/tests/platform_adapter/test_soak.py
@@ -0,0 +1,69 @@
+"""The soak's verdicts, and a short soak."""
+
+from dataclasses import replace
+
+import pytest
+
+from tests.platform_adapter.soak.records import (
+    CallRecord,
+    Ending,
+    Kill,
+    RunRecord,
+    find_violations,
+)
+from tests.platform_adapter.soak.run import soak
+
+CALL = CallRecord(
+    request_id="a",
+    is_idempotent=False,
+    path="/post/a",
+    daemon="vm-1",
+    sent_s=1.0,
+    ended_s=2.0,
+    ending=Ending.ANSWERED,
+    status=200,
+    body="t1 ran /post/a",
+    echoed_id="a",
+    signature="t1",
+)
+RUN = RunRecord("a", "t1", 1.5)
+
+FAILED_SEEDS = ()
+"""Seeds that found a fault once, each with a line on its cause."""
+
+
+def rules(call, *runs, kills=()):
+    return [each.rule for each in find_violations([call], runs, kills)]
+
+
+def test_a_request_that_ran_once_and_was_answered_breaks_nothing():
+    assert rules(CALL, RUN) == []
+
+
+@pytest.mark.parametrize(
+    ("call", "runs", "rule"),
+    [
+        (CALL, [RUN, replace(RUN, target="t2")], "run twice"),
+        (replace(CALL, status=503), [RUN], "said not to have run"),
+        (replace(CALL, status=404), [], "denied"),
+        (replace(CALL, echoed_id="b"), [RUN], "answer of another request"),
+        (replace(CALL, body="t1 ran"), [RUN], "not the target's answer"),
+        (replace(CALL, signature="t2"), [RUN], "not the target's answer"),
+        (CALL, [RUN, replace(RUN, request_id="b")], "unasked"),
+    ],
+)
+def test_each_broken_promise_is_found(call, runs, rule):
+    assert rules(call, *runs) == [rule]
+
+
+def test_a_request_may_be_cut_by_a_kill_only():
+    cut = replace(CALL, ending=Ending.BROKEN, status=0)
+    assert rules(cut, RUN) == ["cut"]
+    assert rules(cut, RUN, kills=[Kill("vm-1", 1.7)]) == []
+    assert rules(cut, RUN, kills=[Kill("vm-2", 1.7)]) == ["cut"]
+
+
+@pytest.mark.parametrize("seed", [1, *FAILED_SEEDS])
+async def test_a_short_soak_breaks_nothing(seed):
+    report = await soak(seed=seed, seconds=6.0)
+    assert not report.violations, str(report)
