Let a daemon that has just started spend little of the fleet's budget

Change: in its first window a daemon spends a quarter of its equal share, one at least, so that all that restart fit into the fifth that is never spent.

--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -125,6 +125,7 @@
             extra=bounds.retry_extra,
             window_s=bounds.retry_window_s,
             rng=rng,
+            started_s=clock.now_s(),
         )
         fleet = FleetView(
             configuration=lambda: self._configuration.in_force,
--- a/dogwoodhook/state/fleet_budget.py
+++ b/dogwoodhook/state/fleet_budget.py
@@ -30,6 +30,12 @@
 MIN_OWN_REPEATS = 4.0
 """Repeats that each daemon may spend within the budget, however many share it."""
 
+FIRST_SHARE_FACTOR = 0.25
+MIN_FIRST_REPEATS = 1.0
+"""Multiple of the equal share, and repeats at least, for a daemon in its first window:
+it has not heard what was spent before it started, and all that restart with it must
+fit into what ``SAFETY_SHARE`` leaves."""
+
 RACE_RESERVE_SHARE = 0.5
 """Share of the budget that is left to requests that no target has run."""
 
@@ -45,6 +51,8 @@
 class FleetBudget:
     """Repeats of each service in the window, own and heard of.
 
+    ``started_s`` is when this daemon began to hear of the others.
+
     >>> rng = random.Random(7)
     >>> budget = FleetBudget(ratio=0.2, extra=4, window_s=10.0, rng=rng)
     >>> [budget.try_take("payouts", daemons=1, now_s=0.0) for _ in range(4)]
@@ -52,8 +60,15 @@
     """
 
     def __init__(
-        self, *, ratio: float, extra: float, window_s: float, rng: random.Random
+        self,
+        *,
+        ratio: float,
+        extra: float,
+        window_s: float,
+        rng: random.Random,
+        started_s: float = float("-inf"),
     ) -> None:
+        self._started_s = started_s
         self._ratio = ratio
         self._extra = extra
         self._window_s = window_s
@@ -101,8 +116,7 @@
         left = allowed - len(spending.repeats_s)
         if is_race:
             left -= RACE_RESERVE_SHARE * allowed
-        own_share = max(MIN_OWN_REPEATS, OWN_SHARE_FACTOR * allowed / daemons)
-        if len(spending.own_repeats_s) >= own_share:
+        if len(spending.own_repeats_s) >= self._own_limit(allowed / daemons, now_s):
             return False
         concurrent = max(1.0, CONCURRENT_SHARE * daemons)
         if left < 1 or self._rng.random() * concurrent >= left:
@@ -111,6 +125,12 @@
         spending.own_repeats_s.append(now_s)
         return True
 
+    def _own_limit(self, equal_share: float, now_s: float) -> float:
+        """Return how many repeats this daemon may spend in the window."""
+        if now_s - self._started_s < self._window_s:
+            return max(MIN_FIRST_REPEATS, FIRST_SHARE_FACTOR * equal_share)
+        return max(MIN_OWN_REPEATS, OWN_SHARE_FACTOR * equal_share)
+
     def room_in_s(self, service: str, *, now_s: float) -> float:
         """Return the time until the oldest repeat leaves the window."""
         repeats_s = self._spending(service, now_s).repeats_s
--- a/tests/test_fleet_budget.py
+++ b/tests/test_fleet_budget.py
@@ -109,3 +109,27 @@
     hear(budget, was_repeated=False, requests=1000)
     allowed = 0.8 * (100 + 0.2 * 1000)
     assert taken(budget, tries=500, daemons=40) == OWN_SHARE_FACTOR * allowed / 40
+
+
+def test_daemons_that_restart_in_turn_do_not_spend_what_was_spent_before():
+    """Half of 40 daemons restart while all try to spend at each moment."""
+    extra, daemons = 100, 40
+    fleet = [make_budget(extra=extra, seed=seed) for seed in range(daemons)]
+    spent = 0
+    for step in range(900):
+        now_s = step * 0.01
+        if step % 40 == 0 and step < 800:
+            fleet[step // 40] = FleetBudget(
+                ratio=0.2,
+                extra=extra,
+                window_s=10.0,
+                rng=random.Random(step),
+                started_s=now_s,
+            )
+        for number, budget in enumerate(fleet):
+            if budget.try_take("s", daemons=daemons, now_s=now_s):
+                spent += 1
+                for other_number, other in enumerate(fleet):
+                    if other_number != number:
+                        hear(other, was_repeated=True, now_s=now_s, service="s")
+    assert 0 < spent <= extra
