--- a/dogwoodhook/testing/relay.py
+++ b/dogwoodhook/testing/relay.py
@@ -8,6 +8,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from types import TracebackType
 
 from dogwoodhook.testing.serving import LOOPBACK
@@ -79,6 +81,14 @@
                     sink.write(data)
                     await sink.drain()
         except ConnectionError:
-            pass
+            # A reset is passed on as one: it tells that an answer is not complete.
+            _reset_on_close(sink)
         finally:
             sink.close()
+
+
+def _reset_on_close(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -28,7 +28,9 @@
 )
 RUN = RunRecord("a", "t1", 1.5)
 
-FAILED_SEEDS = ()
+FAILED_SEEDS = (
+    7,  # The soak's own relay ended connections well that a target had reset.
+)
 """Seeds that found a fault once, each with a line on its cause."""
 
 
