Join the fleet with two calls to the store

The rows tell of the key. Change: write, read, and make the key only where it is missing. One call less a start.

--- a/dogwoodhook/fleet_joining.py
+++ b/dogwoodhook/fleet_joining.py
@@ -62,9 +62,6 @@
             self._greet(all_data_centres=count % REMOTE_GREETING_EVERY == 0)
 
     async def _join(self) -> bool:
-        key = await self._fleet_key()
-        if key is None:
-            return False
         settings = self._settings
         address = settings.peer_address
         place = {
@@ -79,11 +76,15 @@
         if written.is_error():
             return False
         match await self._store.read_table(Table.DAEMONS):
-            case Result(tag="ok", ok=rows):
-                for each in rows.rows:
-                    self._add(each)
+            case Result(tag="ok", ok=table):
+                rows = {each.key: each for each in table.rows}
             case _:
                 return False
+        key = rows[KEY_ROW].value if KEY_ROW in rows else await self._create_key()
+        if key is None:
+            return False
+        for each in rows.values():
+            self._add(each)
         self._peers.key = key
         self._greet(all_data_centres=True)
         return True
@@ -96,7 +97,8 @@
             all_data_centres=all_data_centres,
         )
 
-    async def _fleet_key(self) -> bytes | None:
+    async def _create_key(self) -> bytes | None:
+        """Make the fleet's key; return that of another daemon if it came first."""
         created = secrets.token_bytes(KEY_BYTES)
         match await self._store.create_row(Table.DAEMONS, KEY_ROW, created):
             case Result(tag="ok"):
--- a/tests/test_fleet_joining.py
+++ b/tests/test_fleet_joining.py
@@ -26,6 +26,7 @@
 
     def __init__(self, *, failures=0):
         self.rows = {}
+        self.calls = []
         self.failures = failures
 
     def _fails(self):
@@ -33,6 +34,7 @@
         return self.failures >= 0
 
     async def create_row(self, table, key, value):
+        self.calls.append("create")
         if self._fails():
             return Error(StoreUnavailable("down"))
         if key in self.rows:
@@ -41,12 +43,14 @@
         return Ok(1)
 
     async def put_row(self, table, key, value):
+        self.calls.append("put")
         if self._fails():
             return Error(StoreUnavailable("down"))
         self.rows[key] = value
         return Ok(1)
 
     async def read_table(self, table):
+        self.calls.append("read")
         if self._fails():
             return Error(StoreUnavailable("down"))
         rows = tuple(StoreRow(key, value, 1) for key, value in self.rows.items())
@@ -96,6 +100,13 @@
     assert second_peers.sent == [(hello, True)]
 
 
+async def test_only_the_first_daemon_tries_to_make_the_key():
+    store = MemoryStore()
+    await joined(*joining(store, "vm-1"))
+    await joined(*joining(store, "vm-2"))
+    assert store.calls == ["put", "read", "create", "put", "read"]
+
+
 async def test_joining_is_tried_until_the_store_answers(monkeypatch):
     monkeypatch.setattr(fleet_joining, "MIN_RETRY_S", 0.01)
     store = MemoryStore(failures=5)
