Tell resets of idle connections from failing targets; log each repeat's account

Each reset made its target suspect and the second one failing, on top of the third that is gray at any time; the rest was full and refused.

Change: a reset on a used connection makes a target doubtful, never failing, and for 6 s requests to it open new connections; a gray target fails there too and is then found. Weighed: not to count such a reset at all (60% of requests use such a connection, so that most gray targets would cost a second request).

Each decision on a repeat now logs what it took for spent and allowed.

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -266,6 +266,13 @@
 ATTEMPT_FAILED = _event(
     513, "attempt-failed", Level.INFO, "One sending of a request to a target failed."
 )
+REPEAT_DECIDED = _event(
+    514,
+    "repeat-decided",
+    Level.INFO,
+    "A further sending of a request was allowed or not; `spent` and `allowed` are the"
+    " fleet's repeats in the window, as this daemon knows them.",
+)
 DATAGRAM_DROPPED = _event(
     810, "datagram-dropped", Level.WARNING, "A datagram was not from this fleet."
 )
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -44,7 +44,7 @@
 from dogwoodhook.state.fleet_load import FleetLoad
 from dogwoodhook.state.placement import Placement
 from dogwoodhook.state.suspicion import FailureReport, Suspicion
-from dogwoodhook.state.target_directory import TargetDirectory
+from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
 from dogwoodhook.transport.datagrams import DatagramPeers
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.gateway_listener import CallerListener, OperatorListener
@@ -136,7 +136,7 @@
                 self._load,
                 data_centre=settings.data_centre,
                 rng=rng,
-                has_idle_connection=self._connections.has_idle,
+                has_idle_connection=self._has_usable_connection,
                 has_joined_lately=lambda name, now_s: self._directory.has_joined_lately(
                     name, now_s=now_s
                 ),
@@ -275,6 +275,12 @@
             self._has_been_ready.set()
             self._readiness.update(None)
 
+    def _has_usable_connection(self, target: TargetEntry) -> bool:
+        now_s = self._clock.now_s()
+        return self._connections.has_idle(target) and self._suspicion.may_use_idle(
+            target.name, now_s=now_s
+        )
+
     def _receive(self, message: FleetMessage) -> None:
         match message:
             case TargetFailure():
--- a/dogwoodhook/state/fleet_budget.py
+++ b/dogwoodhook/state/fleet_budget.py
@@ -48,6 +48,14 @@
     peer_requests: dict[str, tuple[float, int]] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class Account:
+    """A service's repeats in the window: those spent, and those that may be."""
+
+    spent: int
+    allowed: float
+
+
 class FleetBudget:
     """Repeats of each service in the window, own and heard of.
 
@@ -104,6 +112,12 @@
         if was_repeated:
             spending.repeats_s.append(now_s)
 
+    def account(self, service: str, *, now_s: float) -> Account:
+        """Return what the fleet has spent and may spend, as known here."""
+        spending = self._spending(service, now_s)
+        allowed = SAFETY_SHARE * (self._extra + self._ratio * self._requests(spending))
+        return Account(len(spending.repeats_s), allowed)
+
     def try_take(
         self, service: str, *, daemons: int, now_s: float, is_race: bool = False
     ) -> bool:
@@ -112,8 +126,9 @@
         ``is_race`` tells that the first sending may still be answered.
         """
         spending = self._spending(service, now_s)
-        allowed = SAFETY_SHARE * (self._extra + self._ratio * self._requests(spending))
-        left = allowed - len(spending.repeats_s)
+        account = self.account(service, now_s=now_s)
+        allowed = account.allowed
+        left = allowed - account.spent
         if is_race:
             left -= RACE_RESERVE_SHARE * allowed
         if len(spending.own_repeats_s) >= self._own_limit(allowed / daemons, now_s):
--- a/dogwoodhook/state/suspicion.py
+++ b/dogwoodhook/state/suspicion.py
@@ -14,6 +14,11 @@
 takes one failure back, so that a target that fails now and then is soon sound again
 and one that fails most requests is not.
 
+A reset on a connection that had been idle may mean that the target, or something on
+the way, forgot idle connections. It makes the target doubtful as well, but no number of
+such resets makes it failing, and until later all requests to it open new connections.
+A gray target fails there too, and is then found out.
+
 Slow is not failing. Under load all targets are slow, and to treat them alike would
 hide the ones that fail; a slow target costs as much as some requests in flight.
 
@@ -48,6 +53,9 @@
 """Time for which a target that refused a request counts as slow: about the work of
 one request, after which a slot is free."""
 
+IDLE_DISTRUST_S = 6.0
+"""Time for which no idle connection to a target is used after one of them was reset."""
+
 AGREEMENT_S = 3.0
 """Time within which failures seen by several daemons speak together."""
 
@@ -86,12 +94,14 @@
     """How a target failed a request.
 
     ``RESET``: it broke the connection, or answered with anything but an answer
-    to the request. ``ERROR``: it answered with a server error. ``OVERDUE``: no
-    answer after a time in which nearly all come. ``SILENT``: none until the
-    deadline. ``UNREACHABLE``: no connection. ``BUSY``: it refused the request.
+    to the request. ``IDLE_RESET``: it broke a connection that had been idle.
+    ``ERROR``: it answered with a server error. ``OVERDUE``: no answer after a time
+    in which nearly all come. ``SILENT``: none until the deadline.
+    ``UNREACHABLE``: no connection. ``BUSY``: it refused the request.
     """
 
     RESET = "reset"
+    IDLE_RESET = "idle-reset"
     ERROR = "error"
     OVERDUE = "overdue"
     SILENT = "silent"
@@ -141,6 +151,7 @@
     avoided_until_s: float = 0.0
     tried_from_s: float = 0.0
     slow_until_s: float = 0.0
+    idle_distrusted_until_s: float = 0.0
     failed_s: float = float("-inf")
     succeeded_s: float = float("-inf")
     path_hold_s: float = PATH_HOLD_S
@@ -172,6 +183,11 @@
             return Avoidance(standing, suspect.failures)
         return _SLOW if now_s < suspect.slow_until_s else _SOUND
 
+    def may_use_idle(self, target: str, *, now_s: float) -> bool:
+        """Tell whether idle connections to a target may be used."""
+        suspect = self._suspects.get(target)
+        return suspect is None or now_s >= suspect.idle_distrusted_until_s
+
     def record_success(self, target: str, *, sent_s: float, now_s: float) -> bool:
         """Note an answer; tell whether others should know of it.
 
@@ -203,7 +219,7 @@
             self._hold_path(suspect, symptom, now_s)
             suspect.path_hold_s = min(MAX_PATH_HOLD_S, suspect.path_hold_s * 2)
         elif self._is_convincing(suspect, report, now_s):
-            self._hold(suspect, now_s)
+            self._hold(suspect, symptom, now_s)
 
     def absorb(self, report: FailureReport, *, now_s: float) -> bool:
         """Take another daemon's report; tell whether it made a new suspect."""
@@ -219,7 +235,7 @@
         if report.symptom in _PATH_SYMPTOMS:
             self._hold_path(suspect, report.symptom, now_s)
         else:
-            self._hold(suspect, now_s)
+            self._hold(suspect, report.symptom, now_s)
         return before.standing is Standing.SOUND
 
     def _suspect(self, target: str) -> _Suspect:
@@ -233,7 +249,7 @@
         self, suspect: _Suspect, report: FailureReport, now_s: float
     ) -> bool:
         match report.symptom:
-            case Symptom.RESET:
+            case Symptom.RESET | Symptom.IDLE_RESET:
                 return True
             case Symptom.ERROR:
                 return self._errors(suspect, now_s) >= ERRORS_TO_SUSPECT
@@ -271,8 +287,11 @@
     def _is_doubtful(self, reporter: str) -> bool:
         return len(self._failed_by_reporter[reporter]) >= DOUBT_TARGETS
 
-    def _hold(self, suspect: _Suspect, now_s: float) -> None:
-        self._count(suspect, 1, now_s)
+    def _hold(self, suspect: _Suspect, symptom: Symptom, now_s: float) -> None:
+        if symptom is Symptom.IDLE_RESET:
+            suspect.idle_distrusted_until_s = now_s + IDLE_DISTRUST_S
+        if symptom is not Symptom.IDLE_RESET or not suspect.failures:
+            self._count(suspect, 1, now_s)
         spread_s = self._rng.uniform(0, HOLD_SPREAD_S)
         suspect.avoid(
             until_s=now_s + HOLD_S + spread_s,
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -210,7 +210,9 @@
     detail = f"{type(error).__name__} on a {connection} connection: {error}"
     if not trace.is_connected:
         return NotRunThere(detail, Symptom.UNREACHABLE, has_arrived=False)
-    if trace.is_reused and isinstance(error, aiohttp.ServerDisconnectedError):
+    if not trace.is_reused:
+        return MayHaveRun(detail, Symptom.RESET)
+    if isinstance(error, aiohttp.ServerDisconnectedError):
         # An idle connection's closing may have crossed the request.
         return MayHaveRun(detail, None)
-    return MayHaveRun(detail, Symptom.RESET)
+    return MayHaveRun(detail, Symptom.IDLE_RESET)
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -16,6 +16,7 @@
 from dogwoodhook.coordination.fleet_messages import TargetFailure, TargetSuccess
 from dogwoodhook.events import (
     ATTEMPT_FAILED,
+    REPEAT_DECIDED,
     REQUEST_ANSWERED,
     REQUEST_REFUSED,
     REQUEST_UNANSWERED,
@@ -329,6 +330,7 @@
             timeout_s=remaining_s,
             connect_timeout_s=CONNECT_TIMEOUT_S * 2**routed.unreachable,
         )
+        may_use_idle = fleet.suspicion.may_use_idle(target.name, now_s=now_s)
         trace = AttemptTrace()
         loop = asyncio.get_running_loop()
         overdue = loop.call_later(overdue_s, self._note_overdue, routed, target)
@@ -337,7 +339,11 @@
         fleet.connections.record_use(target)
         try:
             result = await attempt(
-                fleet.connections.session, target, sending, self._dialect, trace
+                fleet.connections.session(may_use_idle=may_use_idle),
+                target,
+                sending,
+                self._dialect,
+                trace,
             )
         finally:
             routed.target_s += self._clock.now_s() - now_s
@@ -345,7 +351,8 @@
             fleet.tell_load()
             overdue.cancel()
         if isinstance(result, WholeAnswer):
-            fleet.connections.record_idle(target)
+            if may_use_idle:
+                fleet.connections.record_idle(target)
             latency_s = self._clock.now_s() - now_s
             typical.record(latency_s)
             is_late = latency_s >= overdue_s
@@ -388,15 +395,27 @@
 
     def _take_repeat(self, routed: RoutedRequest, *, is_race: bool = False) -> bool:
         """Draw on the fleet's budget for one more sending."""
-        if not self._fleet.budget.try_take(
+        budget = self._fleet.budget
+        now_s = self._clock.now_s()
+        account = budget.account(routed.service, now_s=now_s)
+        is_allowed = budget.try_take(
             routed.service,
             daemons=self._fleet.count_daemons(),
-            now_s=self._clock.now_s(),
+            now_s=now_s,
             is_race=is_race,
-        ):
-            return False
-        self._tell(routed, routed.last_target, None, was_repeated=True)
-        return True
+        )
+        log(
+            REPEAT_DECIDED,
+            request=routed.request_id,
+            service=routed.service,
+            is_allowed=is_allowed,
+            is_race=is_race,
+            spent=account.spent,
+            allowed=round(account.allowed, 1),
+        )
+        if is_allowed:
+            self._tell(routed, routed.last_target, None, was_repeated=True)
+        return is_allowed
 
     def _tell(
         self,
--- a/dogwoodhook/transport/target_connections.py
+++ b/dogwoodhook/transport/target_connections.py
@@ -1,7 +1,8 @@
 """Connections to targets, used again by any request while they are fresh.
 
 A target closes idle connections after a time; one that has been idle for almost
-that long is not used again, so that a request does not cross the closing.
+that long is not used again, so that a request does not cross the closing. Where a
+target's idle connections were reset, requests get connections of their own.
 """
 
 import aiohttp
@@ -24,11 +25,21 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._session: aiohttp.ClientSession | None = None
+        self._single_use: aiohttp.ClientSession | None = None
         self._idle_until_s: dict[str, float] = {}
 
-    @property
-    def session(self) -> aiohttp.ClientSession:
-        """Return the session for all attempts."""
+    def session(self, *, may_use_idle: bool) -> aiohttp.ClientSession:
+        """Return the session for an attempt, with a new connection if need be."""
+        if not may_use_idle:
+            if self._single_use is None:
+                self._single_use = make_session(
+                    aiohttp.TCPConnector(
+                        limit=0,
+                        limit_per_host=MAX_CONNECTIONS_PER_TARGET,
+                        force_close=True,
+                    )
+                )
+            return self._single_use
         if self._session is None:
             connector = QuietConnector(
                 limit=0,
@@ -52,5 +63,6 @@
 
     async def close(self) -> None:
         """Close every connection."""
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._session, self._single_use):
+            if session is not None:
+                await session.close()
--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -376,3 +376,12 @@
         "/post/1",
         "/read/1",
     ]
+
+
+async def test_after_a_reset_of_an_idle_connection_requests_get_new_ones(platform):
+    target = await start(platform, behave.answer, behave.reset, behave.answer)
+    replies = [await platform.send(f"/post/{n}", data=b"x") for n in range(5)]
+    assert [each.status for each in replies] == [200, 502, 200, 200, 200]
+    first, reset, *later = [each.connection for each in target.received]
+    assert first == reset
+    assert len({reset, *later}) == 4
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -8,6 +8,7 @@
     DOUBT_TARGETS,
     HOLD_S,
     HOLD_SPREAD_S,
+    IDLE_DISTRUST_S,
     MAX_SUSPECTS,
     MEMORY_S,
     OWN_SUCCESS_S,
@@ -164,3 +165,28 @@
         assert standing(suspicion, now_s=0.4, target=target) is Standing.SOUND
     suspicion.absorb(report(Symptom.RESET), now_s=0.1)
     assert standing(suspicion, now_s=0.1) is Standing.DOUBTFUL
+
+
+def test_resets_of_idle_connections_alone_make_no_target_failing(suspicion):
+    for now_s in (0.0, 0.1, 0.2):
+        suspicion.absorb(report(Symptom.IDLE_RESET), now_s=now_s)
+    assert standing(suspicion, now_s=0.3) is Standing.DOUBTFUL
+    suspicion.absorb(report(Symptom.RESET), now_s=0.3)
+    assert standing(suspicion, now_s=0.4) is Standing.FAILING
+
+
+def test_after_a_reset_of_an_idle_connection_none_is_used_for_a_while(suspicion):
+    assert suspicion.may_use_idle("t1", now_s=0.0)
+    suspicion.record_failure("t1", Symptom.IDLE_RESET, now_s=0.0)
+    suspicion.record_success("t1", sent_s=0.1, now_s=0.2)
+    assert not suspicion.may_use_idle("t1", now_s=IDLE_DISTRUST_S - 0.1)
+    assert suspicion.may_use_idle("t1", now_s=IDLE_DISTRUST_S)
+    assert suspicion.may_use_idle("t2", now_s=0.1)
+
+
+def test_a_sound_target_with_forgotten_idle_connections_is_used_again_at_once(
+    suspicion,
+):
+    suspicion.absorb(report(Symptom.IDLE_RESET), now_s=0.0)
+    suspicion.record_success("t1", sent_s=0.1, now_s=0.2)
+    assert standing(suspicion, now_s=0.3) is Standing.SOUND
