Halve the messages of a fleet whose targets are full

All daemons alike, so neither cuts nor slow VMs: some 1,500 datagrams a second came to each, and a quarter was lost.

Change: repeats and successes go to one daemon of another data centre, not two; load reports come half as often; the receive buffer is 1 MiB; a relayed message is known by its daemon and a running number, so that draws of several daemons cannot collide.

--- a/dogwoodhook/coordination/load_sharing.py
+++ b/dogwoodhook/coordination/load_sharing.py
@@ -6,9 +6,9 @@
 from dogwoodhook.coordination.fleet_messages import LoadReport
 from dogwoodhook.state.fleet_load import FleetLoad
 
-INTERVAL_S_PER_NEIGHBOUR = 0.002
+INTERVAL_S_PER_NEIGHBOUR = 0.004
 """Least time between two reports for each neighbour that hears them, so that all
-reports of a large data centre cost each of its daemons a bounded part of a core: 500
+reports of a large data centre cost each of its daemons a bounded part of a core: 250
 datagrams a second."""
 
 
--- a/dogwoodhook/state/relays.py
+++ b/dogwoodhook/state/relays.py
@@ -8,17 +8,24 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 RELAYS = 2
 """Daemons of another data centre that get a message: one may be gone or frozen."""
 
+FEW_RELAYS = 1
+"""The same for a message that is one of many and may be missed now and then."""
+
 MAX_SEEN = 4096
 """Numbers of messages remembered; at hundreds a second, those of some ten seconds."""
 
 
 def choose_relays(
-    daemons: Mapping[str, Sequence[str]], *, own: str, rng: random.Random
+    daemons: Mapping[str, Sequence[str]],
+    *,
+    own: str,
+    rng: random.Random,
+    relays: int = RELAYS,
 ) -> list[str]:
     """Return the daemons that hand a message on, given those of each data centre.
 
@@ -30,30 +37,26 @@
         relay
         for data_centre, names in daemons.items()
         if data_centre != own
-        for relay in _sample(names, rng)
+        for relay in rng.sample(names, min(relays, len(names)))
     ]
 
 
-def _sample(names: Sequence[str], rng: random.Random) -> Iterable[str]:
-    return rng.sample(names, min(RELAYS, len(names)))
-
-
 class SeenMessages:
-    """Numbers of the messages that were received, the latest ones.
+    """The messages that were received, the latest ones.
 
     >>> seen = SeenMessages()
-    >>> seen.add(7), seen.add(7)
-    (True, False)
+    >>> seen.add("vm-1", 7), seen.add("vm-1", 7), seen.add("vm-2", 7)
+    (True, False, True)
     """
 
     def __init__(self) -> None:
-        self._numbers: OrderedDict[int, None] = OrderedDict()
+        self._messages: OrderedDict[tuple[str, int], None] = OrderedDict()
 
-    def add(self, number: int) -> bool:
-        """Note a message; tell whether it is new."""
-        if number in self._numbers:
+    def add(self, daemon: str, number: int) -> bool:
+        """Note a daemon's message; tell whether it is new."""
+        if (daemon, number) in self._messages:
             return False
-        self._numbers[number] = None
-        if len(self._numbers) > MAX_SEEN:
-            self._numbers.popitem(last=False)
+        self._messages[daemon, number] = None
+        if len(self._messages) > MAX_SEEN:
+            self._messages.popitem(last=False)
         return True
--- a/dogwoodhook/transport/datagrams.py
+++ b/dogwoodhook/transport/datagrams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -24,11 +25,20 @@
     REMOTE_SILENCE_S,
     PeerLiveness,
 )
-from dogwoodhook.state.relays import SeenMessages, choose_relays
+from dogwoodhook.state.relays import (
+    FEW_RELAYS,
+    RELAYS,
+    SeenMessages,
+    choose_relays,
+)
 from dogwoodhook.vm_settings import Address
 
 NUMBER_BITS = 62
-"""Size of a relayed message's number; it is drawn, and so never the same twice."""
+"""Size of the number of a daemon's first relayed message."""
+
+RECEIVE_BUFFER_BYTES = 1024 * 1024
+"""Datagrams that may wait: a thousand a second come while targets shed, and a stalled
+daemon must not lose what it needs for the fleet's budget."""
 
 Receiver = Callable[[FleetMessage], None]
 
@@ -66,6 +76,8 @@
         self._rng = rng
         self._liveness = PeerLiveness()
         self._seen = SeenMessages()
+        # Drawn, so that a daemon's numbers after a restart are others than before.
+        self._number = rng.getrandbits(NUMBER_BITS)
         self._daemon = daemon
         self._data_centre = data_centre
         self._peers: dict[str, Peer] = {}
@@ -82,6 +94,9 @@
         """Keep the socket."""
         # The event loop's class does not derive from DatagramTransport.
         self._transport = cast("asyncio.DatagramTransport", transport)
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
 
     def close(self) -> None:
         """Close the socket."""
@@ -110,9 +125,16 @@
         by_data_centre: defaultdict[str, list[str]] = defaultdict(list)
         for peer in live:
             by_data_centre[peer.data_centre].append(peer.daemon)
-        relays = choose_relays(by_data_centre, own=self._data_centre, rng=self._rng)
-        number = self._rng.getrandbits(NUMBER_BITS)
-        relayed = Relayed(self._daemon, number, is_first_hop=True, content=message)
+        relays = choose_relays(
+            by_data_centre,
+            own=self._data_centre,
+            rng=self._rng,
+            relays=RELAYS if _names_failure(message) else FEW_RELAYS,
+        )
+        self._number += 1
+        relayed = Relayed(
+            self._daemon, self._number, is_first_hop=True, content=message
+        )
         self._send(relayed, [self._peers[name] for name in relays])
 
     def tell_neighbours(self, message: FleetMessage) -> None:
@@ -167,7 +189,7 @@
                 self.add(_peer_of(message))
                 self._receive(message)
             case Relayed(number=number, content=content):
-                if not self._seen.add(number):
+                if not self._seen.add(message.daemon, number):
                     return
                 if message.is_first_hop:
                     self.tell_neighbours(replace(message, is_first_hop=False))
@@ -179,5 +201,9 @@
         """Ignore a peer that is gone: datagrams are safe to lose."""
 
 
+def _names_failure(message: TargetFailure | TargetSuccess) -> bool:
+    return isinstance(message, TargetFailure) and message.symptom is not None
+
+
 def _peer_of(hello: DaemonHello) -> Peer:
     return Peer(hello.daemon, hello.data_centre, Address(hello.host, hello.port))
