Tell of the budget's spending as sums, not event by event

Change: each failure and each repeat carries the daemon's repeats in the window, beside its requests; the next message makes up for a lost one. A restarted daemon counts as another one, so that what it spent before stays counted.

--- a/dogwoodhook/coordination/fleet_messages.py
+++ b/dogwoodhook/coordination/fleet_messages.py
@@ -26,16 +26,18 @@
 class TargetFailure:
     """A request failed at a target, or is sent a second time, or both.
 
-    ``was_repeated`` draws on the fleet's budget for the service, to which the
-    daemon's ``requests`` in the budget's window add.
+    ``symptom`` is ``None`` for a second sending alone. ``requests`` and ``repeats``
+    are the daemon's own for the service in the budget's window, which replace those
+    it told of before; ``run`` is another one after a restart.
     """
 
     daemon: str
+    run: int
     service: str
     target: str
     symptom: Symptom | None
-    was_repeated: bool
     requests: int = 0
+    repeats: int = 0
     kind: Literal["failure"] = "failure"
 
 
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -299,9 +299,9 @@
         now_s = self._clock.now_s()
         self._budget.hear(
             failure.service,
-            daemon=failure.daemon,
+            run=(failure.daemon, failure.run),
             requests=failure.requests,
-            was_repeated=failure.was_repeated,
+            repeats=failure.repeats,
             now_s=now_s,
         )
         if failure.symptom is None:
--- a/dogwoodhook/state/fleet_budget.py
+++ b/dogwoodhook/state/fleet_budget.py
@@ -1,10 +1,10 @@
 """The fleet's budget for sending requests a second time.
 
 Over any window, a service may get a share of its requests plus a fixed number a
-second time, summed over all daemons. Each daemon tells the others of each repeat,
-and with it of its requests in the window, so all know the sums well enough. Those
-that spend at the same moment have not heard of one another, so the last ones are
-drawn for.
+second time, summed over all daemons. With each repeat and each failure a daemon tells
+the others of its repeats and requests in the window, so all know the sums well enough,
+and the next message makes up for one that was lost. Those that spend at the same
+moment have not heard of one another, so the last ones are drawn for.
 
 Load that this answers: targets that refuse or break off a good part of all requests.
 What was not run anywhere would be lost without a repeat; an overdue request may still
@@ -15,6 +15,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+DaemonRun = tuple[str, int]
+"""A daemon's name, and a number that is another one after a restart."""
+
 SAFETY_SHARE = 0.8
 """Share of the budget that is spent; the rest covers reports that were lost or
 are on their way."""
@@ -40,12 +43,20 @@
 """Share of the budget that is left to requests that no target has run."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Told:
+    """What a run of another daemon told last."""
+
+    at_s: float
+    requests: int
+    repeats: int
+
+
 @dataclass(slots=True)
 class _Spending:
     requests_s: deque[float] = field(default_factory=deque)
     repeats_s: deque[float] = field(default_factory=deque)
-    own_repeats_s: deque[float] = field(default_factory=deque)
-    peer_requests: dict[str, tuple[float, int]] = field(default_factory=dict)
+    told: dict[DaemonRun, _Told] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,26 +108,28 @@
         """Return the callers' requests at this daemon in the window."""
         return len(self._spending(service, now_s).requests_s)
 
+    def own_repeats(self, service: str, *, now_s: float) -> int:
+        """Return this daemon's repeats in the window."""
+        return len(self._spending(service, now_s).repeats_s)
+
     def hear(
         self,
         service: str,
         *,
-        daemon: str,
+        run: DaemonRun,
         requests: int,
-        was_repeated: bool,
+        repeats: int,
         now_s: float,
     ) -> None:
-        """Take another daemon's requests in the window, and a repeat of one."""
-        spending = self._spending(service, now_s)
-        spending.peer_requests[daemon] = (now_s, requests)
-        if was_repeated:
-            spending.repeats_s.append(now_s)
+        """Take another daemon's requests and repeats in the window."""
+        self._spending(service, now_s).told[run] = _Told(now_s, requests, repeats)
 
     def account(self, service: str, *, now_s: float) -> Account:
         """Return what the fleet has spent and may spend, as known here."""
         spending = self._spending(service, now_s)
         allowed = SAFETY_SHARE * (self._extra + self._ratio * self._requests(spending))
-        return Account(len(spending.repeats_s), allowed)
+        told = sum(each.repeats for each in spending.told.values())
+        return Account(len(spending.repeats_s) + told, allowed)
 
     def try_take(
         self, service: str, *, daemons: int, now_s: float, is_race: bool = False
@@ -131,13 +144,12 @@
         left = allowed - account.spent
         if is_race:
             left -= RACE_RESERVE_SHARE * allowed
-        if len(spending.own_repeats_s) >= self._own_limit(allowed / daemons, now_s):
+        if len(spending.repeats_s) >= self._own_limit(allowed / daemons, now_s):
             return False
         concurrent = max(1.0, CONCURRENT_SHARE * daemons)
         if left < 1 or self._rng.random() * concurrent >= left:
             return False
         spending.repeats_s.append(now_s)
-        spending.own_repeats_s.append(now_s)
         return True
 
     def _own_limit(self, equal_share: float, now_s: float) -> float:
@@ -147,25 +159,23 @@
         return max(MIN_OWN_REPEATS, OWN_SHARE_FACTOR * equal_share)
 
     def room_in_s(self, service: str, *, now_s: float) -> float:
-        """Return the time until the oldest repeat leaves the window."""
-        repeats_s = self._spending(service, now_s).repeats_s
-        return repeats_s[0] + self._window_s - now_s if repeats_s else 0.0
+        """Return the time until the oldest repeat, own or told, leaves the window."""
+        spending = self._spending(service, now_s)
+        spent_s = [each.at_s for each in spending.told.values() if each.repeats]
+        oldest_s = min([*spending.repeats_s, *spent_s], default=now_s - self._window_s)
+        return oldest_s + self._window_s - now_s
 
     def _requests(self, spending: _Spending) -> int:
-        told = sum(requests for _, requests in spending.peer_requests.values())
+        told = sum(each.requests for each in spending.told.values())
         return len(spending.requests_s) + told
 
     def _spending(self, service: str, now_s: float) -> _Spending:
         spending = self._services.setdefault(service, _Spending())
         oldest_s = now_s - self._window_s
-        for times_s in (
-            spending.requests_s,
-            spending.repeats_s,
-            spending.own_repeats_s,
-        ):
+        for times_s in (spending.requests_s, spending.repeats_s):
             while times_s and times_s[0] < oldest_s:
                 times_s.popleft()
-        told = spending.peer_requests
-        for daemon in [each for each, (at_s, _) in told.items() if at_s < oldest_s]:
-            del told[daemon]
+        old = [run for run, each in spending.told.items() if each.at_s < oldest_s]
+        for run in old:
+            del spending.told[run]
         return spending
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -69,6 +69,9 @@
 MAX_REFUSALS = 8
 """Targets that may refuse a request before the caller is told."""
 
+RUN_NUMBER_BITS = 32
+"""Size of the drawn number that tells runs of one daemon apart."""
+
 CONNECT_TIMEOUT_S = 0.3
 """Deadline for a request's first new connection: several round trips between data
 centres. It doubles with each target that was not reached, since several at once say
@@ -100,6 +103,7 @@
         self._own_answers = OwnAnswers(dialect, rng)
         self._clock = clock
         self._daemon = daemon
+        self._run_number = rng.getrandbits(RUN_NUMBER_BITS)
         self._rng = rng
         self._typical: defaultdict[str, TypicalLatency] = defaultdict(TypicalLatency)
 
@@ -414,7 +418,7 @@
             allowed=round(account.allowed, 1),
         )
         if is_allowed:
-            self._tell(routed, routed.last_target, None, was_repeated=True)
+            self._tell(routed, routed.last_target, None)
         return is_allowed
 
     def _tell(
@@ -422,8 +426,6 @@
         routed: RoutedRequest,
         target: str,
         symptom: Symptom | None,
-        *,
-        was_repeated: bool,
     ) -> None:
         now_s = self._clock.now_s()
         # A busy target is avoided for less time than the news takes to matter afar.
@@ -432,11 +434,12 @@
         tell(
             TargetFailure(
                 daemon=self._daemon,
+                run=self._run_number,
                 service=routed.service,
                 target=target,
                 symptom=symptom,
-                was_repeated=was_repeated,
                 requests=self._fleet.budget.own_requests(routed.service, now_s=now_s),
+                repeats=self._fleet.budget.own_repeats(routed.service, now_s=now_s),
             )
         )
 
@@ -447,7 +450,7 @@
         self._fleet.suspicion.record_failure(
             target.name, symptom, now_s=self._clock.now_s()
         )
-        self._tell(routed, target.name, symptom, was_repeated=False)
+        self._tell(routed, target.name, symptom)
 
     def _deliver(
         self, routed: RoutedRequest, target: str, answer: WholeAnswer
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -18,7 +18,7 @@
 from dogwoodhook.vm_settings import Address
 from tests.exchanges import until
 
-FAILURE = TargetFailure("vm-1", "payouts", "t1", Symptom.RESET, was_repeated=True)
+FAILURE = TargetFailure("vm-1", 7, "payouts", "t1", Symptom.RESET, repeats=1)
 
 
 def make_peers(receive, clock, daemon, data_centre):
