--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -13,10 +13,8 @@
 from aiohttp import web
 
 from dogwoodhook.clock import Clock
-from dogwoodhook.coordination.fleet_messages import TargetFailure, TargetSuccess
 from dogwoodhook.events import (
     ATTEMPT_FAILED,
-    REPEAT_DECIDED,
     REQUEST_ANSWERED,
     REQUEST_REFUSED,
     REQUEST_UNANSWERED,
@@ -47,6 +45,7 @@
     attempt,
 )
 from dogwoodhook.transport.bodies import read_prelude
+from dogwoodhook.transport.fleet_reports import FleetReports
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.own_answers import UNAVAILABLE_STATUS, OwnAnswers
 from dogwoodhook.transport.pipelining import PipelinedRequest
@@ -69,9 +68,6 @@
 MAX_REFUSALS = 8
 """Targets that may refuse a request before the caller is told."""
 
-RUN_NUMBER_BITS = 32
-"""Size of the drawn number that tells runs of one daemon apart."""
-
 CONNECT_TIMEOUT_S = 0.3
 """Deadline for a request's first new connection: several round trips between data
 centres. It doubles with each target that was not reached, since several at once say
@@ -102,8 +98,7 @@
         self._dialect = dialect
         self._own_answers = OwnAnswers(dialect, rng)
         self._clock = clock
-        self._daemon = daemon
-        self._run_number = rng.getrandbits(RUN_NUMBER_BITS)
+        self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
         self._rng = rng
         self._typical: defaultdict[str, TypicalLatency] = defaultdict(TypicalLatency)
 
@@ -246,7 +241,11 @@
             return None
         if not candidate.has_free_slot:
             return None
-        return candidate.target if self._take_repeat(routed, is_race=True) else None
+        return (
+            candidate.target
+            if self._reports.take_repeat(routed, is_race=True)
+            else None
+        )
 
     def _choose(self, routed: RoutedRequest) -> Candidate | None:
         now_s = self._clock.now_s()
@@ -361,14 +360,11 @@
             typical.record(latency_s)
             is_late = latency_s >= overdue_s
             if result.status < SERVER_ERROR_STATUS and not is_late:
-                if fleet.suspicion.record_success(
-                    target.name, sent_s=now_s, now_s=self._clock.now_s()
-                ):
-                    fleet.tell(TargetSuccess(self._daemon, target.name))
+                self._reports.report_success(target.name, sent_s=now_s)
         return result
 
     def _note_overdue(self, routed: RoutedRequest, target: TargetEntry) -> None:
-        self._report(routed, target, Symptom.OVERDUE)
+        self._reports.report_failure(routed, target.name, Symptom.OVERDUE)
 
     def _fail(
         self,
@@ -379,7 +375,7 @@
     ) -> None:
         """Note a failed attempt, and tell the others of it."""
         if symptom is not None:
-            self._report(routed, target, symptom)
+            self._reports.report_failure(routed, target.name, symptom)
         fields = routed.log_fields(now_s=self._clock.now_s())
         log(ATTEMPT_FAILED, **{**fields, "target": target.name}, detail=detail)
 
@@ -395,62 +391,7 @@
             return False
         if routed.runs >= routed.route.max_targets:
             return False
-        return not routed.arrivals or self._take_repeat(routed)
-
-    def _take_repeat(self, routed: RoutedRequest, *, is_race: bool = False) -> bool:
-        """Draw on the fleet's budget for one more sending."""
-        budget = self._fleet.budget
-        now_s = self._clock.now_s()
-        account = budget.account(routed.service, now_s=now_s)
-        is_allowed = budget.try_take(
-            routed.service,
-            daemons=self._fleet.count_daemons(),
-            now_s=now_s,
-            is_race=is_race,
-        )
-        log(
-            REPEAT_DECIDED,
-            request=routed.request_id,
-            service=routed.service,
-            is_allowed=is_allowed,
-            is_race=is_race,
-            spent=account.spent,
-            allowed=round(account.allowed, 1),
-        )
-        if is_allowed:
-            self._tell(routed, routed.last_target, None)
-        return is_allowed
-
-    def _tell(
-        self,
-        routed: RoutedRequest,
-        target: str,
-        symptom: Symptom | None,
-    ) -> None:
-        now_s = self._clock.now_s()
-        # A busy target is avoided for less time than the news takes to matter afar.
-        is_local = symptom is Symptom.BUSY
-        tell = self._fleet.tell_neighbours if is_local else self._fleet.tell
-        tell(
-            TargetFailure(
-                daemon=self._daemon,
-                run=self._run_number,
-                service=routed.service,
-                target=target,
-                symptom=symptom,
-                requests=self._fleet.budget.own_requests(routed.service, now_s=now_s),
-                repeats=self._fleet.budget.own_repeats(routed.service, now_s=now_s),
-            )
-        )
-
-    def _report(
-        self, routed: RoutedRequest, target: TargetEntry, symptom: Symptom
-    ) -> None:
-        """Avoid a target that failed, and tell the others of it."""
-        self._fleet.suspicion.record_failure(
-            target.name, symptom, now_s=self._clock.now_s()
-        )
-        self._tell(routed, target.name, symptom)
+        return not routed.arrivals or self._reports.take_repeat(routed)
 
     def _deliver(
         self, routed: RoutedRequest, target: str, answer: WholeAnswer
