--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -25,8 +25,12 @@
 
 
 def local(text):
-    """Put addresses of this machine into a settings file."""
-    text = text.replace("10.1.0.15", "127.0.0.1").replace("10.200.1.7", "127.0.0.1")
+    """Put addresses of this machine into a settings file.
+
+    The metrics' port is fixed, so test runs at the same time need other addresses.
+    """
+    own = f"127.{1 + os.getpid() % 200}.{os.getpid() // 200 % 200}.1"
+    text = text.replace("10.1.0.15", own).replace("10.200.1.7", "127.0.0.1")
     for port in ("8641", "8640", "7620", "8642"):
         text = text.replace(port, str(free_port()))
     return text
