--- /dev/null
+++ b/dogwoodhook/coordination/target_following.py
@@ -0,0 +1,204 @@
+"""Following the list of targets in the platform's store.
+
+Each daemon either reads the store for its data centre or listens to the daemon
+that does (see ``state.reader_duty``). A reading that does not connect to what a
+daemon knows makes it read for itself.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from expression import Result
+
+from dogwoodhook.clock import Clock
+from dogwoodhook.coordination.fleet_links import FleetLinks
+from dogwoodhook.coordination.fleet_messages import StoreReading
+from dogwoodhook.coordination.store import Store, Table, TableRows
+from dogwoodhook.coordination.store_availability import StoreAvailability
+from dogwoodhook.coordination.store_reading import RowDecoder, read_newer, wait_for
+from dogwoodhook.events import TARGET_CHANGED, log
+from dogwoodhook.state.reader_duty import rank_of, silence_limit_s
+from dogwoodhook.state.target_directory import (
+    TargetChange,
+    TargetDirectory,
+    TargetEntry,
+)
+
+MAX_CATCH_UP_S = 2.0
+"""Age of what a daemon knows above which it reads the whole table: the changes since
+hold every heartbeat of every target, and outgrow the table in one interval of them.
+A slow VM cannot read ten seconds of them within the deadline of a call."""
+
+MAX_CHANGES_PER_READING = 5
+"""Changes that fit a datagram."""
+
+MAX_CHANGES_TOLD = 60
+"""Changes at once beyond which the others read for themselves: to tell 45 of them
+of more takes over half a second of a slow VM's link of 10 Mbit/s."""
+
+
+class TargetFollower:
+    """Keeps the directory of targets up to date."""
+
+    def __init__(
+        self,
+        store: Store,
+        directory: TargetDirectory,
+        decoder: RowDecoder,
+        links: FleetLinks,
+        clock: Clock,
+        *,
+        daemon: str,
+        configuration_row: Callable[[], int],
+    ) -> None:
+        self._store = store
+        self._directory = directory
+        self._decoder = decoder
+        self._links = links
+        self._clock = clock
+        self._daemon = daemon
+        self._configuration_row = configuration_row
+        self._availability = StoreAvailability()
+        self._rng = random.Random(daemon)
+        self._read_s = float("-inf")
+        self._heard_s = float("-inf")
+        self._must_read = asyncio.Event()
+
+    @property
+    def is_reader(self) -> bool:
+        """Tell whether this daemon reads the store, which answers it, for others."""
+        if self._availability.failed_since_s is not None:
+            return False
+        rank = self._rank()
+        return rank == 0 or self._clock.now_s() - self._heard_s > silence_limit_s(rank)
+
+    async def run(self) -> None:
+        """Read when it is due, until cancelled."""
+        while True:
+            pause_s = self._pause_s()
+            if pause_s > 0 and not self._must_read.is_set():
+                await wait_for(self._must_read, pause_s)
+                continue
+            others_know = self._must_read.is_set() and self._rank() > 0
+            self._must_read.clear()
+            if not await self._read(is_told=not others_know):
+                spread = self._rng.uniform(0.7, 1.3)
+                await wait_for(self._must_read, self._availability.retry_s * spread)
+
+    def hear(self, reading: StoreReading) -> None:
+        """Take another daemon's reading."""
+        now_s = self._clock.now_s()
+        version = reading.version
+        if reading.after_version > self._directory.version:
+            # The changes hold although others before them were missed.
+            version = self._directory.version
+            self._must_read.set()
+        else:
+            self._heard_s = now_s
+        applied = self._directory.apply(
+            reading.changes,
+            version=version,
+            now_s=now_s,
+            removal_hold_s=reading.removal_hold_s,
+        )
+        _log_changes(applied, source=reading.daemon, version=reading.version)
+
+    def _rank(self) -> int:
+        return rank_of(self._daemon, self._links.neighbours())
+
+    def _pause_s(self) -> float:
+        rank = self._rank()
+        latest_s = self._read_s if rank == 0 else max(self._read_s, self._heard_s)
+        return latest_s + silence_limit_s(rank) - self._clock.now_s()
+
+    async def _read(self, *, is_told: bool) -> bool:
+        """Read what is new, and tell the others unless they know it."""
+        started_s = self._clock.now_s()
+        before = self._directory.version
+        age_s = started_s - max(self._read_s, self._heard_s)
+        if age_s > MAX_CATCH_UP_S:
+            result = await self._store.read_table(Table.TARGETS)
+        else:
+            result = await read_newer(self._store, Table.TARGETS, after_version=before)
+        now_s = self._clock.now_s()
+        match result:
+            case Result(tag="ok", ok=rows):
+                self._availability.record_answer(heard_s=self._heard_s, now_s=now_s)
+                self._read_s = started_s
+                applied, hold_s = self._apply(rows, now_s)
+                if before and is_told:
+                    self._tell(applied, before, rows.version, hold_s)
+                return True
+            case Result(error=problem):
+                self._availability.record_failure(problem.detail, now_s=now_s)
+                return False
+
+    def _apply(
+        self, rows: TableRows, now_s: float
+    ) -> tuple[tuple[TargetChange, ...], float]:
+        """Apply rows; return what mattered, and how long removals wait."""
+        changes = [
+            TargetChange(row.key, row.version, self._decoder.target(row))
+            for row in rows.rows
+        ]
+        hold_s = self._availability.removal_hold_s(now_s=now_s)
+        apply = self._directory.replace_all if rows.is_whole else self._directory.apply
+        applied = apply(
+            changes, version=rows.version, now_s=now_s, removal_hold_s=hold_s
+        )
+        _log_changes(applied, source="store", version=rows.version)
+        return applied, hold_s
+
+    def _tell(
+        self,
+        applied: tuple[TargetChange, ...],
+        before: int,
+        version: int,
+        hold_s: float,
+    ) -> None:
+        """Send the changes in datagrams that follow on one another."""
+        if len(applied) > MAX_CHANGES_TOLD:
+            # Nobody knows this version yet, so everybody reads.
+            applied, before = (), version
+        ordered = sorted(applied, key=lambda change: change.version)
+        while True:
+            part, ordered = (
+                ordered[:MAX_CHANGES_PER_READING],
+                ordered[MAX_CHANGES_PER_READING:],
+            )
+            until = part[-1].version if ordered else version
+            self._links.tell_neighbours(
+                StoreReading(
+                    daemon=self._daemon,
+                    after_version=before,
+                    version=until,
+                    configuration_row=self._configuration_row(),
+                    removal_hold_s=hold_s,
+                    changes=tuple(part),
+                )
+            )
+            if not ordered:
+                return
+            before = until
+
+
+def _log_changes(
+    changes: tuple[TargetChange, ...], *, source: str, version: int
+) -> None:
+    for change in changes:
+        entry = change.entry
+        log(
+            TARGET_CHANGED,
+            target=change.name,
+            service=entry.service if entry else "",
+            state=_state_of(entry),
+            source=source,
+            version=version,
+        )
+
+
+def _state_of(entry: TargetEntry | None) -> str:
+    if entry is None:
+        return "removed"
+    return "draining" if entry.is_draining else "serving"
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from dogwoodhook.clock import Clock, SystemClock
+from dogwoodhook.coordination.configuration_following import ConfigurationFollower
 from dogwoodhook.coordination.fleet_messages import (
     FleetMessage,
     LoadReport,
@@ -21,11 +22,8 @@
 )
 from dogwoodhook.coordination.load_sharing import LoadSharing
 from dogwoodhook.coordination.store import Store
-from dogwoodhook.coordination.store_following import (
-    ConfigurationFollower,
-    RowDecoder,
-    TargetFollower,
-)
+from dogwoodhook.coordination.store_reading import RowDecoder
+from dogwoodhook.coordination.target_following import TargetFollower
 from dogwoodhook.events import (
     DAEMON_STARTED,
     DAEMON_STOPPED,
--- a/dogwoodhook/platform/rows.py
+++ b/dogwoodhook/platform/rows.py
@@ -18,7 +18,7 @@
 from pydantic.alias_generators import to_camel
 
 from dogwoodhook.coordination.store import StoreRow
-from dogwoodhook.coordination.store_following import RowDecoder
+from dogwoodhook.coordination.store_reading import RowDecoder
 from dogwoodhook.findings import Finding, FindingsError
 from dogwoodhook.platform.durations import parse_duration_s
 from dogwoodhook.platform.settings_file import parse_address
--- a/tests/test_reader_duty.py
+++ b/tests/test_reader_duty.py
@@ -1,6 +1,6 @@
 """Which daemon of a data centre reads the store."""
 
-from dogwoodhook.coordination.store_following import MAX_RETRY_S
+from dogwoodhook.coordination.store_availability import MAX_RETRY_S
 from dogwoodhook.platform.store_client import CALL_TIMEOUT_S
 from dogwoodhook.state.reader_duty import (
     MAX_RANKED,
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -8,11 +8,8 @@
 from dogwoodhook.clock import SystemClock
 from dogwoodhook.coordination.fleet_messages import StoreReading
 from dogwoodhook.coordination.store import StoreRow, StoreUnavailable, TableRows
-from dogwoodhook.coordination.store_following import (
-    MAX_CHANGES_TOLD,
-    RowDecoder,
-    TargetFollower,
-)
+from dogwoodhook.coordination.store_reading import RowDecoder
+from dogwoodhook.coordination.target_following import MAX_CHANGES_TOLD, TargetFollower
 from dogwoodhook.state.target_directory import (
     TargetChange,
     TargetDirectory,
@@ -111,7 +108,7 @@
 async def test_a_daemon_that_missed_a_reading_reads_and_tells_nobody(monkeypatch):
     ranks = {"vm-1": 3}
     monkeypatch.setattr(
-        "dogwoodhook.coordination.store_following.rank_of",
+        "dogwoodhook.coordination.target_following.rank_of",
         lambda daemon, daemons: ranks[daemon],
     )
     async with following("vm-1", "vm-9") as (store, links, directory, follower):
@@ -124,7 +121,7 @@
 
 async def test_what_a_neighbour_reads_is_believed_despite_a_gap(monkeypatch):
     monkeypatch.setattr(
-        "dogwoodhook.coordination.store_following.rank_of", lambda daemon, daemons: 3
+        "dogwoodhook.coordination.target_following.rank_of", lambda daemon, daemons: 3
     )
     async with following("vm-1", "vm-9") as (store, _, directory, follower):
         store.is_down = True
@@ -138,7 +135,7 @@
 
 
 async def test_a_daemon_that_was_away_for_long_reads_the_whole_table(monkeypatch):
-    monkeypatch.setattr("dogwoodhook.coordination.store_following.MAX_CATCH_UP_S", 0.3)
+    monkeypatch.setattr("dogwoodhook.coordination.target_following.MAX_CATCH_UP_S", 0.3)
     async with following("vm-1") as (store, _, directory, _):
         store.is_down = True
         await asyncio.sleep(1.0)
