Log and measure where a new configuration is held up

No behaviour changes.

Readings of the store now carry how long ago the sender's configuration was certainly the newest. New are 221 configuration-announced and 130 event-loop-late, more fields of 220, 203, 910 and 911, two gauges and two histograms.

--- a/dogwoodhook/coordination/fleet_messages.py
+++ b/dogwoodhook/coordination/fleet_messages.py
@@ -57,13 +57,15 @@
     The changes are all that matter between two versions of the store. A daemon
     that does not know the first version reads for itself. ``removal_hold_s`` is
     how long removals wait, where the store has just been away.
-    ``configuration_row`` is the version of the configuration's row.
+    ``configuration_row`` is the version of the configuration's row, and
+    ``configuration_age_s`` how long before the sending it was certainly the newest.
     """
 
     daemon: str
     after_version: int
     version: int
     configuration_row: int
+    configuration_age_s: float
     removal_hold_s: float
     changes: tuple[TargetChange, ...] = ()
     kind: Literal["reading"] = "reading"
--- a/dogwoodhook/coordination/store_availability.py
+++ b/dogwoodhook/coordination/store_availability.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from dogwoodhook.coordination.store import Table
 from dogwoodhook.events import STORE_AVAILABLE, STORE_UNAVAILABLE, log
 from dogwoodhook.state.target_directory import LAPSE_HOLD_S
 
@@ -16,8 +17,9 @@
 
 @dataclass(slots=True)
 class StoreAvailability:
-    """Whether the store answers this daemon, and since when it does again."""
+    """Whether the store answers for a table, and since when it does again."""
 
+    table: Table
     failed_since_s: float | None = None
     returned_s: float = float("-inf")
     retry_s: float = MIN_RETRY_S
@@ -27,14 +29,15 @@
         if self.failed_since_s is None:
             self.failed_since_s = now_s
             self.retry_s = MIN_RETRY_S
-            log(STORE_UNAVAILABLE, detail=detail)
+            log(STORE_UNAVAILABLE, table=self.table, detail=detail)
         self.retry_s = min(MAX_RETRY_S, self.retry_s * RETRY_FACTOR)
 
     def record_answer(self, *, heard_s: float, now_s: float) -> None:
         """Note an answer; ``heard_s`` is when another daemon's reading came last."""
         if self.failed_since_s is None:
             return
-        log(STORE_AVAILABLE, away_s=round(now_s - self.failed_since_s, 2))
+        away_s = round(now_s - self.failed_since_s, 2)
+        log(STORE_AVAILABLE, table=self.table, away_s=away_s)
         # Another daemon that could read meanwhile shows that only the path failed.
         if heard_s < self.failed_since_s:
             self.returned_s = now_s
--- a/dogwoodhook/coordination/target_following.py
+++ b/dogwoodhook/coordination/target_following.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from typing import Protocol
 
 from expression import Result
 
@@ -38,6 +38,20 @@
 of more takes over half a second of a slow VM's link of 10 Mbit/s."""
 
 
+class ConfigurationMark(Protocol):
+    """The configuration that a daemon knows, and how long ago it was the newest."""
+
+    @property
+    def row_version(self) -> int:
+        """Version of its row in the store."""
+        ...
+
+    @property
+    def age_s(self) -> float:
+        """Return the seconds since it was certainly the newest."""
+        ...
+
+
 class TargetFollower:
     """Keeps the directory of targets up to date."""
 
@@ -50,7 +64,7 @@
         clock: Clock,
         *,
         daemon: str,
-        configuration_row: Callable[[], int],
+        configuration: ConfigurationMark,
     ) -> None:
         self._store = store
         self._directory = directory
@@ -58,8 +72,8 @@
         self._links = links
         self._clock = clock
         self._daemon = daemon
-        self._configuration_row = configuration_row
-        self._availability = StoreAvailability()
+        self._configuration = configuration
+        self._availability = StoreAvailability(Table.TARGETS)
         self._rng = random.Random(daemon)
         self._read_s = float("-inf")
         self._heard_s = float("-inf")
@@ -173,7 +187,8 @@
                     daemon=self._daemon,
                     after_version=before,
                     version=until,
-                    configuration_row=self._configuration_row(),
+                    configuration_row=self._configuration.row_version,
+                    configuration_age_s=self._configuration.age_s,
                     removal_hold_s=hold_s,
                     changes=tuple(part),
                 )
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -83,6 +83,13 @@
     Level.ERROR,
     "The settings cannot be read; those in force stay.",
 )
+EVENT_LOOP_LATE = _event(
+    130,
+    "event-loop-late",
+    Level.WARNING,
+    "Timers ran late, and answers and readings with them: the VM was too busy, paused"
+    " or slowed down.",
+)
 TASK_FAILED = _event(
     106,
     "task-failed",
@@ -126,7 +133,15 @@
     220,
     "configuration-in-force",
     Level.NOTICE,
-    "This daemon routes by a new version of the operator's configuration.",
+    "This daemon routes by a new version of the operator's configuration;"
+    " `announced_ms` is the time since another daemon told of it.",
+)
+CONFIGURATION_ANNOUNCED = _event(
+    221,
+    "configuration-announced",
+    Level.INFO,
+    "Another daemon told of a newer row of the configuration; `age_ms` is how long"
+    " before that its own was certainly the newest.",
 )
 
 # 300: target health
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -27,6 +27,7 @@
 from dogwoodhook.events import (
     DAEMON_STARTED,
     DAEMON_STOPPED,
+    EVENT_LOOP_LATE,
     SETTINGS_IN_FORCE,
     SETTINGS_REFUSED,
     TARGET_SUSPECTED,
@@ -63,6 +64,14 @@
 """Time between looks at the settings, which may change without a signal."""
 
 
+LOOP_WATCH_INTERVAL_S = 0.5
+"""Time between looks at how late the event loop runs its timers."""
+
+LOOP_LATE_S = 0.25
+"""Delay of the event loop that is logged; half of the time that a caller may be kept
+past its route's timeout."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformAdapter:
     """All that the daemon needs of a platform.
@@ -106,7 +115,7 @@
             platform.decoder,
             clock,
             is_reader=lambda: self._targets.is_reader,
-            on_change=self._update_readiness,
+            on_change=self._use_configuration,
         )
         self._targets = TargetFollower(
             platform.store,
@@ -115,7 +124,7 @@
             self.peers,
             clock,
             daemon=settings.vm_name,
-            configuration_row=lambda: self._configuration.row_version,
+            configuration=self._configuration,
         )
         bounds = settings.bounds
         self._budget = FleetBudget(
@@ -153,6 +162,10 @@
             daemon=settings.vm_name, max_workspace_series=MAX_ROUTE_SERIES
         )
         self._metrics.watch_peer_bytes(lambda: self.peers.sent_bytes)
+        self._metrics.watch_configuration(
+            version=lambda: self.configuration_version,
+            age_s=lambda: self._configuration.age_s,
+        )
         forwarder = RouteForwarder(
             fleet,
             platform.dialect,
@@ -213,6 +226,7 @@
         self._spawn(self._joining.run)
         self._spawn(self._keep_ready)
         self._spawn(self._watch_settings)
+        self._spawn(self._watch_event_loop)
         log(
             DAEMON_STARTED,
             daemon=self._settings.vm_name,
@@ -258,12 +272,26 @@
             await asyncio.sleep(SETTINGS_INTERVAL_S)
             self.reload()
 
+    async def _watch_event_loop(self) -> None:
+        """Measure how late timers are, which every answer and reading is too."""
+        while True:
+            due_s = self._clock.now_s() + LOOP_WATCH_INTERVAL_S
+            await asyncio.sleep(LOOP_WATCH_INTERVAL_S)
+            late_s = max(0.0, self._clock.now_s() - due_s)
+            self._metrics.record_loop_delay(late_s * 1000)
+            if late_s > LOOP_LATE_S:
+                log(EVENT_LOOP_LATE, late_ms=round(late_s * 1000))
+
     async def _keep_ready(self) -> None:
         """Become ready once targets and routes are known."""
         while True:
             self._update_readiness()
             await asyncio.sleep(1.0 if self.is_ready else STARTING_INTERVAL_S)
 
+    def _use_configuration(self, since_announced_s: float) -> None:
+        self._metrics.record_adoption(since_announced_s * 1000)
+        self._update_readiness()
+
     def _update_readiness(self) -> None:
         if self._configuration.in_force is None:
             self._readiness.update("no configuration is known yet")
@@ -289,7 +317,7 @@
                 self._load.hear(daemon, in_flight, now_s=self._clock.now_s())
             case StoreReading():
                 self._targets.hear(message)
-                self._configuration.hear(message.configuration_row)
+                self._configuration.hear(message)
             case _:
                 return
 
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -24,6 +24,9 @@
 """Idempotent and not."""
 
 
+DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 3
+"""Series without attributes: two histograms, two gauges and a counter."""
+
 NO_WAIT_MS = 0.5
 """Time to choose a target, below which a request has not waited for one."""
 
@@ -53,13 +56,13 @@
     """Return the most series there can be with such limits.
 
     >>> max_series(services=100, workspaces=200)
-    14935
+    14964
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
     per_class = 3 * histogram + outcomes + 1
     by_service = (services + 1) * REQUEST_CLASSES * per_class
-    return by_service + (workspaces + 1) * histogram
+    return by_service + (workspaces + 1) * histogram + DAEMON_SERIES
 
 
 class BoundedLabels:
@@ -120,6 +123,14 @@
             "dogwoodhook_queueing",
             "time that requests waited which got no target at once",
         )
+        self._adoption = _latency_histogram(
+            meter,
+            "dogwoodhook_configuration_adoption",
+            "time from another daemon's word of a version to its use",
+        )
+        self._loop_delay = _latency_histogram(
+            meter, "dogwoodhook_event_loop_delay", "delay of the event loop's timers"
+        )
         self._requests: Counter[_RequestSeries] = Counter()
         self._retries: Counter[_RetrySeries] = Counter()
         meter.create_observable_counter(
@@ -142,6 +153,30 @@
             description="bytes of messages sent to peers",
         )
 
+    def watch_configuration(
+        self, *, version: Callable[[], float], age_s: Callable[[], float]
+    ) -> None:
+        """Expose the version in force, and how long ago it was surely the newest."""
+        self._meter.create_observable_gauge(
+            "dogwoodhook_configuration_version",
+            callbacks=[lambda options: [Observation(version())]],
+            description="version of the configuration in force, 0 for none",
+        )
+        self._meter.create_observable_gauge(
+            "dogwoodhook_configuration_age",
+            callbacks=[lambda options: [Observation(age_s())]],
+            unit="s",
+            description="time since the configuration was certainly the newest",
+        )
+
+    def record_adoption(self, duration_ms: float) -> None:
+        """Record the time from another daemon's word of a version to its use here."""
+        self._adoption.record(duration_ms)
+
+    def record_loop_delay(self, delay_ms: float) -> None:
+        """Record how late the event loop ran a timer."""
+        self._loop_delay.record(delay_ms)
+
     def record_request(
         self,
         *,
