--- a/dogwoodhook/testing/relay.py
+++ b/dogwoodhook/testing/relay.py
@@ -4,7 +4,8 @@
         relay.is_cut_to_client = True  # requests arrive, answers do not
 
 What is sent in a cut direction is lost; the connections stay open, as they do in
-a network that drops packets.
+a network that drops packets. ``silence_open`` does that to the connections open at
+that moment, for good, while new ones work. ``bytes_per_s`` makes the link slow.
 """
 
 import asyncio
@@ -24,6 +25,8 @@
         self.port = 0
         self.is_cut_to_server = False
         self.is_cut_to_client = False
+        self.bytes_per_s: float | None = None
+        self._silent: set[asyncio.Task[None]] = set()
         self._target_port = port
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -45,6 +48,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def silence_open(self) -> None:
+        """Lose all that is sent from now on over the connections that are open."""
+        self._silent |= self._tasks
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -52,6 +59,7 @@
         if task is not None:
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
+            task.add_done_callback(self._silent.discard)
         try:
             there, back = await asyncio.open_connection(LOOPBACK, self._target_port)
         except OSError:
@@ -59,8 +67,8 @@
             return
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._copy(reader, back, is_to_server=True))
-                group.create_task(self._copy(there, writer, is_to_server=False))
+                group.create_task(self._copy(reader, back, task, is_to_server=True))
+                group.create_task(self._copy(there, writer, task, is_to_server=False))
         finally:
             writer.close()
             back.close()
@@ -69,6 +77,7 @@
         self,
         source: asyncio.StreamReader,
         sink: asyncio.StreamWriter,
+        connection: asyncio.Task[None] | None,
         *,
         is_to_server: bool,
     ) -> None:
@@ -77,7 +86,9 @@
                 is_cut = (
                     self.is_cut_to_server if is_to_server else self.is_cut_to_client
                 )
-                if not is_cut:
+                if self.bytes_per_s is not None:
+                    await asyncio.sleep(len(data) / self.bytes_per_s)
+                if not is_cut and connection not in self._silent:
                     sink.write(data)
                     await sink.drain()
         except ConnectionError:
--- /dev/null
+++ b/tests/platform_adapter/test_configuration_delivery.py
@@ -0,0 +1,91 @@
+"""A new configuration is in force on every daemon within its bound, whatever fails."""
+
+import asyncio
+import time
+
+import pytest
+
+from dogwoodhook.vm_settings import Address
+from tests.exchanges import until
+from tests.platform_adapter.conftest import HOST, make_route
+
+BOUND_S = 2.5
+"""The platform's bound for configurations on the large sites."""
+
+CONTACT_S = 3.0
+"""Time after a disturbance from which the platform counts a VM again."""
+
+SKEW_S = 5.0
+"""Further time where the store turns a VM away and serves others."""
+
+LARGE_ROUTES = 1400
+"""Routes that the largest configurations of the platform add."""
+
+
+def many_routes(count):
+    return {f"r{each}": make_route(f"/extra{each}/") for each in range(count)}
+
+
+async def sleep_until(moment_s):
+    await asyncio.sleep(max(0.0, moment_s - time.monotonic()))
+
+
+def versions(platform):
+    return [each.configuration_version for each in platform.gateways]
+
+
+@pytest.fixture
+async def fleet(platform):
+    """Three daemons of one data centre, each behind a relay to the store."""
+    await platform.configure()
+    await platform.start_target("t1")
+    platform.relays = [await platform.open_relay() for _ in range(3)]
+    for number, relay in enumerate(platform.relays):
+        await platform.start_gateway(
+            f"vm-{number}", store_address=Address(HOST, relay.port)
+        )
+    await until(lambda: all(len(each.peers) == 2 for each in platform.gateways))
+    return platform
+
+
+async def test_silent_connections_to_the_store_do_not_hide_a_configuration(fleet):
+    calls = len(fleet.store.calls)
+    await until(lambda: any("feed?table=op" in c for c in fleet.store.calls[calls:]))
+    for relay in fleet.relays:
+        relay.silence_open()
+    silent_s = time.monotonic()
+    await sleep_until(silent_s + CONTACT_S - BOUND_S)
+    await fleet.configure(2)
+    await sleep_until(silent_s + CONTACT_S)
+    assert versions(fleet) == [2, 2, 2]
+
+
+async def test_daemons_that_the_store_turns_away_get_a_configuration_from_others(
+    platform,
+):
+    await platform.configure()
+    await platform.start_target("t1")
+    doors = [await platform.open_door() for _ in range(3)]
+    for number, door in enumerate(doors):
+        await platform.start_gateway(f"vm-{number}", store_address=door.address)
+    await until(lambda: all(len(each.peers) == 2 for each in platform.gateways))
+    for door in doors[:2]:
+        door.faults.refused = 503
+    # Calls that were waiting for a change before end without one.
+    await asyncio.sleep(2.0)
+    await platform.configure(2, **many_routes(LARGE_ROUTES))
+    await asyncio.sleep(BOUND_S + SKEW_S)
+    assert versions(platform) == [2, 2, 2]
+
+
+async def test_a_change_that_the_feed_never_told_is_in_force_after_history_is_lost(
+    fleet,
+):
+    fleet.store.faults.hides_changes = True
+    await fleet.configure(2)
+    # Long enough for calls for changes to end without one.
+    await asyncio.sleep(2.0)
+    fleet.store.faults.hides_changes = False
+    fleet.store.forget_history()
+    await asyncio.sleep(BOUND_S)
+    assert versions(fleet) == [2, 2, 2]
--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -385,3 +385,20 @@
     first, reset, *later = [each.connection for each in target.received]
     assert first == reset
     assert len({reset, *later}) == 4
+
+
+async def test_a_caller_whose_body_stalls_is_answered_at_the_route_s_timeout(platform):
+    await platform.configure(post=make_route("/post/", timeout="500ms"))
+    await platform.start_target("t1")
+    gateway = await platform.start_gateway()
+    address = gateway.settings.caller_address
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(
+        b"POST /post/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: a\r\n"
+        b"Deadline-Ms: 5000\r\nContent-Length: 1000\r\n\r\nhalf"
+    )
+    async with asyncio.timeout(0.5 + 0.5):
+        head = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    assert head.startswith(b"HTTP/1.1 408 "), "nothing of it has run"
+    assert b"Request-Id: a" in head
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -14,7 +14,9 @@
 )
 from dogwoodhook.platform import store_client
 from dogwoodhook.platform.store_client import HttpStore
-from tests.platform_adapter.store_server import running_store
+from dogwoodhook.testing.relay import Relay
+from dogwoodhook.vm_settings import Address
+from tests.platform_adapter.store_server import HOST, running_store
 
 
 @asynccontextmanager
@@ -77,3 +79,17 @@
             client.create_row(Table.DAEMONS, "vm-1", b"x"),
         ):
             assert isinstance((await call).error, StoreUnavailable)
+
+
+async def test_a_long_answer_is_read_to_its_end_while_it_keeps_coming():
+    """A configuration of 1,400 routes, over a fifth of a link of 10 Mbit/s."""
+    async with (
+        open_client() as (server, client),
+        Relay(port=server.address.port) as relay,
+    ):
+        value = b"x" * 256 * 1024
+        await server.put("op", "config", value)
+        relay.bytes_per_s = 10e6 / 8 / 5
+        client.address = Address(HOST, relay.port)
+        [row] = (await client.read_table(Table.CONFIGURATION)).ok.rows
+        assert row.value == value
