Let every daemon judge how fresh its own configuration is

Callers saw: a request on a route of an acknowledged version handled as by the version before it, by every daemon of a data centre at once.

Cause: a daemon learned of a version only by a number on another daemon's readings of targets. That reader's call for configurations was another call, which could wait and stay silent for 2.5 s, the whole bound, while its readings of targets went on and told everybody that all was well. Nobody judged how old the number was. The class: the freshness of one thing taken from the liveness of another, with deadlines that know nothing of the bound.

Now the daemon that asks the store says how long ago what it knows was certainly the newest, in a message of its own, at each answer; news goes to all data centres at once. A daemon without fresh word for a part of the bound of the settings asks for itself, whoever tells it whatever else. A reading on a connection that stays silent for 0.5 s is tried on a new one as well, so a silent connection costs half a second and not a deadline and a pause; that holds for readings of targets too.

Unit tests of the follower cover old word, no word, fresh word and a store that answers without waiting.

--- a/dogwoodhook/coordination/configuration_following.py
+++ b/dogwoodhook/coordination/configuration_following.py
@@ -1,13 +1,20 @@
-"""Following the operator's configuration in the platform's store."""
+"""Following the operator's configuration in the platform's store.
+
+One daemon of a data centre asks the store all the time and tells the others what it
+knows and how long ago that was the newest. Whoever hears of a newer version reads it,
+and whoever has no fresh word asks for itself (``state.configuration_freshness``).
+"""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from expression import Result
 
 from dogwoodhook.clock import Clock
-from dogwoodhook.coordination.fleet_messages import StoreReading
+from dogwoodhook.coordination.fleet_links import FleetLinks
+from dogwoodhook.coordination.fleet_messages import ConfigurationNotice
 from dogwoodhook.coordination.store import (
     Store,
     StoreRow,
@@ -24,20 +31,19 @@
     log,
 )
 from dogwoodhook.findings import FindingsError
-from dogwoodhook.state.reader_duty import READ_INTERVAL_S
+from dogwoodhook.state.configuration_freshness import ConfigurationFreshness
+from dogwoodhook.state.reader_duty import rank_of
 
 if TYPE_CHECKING:
     from dogwoodhook.state.route_policy import RoutingConfiguration
 
-CONFIGURATION_WAIT_S = 1.5
-"""Time that the reader's call for a new configuration waits at the store."""
-
 
 class ConfigurationFollower:
     """Keeps the newest configuration in force.
 
     ``in_force`` never goes back to an older version. ``on_change`` is called with the
     seconds since another daemon told of the version that is in force now.
+    ``freshness`` may change.
     """
 
     def __init__(
@@ -46,21 +52,28 @@
         decoder: RowDecoder,
         clock: Clock,
         *,
-        is_reader: Callable[[], bool],
+        links: FleetLinks,
+        daemon: str,
+        freshness: ConfigurationFreshness,
         on_change: Callable[[float], None],
     ) -> None:
         self.in_force: RoutingConfiguration | None = None
-        self.row_version = 0
+        self.freshness = freshness
         self._store = store
         self._decoder = decoder
         self._clock = clock
-        self._is_reader = is_reader
+        self._links = links
+        self._daemon = daemon
         self._on_change = on_change
+        self._rng = random.Random(daemon)
         self._availability = StoreAvailability(Table.CONFIGURATION)
-        self._confirmed_s = clock.now_s()
-        self._announced_s: float | None = None
+        self._row_version = 0
         self._known_version = 0
-        self._wanted_row = 0
+        self._announced_row = 0
+        self._announced_s = 0.0
+        self._confirmed_s = clock.now_s()
+        # Earliest time of the next call, for a store that answers without waiting.
+        self._next_s = 0.0
         self._wake = asyncio.Event()
 
     @property
@@ -69,80 +82,109 @@
         return self._clock.now_s() - self._confirmed_s
 
     async def run(self) -> None:
-        """Read when there may be news, until cancelled."""
+        """Read when it is due, until cancelled."""
         while True:
-            started_s = self._clock.now_s()
-            wait_s = 0.0
-            if not self._known_version or self._wanted_row > self.row_version:
-                result = await self._store.read_table(Table.CONFIGURATION)
-            elif self._is_reader():
-                wait_s = CONFIGURATION_WAIT_S
-                result = await read_newer(
-                    self._store,
-                    Table.CONFIGURATION,
-                    after_version=self._known_version,
-                    wait_s=wait_s,
-                )
-            else:
-                await self._wait(READ_INTERVAL_S)
-                continue
-            if not self._take(result, started_s=started_s, wait_s=wait_s):
-                await self._wait(self._availability.retry_s)
-
-    def hear(self, reading: StoreReading) -> None:
-        """Take note of the configuration that another daemon knows of."""
+            pause_s = self._pause_s()
+            if pause_s > 0:
+                await self._wait(pause_s)
+            elif not await self._read():
+                spread = self._rng.uniform(0.7, 1.3)
+                await self._wait(self._availability.retry_s * spread)
+
+    def hear(self, notice: ConfigurationNotice) -> None:
+        """Take note of what another daemon knows."""
         now_s = self._clock.now_s()
-        row = reading.configuration_row
-        if row > self.row_version and self._announced_s is None:
-            self._announced_s = now_s
-            log(
-                CONFIGURATION_ANNOUNCED,
-                row=row,
-                known_row=self.row_version,
-                daemon=reading.daemon,
-                age_ms=round(reading.configuration_age_s * 1000),
-            )
-        if row == self.row_version:
-            confirmed_s = now_s - reading.configuration_age_s
-            self._confirmed_s = max(self._confirmed_s, confirmed_s)
-        if row > self._wanted_row:
-            self._wanted_row = row
-            self._wake.set()
+        if notice.row_version == self._row_version:
+            self._confirm(now_s - notice.age_s)
+        if notice.row_version <= max(self._row_version, self._announced_row):
+            return
+        self._announced_row = notice.row_version
+        self._announced_s = now_s
+        log(
+            CONFIGURATION_ANNOUNCED,
+            row=notice.row_version,
+            known_row=self._row_version,
+            daemon=notice.daemon,
+            age_ms=round(notice.age_s * 1000),
+        )
+        self._wake.set()
+
+    @property
+    def _must_catch_up(self) -> bool:
+        return not self._known_version or self._announced_row > self._row_version
+
+    def _rank(self) -> int:
+        return rank_of(self._daemon, self._links.neighbours())
+
+    def _pause_s(self) -> float:
+        if self._must_catch_up:
+            return 0.0
+        silence_s = self.freshness.silence_limit_s(self._rank()) - self.age_s
+        return max(silence_s, self._next_s - self._clock.now_s())
 
     async def _wait(self, pause_s: float) -> None:
         self._wake.clear()
         await wait_for(self._wake, pause_s)
 
-    def _take(
-        self,
-        result: Result[TableRows, StoreUnavailable],
-        *,
-        started_s: float,
-        wait_s: float,
-    ) -> bool:
-        """Take an answer; ``wait_s`` is how long the store waited for a change."""
+    def _confirm(self, moment_s: float) -> None:
+        self._confirmed_s = max(self._confirmed_s, moment_s)
+
+    async def _read(self) -> bool:
+        """Read what is new, and tell the others unless they know it."""
+        started_s = self._clock.now_s()
+        is_told_by_others = self._announced_row > self._row_version
+        wait_s = 0.0
+        if self._must_catch_up:
+            result = await self._store.read_table(Table.CONFIGURATION)
+        else:
+            if self._rank() == 0 and self._availability.is_answering:
+                wait_s = self.freshness.wait_s
+            result = await read_newer(
+                self._store,
+                Table.CONFIGURATION,
+                after_version=self._known_version,
+                wait_s=wait_s,
+            )
         now_s = self._clock.now_s()
         match result:
             case Result(tag="ok", ok=rows):
                 self._availability.record_answer(heard_s=now_s, now_s=now_s)
-                self._known_version = max(self._known_version, rows.version)
-                self._wanted_row = min(self._wanted_row, rows.version)
                 # An empty answer was given when the store's wait had ended.
                 as_of_s = started_s if rows.rows else min(now_s, started_s + wait_s)
-                self._confirmed_s = max(self._confirmed_s, as_of_s)
-                for row in rows.rows:
-                    self._adopt(row, read_s=now_s - started_s)
+                has_changed = self._take(rows, read_s=now_s - started_s)
+                self._confirm(as_of_s)
+                if not is_told_by_others:
+                    self._tell(is_news=has_changed)
+                if not has_changed:
+                    self._next_s = started_s + self.freshness.wait_s
                 return True
-            case Result(error=problem):
-                self._availability.record_failure(problem.detail, now_s=now_s)
+            case Result(error=StoreUnavailable(detail)):
+                self._availability.record_failure(detail, now_s=now_s)
                 return False
 
+    def _tell(self, *, is_news: bool) -> None:
+        notice = ConfigurationNotice(self._daemon, self._row_version, self.age_s)
+        if is_news:
+            self._links.broadcast(notice)
+        else:
+            self._links.tell_neighbours(notice)
+
+    def _take(self, rows: TableRows, *, read_s: float) -> bool:
+        """Take rows over; return whether one of them was a newer configuration."""
+        before = self._row_version
+        self._known_version = max(self._known_version, rows.version)
+        self._announced_row = min(self._announced_row, rows.version)
+        for row in rows.rows:
+            self._adopt(row, read_s=read_s)
+        return self._row_version > before
+
     def _adopt(self, row: StoreRow, *, read_s: float) -> None:
         if row.key != self._decoder.configuration_key or row.value is None:
             return
-        if row.version <= self.row_version:
+        if row.version <= self._row_version:
             return
-        self.row_version = row.version
+        is_announced = self._announced_row > self._row_version
+        self._row_version = row.version
         decoding_s = self._clock.now_s()
         try:
             configuration = self._decoder.configuration(row)
@@ -159,16 +201,15 @@
             return
         self.in_force = configuration
         now_s = self._clock.now_s()
-        announced_s = now_s if self._announced_s is None else self._announced_s
-        self._announced_s = None
+        announced_s = now_s - self._announced_s if is_announced else 0.0
         log(
             CONFIGURATION_IN_FORCE,
             version=configuration.version,
             routes=len(configuration.routes),
             row=row.version,
             bytes=len(row.value),
-            announced_ms=round((now_s - announced_s) * 1000),
+            announced_ms=round(announced_s * 1000),
             read_ms=round(read_s * 1000),
             decode_ms=round((now_s - decoding_s) * 1000),
         )
-        self._on_change(now_s - announced_s)
+        self._on_change(announced_s)
--- a/dogwoodhook/coordination/fleet_messages.py
+++ b/dogwoodhook/coordination/fleet_messages.py
@@ -57,20 +57,29 @@
     The changes are all that matter between two versions of the store. A daemon
     that does not know the first version reads for itself. ``removal_hold_s`` is
     how long removals wait, where the store has just been away.
-    ``configuration_row`` is the version of the configuration's row, and
-    ``configuration_age_s`` how long before the sending it was certainly the newest.
     """
 
     daemon: str
     after_version: int
     version: int
-    configuration_row: int
-    configuration_age_s: float
     removal_hold_s: float
     changes: tuple[TargetChange, ...] = ()
     kind: Literal["reading"] = "reading"
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationNotice:
+    """The version of the configuration's row that a daemon knows.
+
+    ``age_s`` is how long before the sending it was certainly the newest.
+    """
+
+    daemon: str
+    row_version: int
+    age_s: float
+    kind: Literal["configuration"] = "configuration"
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """A daemon's requests in flight by target; it replaces the last report."""
@@ -80,6 +89,10 @@
     kind: Literal["load"] = "load"
 
 
+BroadcastMessage = TargetFailure | TargetSuccess | ConfigurationNotice
+"""What is told to the daemons of all data centres."""
+
+
 @dataclass(frozen=True, slots=True)
 class Relayed:
     """A message on its way through another data centre.
@@ -91,10 +104,16 @@
     daemon: str
     number: int
     is_first_hop: bool
-    content: TargetFailure | TargetSuccess
+    content: BroadcastMessage
     kind: Literal["relayed"] = "relayed"
 
 
 FleetMessage = (
-    DaemonHello | TargetFailure | TargetSuccess | StoreReading | LoadReport | Relayed
+    DaemonHello
+    | TargetFailure
+    | TargetSuccess
+    | StoreReading
+    | ConfigurationNotice
+    | LoadReport
+    | Relayed
 )
--- a/dogwoodhook/coordination/store_availability.py
+++ b/dogwoodhook/coordination/store_availability.py
@@ -24,6 +24,11 @@
     returned_s: float = float("-inf")
     retry_s: float = MIN_RETRY_S
 
+    @property
+    def is_answering(self) -> bool:
+        """Tell whether the last call got an answer."""
+        return self.failed_since_s is None
+
     def record_failure(self, detail: str, *, now_s: float) -> None:
         """Note a call without an answer; ``retry_s`` is the pause before the next."""
         if self.failed_since_s is None:
--- a/dogwoodhook/coordination/target_following.py
+++ b/dogwoodhook/coordination/target_following.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-from typing import Protocol
 
 from expression import Result
 
@@ -38,20 +37,6 @@
 of more takes over half a second of a slow VM's link of 10 Mbit/s."""
 
 
-class ConfigurationMark(Protocol):
-    """The configuration that a daemon knows, and how long ago it was the newest."""
-
-    @property
-    def row_version(self) -> int:
-        """Version of its row in the store."""
-        ...
-
-    @property
-    def age_s(self) -> float:
-        """Return the seconds since it was certainly the newest."""
-        ...
-
-
 class TargetFollower:
     """Keeps the directory of targets up to date."""
 
@@ -64,7 +49,6 @@
         clock: Clock,
         *,
         daemon: str,
-        configuration: ConfigurationMark,
     ) -> None:
         self._store = store
         self._directory = directory
@@ -72,21 +56,12 @@
         self._links = links
         self._clock = clock
         self._daemon = daemon
-        self._configuration = configuration
         self._availability = StoreAvailability(Table.TARGETS)
         self._rng = random.Random(daemon)
         self._read_s = float("-inf")
         self._heard_s = float("-inf")
         self._must_read = asyncio.Event()
 
-    @property
-    def is_reader(self) -> bool:
-        """Tell whether this daemon reads the store, which answers it, for others."""
-        if self._availability.failed_since_s is not None:
-            return False
-        rank = self._rank()
-        return rank == 0 or self._clock.now_s() - self._heard_s > silence_limit_s(rank)
-
     async def run(self) -> None:
         """Read when it is due, until cancelled."""
         while True:
@@ -187,8 +162,6 @@
                     daemon=self._daemon,
                     after_version=before,
                     version=until,
-                    configuration_row=self._configuration.row_version,
-                    configuration_age_s=self._configuration.age_s,
                     removal_hold_s=hold_s,
                     changes=tuple(part),
                 )
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -14,6 +14,7 @@
 from dogwoodhook.clock import Clock, SystemClock
 from dogwoodhook.coordination.configuration_following import ConfigurationFollower
 from dogwoodhook.coordination.fleet_messages import (
+    ConfigurationNotice,
     FleetMessage,
     LoadReport,
     StoreReading,
@@ -39,6 +40,7 @@
 from dogwoodhook.metrics import Metrics
 from dogwoodhook.protocol.http_dialect import HttpDialect
 from dogwoodhook.readiness import Readiness
+from dogwoodhook.state.configuration_freshness import ConfigurationFreshness
 from dogwoodhook.state.fleet_budget import FleetBudget
 from dogwoodhook.state.fleet_load import FleetLoad
 from dogwoodhook.state.placement import Placement
@@ -114,7 +116,9 @@
             platform.store,
             platform.decoder,
             clock,
-            is_reader=lambda: self._targets.is_reader,
+            links=self.peers,
+            daemon=settings.vm_name,
+            freshness=ConfigurationFreshness(settings.bounds.configuration_s),
             on_change=self._use_configuration,
         )
         self._targets = TargetFollower(
@@ -124,7 +128,6 @@
             self.peers,
             clock,
             daemon=settings.vm_name,
-            configuration=self._configuration,
         )
         bounds = settings.bounds
         self._budget = FleetBudget(
@@ -260,6 +263,7 @@
             return
         self._settings = settings
         bounds = settings.bounds
+        self._configuration.freshness = ConfigurationFreshness(bounds.configuration_s)
         self._budget.resize(
             ratio=bounds.retry_ratio,
             extra=bounds.retry_extra,
@@ -317,6 +321,7 @@
                 self._load.hear(daemon, in_flight, now_s=self._clock.now_s())
             case StoreReading():
                 self._targets.hear(message)
+            case ConfigurationNotice():
                 self._configuration.hear(message)
             case _:
                 return
--- a/dogwoodhook/platform/settings_file.py
+++ b/dogwoodhook/platform/settings_file.py
@@ -121,6 +121,9 @@
     default = ServiceBounds()
     return ServiceBounds(
         grace_s=fields.optional("bounds.grace", parse_duration_s, default.grace_s),
+        configuration_s=fields.optional(
+            "bounds.config", parse_duration_s, default.configuration_s
+        ),
         retry_ratio=fields.optional(
             "bounds.retryBudgetRatio", float, default.retry_ratio
         ),
--- a/dogwoodhook/platform/store_client.py
+++ b/dogwoodhook/platform/store_client.py
@@ -23,6 +23,10 @@
 """Longest time without a byte of an answer, besides the time that a call may wait for a
 change. The store's slow answers take 0.4 s."""
 
+SECOND_TRY_S = 0.5
+"""Time without the head of an answer after which a reading is tried on a new connection
+as well, since the first may have gone silent; more than a slow answer takes."""
+
 _TABLE_NAMES = {
     Table.CONFIGURATION: "op",
     Table.TARGETS: "servers",
@@ -44,16 +48,22 @@
 
 
 class HttpStore:
-    """Client of the store; one connection pool. ``address`` may change."""
+    """Client of the store. ``address`` may change.
+
+    Connections are used again; a reading whose connection seems to have gone silent
+    gets one of its own.
+    """
 
     def __init__(self, address: Address) -> None:
         self.address = address
         self._session: aiohttp.ClientSession | None = None
+        self._single_use: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._session, self._single_use):
+            if session is not None:
+                await session.close()
 
     async def read_table(self, table: Table) -> Result[TableRows, StoreUnavailable]:
         """Read a whole table.
@@ -66,7 +76,7 @@
         start = ""
         while True:
             query = {"table": _TABLE_NAMES[table], "part": "", "from": start}
-            answer = await self._call("GET", "/rows-get", query=query)
+            answer = await self._read("/rows-get", query)
             if answer.status != _OK or answer.body is None:
                 return Error(answer.unavailable())
             version = version or answer.body["ver"]
@@ -84,7 +94,7 @@
             "after": str(after_version),
             "waitMs": str(int(wait_s * 1000)),
         }
-        answer = await self._call("GET", "/rows-feed", query=query, wait_s=wait_s)
+        answer = await self._read("/rows-feed", query, wait_s=wait_s)
         if answer.status == _GONE:
             return Error(HistoryLost())
         if answer.status != _OK or answer.body is None:
@@ -124,26 +134,67 @@
             "value": base64.b64encode(value).decode(),
         }
         body = {"expected": expected, "put": [row], "remove": []}
-        return await self._call("POST", "/rows-tx", body=body)
+        return await self._call(self._pooled(), "POST", "/rows-tx", body=body)
+
+    async def _read(
+        self, path: str, query: dict[str, str], *, wait_s: float = 0.0
+    ) -> _Answer:
+        """Return the answer of a reading, tried twice if the first try stays silent."""
+        has_begun = asyncio.Event()
+        first = asyncio.ensure_future(
+            self._call(
+                self._pooled(),
+                "GET",
+                path,
+                query=query,
+                timeout_s=wait_s + CALL_TIMEOUT_S,
+                has_begun=has_begun,
+            )
+        )
+        tries = {first}
+        try:
+            if not await _is_set_within(has_begun, wait_s + SECOND_TRY_S):
+                second = self._call(
+                    self._unpooled(),
+                    "GET",
+                    path,
+                    query=query,
+                    timeout_s=CALL_TIMEOUT_S - SECOND_TRY_S,
+                )
+                tries.add(asyncio.ensure_future(second))
+            for finished in asyncio.as_completed(tries):
+                answer = await finished
+                if not answer.problem:
+                    break
+            return answer
+        finally:
+            for each in tries:
+                each.cancel()
 
     async def _call(
         self,
+        session: aiohttp.ClientSession,
         method: str,
         path: str,
         *,
         query: dict[str, str] | None = None,
         body: dict[str, Any] | None = None,
-        wait_s: float = 0.0,
+        timeout_s: float = CALL_TIMEOUT_S,
+        has_begun: asyncio.Event | None = None,
     ) -> _Answer:
-        """Return the answer of a call; it may take long while bytes keep coming."""
-        if self._session is None:
-            self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout())
+        """Return the answer of a call; it may take long while bytes keep coming.
+
+        ``has_begun`` is set when the answer's head is there, or the call has failed.
+        """
         loop = asyncio.get_running_loop()
+        url = f"http://{self.address}{path}"
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S + wait_s) as deadline:
-                async with self._session.request(
-                    method, f"http://{self.address}{path}", params=query, json=body
+            async with asyncio.timeout(timeout_s) as deadline:
+                async with session.request(
+                    method, url, params=query, json=body
                 ) as response:
+                    if has_begun is not None:
+                        has_begun.set()
                     content = bytearray()
                     async for part in response.content.iter_any():
                         content += part
@@ -153,6 +204,31 @@
             return _Answer(problem=f"no answer in time to {path}")
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return _Answer(problem=repr(error))
+        finally:
+            if has_begun is not None:
+                has_begun.set()
+
+    def _pooled(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout())
+        return self._session
+
+    def _unpooled(self) -> aiohttp.ClientSession:
+        if self._single_use is None:
+            self._single_use = aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(),
+                connector=aiohttp.TCPConnector(force_close=True),
+            )
+        return self._single_use
+
+
+async def _is_set_within(event: asyncio.Event, timeout_s: float) -> bool:
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
 
 
 def _decode_row(row: dict[str, Any]) -> StoreRow:
--- a/dogwoodhook/transport/datagrams.py
+++ b/dogwoodhook/transport/datagrams.py
@@ -12,6 +12,7 @@
 
 from dogwoodhook.clock import Clock
 from dogwoodhook.coordination.fleet_messages import (
+    BroadcastMessage,
     DaemonHello,
     FleetMessage,
     Relayed,
@@ -118,7 +119,7 @@
         """Return the names of the live peers in the own data centre."""
         return [peer.daemon for peer in self._near(self._live())]
 
-    def broadcast(self, message: TargetFailure | TargetSuccess) -> None:
+    def broadcast(self, message: BroadcastMessage) -> None:
         """Send a message to all neighbours, and through relays to all others."""
         live = self._live()
         self._send(message, self._near(live))
@@ -129,7 +130,7 @@
             by_data_centre,
             own=self._data_centre,
             rng=self._rng,
-            relays=RELAYS if _names_failure(message) else FEW_RELAYS,
+            relays=FEW_RELAYS if _may_be_missed(message) else RELAYS,
         )
         self._number += 1
         relayed = Relayed(
@@ -201,8 +202,13 @@
         """Ignore a peer that is gone: datagrams are safe to lose."""
 
 
-def _names_failure(message: TargetFailure | TargetSuccess) -> bool:
-    return isinstance(message, TargetFailure) and message.symptom is not None
+def _may_be_missed(message: BroadcastMessage) -> bool:
+    """Tell whether a message is one of many, of which a loss matters little."""
+    match message:
+        case TargetSuccess() | TargetFailure(symptom=None):
+            return True
+        case _:
+            return False
 
 
 def _peer_of(hello: DaemonHello) -> Peer:
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -93,3 +93,23 @@
         client.address = Address(HOST, relay.port)
         [row] = (await client.read_table(Table.CONFIGURATION)).ok.rows
         assert row.value == value
+
+
+async def test_a_reading_on_a_silent_connection_is_tried_on_a_new_one_as_well():
+    async with (
+        open_client() as (server, client),
+        Relay(port=server.address.port) as relay,
+    ):
+        await server.put("op", "config", b"x")
+        client.address = Address(HOST, relay.port)
+        await client.read_table(Table.CONFIGURATION)
+        relay.silence_open()
+        assert (await client.read_table(Table.CONFIGURATION)).is_ok()
+        assert len(server.calls) == 2
+
+
+async def test_a_store_that_is_slow_is_asked_once():
+    async with open_client() as (server, client):
+        server.faults.delay_s = 0.4
+        assert (await client.read_table(Table.CONFIGURATION)).is_ok()
+        assert len(server.calls) == 1
--- a/tests/test_configuration_following.py
+++ b/tests/test_configuration_following.py
@@ -8,9 +8,11 @@
 
 from dogwoodhook.clock import SystemClock
 from dogwoodhook.coordination.configuration_following import ConfigurationFollower
-from dogwoodhook.coordination.fleet_messages import StoreReading
+from dogwoodhook.coordination.fleet_messages import ConfigurationNotice
 from dogwoodhook.coordination.store import StoreRow, StoreUnavailable, TableRows
 from dogwoodhook.coordination.store_reading import RowDecoder
+from dogwoodhook.state.configuration_freshness import ConfigurationFreshness
+from dogwoodhook.state.reader_duty import rank_of
 from dogwoodhook.state.route_policy import RoutingConfiguration
 from tests.exchanges import until
 
@@ -22,6 +24,7 @@
         self.row = StoreRow("config", b"1", 1)
         self.is_down = False
         self.waits_s = []
+        self.answers_at_once = False
 
     def configure(self, version):
         self.row = StoreRow("config", str(version).encode(), self.row.version + 1)
@@ -37,44 +40,69 @@
         while not self.is_down:
             if self.row.version > after_version:
                 return Ok(TableRows((self.row,), self.row.version, is_whole=False))
-            if waited_s >= wait_s:
+            if waited_s >= wait_s or self.answers_at_once:
                 return Ok(TableRows((), self.row.version, is_whole=False))
             await asyncio.sleep(0.01)
             waited_s += 0.01
         return Error(StoreUnavailable("down"))
 
 
+class RecordingLinks:
+    """Links to others; keeps what they would be told."""
+
+    def __init__(self, *neighbours):
+        self.names = list(neighbours)
+        self.told = []
+        self.broadcasts = []
+
+    def neighbours(self):
+        return self.names
+
+    def tell_neighbours(self, message):
+        self.told.append(message)
+
+    def broadcast(self, message):
+        self.broadcasts.append(message)
+
+
 def decode(row):
     return RoutingConfiguration(int(row.value), {}, {})
 
 
 @asynccontextmanager
-async def following(*, is_reader=False):
-    store = ConfigurationStore()
+async def following(daemon, *neighbours, bound_s=2.5):
+    store, links = ConfigurationStore(), RecordingLinks(*neighbours)
     follower = ConfigurationFollower(
         store,
         RowDecoder("config", lambda row: None, decode),
         SystemClock(),
-        is_reader=lambda: is_reader,
+        links=links,
+        daemon=daemon,
+        freshness=ConfigurationFreshness(bound_s),
         on_change=lambda since_announced_s: None,
     )
     task = asyncio.create_task(follower.run())
     await until(lambda: follower.in_force is not None)
     try:
-        yield store, follower
+        yield store, follower, links
     finally:
         task.cancel()
 
 
-def reading(*, row, age_s=0.0):
-    return StoreReading("vm-9", 0, 0, row, age_s, 0.0)
+LISTENER, READER = sorted(
+    ["vm-1", "vm-2"], key=lambda each: -rank_of(each, ["vm-1", "vm-2"])
+)
+
+
+def notice(*, row, age_s=0.0):
+    return ConfigurationNotice("vm-9", row, age_s)
 
 
 async def test_log_tells_when_a_version_was_announced_and_how_long_it_took():
     with logbook.TestHandler() as lines:
-        async with following() as (store, follower):
+        async with following(LISTENER, READER) as (store, follower, _):
             store.configure(7)
-            follower.hear(reading(row=2, age_s=0.2))
+            follower.hear(notice(row=2, age_s=0.2))
             await until(lambda: follower.in_force.version == 7)
         announced, in_force = lines.formatted_records[-2:]
     assert "221 configuration-announced row=2 known_row=1 daemon=vm-9" in announced
@@ -85,10 +113,54 @@
 
 
 async def test_age_is_that_of_the_latest_word_on_the_version_known():
-    async with following() as (_, follower):
-        follower.hear(reading(row=1, age_s=0.0))
+    async with following(LISTENER, READER) as (_, follower, _):
+        follower.hear(notice(row=1, age_s=0.0))
         assert follower.age_s < 0.1
         await asyncio.sleep(0.15)
         assert follower.age_s > 0.1
-        follower.hear(reading(row=2, age_s=0.0))
+        follower.hear(notice(row=2, age_s=0.0))
         assert follower.age_s > 0.1, "an unknown version confirms nothing"
+
+
+async def test_the_reader_tells_how_fresh_its_knowledge_is_and_news_to_all():
+    async with following(READER, LISTENER) as (store, _, links):
+        await until(lambda: links.told)
+        assert links.told[0].row_version == 1
+        assert links.told[0].age_s < 0.1
+        links.broadcasts.clear()
+        store.configure(7)
+        await until(lambda: links.broadcasts)
+        assert links.broadcasts[0].row_version == 2
+
+
+async def test_a_daemon_without_fresh_word_asks_the_store_itself():
+    async with following(LISTENER, READER) as (store, follower, _):
+        store.configure(7)
+        await until(lambda: follower.in_force.version == 7, timeout_s=2.5)
+
+
+async def test_word_that_is_old_when_it_comes_keeps_nobody_from_asking():
+    async with following(LISTENER, READER) as (store, follower, _):
+        store.configure(7)
+        async with asyncio.timeout(2.5):
+            while follower.in_force.version != 7:
+                follower.hear(notice(row=1, age_s=5.0))
+                await asyncio.sleep(0.05)
+
+
+async def test_a_daemon_with_fresh_word_leaves_the_store_alone():
+    async with following(LISTENER, READER) as (store, follower, links):
+        for _ in range(30):
+            follower.hear(notice(row=1))
+            await asyncio.sleep(0.05)
+        assert store.waits_s == []
+        assert links.told == []
+
+
+async def test_a_store_that_answers_at_once_is_not_asked_all_the_time():
+    async with following(READER, LISTENER) as (store, _, _):
+        store.answers_at_once = True
+        await asyncio.sleep(0.7)
+        calls = len(store.waits_s)
+        await asyncio.sleep(1.0)
+        assert len(store.waits_s) - calls <= 3
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -58,13 +58,6 @@
         self.told.append(message)
 
 
-class KnownConfiguration:
-    """No configuration, confirmed just now."""
-
-    row_version = 0
-    age_s = 0.0
-
-
 def decode(row):
     return TargetEntry(row.key, "payouts", "10.0.0.1", 80, "oulu-1", 3, False, 0.0, 1)
 
@@ -81,7 +74,6 @@
         links,
         SystemClock(),
         daemon=daemon,
-        configuration=KnownConfiguration(),
     )
     task = asyncio.create_task(follower.run())
     await until(lambda: directory.version == targets)
@@ -92,7 +84,7 @@
 
 
 def reading(after, version):
-    return StoreReading("vm-9", after, version, 0, 0.0, 0.0)
+    return StoreReading("vm-9", after, version, 0.0)
 
 
 async def test_the_reader_tells_its_neighbours_of_each_change():
@@ -134,7 +126,7 @@
         store.is_down = True
         store.add(6)
         change = TargetChange("t1", 7, None)
-        follower.hear(StoreReading("vm-9", 6, 7, 0, 0.0, 0.0, (change,)))
+        follower.hear(StoreReading("vm-9", 6, 7, 0.0, (change,)))
         assert directory.get("t1") is None
         assert directory.version == 1
         store.is_down = False
