Do not move on in the store's history by answers without changes

A daemon took the store's newest version from every answer of the feed. If the feed kept a change back, as the platform says of the second before it drops its history, the daemon moved past it and never learned of it.

Cause: 'nothing new' was taken for 'everything is known'. The same holds for targets that leave in that second, so the mend is in what both use: the version moves on only with rows; if a row was missed, the version is dropped with the history, and the whole table is read. An announcement that came during a read is no longer forgotten by the read's older answer either.

--- a/dogwoodhook/coordination/configuration_following.py
+++ b/dogwoodhook/coordination/configuration_following.py
@@ -132,7 +132,7 @@
     async def _read(self) -> bool:
         """Read what is new, and tell the others unless they know it."""
         started_s = self._clock.now_s()
-        is_told_by_others = self._announced_row > self._row_version
+        announced_row = self._announced_row
         wait_s = 0.0
         if self._must_catch_up:
             result = await self._store.read_table(Table.CONFIGURATION)
@@ -151,9 +151,14 @@
                 self._availability.record_answer(heard_s=now_s, now_s=now_s)
                 # An empty answer was given when the store's wait had ended.
                 as_of_s = started_s if rows.rows else min(now_s, started_s + wait_s)
-                has_changed = self._take(rows, read_s=now_s - started_s)
+                before = self._row_version
+                self._take(rows, read_s=now_s - started_s)
                 self._confirm(as_of_s)
-                if not is_told_by_others:
+                if rows.is_whole and self._announced_row == announced_row:
+                    # What was announced before the read, and is not there, never was.
+                    self._announced_row = min(announced_row, rows.version)
+                has_changed = self._row_version > before
+                if announced_row <= before:
                     self._tell(is_news=has_changed)
                 if not has_changed:
                     self._next_s = started_s + self.freshness.wait_s
@@ -169,14 +174,10 @@
         else:
             self._links.tell_neighbours(notice)
 
-    def _take(self, rows: TableRows, *, read_s: float) -> bool:
-        """Take rows over; return whether one of them was a newer configuration."""
-        before = self._row_version
+    def _take(self, rows: TableRows, *, read_s: float) -> None:
         self._known_version = max(self._known_version, rows.version)
-        self._announced_row = min(self._announced_row, rows.version)
         for row in rows.rows:
             self._adopt(row, read_s=read_s)
-        return self._row_version > before
 
     def _adopt(self, row: StoreRow, *, read_s: float) -> None:
         if row.key != self._decoder.configuration_key or row.value is None:
--- a/dogwoodhook/coordination/store_reading.py
+++ b/dogwoodhook/coordination/store_reading.py
@@ -33,10 +33,16 @@
 async def read_newer(
     store: Store, table: Table, *, after_version: int, wait_s: float = 0.0
 ) -> Result[TableRows, StoreUnavailable]:
-    """Read the changes after a version; the whole table where they are not kept."""
+    """Read the changes after a version; the whole table where they are not kept.
+
+    An answer without changes does not move the version on: should the feed have missed
+    one, the version is lost with the store's history, and the table read whole.
+    """
     if not after_version:
         return await store.read_table(table)
     match await store.read_changes(table, after_version=after_version, wait_s=wait_s):
+        case Result(tag="ok", ok=TableRows(rows=())):
+            return Ok(TableRows((), after_version, is_whole=False))
         case Result(tag="ok", ok=rows):
             return Ok(rows)
         case Result(error=StoreUnavailable() as problem):
--- a/tests/test_configuration_following.py
+++ b/tests/test_configuration_following.py
@@ -24,6 +24,8 @@
         self.row = StoreRow("config", b"1", 1)
         self.is_down = False
         self.waits_s = []
+        self.whole_reads = 0
+        self.delay_s = 0.0
         self.answers_at_once = False
 
     def configure(self, version):
@@ -32,7 +34,10 @@
     async def read_table(self, table):
         if self.is_down:
             return Error(StoreUnavailable("down"))
-        return Ok(TableRows((self.row,), self.row.version, is_whole=True))
+        self.whole_reads += 1
+        row = self.row
+        await asyncio.sleep(self.delay_s)
+        return Ok(TableRows((row,), row.version, is_whole=True))
 
     async def read_changes(self, table, *, after_version, wait_s=0.0):
         self.waits_s.append(wait_s)
@@ -164,3 +169,23 @@
         calls = len(store.waits_s)
         await asyncio.sleep(1.0)
         assert len(store.waits_s) - calls <= 3
+
+
+async def test_a_version_announced_during_a_read_is_not_forgotten_after_it():
+    async with following(LISTENER, READER) as (store, follower, _):
+        follower.hear(notice(row=1))
+        store.delay_s = 0.3
+        store.configure(7)
+        follower.hear(notice(row=2))
+        await asyncio.sleep(0.1)
+        store.configure(8)
+        follower.hear(notice(row=3))
+        await until(lambda: follower.in_force.version == 8, timeout_s=0.9)
+
+
+async def test_a_version_announced_that_the_store_never_held_is_dropped():
+    async with following(LISTENER, READER) as (store, follower, _):
+        reads = store.whole_reads
+        follower.hear(notice(row=99))
+        await asyncio.sleep(0.5)
+        assert store.whole_reads == reads + 1
