Hand a configuration to daemons that the store turns away

Callers saw: requests at a third of the daemons handled as by the version before, for as long as the store refused those daemons and served the others.

Cause: every daemon could get a configuration from the store only. It heard of the version from its neighbours, which held it. The class: one path to a thing that others hold.

A daemon that has heard of a version and cannot read it asks three of its neighbours, drawn so that no slow link has to carry a large configuration to many, and then the one that announced it.

--- a/dogwoodhook/coordination/configuration_following.py
+++ b/dogwoodhook/coordination/configuration_following.py
@@ -2,7 +2,8 @@
 
 One daemon of a data centre asks the store all the time and tells the others what it
 knows and how long ago that was the newest. Whoever hears of a newer version reads it,
-and whoever has no fresh word asks for itself (``state.configuration_freshness``).
+from the store or, if that turns it away, from another daemon. Whoever has no fresh word
+asks for itself (``state.configuration_freshness``).
 """
 
 import asyncio
@@ -13,7 +14,7 @@
 from expression import Result
 
 from dogwoodhook.clock import Clock
-from dogwoodhook.coordination.fleet_links import FleetLinks
+from dogwoodhook.coordination.fleet_links import FleetLinks, RowExchange
 from dogwoodhook.coordination.fleet_messages import ConfigurationNotice
 from dogwoodhook.coordination.store import (
     Store,
@@ -27,6 +28,7 @@
 from dogwoodhook.events import (
     CONFIGURATION_ANNOUNCED,
     CONFIGURATION_IN_FORCE,
+    CONFIGURATION_NOT_HANDED,
     CONFIGURATION_REFUSED,
     log,
 )
@@ -37,6 +39,10 @@
 if TYPE_CHECKING:
     from dogwoodhook.state.route_policy import RoutingConfiguration
 
+MAX_ASKED = 3
+"""Neighbours asked for a row before the daemon that announced it. They are drawn, since
+a slow VM's link carries a large configuration to a few daemons a second only."""
+
 
 class ConfigurationFollower:
     """Keeps the newest configuration in force.
@@ -53,6 +59,7 @@
         clock: Clock,
         *,
         links: FleetLinks,
+        exchange: RowExchange,
         daemon: str,
         freshness: ConfigurationFreshness,
         on_change: Callable[[float], None],
@@ -63,6 +70,7 @@
         self._decoder = decoder
         self._clock = clock
         self._links = links
+        self._exchange = exchange
         self._daemon = daemon
         self._on_change = on_change
         self._rng = random.Random(daemon)
@@ -70,6 +78,7 @@
         self._row_version = 0
         self._known_version = 0
         self._announced_row = 0
+        self._announced_by = ""
         self._announced_s = 0.0
         self._confirmed_s = clock.now_s()
         # Earliest time of the next call, for a store that answers without waiting.
@@ -99,6 +108,7 @@
         if notice.row_version <= max(self._row_version, self._announced_row):
             return
         self._announced_row = notice.row_version
+        self._announced_by = notice.daemon
         self._announced_s = now_s
         log(
             CONFIGURATION_ANNOUNCED,
@@ -165,7 +175,25 @@
                 return True
             case Result(error=StoreUnavailable(detail)):
                 self._availability.record_failure(detail, now_s=now_s)
-                return False
+                return self._announced_row > self._row_version and await self._ask()
+
+    async def _ask(self) -> bool:
+        """Get the row that was announced from the daemons that may hold it."""
+        row_version = self._announced_row
+        names = self._links.neighbours()
+        asked = self._rng.sample(names, min(MAX_ASKED, len(names)))
+        for daemon in (*asked, self._announced_by):
+            started_s = self._clock.now_s()
+            match await self._exchange.fetch(daemon, min_version=row_version):
+                case Result(tag="ok", ok=row):
+                    read_s = self._clock.now_s() - started_s
+                    self._adopt(row, source=daemon, read_s=read_s)
+                    return True
+                case Result(error=problem):
+                    log(
+                        CONFIGURATION_NOT_HANDED, row=row_version, detail=problem.detail
+                    )
+        return False
 
     def _tell(self, *, is_news: bool) -> None:
         notice = ConfigurationNotice(self._daemon, self._row_version, self.age_s)
@@ -177,15 +205,16 @@
     def _take(self, rows: TableRows, *, read_s: float) -> None:
         self._known_version = max(self._known_version, rows.version)
         for row in rows.rows:
-            self._adopt(row, read_s=read_s)
+            self._adopt(row, source="store", read_s=read_s)
 
-    def _adopt(self, row: StoreRow, *, read_s: float) -> None:
+    def _adopt(self, row: StoreRow, *, source: str, read_s: float) -> None:
         if row.key != self._decoder.configuration_key or row.value is None:
             return
         if row.version <= self._row_version:
             return
         is_announced = self._announced_row > self._row_version
         self._row_version = row.version
+        self._exchange.held = row
         decoding_s = self._clock.now_s()
         try:
             configuration = self._decoder.configuration(row)
@@ -209,6 +238,7 @@
             routes=len(configuration.routes),
             row=row.version,
             bytes=len(row.value),
+            source=source,
             announced_ms=round(announced_s * 1000),
             read_ms=round(read_s * 1000),
             decode_ms=round((now_s - decoding_s) * 1000),
--- a/dogwoodhook/coordination/fleet_links.py
+++ b/dogwoodhook/coordination/fleet_links.py
@@ -1,8 +1,12 @@
 """The links to the other daemons."""
 
+from dataclasses import dataclass
 from typing import Protocol
 
+from expression import Result
+
 from dogwoodhook.coordination.fleet_messages import BroadcastMessage, FleetMessage
+from dogwoodhook.coordination.store import StoreRow
 
 
 class FleetLinks(Protocol):
@@ -19,3 +23,20 @@
     def broadcast(self, message: BroadcastMessage) -> None:
         """Send a message to the daemons of all data centres."""
         ...
+
+
+@dataclass(frozen=True, slots=True)
+class NoRow:
+    """Another daemon did not hand over a row."""
+
+    detail: str
+
+
+class RowExchange(Protocol):
+    """The rows of the configuration that the other daemons hold."""
+
+    held: StoreRow | None
+
+    async def fetch(self, daemon: str, *, min_version: int) -> Result[StoreRow, NoRow]:
+        """Return another daemon's row, if it is of a version or newer."""
+        ...
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -136,6 +136,13 @@
     "This daemon routes by a new version of the operator's configuration;"
     " `announced_ms` is the time since another daemon told of it.",
 )
+CONFIGURATION_NOT_HANDED = _event(
+    222,
+    "configuration-not-handed",
+    Level.INFO,
+    "The store does not answer, and neither did another daemon hand over the row of the"
+    " configuration.",
+)
 CONFIGURATION_ANNOUNCED = _event(
     221,
     "configuration-announced",
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -46,6 +46,7 @@
 from dogwoodhook.state.placement import Placement
 from dogwoodhook.state.suspicion import FailureReport, Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
+from dogwoodhook.transport.configuration_exchange import ConfigurationExchange
 from dogwoodhook.transport.datagrams import DatagramPeers
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.gateway_listener import CallerListener, OperatorListener
@@ -111,12 +112,14 @@
             data_centre=settings.data_centre,
             rng=rng,
         )
+        self._exchange = ConfigurationExchange(self.peers, settings.peer_address)
         self._joining = FleetJoining(platform.store, self.peers, settings)
         self._configuration = ConfigurationFollower(
             platform.store,
             platform.decoder,
             clock,
             links=self.peers,
+            exchange=self._exchange,
             daemon=settings.vm_name,
             freshness=ConfigurationFreshness(settings.bounds.configuration_s),
             on_change=self._use_configuration,
@@ -221,6 +224,7 @@
     async def start(self) -> None:
         """Open the listeners and start the background tasks."""
         await self.peers.start(self._settings.peer_address)
+        await self._exchange.start()
         for listener in self._operator_listeners:
             await listener.start()
         await self._callers.start()
@@ -249,6 +253,7 @@
         for task in self._tasks:
             task.cancel()
         await self._connections.close()
+        await self._exchange.close()
         await self._platform.store.close()
         self.peers.close()
 
--- a/dogwoodhook/transport/datagrams.py
+++ b/dogwoodhook/transport/datagrams.py
@@ -119,6 +119,11 @@
         """Return the names of the live peers in the own data centre."""
         return [peer.daemon for peer in self._near(self._live())]
 
+    def address_of(self, daemon: str) -> Address | None:
+        """Return where a daemon is reached, ``None`` for one that is not known."""
+        peer = self._peers.get(daemon)
+        return peer.address if peer else None
+
     def broadcast(self, message: BroadcastMessage) -> None:
         """Send a message to all neighbours, and through relays to all others."""
         live = self._live()
--- a/tests/test_configuration_following.py
+++ b/tests/test_configuration_following.py
@@ -8,6 +8,7 @@
 
 from dogwoodhook.clock import SystemClock
 from dogwoodhook.coordination.configuration_following import ConfigurationFollower
+from dogwoodhook.coordination.fleet_links import NoRow
 from dogwoodhook.coordination.fleet_messages import ConfigurationNotice
 from dogwoodhook.coordination.store import StoreRow, StoreUnavailable, TableRows
 from dogwoodhook.coordination.store_reading import RowDecoder
@@ -70,20 +71,36 @@
         self.broadcasts.append(message)
 
 
+class MemoryExchange:
+    """Rows of other daemons by their names."""
+
+    def __init__(self, **rows):
+        self.held = None
+        self.rows = rows
+        self.asked = []
+
+    async def fetch(self, daemon, *, min_version):
+        self.asked.append(daemon)
+        row = self.rows.get(daemon)
+        return Ok(row) if row else Error(NoRow("not known here"))
+
+
 def decode(row):
     return RoutingConfiguration(int(row.value), {}, {})
 
 
 @asynccontextmanager
-async def following(daemon, *neighbours, bound_s=2.5):
+async def following(daemon, *neighbours, exchange=None):
     store, links = ConfigurationStore(), RecordingLinks(*neighbours)
+    exchange = exchange or MemoryExchange()
     follower = ConfigurationFollower(
         store,
         RowDecoder("config", lambda row: None, decode),
         SystemClock(),
         links=links,
+        exchange=exchange,
         daemon=daemon,
-        freshness=ConfigurationFreshness(bound_s),
+        freshness=ConfigurationFreshness(bound_s=2.5),
         on_change=lambda since_announced_s: None,
     )
     task = asyncio.create_task(follower.run())
@@ -189,3 +206,13 @@
         follower.hear(notice(row=99))
         await asyncio.sleep(0.5)
         assert store.whole_reads == reads + 1
+
+
+async def test_a_daemon_without_the_store_gets_an_announced_row_from_another_one():
+    exchange = MemoryExchange(**{"vm-9": StoreRow("config", b"7", 2)})
+    async with following(LISTENER, READER, exchange=exchange) as (store, follower, _):
+        store.is_down = True
+        follower.hear(notice(row=2))
+        await until(lambda: follower.in_force.version == 7)
+        assert exchange.asked == [READER, "vm-9"]
+        assert exchange.held.version == 2
