Answer a caller whose body stalls at the route's timeout

Callers saw: no answer at all at the route's timeout, which is a part of CONFIG, where the body of an upload came slowly or stopped.

Cause: a request's time limit was checked between its steps, and reading the body was a step without one. It now ends the reading too. The answer is 408: nothing was sent to a target, so the request has not run and will not.

--- a/dogwoodhook/transport/own_answers.py
+++ b/dogwoodhook/transport/own_answers.py
@@ -15,6 +15,9 @@
 UNAVAILABLE_STATUS = 503
 """Promises that the request has not run and will not."""
 
+BODY_LATE_STATUS = 408
+"""The same, where the caller was too slow with its request."""
+
 
 class OwnAnswers:
     """Makes answers that carry the request's id."""
@@ -57,6 +60,14 @@
         answer.force_close()
         return answer
 
+    def body_late(self, request: web.BaseRequest) -> web.Response:
+        """Refuse a request as not run: its time ended before its body had come."""
+        detail = "the body did not come in time"
+        self._log(request, BODY_LATE_STATUS, detail)
+        answer = self.failure(request, BODY_LATE_STATUS, detail)
+        answer.force_close()
+        return answer
+
     def denial(
         self, request: web.BaseRequest, status: int, detail: str
     ) -> web.Response:
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -44,7 +44,7 @@
     WholeAnswer,
     attempt,
 )
-from dogwoodhook.transport.bodies import read_prelude
+from dogwoodhook.transport.bodies import RequestBody, read_prelude
 from dogwoodhook.transport.fleet_reports import FleetReports
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.own_answers import UNAVAILABLE_STATUS, OwnAnswers
@@ -116,7 +116,15 @@
         limit = configuration.limits.max_body_bytes
         if (request.content_length or 0) > limit:
             return self._own_answers.denial(request, 413, f"a body over {limit} bytes")
-        routed = await self._read(request, route, arrived_s)
+        deadline_s = arrived_s + self._allowed_s(request, route)
+        try:
+            async with asyncio.timeout(deadline_s - self._clock.now_s()):
+                body = await read_prelude(request, buffer_bytes=REPLAY_BUFFER_BYTES)
+        except TimeoutError:
+            return self._own_answers.body_late(request)
+        routed = self._routed(
+            request, route, body, arrived_s=arrived_s, deadline_s=deadline_s
+        )
         routed.configuration_version = configuration.version
         self._fleet.budget.record_request(routed.service, now_s=arrived_s)
         if route.is_idempotent:
@@ -145,26 +153,34 @@
         route = configuration.match(request.host, request.path)
         return route is not None and route.is_idempotent
 
-    async def _read(
-        self, request: web.BaseRequest, route: RoutePolicy, arrived_s: float
-    ) -> RoutedRequest:
-        dialect = self._dialect
-        headers = end_to_end_headers(request.headers)
-        headers.popall("Expect", None)
+    def _allowed_s(self, request: web.BaseRequest, route: RoutePolicy) -> float:
+        """Return how long after its arrival a request is answered at the latest."""
         allowed_s = route.timeout_s - ANSWER_MARGIN_S
-        remaining_ms = request.headers.get(dialect.remaining_ms, "")
+        remaining_ms = request.headers.get(self._dialect.remaining_ms, "")
         if remaining_ms.isascii() and remaining_ms.isdigit():
             allowed_s = min(allowed_s, int(remaining_ms) / 1000 - CALLER_MARGIN_S)
-        body = await read_prelude(request, buffer_bytes=REPLAY_BUFFER_BYTES)
+        return allowed_s
+
+    def _routed(
+        self,
+        request: web.BaseRequest,
+        route: RoutePolicy,
+        body: RequestBody,
+        *,
+        arrived_s: float,
+        deadline_s: float,
+    ) -> RoutedRequest:
+        headers = end_to_end_headers(request.headers)
+        headers.popall("Expect", None)
         return RoutedRequest(
             request=request,
-            request_id=request.headers.get(dialect.request_id, ""),
+            request_id=request.headers.get(self._dialect.request_id, ""),
             route=route,
             service=route.service_at(self._rng.random()),
             headers=headers,
             body=body,
             arrived_s=arrived_s,
-            deadline_s=arrived_s + allowed_s,
+            deadline_s=deadline_s,
         )
 
     async def _run(self, routed: RoutedRequest) -> web.StreamResponse:
