Cut off targets that send bytes without end

Callers saw: where a target in trouble sent bytes that are no answer for as long as the connection stood, in interim answers, chunk extensions or trailers, the caller was held until its route's timeout; noise right behind a whole answer lost that answer.

Cause: the client library bounds each line and the number of headers of a head, and nothing else; and an answer whose id or signature was wrong was read up to 256 KiB before anybody looked at its head.

Connections to targets now count the bytes that are no content: 64 KiB of heads, and of framing as much and 16 for each byte of content. One beyond that, or with bytes behind a whole answer, is closed at once. Heads are parsed by themselves, so that what comes behind an answer does not take it along. A wrong head ends the reading. Such an end is the target's failure also on a used connection, no longer taken for an idle reset.

--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -136,6 +136,9 @@
     response: aiohttp.ClientResponse, sending: Attempt, dialect: HttpDialect
 ) -> AttemptResult:
     headers = response.headers
+    problem = _problem(response, sending, dialect)
+    if problem is not None:
+        return MayHaveRun(problem, Symptom.RESET)
     protocol = response.connection.protocol if response.connection else None
     body = bytearray()
     async for chunk in response.content.iter_any():
@@ -145,9 +148,6 @@
     is_whole = response.content.at_eof()
     if is_whole and not _has_length(headers) and _was_reset(protocol):
         return MayHaveRun("an answer without a length was reset", Symptom.RESET)
-    problem = _problem(response, sending, dialect)
-    if problem is not None:
-        return MayHaveRun(problem, Symptom.RESET)
     if dialect.says_not_run(response.status, headers):
         is_busy = response.status not in dialect.not_run_statuses
         symptom = Symptom.BUSY if is_busy else None
@@ -210,7 +210,10 @@
     detail = f"{type(error).__name__} on a {connection} connection: {error}"
     if not trace.is_connected:
         return NotRunThere(detail, Symptom.UNREACHABLE, has_arrived=False)
-    if not trace.is_reused:
+    has_answered = isinstance(
+        error, (aiohttp.ClientPayloadError, aiohttp.ClientResponseError)
+    )
+    if has_answered or not trace.is_reused:
         return MayHaveRun(detail, Symptom.RESET)
     if isinstance(error, aiohttp.ServerDisconnectedError):
         # An idle connection's closing may have crossed the request.
--- /dev/null
+++ b/dogwoodhook/transport/bounded_answers.py
@@ -0,0 +1,116 @@
+"""Connections to targets whose bytes besides answers' bodies are bounded.
+
+A target in trouble may send bytes that are no answer without end: in a head, in the
+framing of a body, or behind a whole answer. The client library bounds each line and the
+number of headers, and nothing else. A connection beyond the bounds is closed at once,
+whatever time its request has left.
+"""
+
+import functools
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+HEAD_END = b"\r\n\r\n"
+
+MAX_HEAD_BYTES = 64 * 1024
+"""Bytes before a body, interim answers included: four times the usual limit of one
+head."""
+
+MAX_FRAMING_BYTES = 64 * 1024
+"""Bytes of a body that are not its content, such as chunk sizes and trailers."""
+
+FRAMING_PER_CONTENT_BYTE = 16
+"""Further such bytes for each byte of content; the smallest chunk has five."""
+
+FIRST_FINAL_STATUS = 200
+
+
+class BoundedResponseHandler(ResponseHandler):
+    """The client's side of a connection; counts the bytes of the current answer."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._answer: StreamReader | None = None
+        self._head_bytes = 0
+        self._head_tail = b""
+        self._body_bytes = 0
+
+    def set_response_params(self, **options: Any) -> None:
+        """Begin to count anew: a request is about to be sent."""
+        self._answer = None
+        self._head_bytes = self._body_bytes = 0
+        self._head_tail = b""
+        super().set_response_params(**options)
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Take a head that was parsed; interim ones are followed by another."""
+        message, body = data
+        if message.code >= FIRST_FINAL_STATUS and self._answer is None:
+            self._answer = body
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came, unless there was too much of it."""
+        if data and self._answer is not None and self._answer.is_eof():
+            self._cut("bytes behind an answer")
+            return
+        # Heads are parsed by themselves: the parser drops a head that comes in the same
+        # piece as bytes that it cannot parse.
+        while data and self._answer is None and not self._is_cut:
+            end = self._head_end(data)
+            piece, data = data[:end], data[end:]
+            self._head_bytes += len(piece)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self._cut("a head without end")
+                return
+            super().data_received(piece)
+        if self._is_cut or self._answer is None:
+            return
+        self._body_bytes += len(data)
+        content_bytes = self._answer.total_bytes
+        super().data_received(data)
+        content_bytes = max(content_bytes, self._answer.total_bytes)
+        allowed = MAX_FRAMING_BYTES + FRAMING_PER_CONTENT_BYTE * content_bytes
+        if self._body_bytes - content_bytes > allowed:
+            self._cut("a body's framing without end")
+
+    @property
+    def _is_cut(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
+
+    def _head_end(self, data: bytes) -> int:
+        """Return the number of bytes up to the head's end, or all of them."""
+        before = self._head_tail
+        at = (before + data).find(HEAD_END)
+        if at < 0:
+            self._head_tail = (before + data)[1 - len(HEAD_END) :]
+            return len(data)
+        self._head_tail = b""
+        return at + len(HEAD_END) - len(before)
+
+    def _cut(self, detail: str) -> None:
+        error = aiohttp.ClientPayloadError(detail)
+        if self._answer is None or not self._answer.is_eof():
+            self.set_exception(error)
+        if self._answer is not None and not self._answer.is_eof():
+            self._answer.set_exception(error)
+        self.force_close()
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """A connector whose connections are bounded so."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        # The library's only place for the class of its connections.
+        self._factory = functools.partial(  # type: ignore[assignment]
+            BoundedResponseHandler, loop=self._loop
+        )
--- a/dogwoodhook/transport/probes.py
+++ b/dogwoodhook/transport/probes.py
@@ -4,6 +4,7 @@
 
 from dogwoodhook.protocol.headers import SERVER_ERROR_STATUS
 from dogwoodhook.state.model import Target
+from dogwoodhook.transport.bounded_answers import BoundedConnector
 
 HEALTH_PATH = "/healthz"
 PROBE_TIMEOUT_S = 1.0
@@ -19,7 +20,7 @@
         """Tell whether the target's health endpoint answers well."""
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(force_close=True, limit=0),
+                connector=BoundedConnector(force_close=True, limit=0),
                 timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
             )
         url = f"http://{target.address}{HEALTH_PATH}"
--- a/dogwoodhook/transport/quiet_connector.py
+++ b/dogwoodhook/transport/quiet_connector.py
@@ -10,10 +10,11 @@
 from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
 
+from dogwoodhook.transport.bounded_answers import BoundedConnector
 from dogwoodhook.transport.resend_guard import AttemptTrace
 
 
-class QuietConnector(aiohttp.TCPConnector):
+class QuietConnector(BoundedConnector):
     """A connector that closes a pooled connection with unread bytes.
 
     Bytes that are still on their way when the next request leaves cannot be told
--- a/dogwoodhook/transport/target_connections.py
+++ b/dogwoodhook/transport/target_connections.py
@@ -9,6 +9,7 @@
 
 from dogwoodhook.clock import Clock
 from dogwoodhook.state.target_directory import TargetEntry
+from dogwoodhook.transport.bounded_answers import BoundedConnector
 from dogwoodhook.transport.quiet_connector import QuietConnector
 from dogwoodhook.transport.target_pools import make_session
 
@@ -33,7 +34,7 @@
         if not may_use_idle:
             if self._single_use is None:
                 self._single_use = make_session(
-                    aiohttp.TCPConnector(
+                    BoundedConnector(
                         limit=0,
                         limit_per_host=MAX_CONNECTIONS_PER_TARGET,
                         force_close=True,
--- a/dogwoodhook/transport/target_pools.py
+++ b/dogwoodhook/transport/target_pools.py
@@ -13,6 +13,7 @@
 import aiohttp
 
 from dogwoodhook.state.model import Target
+from dogwoodhook.transport.bounded_answers import BoundedConnector
 from dogwoodhook.transport.quiet_connector import QuietConnector
 from dogwoodhook.transport.resend_guard import make_trace_config
 
@@ -104,7 +105,7 @@
 
     def _fresh_session(self) -> aiohttp.ClientSession:
         if self._fresh is None:
-            self._fresh = make_session(aiohttp.TCPConnector(limit=0, force_close=True))
+            self._fresh = make_session(BoundedConnector(limit=0, force_close=True))
         return self._fresh
 
 
--- a/tests/platform_adapter/target_server.py
+++ b/tests/platform_adapter/target_server.py
@@ -144,6 +144,8 @@
     received: list = field(default_factory=list)
     cut: int = 0
     connections: int = 0
+    endless_bytes: int = 0
+    was_cut_off: bool = False
     answers_early: bool = False
 
     def entry(self, *, service="payouts", **changes):
