Decode only the routes of a configuration that have changed

Callers saw: nothing by itself.

Findings name the same places as before.

Evidence: test_only_the_routes_that_have_changed_are_decoded_again counts decoded routes; the decoder had no such count before.

--- a/dogwoodhook/platform/adapter.py
+++ b/dogwoodhook/platform/adapter.py
@@ -4,7 +4,7 @@
 
 from dogwoodhook.gateway import PlatformAdapter
 from dogwoodhook.platform.headers import PLATFORM_DIALECT
-from dogwoodhook.platform.rows import PLATFORM_ROWS
+from dogwoodhook.platform.rows import make_row_decoder
 from dogwoodhook.platform.settings_file import parse_settings
 from dogwoodhook.platform.store_client import HttpStore
 from dogwoodhook.vm_settings import VmSettings
@@ -45,7 +45,7 @@
     return PlatformAdapter(
         settings=file.settings,
         store=store,
-        decoder=PLATFORM_ROWS,
+        decoder=make_row_decoder(),
         dialect=PLATFORM_DIALECT,
         reread_settings=reread,
     )
--- a/dogwoodhook/platform/rows.py
+++ b/dogwoodhook/platform/rows.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from pydantic import (
     BaseModel,
@@ -91,7 +91,8 @@
 
 class _ConfigurationRow(_Wire):
     config_version: int
-    routes: dict[str, _RouteRow]
+    # Each route is decoded by itself.
+    routes: dict[str, Any]
     backends: dict[str, _BackendRow]
     limits: _LimitsRow
 
@@ -118,20 +119,64 @@
     )
 
 
-def decode_configuration(row: StoreRow) -> RoutingConfiguration:
-    """Return the configuration in a row, or raise ``FindingsError``."""
-    try:
-        decoded = _ConfigurationRow.model_validate(json.loads(row.value or b""))
-    except ValidationError as error:
-        raise FindingsError(
-            [
-                Finding(".".join(map(str, each["loc"])), each["msg"])
-                for each in error.errors()
-            ]
-        ) from None
-    except ValueError as error:
-        raise FindingsError([Finding(row.key, str(error))]) from None
-    policies = [_route_policy(name, route) for name, route in decoded.routes.items()]
+class ConfigurationDecoder:
+    """Decodes the operator's configuration, and only those routes that have changed.
+
+    A version changes few routes of many, and decoding holds up everything else that
+    the daemon does.
+    """
+
+    def __init__(self) -> None:
+        self.decoded_routes = 0
+        self._known: dict[str, tuple[object, RoutePolicy]] = {}
+
+    def decode(self, row: StoreRow) -> RoutingConfiguration:
+        """Return the configuration in a row, or raise ``FindingsError``."""
+        try:
+            raw = json.loads(row.value or b"")
+        except (ValueError, RecursionError) as error:
+            raise FindingsError([Finding(row.key, str(error))]) from None
+        known, findings = self._decode_routes(raw)
+        try:
+            decoded = _ConfigurationRow.model_validate(raw)
+        except ValidationError as error:
+            findings += _findings(error)
+        if findings:
+            raise FindingsError(findings)
+        self._known = known
+        return _configuration(decoded, [policy for _, policy in known.values()])
+
+    def _decode_routes(
+        self, raw: Any
+    ) -> tuple[dict[str, tuple[object, RoutePolicy]], list[Finding]]:
+        routes = raw.get("routes") if isinstance(raw, dict) else None
+        known: dict[str, tuple[object, RoutePolicy]] = {}
+        findings: list[Finding] = []
+        for name, route in routes.items() if isinstance(routes, dict) else ():
+            before = self._known.get(name)
+            if before is not None and before[0] == route:
+                known[name] = before
+                continue
+            self.decoded_routes += 1
+            try:
+                policy = _route_policy(name, _RouteRow.model_validate(route))
+            except ValidationError as error:
+                findings += _findings(error, "routes", name)
+                continue
+            known[name] = (route, policy)
+        return known, findings
+
+
+def _findings(error: ValidationError, *place: str) -> list[Finding]:
+    return [
+        Finding(".".join(map(str, (*place, *each["loc"]))), each["msg"])
+        for each in error.errors()
+    ]
+
+
+def _configuration(
+    decoded: _ConfigurationRow, policies: list[RoutePolicy]
+) -> RoutingConfiguration:
     limits = decoded.limits
     return RoutingConfiguration(
         version=decoded.config_version,
@@ -166,8 +211,10 @@
     )
 
 
-PLATFORM_ROWS = RowDecoder(
-    configuration_key=CONFIGURATION_KEY,
-    target=decode_target,
-    configuration=decode_configuration,
-)
+def make_row_decoder() -> RowDecoder:
+    """Return the decoder of the platform's rows."""
+    return RowDecoder(
+        configuration_key=CONFIGURATION_KEY,
+        target=decode_target,
+        configuration=ConfigurationDecoder().decode,
+    )
--- a/tests/platform_adapter/test_platform_rows.py
+++ b/tests/platform_adapter/test_platform_rows.py
@@ -6,7 +6,7 @@
 
 from dogwoodhook.coordination.store import StoreRow
 from dogwoodhook.findings import FindingsError
-from dogwoodhook.platform.rows import decode_configuration, decode_target
+from dogwoodhook.platform.rows import ConfigurationDecoder, decode_target
 from dogwoodhook.state.target_directory import TargetEntry
 
 SERVER = {
@@ -111,7 +111,7 @@
 
 
 def test_a_configuration_is_decoded_whole():
-    configuration = decode_configuration(row(CONFIGURATION, key="config"))
+    configuration = ConfigurationDecoder().decode(row(CONFIGURATION, key="config"))
     assert configuration.version == 7
     assert configuration.limits.idle_timeout_s == 15.0
     route = configuration.match("tills.example:80", "/payouts/7")
@@ -124,7 +124,7 @@
 
 @pytest.mark.parametrize("path", ["/", "/payout/7", "/payouts", "/other/payouts/"])
 def test_a_path_outside_every_prefix_matches_no_route(path):
-    configuration = decode_configuration(row(CONFIGURATION, key="config"))
+    configuration = ConfigurationDecoder().decode(row(CONFIGURATION, key="config"))
     assert configuration.match("tills.example", path) is None
 
 
@@ -133,6 +133,33 @@
     broken["routes"]["r-1"]["timeout"] = "soon"
     broken["limits"]["idleTimeout"] = None
     with pytest.raises(FindingsError) as caught:
-        decode_configuration(row(broken, key="config"))
+        ConfigurationDecoder().decode(row(broken, key="config"))
     places = [finding.place for finding in caught.value.findings]
     assert places == ["routes.r-1.timeout", "limits.idleTimeout"]
+
+
+def test_only_the_routes_that_have_changed_are_decoded_again():
+    decoder = ConfigurationDecoder()
+    first = decoder.decode(row(CONFIGURATION, key="config"))
+    count = decoder.decoded_routes
+    changed = json.loads(json.dumps(CONFIGURATION))
+    changed["configVersion"] = 9
+    changed["routes"]["r-1"]["timeout"] = "700ms"
+    second = decoder.decode(row(changed, key="config"))
+    assert decoder.decoded_routes == count + 1
+    assert second.version == 9
+    assert second.match("tills.example", "/payouts/7").timeout_s == 0.7
+    assert first.match("tills.example", "/payouts/7").timeout_s == 3.0
+
+
+def test_a_route_that_is_gone_or_refused_is_not_kept():
+    decoder = ConfigurationDecoder()
+    decoder.decode(row(CONFIGURATION, key="config"))
+    fewer = json.loads(json.dumps(CONFIGURATION))
+    del fewer["routes"]["r-1"]
+    assert len(decoder.decode(row(fewer, key="config")).routes) == 1
+    broken = json.loads(json.dumps(CONFIGURATION))
+    broken["routes"]["r-1"]["timeout"] = "soon"
+    with pytest.raises(FindingsError):
+        decoder.decode(row(broken, key="config"))
+    assert len(decoder.decode(row(CONFIGURATION, key="config")).routes) == 2
