Tell of a long configuration while it is being read

Cause: two transfers one after the other. The daemon that reads for a data centre told of a version when it had read and decoded it, and only then did the others begin.

The reader now tells that there is something newer when the answer's head shows that it is long. Listeners take a notice for the least version. Of two tries of a reading the one that begins first goes on alone, so that a busy link does not carry the row twice.

Evidence: test_a_large_configuration_over_busy_links_is_in_force_in_time failed before ([1, 2, 1] at the bound) and passes.

--- a/dogwoodhook/coordination/configuration_following.py
+++ b/dogwoodhook/coordination/configuration_following.py
@@ -154,6 +154,7 @@
                 Table.CONFIGURATION,
                 after_version=self._known_version,
                 wait_s=wait_s,
+                on_long_answer=self._announce_next,
             )
         now_s = self._clock.now_s()
         match result:
@@ -166,7 +167,7 @@
                 self._confirm(as_of_s)
                 if rows.is_whole and self._announced_row == announced_row:
                     # What was announced before the read, and is not there, never was.
-                    self._announced_row = min(announced_row, rows.version)
+                    self._announced_row = self._row_version
                 has_changed = self._row_version > before
                 if announced_row <= before:
                     self._tell(is_news=has_changed)
@@ -202,6 +203,12 @@
         else:
             self._links.tell_neighbours(notice)
 
+    def _announce_next(self) -> None:
+        """Let the others read a row while this daemon still does."""
+        self._links.broadcast(
+            ConfigurationNotice(self._daemon, self._row_version + 1, self.age_s)
+        )
+
     def _take(self, rows: TableRows, *, read_s: float) -> None:
         self._known_version = max(self._known_version, rows.version)
         for row in rows.rows:
--- a/dogwoodhook/coordination/fleet_messages.py
+++ b/dogwoodhook/coordination/fleet_messages.py
@@ -69,9 +69,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationNotice:
-    """The version of the configuration's row that a daemon knows.
+    """The least version of the configuration's newest row, as a daemon knows it.
 
-    ``age_s`` is how long before the sending it was certainly the newest.
+    ``age_s`` is how long before the sending that was certainly so.
     """
 
     daemon: str
--- a/dogwoodhook/coordination/store.py
+++ b/dogwoodhook/coordination/store.py
@@ -4,6 +4,7 @@
 that grows with each write to the store.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
@@ -72,9 +73,17 @@
         ...
 
     async def read_changes(
-        self, table: Table, *, after_version: int, wait_s: float = 0.0
+        self,
+        table: Table,
+        *,
+        after_version: int,
+        wait_s: float = 0.0,
+        on_long_answer: Callable[[], None] | None = None,
     ) -> Result[TableRows, StoreUnavailable | HistoryLost]:
-        """Read the changes after a version, waiting for the first one."""
+        """Read the changes after a version, waiting for the first one.
+
+        ``on_long_answer`` is called when an answer begins that takes long to come.
+        """
         ...
 
     async def put_row(
--- a/dogwoodhook/coordination/store_reading.py
+++ b/dogwoodhook/coordination/store_reading.py
@@ -31,7 +31,12 @@
 
 
 async def read_newer(
-    store: Store, table: Table, *, after_version: int, wait_s: float = 0.0
+    store: Store,
+    table: Table,
+    *,
+    after_version: int,
+    wait_s: float = 0.0,
+    on_long_answer: Callable[[], None] | None = None,
 ) -> Result[TableRows, StoreUnavailable]:
     """Read the changes after a version; the whole table where they are not kept.
 
@@ -40,7 +45,12 @@
     """
     if not after_version:
         return await store.read_table(table)
-    match await store.read_changes(table, after_version=after_version, wait_s=wait_s):
+    match await store.read_changes(
+        table,
+        after_version=after_version,
+        wait_s=wait_s,
+        on_long_answer=on_long_answer,
+    ):
         case Result(tag="ok", ok=TableRows(rows=())):
             return Ok(TableRows((), after_version, is_whole=False))
         case Result(tag="ok", ok=rows):
--- a/dogwoodhook/platform/store_client.py
+++ b/dogwoodhook/platform/store_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -23,6 +24,10 @@
 """Longest time without a byte of an answer, besides the time that a call may wait for a
 change. The store's slow answers take 0.4 s."""
 
+LONG_ANSWER_BYTES = 16 * 1024
+"""Length of an answer from which its reader tells others before it has read it: 30 ms
+of the smallest VM's link."""
+
 SECOND_TRY_S = 0.5
 """Time without the head of an answer after which a reading is tried on a new connection
 as well, since the first may have gone silent; more than a slow answer takes."""
@@ -86,15 +91,25 @@
             start = rows[-1].key + "\0"
 
     async def read_changes(
-        self, table: Table, *, after_version: int, wait_s: float = 0.0
+        self,
+        table: Table,
+        *,
+        after_version: int,
+        wait_s: float = 0.0,
+        on_long_answer: Callable[[], None] | None = None,
     ) -> Result[TableRows, StoreUnavailable | HistoryLost]:
-        """Read the changes after a version, waiting for the first one."""
+        """Read the changes after a version, waiting for the first one.
+
+        ``on_long_answer`` is called when an answer begins that takes long to come.
+        """
         query = {
             "table": _TABLE_NAMES[table],
             "after": str(after_version),
             "waitMs": str(int(wait_s * 1000)),
         }
-        answer = await self._read("/rows-feed", query, wait_s=wait_s)
+        answer = await self._read(
+            "/rows-feed", query, wait_s=wait_s, on_long_answer=on_long_answer
+        )
         if answer.status == _GONE:
             return Error(HistoryLost())
         if answer.status != _OK or answer.body is None:
@@ -137,36 +152,45 @@
         return await self._call(self._pooled(), "POST", "/rows-tx", body=body)
 
     async def _read(
-        self, path: str, query: dict[str, str], *, wait_s: float = 0.0
+        self,
+        path: str,
+        query: dict[str, str],
+        *,
+        wait_s: float = 0.0,
+        on_long_answer: Callable[[], None] | None = None,
     ) -> _Answer:
-        """Return the answer of a reading, tried twice if the first try stays silent."""
+        """Return the answer of a reading, tried twice if the first try stays silent.
+
+        The try whose answer begins first goes on alone.
+        """
+        tries: list[asyncio.Task[_Answer]] = []
         has_begun = asyncio.Event()
-        first = asyncio.ensure_future(
-            self._call(
-                self._pooled(),
-                "GET",
-                path,
-                query=query,
-                timeout_s=wait_s + CALL_TIMEOUT_S,
-                has_begun=has_begun,
+
+        def begin(length: int) -> None:
+            has_begun.set()
+            for each in tries:
+                if each is not asyncio.current_task():
+                    each.cancel()
+            if on_long_answer is not None and length >= LONG_ANSWER_BYTES:
+                on_long_answer()
+
+        def start(session: aiohttp.ClientSession, timeout_s: float) -> None:
+            call = self._call(
+                session, "GET", path, query=query, timeout_s=timeout_s, on_begin=begin
             )
-        )
-        tries = {first}
+            tries.append(asyncio.ensure_future(call))
+
+        start(self._pooled(), wait_s + CALL_TIMEOUT_S)
+        tries[0].add_done_callback(lambda _: has_begun.set())
         try:
             if not await _is_set_within(has_begun, wait_s + SECOND_TRY_S):
-                second = self._call(
-                    self._unpooled(),
-                    "GET",
-                    path,
-                    query=query,
-                    timeout_s=CALL_TIMEOUT_S - SECOND_TRY_S,
-                )
-                tries.add(asyncio.ensure_future(second))
-            for finished in asyncio.as_completed(tries):
-                answer = await finished
-                if not answer.problem:
-                    break
-            return answer
+                start(self._unpooled(), CALL_TIMEOUT_S - SECOND_TRY_S)
+            answers = [
+                each
+                for each in await asyncio.gather(*tries, return_exceptions=True)
+                if isinstance(each, _Answer)
+            ]
+            return min(answers, key=lambda each: bool(each.problem))
         finally:
             for each in tries:
                 each.cancel()
@@ -180,11 +204,11 @@
         query: dict[str, str] | None = None,
         body: dict[str, Any] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
-        has_begun: asyncio.Event | None = None,
+        on_begin: Callable[[int], None] | None = None,
     ) -> _Answer:
         """Return the answer of a call; it may take long while bytes keep coming.
 
-        ``has_begun`` is set when the answer's head is there, or the call has failed.
+        ``on_begin`` is called with the answer's length when its head has come.
         """
         loop = asyncio.get_running_loop()
         url = f"http://{self.address}{path}"
@@ -193,8 +217,8 @@
                 async with session.request(
                     method, url, params=query, json=body
                 ) as response:
-                    if has_begun is not None:
-                        has_begun.set()
+                    if on_begin is not None:
+                        on_begin(response.content_length or 0)
                     content = bytearray()
                     async for part in response.content.iter_any():
                         content += part
@@ -204,9 +228,6 @@
             return _Answer(problem=f"no answer in time to {path}")
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return _Answer(problem=repr(error))
-        finally:
-            if has_begun is not None:
-                has_begun.set()
 
     def _pooled(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/tests/platform_adapter/test_configuration_delivery.py
+++ b/tests/platform_adapter/test_configuration_delivery.py
@@ -18,6 +18,9 @@
 SKEW_S = 5.0
 """Further time where the store turns a VM away and serves others."""
 
+LINK_BYTES_PER_S = 5e6 / 8 / 3
+"""What callers and targets leave of the smallest VM's link, of 5 Mbit/s."""
+
 LARGE_ROUTES = 1400
 """Routes that the largest configurations of the platform add."""
 
@@ -89,3 +92,12 @@
     fleet.store.forget_history()
     await asyncio.sleep(BOUND_S)
     assert versions(fleet) == [2, 2, 2]
+
+
+async def test_a_large_configuration_over_busy_links_is_in_force_in_time(fleet):
+    await asyncio.sleep(1.0)
+    for relay in fleet.relays:
+        relay.bytes_per_s = LINK_BYTES_PER_S
+    await fleet.configure(2, **many_routes(LARGE_ROUTES))
+    await asyncio.sleep(BOUND_S)
+    assert versions(fleet) == [2, 2, 2]
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -1,5 +1,6 @@
 """The client of the platform's store, against a stand-in."""
 
+import time
 from contextlib import asynccontextmanager
 
 import pytest
@@ -113,3 +114,29 @@
         server.faults.delay_s = 0.4
         assert (await client.read_table(Table.CONFIGURATION)).is_ok()
         assert len(server.calls) == 1
+
+
+async def test_a_long_answer_is_told_of_while_it_is_read():
+    async with (
+        open_client() as (server, client),
+        Relay(port=server.address.port) as relay,
+    ):
+        await server.put("op", "config", b"short")
+        await server.put("op", "config", b"x" * 64 * 1024)
+        client.address = Address(HOST, relay.port)
+        relay.bytes_per_s = 200e3
+        told_s = []
+
+        async def read(after_version):
+            await client.read_changes(
+                Table.CONFIGURATION,
+                after_version=after_version,
+                on_long_answer=lambda: told_s.append(time.monotonic()),
+            )
+            return time.monotonic()
+
+        ended_s = await read(1)
+        assert len(told_s) == 1
+        assert told_s[0] < ended_s
+        await read(2)
+        assert len(told_s) == 1, "an answer without changes is short"
--- a/tests/test_configuration_following.py
+++ b/tests/test_configuration_following.py
@@ -25,6 +25,7 @@
         self.row = StoreRow("config", b"1", 1)
         self.is_down = False
         self.waits_s = []
+        self.is_long = False
         self.whole_reads = 0
         self.delay_s = 0.0
         self.answers_at_once = False
@@ -40,11 +41,15 @@
         await asyncio.sleep(self.delay_s)
         return Ok(TableRows((row,), row.version, is_whole=True))
 
-    async def read_changes(self, table, *, after_version, wait_s=0.0):
+    async def read_changes(
+        self, table, *, after_version, wait_s=0.0, on_long_answer=None
+    ):
         self.waits_s.append(wait_s)
         waited_s = 0.0
         while not self.is_down:
             if self.row.version > after_version:
+                if self.is_long:
+                    on_long_answer()
                 return Ok(TableRows((self.row,), self.row.version, is_whole=False))
             if waited_s >= wait_s or self.answers_at_once:
                 return Ok(TableRows((), self.row.version, is_whole=False))
@@ -216,3 +221,24 @@
         await until(lambda: follower.in_force.version == 7)
         assert exchange.asked == [READER, "vm-9"]
         assert exchange.held.version == 2
+
+
+async def test_the_reader_of_a_long_row_tells_of_it_before_it_has_read_it():
+    async with following(READER, LISTENER) as (store, _, links):
+        await until(lambda: links.told)
+        links.broadcasts.clear()
+        store.is_long = True
+        store.configure(7)
+        await until(lambda: len(links.broadcasts) == 2)
+        assert [each.row_version for each in links.broadcasts] == [2, 2]
+
+
+async def test_a_listener_reads_a_row_that_is_only_known_to_be_newer():
+    async with following(LISTENER, READER) as (store, follower, _):
+        store.row = StoreRow("config", b"7", 9)
+        follower.hear(notice(row=2))
+        await until(lambda: follower.in_force.version == 7)
+        reads = store.whole_reads
+        follower.hear(notice(row=9))
+        await asyncio.sleep(0.2)
+        assert store.whole_reads == reads
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -37,7 +37,9 @@
         self.whole_reads += 1
         return Ok(TableRows(tuple(self.rows), len(self.rows), is_whole=True))
 
-    async def read_changes(self, table, *, after_version, wait_s=0.0):
+    async def read_changes(
+        self, table, *, after_version, wait_s=0.0, on_long_answer=None
+    ):
         if self.is_down:
             return Error(StoreUnavailable("down"))
         newer = tuple(self.rows[after_version:])
