Check in the soak what configurations callers are served by

Callers now call routes that versions have added, and four failures are told apart from what they see, each with a verdict of its own: a version not in force in time (2.5 s, by daemons that have not been disturbed for 3 s), an older version again in one process, an invalid version in use, an added route not served (the first covers it). Versions that must not be taken are written too, and connections to the store fall silent.

--- a/tests/platform_adapter/soak/faults.py
+++ b/tests/platform_adapter/soak/faults.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import signal
+from contextlib import ExitStack, nullcontext
 
 from tests.platform_adapter import target_server as behave
-from tests.platform_adapter.soak.world import World
+from tests.platform_adapter.soak.world import Daemon, World
 
 GRAY_BEHAVIOURS = (
     behave.reset,
@@ -32,12 +33,14 @@
     running = _running(world)
     count = world.rng.choice([1, 1, 1, len(running)])
     killed = running[:count]
-    for daemon in killed:
-        daemon.is_stopping = True
-        world.kill(daemon)
-    await asyncio.sleep(world.rng.uniform(0.1, 1.0))
-    for daemon in killed:
-        await world.restart(daemon)
+    with ExitStack() as disturbed:
+        for daemon in killed:
+            disturbed.enter_context(world.disturbing(daemon))
+            daemon.is_stopping = True
+            world.kill(daemon)
+        await asyncio.sleep(world.rng.uniform(0.1, 1.0))
+        for daemon in killed:
+            await world.restart(daemon)
 
 
 async def stop_daemon(world: World) -> None:
@@ -46,8 +49,9 @@
     if len(running) < 2:
         return
     daemon = world.rng.choice(running)
-    await world.stop(daemon)
-    await world.restart(daemon)
+    with world.disturbing(daemon):
+        await world.stop(daemon)
+        await world.restart(daemon)
 
 
 async def pause_daemon(world: World) -> None:
@@ -56,9 +60,10 @@
     if not running:
         return
     daemon = world.rng.choice(running)
-    daemon.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(world.rng.uniform(0.5, 3.0))
-    daemon.send_signal(signal.SIGCONT)
+    with world.disturbing(daemon):
+        daemon.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(world.rng.uniform(0.5, 3.0))
+        daemon.send_signal(signal.SIGCONT)
 
 
 async def reload_daemon(world: World) -> None:
@@ -81,19 +86,28 @@
             faults.delay_s = 0.3
         case "forget":
             world.store.forget_history()
-    await asyncio.sleep(world.rng.uniform(0.5, 4.0))
-    faults.refused, faults.is_silent, faults.delay_s = 0, False, 0.0
+    with world.disturbing():
+        await asyncio.sleep(world.rng.uniform(0.5, 4.0))
+        faults.refused, faults.is_silent, faults.delay_s = 0, False, 0.0
 
 
 async def cut_connections(world: World) -> None:
     """Cut the connections of a daemon to the store or to a target, one way or both."""
-    relays = [each.store for each in world.daemons]
-    relays += [each.relay for each in world.targets.values()]
-    relay = world.rng.choice(relays)
-    relay.is_cut_to_server = world.rng.random() < 0.7
-    relay.is_cut_to_client = not relay.is_cut_to_server or world.rng.random() < 0.5
-    await asyncio.sleep(world.rng.uniform(0.5, 4.0))
-    relay.is_cut_to_server = relay.is_cut_to_client = False
+    side = world.rng.choice([*world.daemons, *world.targets.values()])
+    is_daemon = isinstance(side, Daemon)
+    relay = side.store if is_daemon else side.relay
+    with world.disturbing(side) if is_daemon else nullcontext():
+        relay.is_cut_to_server = world.rng.random() < 0.7
+        relay.is_cut_to_client = not relay.is_cut_to_server or world.rng.random() < 0.5
+        await asyncio.sleep(world.rng.uniform(0.5, 4.0))
+        relay.is_cut_to_server = relay.is_cut_to_client = False
+
+
+async def silence_connections(world: World) -> None:
+    """Let all connections to the store that are open fall silent for good."""
+    with world.disturbing():
+        for daemon in world.daemons:
+            daemon.store.silence_open()
 
 
 async def make_gray(world: World) -> None:
@@ -112,9 +126,9 @@
 
 
 async def change_configuration(world: World) -> None:
-    """Write one version or a quick succession of them."""
+    """Write one version or a quick succession of them, some of them invalid."""
     for _ in range(world.rng.choice([1, 1, 4])):
-        await world.configure()
+        await world.configure(is_valid=world.rng.random() < 0.8)
         await asyncio.sleep(0.1)
 
 
@@ -125,6 +139,7 @@
     reload_daemon,
     disturb_store,
     cut_connections,
+    silence_connections,
     make_gray,
     make_gray,
     replace_target,
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -19,6 +19,7 @@
     CallRecord,
     Ending,
     Violation,
+    find_stale_configurations,
     find_violations,
 )
 from tests.platform_adapter.soak.world import World
@@ -33,6 +34,10 @@
 the machine may be busy."""
 
 RECOVERED_ANSWERS = 5
+ADDED_ROUTE_SHARE = 0.4
+"""Share of the requests that are not repeatable, sent to routes added lately."""
+
+RECENT_CHANGES = 3
 DEADLINE_MS = 4000
 CALL_TIMEOUT_S = 8.0
 
@@ -86,8 +91,14 @@
     async def call(self, session, daemon):
         """Send one request and keep what became of it."""
         is_idempotent = self._rng.random() < 0.5
+        added_in = 0
+        changes = self._world.changes
+        if not is_idempotent and self._rng.random() < ADDED_ROUTE_SHARE:
+            added_in = self._rng.choice(changes[-RECENT_CHANGES:]).version
         request_id = f"{self._seed}-{next(self._numbers)}"
-        path = f"/{'read' if is_idempotent else 'post'}/{request_id}"
+        prefix = "read" if is_idempotent else "post"
+        path = f"/{f'extra{added_in}' if added_in else prefix}/{request_id}"
+        incarnation = daemon.starts
         sent_s = time.monotonic()
         trace = AttemptTrace()
         answer = {}
@@ -124,6 +135,8 @@
             sent_s=sent_s,
             ended_s=time.monotonic(),
             ending=ending,
+            incarnation=incarnation,
+            added_in=added_in,
             **answer,
         )
         self.calls.append(call)
@@ -156,6 +169,9 @@
     await asyncio.gather(*calling)
     runs = [run for target in world.all_targets for run in target.runs]
     violations += find_violations(callers.calls, runs, world.ends)
+    violations += find_stale_configurations(
+        callers.calls, world.changes, world.disturbances
+    )
     endings = Counter(str(each.status or each.ending) for each in callers.calls)
     return Report(seed, Counter(injected), endings, violations)
 
--- a/tests/platform_adapter/soak/world.py
+++ b/tests/platform_adapter/soak/world.py
@@ -7,7 +7,7 @@
 import sys
 import time
 from asyncio.subprocess import Process
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -15,7 +15,14 @@
 from dogwoodhook.testing.relay import Relay
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.conftest import make_configuration, make_route
-from tests.platform_adapter.soak.records import Kill, RunRecord, Stop
+from tests.platform_adapter.soak.records import (
+    CONFIGURATION_BOUND_S,
+    Change,
+    Disturbance,
+    Kill,
+    RunRecord,
+    Stop,
+)
 from tests.platform_adapter.store_server import StoreServer, running_store
 from tests.platform_adapter.target_server import TargetServer
 
@@ -25,6 +32,9 @@
 MIN_GRACE_S = 3.0
 """The shorter of the grace periods in the settings files."""
 
+INVALID_S = 0.3
+"""Time for which a version that must not be taken is the newest."""
+
 REFUSALS = (behave.refuse, behave.misdirected)
 
 
@@ -71,6 +81,7 @@
     store: Relay
     process: Process | None = None
     is_stopping: bool = False
+    starts: int = 0
 
     @property
     def url(self):
@@ -92,11 +103,13 @@
             f"portRange={peers},{peers + 15}\n"
             f"provider.address=127.0.0.1:{self.store.port}\n"
             f"bounds.grace={grace}\nbounds.retryBudgetExtra=62\n"
+            f"bounds.config={CONFIGURATION_BOUND_S}s\n"
         )
 
     async def start(self):
         """Start the process."""
         self.is_stopping = False
+        self.starts += 1
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -123,6 +136,8 @@
         self.all_targets: list[SoakTarget] = []
         self.daemons: list[Daemon] = []
         self.routes = {}
+        self.changes: list[Change] = []
+        self.disturbances: list[Disturbance] = []
         self._folder = folder
         self._stack = AsyncExitStack()
         self._version = 0
@@ -143,13 +158,33 @@
                 await daemon.process.wait()
         await self._stack.aclose()
 
-    async def configure(self):
-        """Write the next version of the configuration."""
+    async def configure(self, *, is_valid=True):
+        """Write the next version, or one that must not be taken and then the next."""
         self._version += self.rng.randint(1, 3)
-        self.routes[f"extra{self._version}"] = make_route(f"/extra{self._version}/")
-        await self.store.put(
-            "op", "config", make_configuration(self._version, **self.routes)
-        )
+        name = f"extra{self._version}"
+        routes = {**self.routes, name: make_route(f"/{name}/")}
+        configuration = make_configuration(self._version, **routes)
+        if is_valid:
+            self.routes = routes
+        else:
+            configuration["limits"] = None
+        await self.store.put("op", "config", configuration)
+        self.changes.append(Change(self._version, time.monotonic(), is_valid))
+        if not is_valid:
+            await asyncio.sleep(INVALID_S)
+            await self.configure()
+
+    @contextmanager
+    def disturbing(self, daemon=None):
+        """Note that a daemon, or else the store, is disturbed meanwhile."""
+        started_s = time.monotonic()
+        place = len(self.disturbances)
+        name = daemon.name if daemon else None
+        self.disturbances.append(Disturbance(name, started_s, float("inf")))
+        try:
+            yield
+        finally:
+            self.disturbances[place] = Disturbance(name, started_s, time.monotonic())
 
     async def add_target(self, data_centre, *, port=None):
         """Start a target and register it; a port makes it take over an address."""
