--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -45,7 +45,7 @@
     52,
     53,
     54,
-    # A version was not in force in time: its announcement rode on another table's reader.
+    # A call for targets that had failed kept a daemon from asking for configurations.
     203,
 )
 """Seeds that found a fault once, each with a line on its cause."""
