Do not let the second try of a waiting call wait at the store again

Cause: the second try of a reading repeated the call with its wait, and its deadline of 0.5 s ended before the store answered that there was nothing new. Evidence: test_a_waiting_call_on_a_silent_connection_ends_with_an_answer failed before and passes.

--- a/dogwoodhook/platform/store_client.py
+++ b/dogwoodhook/platform/store_client.py
@@ -105,7 +105,7 @@
         query = {
             "table": _TABLE_NAMES[table],
             "after": str(after_version),
-            "waitMs": str(int(wait_s * 1000)),
+            "waitMs": "0",
         }
         answer = await self._read(
             "/rows-feed", query, wait_s=wait_s, on_long_answer=on_long_answer
@@ -161,6 +161,7 @@
     ) -> _Answer:
         """Return the answer of a reading, tried twice if the first try stays silent.
 
+        Only the first try waits at the store, which may have nothing to tell of.
         The try whose answer begins first goes on alone.
         """
         tries: list[asyncio.Task[_Answer]] = []
@@ -174,17 +175,24 @@
             if on_long_answer is not None and length >= LONG_ANSWER_BYTES:
                 on_long_answer()
 
-        def start(session: aiohttp.ClientSession, timeout_s: float) -> None:
+        def start(
+            session: aiohttp.ClientSession, wait_s: float, timeout_s: float
+        ) -> None:
             call = self._call(
-                session, "GET", path, query=query, timeout_s=timeout_s, on_begin=begin
+                session,
+                "GET",
+                path,
+                query={**query, "waitMs": str(int(wait_s * 1000))} if wait_s else query,
+                timeout_s=wait_s + timeout_s,
+                on_begin=begin,
             )
             tries.append(asyncio.ensure_future(call))
 
-        start(self._pooled(), wait_s + CALL_TIMEOUT_S)
+        start(self._pooled(), wait_s, CALL_TIMEOUT_S)
         tries[0].add_done_callback(lambda _: has_begun.set())
         try:
             if not await _is_set_within(has_begun, wait_s + SECOND_TRY_S):
-                start(self._unpooled(), CALL_TIMEOUT_S - SECOND_TRY_S)
+                start(self._unpooled(), 0.0, CALL_TIMEOUT_S - SECOND_TRY_S)
             answers = [
                 each
                 for each in await asyncio.gather(*tries, return_exceptions=True)
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -140,3 +140,18 @@
         assert told_s[0] < ended_s
         await read(2)
         assert len(told_s) == 1, "an answer without changes is short"
+
+
+async def test_a_waiting_call_on_a_silent_connection_ends_with_an_answer():
+    async with (
+        open_client() as (server, client),
+        Relay(port=server.address.port) as relay,
+    ):
+        await server.put("op", "config", b"x")
+        client.address = Address(HOST, relay.port)
+        await client.read_table(Table.CONFIGURATION)
+        relay.silence_open()
+        changes = await client.read_changes(
+            Table.CONFIGURATION, after_version=1, wait_s=0.6
+        )
+        assert changes.ok.rows == ()
