Derive the pace of readings of targets from the bound of the settings

On the known ones nothing changes: the interval is still at most 0.5 s.

Bounds of no time are refused with their line.

--- a/dogwoodhook/coordination/target_following.py
+++ b/dogwoodhook/coordination/target_following.py
@@ -38,7 +38,10 @@
 
 
 class TargetFollower:
-    """Keeps the directory of targets up to date."""
+    """Keeps the directory of targets up to date.
+
+    ``bound_s`` is the time in which a change has to be known; it may change.
+    """
 
     def __init__(
         self,
@@ -49,12 +52,14 @@
         clock: Clock,
         *,
         daemon: str,
+        bound_s: float,
     ) -> None:
         self._store = store
         self._directory = directory
         self._decoder = decoder
         self._links = links
         self._clock = clock
+        self.bound_s = bound_s
         self._daemon = daemon
         self._availability = StoreAvailability(Table.TARGETS)
         self._rng = random.Random(daemon)
@@ -99,7 +104,8 @@
     def _pause_s(self) -> float:
         rank = self._rank()
         latest_s = self._read_s if rank == 0 else max(self._read_s, self._heard_s)
-        return latest_s + silence_limit_s(rank) - self._clock.now_s()
+        limit_s = silence_limit_s(rank, bound_s=self.bound_s)
+        return latest_s + limit_s - self._clock.now_s()
 
     async def _read(self, *, is_told: bool) -> bool:
         """Read what is new, and tell the others unless they know it."""
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -131,6 +131,7 @@
             self.peers,
             clock,
             daemon=settings.vm_name,
+            bound_s=settings.bounds.drain_s,
         )
         bounds = settings.bounds
         self._budget = FleetBudget(
@@ -268,6 +269,7 @@
             return
         self._settings = settings
         bounds = settings.bounds
+        self._targets.bound_s = bounds.drain_s
         self._configuration.freshness = ConfigurationFreshness(bounds.configuration_s)
         self._budget.resize(
             ratio=bounds.retry_ratio,
--- a/dogwoodhook/platform/settings_file.py
+++ b/dogwoodhook/platform/settings_file.py
@@ -122,8 +122,9 @@
     return ServiceBounds(
         grace_s=fields.optional("bounds.grace", parse_duration_s, default.grace_s),
         configuration_s=fields.optional(
-            "bounds.config", parse_duration_s, default.configuration_s
+            "bounds.config", _positive_duration_s, default.configuration_s
         ),
+        drain_s=fields.optional("bounds.drain", _positive_duration_s, default.drain_s),
         retry_ratio=fields.optional(
             "bounds.retryBudgetRatio", float, default.retry_ratio
         ),
@@ -136,6 +137,13 @@
     )
 
 
+def _positive_duration_s(text: str) -> float:
+    seconds = parse_duration_s(text)
+    if not seconds:
+        raise ValueError(f"received {text!r}; allowed is more than 0")
+    return seconds
+
+
 def _text(text: str) -> str:
     if not text:
         raise ValueError("received nothing; a value is needed")
--- a/dogwoodhook/state/reader_duty.py
+++ b/dogwoodhook/state/reader_duty.py
@@ -13,10 +13,14 @@
 from collections.abc import Iterable
 
 READ_INTERVAL_S = 0.5
-"""Time between two readings; a quarter of the bound for leaving targets."""
+"""Longest time between two readings, whatever the bound: each costs a call."""
 
-RANK_DELAY_S = 0.15
-"""Further time that each rank waits for those before it."""
+READ_SHARE = 0.25
+"""Time between two readings as a part of the bound within which a change must be known
+to every daemon."""
+
+RANK_SHARE = 0.3
+"""Further time that each rank waits for those before it, as a part of the interval."""
 
 MAX_RANKED = 4
 """Ranks beyond this one wait no longer."""
@@ -32,13 +36,14 @@
     return ordered.index(daemon)
 
 
-def silence_limit_s(rank: int) -> float:
+def silence_limit_s(rank: int, *, bound_s: float) -> float:
     """Return how long a daemon waits for another's reading before its own.
 
-    >>> silence_limit_s(0)
-    0.5
+    >>> silence_limit_s(0, bound_s=2.0), silence_limit_s(1, bound_s=1.0)
+    (0.5, 0.325)
     """
-    return READ_INTERVAL_S + RANK_DELAY_S * min(rank, MAX_RANKED)
+    interval_s = min(READ_INTERVAL_S, bound_s * READ_SHARE)
+    return interval_s * (1 + RANK_SHARE * min(rank, MAX_RANKED))
 
 
 def _order(daemon: str) -> bytes:
--- a/dogwoodhook/vm_settings.py
+++ b/dogwoodhook/vm_settings.py
@@ -21,11 +21,13 @@
     ``grace_s`` is the time between SIGTERM and SIGKILL. Over any
     ``retry_window_s``, the fleet may send ``retry_ratio`` of a service's requests
     plus ``retry_extra`` a second time. A configuration is in force
-    ``configuration_s`` after the store has acknowledged it.
+    ``configuration_s`` after the store has acknowledged it, and a target that leaves
+    gets nothing ``drain_s`` after that.
     """
 
     grace_s: float = 6.0
     configuration_s: float = 2.0
+    drain_s: float = 2.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_extra: float = 50.0
--- a/tests/platform_adapter/test_settings_file.py
+++ b/tests/platform_adapter/test_settings_file.py
@@ -17,6 +17,8 @@
 provider.address=10.200.1.7:8642
 bounds.budgetWindow=10000ms
 bounds.grace=6s
+bounds.config=2500ms
+bounds.drain=2.5s
 bounds.retryBudgetExtra=62
 a.field.of.tomorrow=1,2
 """
@@ -36,6 +38,8 @@
     assert settings.peer_address == Address("10.1.0.15", 7620)
     assert settings.bounds.retry_window_s == 10.0
     assert settings.bounds.grace_s == 6.0
+    assert settings.bounds.configuration_s == 2.5
+    assert settings.bounds.drain_s == 2.5
     assert settings.bounds.retry_extra == 62
 
 
@@ -43,7 +47,7 @@
     text = TEXT.replace("10.1.0.15:8641", "10.1.0.15").replace("10000ms", "soon")
     text = text.replace("zone=kigali-1\n", "") + "no equals sign\n"
     assert findings_of(text) == [
-        "boot.conf:11: received 'no equals sign'; allowed is name=value",
+        "boot.conf:13: received 'no equals sign'; allowed is name=value",
         "boot.conf:3: listen.frontend: received '10.1.0.15'; allowed is host:port",
         "boot.conf: zone is missing",
         "boot.conf:7: bounds.budgetWindow: received 'soon';"
@@ -68,3 +72,10 @@
     with pytest.raises(FindingsError):
         adapter.reread_settings()
     assert adapter.reread_settings() is None
+
+
+def test_a_bound_of_no_time_is_refused():
+    text = TEXT.replace("bounds.config=2500ms", "bounds.config=0ms")
+    assert findings_of(text) == [
+        "boot.conf:9: bounds.config: received '0ms'; allowed is more than 0"
+    ]
--- a/tests/test_reader_duty.py
+++ b/tests/test_reader_duty.py
@@ -1,5 +1,7 @@
 """Which daemon of a data centre reads the store."""
 
+import pytest
+
 from dogwoodhook.coordination.store_availability import MAX_RETRY_S
 from dogwoodhook.platform.store_client import CALL_TIMEOUT_S
 from dogwoodhook.state.reader_duty import (
@@ -29,11 +31,20 @@
 
 
 def test_a_daemon_that_knows_no_other_reads_for_itself():
-    assert silence_limit_s(rank_of("vm-1", [])) == READ_INTERVAL_S
+    rank = rank_of("vm-1", [])
+    assert silence_limit_s(rank, bound_s=DRAIN_BOUND_S) == READ_INTERVAL_S
 
 
 def test_leaving_targets_are_known_in_time_even_by_the_last_rank():
-    assert silence_limit_s(MAX_RANKED + 10) + 2 * STORE_ANSWER_S < DRAIN_BOUND_S
+    limit_s = silence_limit_s(MAX_RANKED + 10, bound_s=DRAIN_BOUND_S)
+    assert limit_s + 2 * STORE_ANSWER_S < DRAIN_BOUND_S
+
+
+@pytest.mark.parametrize("bound_s", [0.5, 1.0, 2.0, 2.5, 10.0])
+def test_the_pace_follows_the_bound_and_is_no_slower_than_the_longest_interval(bound_s):
+    longest_s = silence_limit_s(MAX_RANKED, bound_s=bound_s)
+    assert longest_s <= 0.6 * bound_s
+    assert silence_limit_s(0, bound_s=bound_s) <= READ_INTERVAL_S
 
 
 def test_the_store_is_read_again_before_it_counts_as_stable():
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -76,6 +76,7 @@
         links,
         SystemClock(),
         daemon=daemon,
+        bound_s=2.0,
     )
     task = asyncio.create_task(follower.run())
     await until(lambda: directory.version == targets)
