--- a/tests/platform_adapter/test_settings_file.py
+++ b/tests/platform_adapter/test_settings_file.py
@@ -77,5 +77,5 @@
 def test_a_bound_of_no_time_is_refused():
     text = TEXT.replace("bounds.config=2500ms", "bounds.config=0ms")
     assert findings_of(text) == [
-        "boot.conf:9: bounds.config: received '0ms'; allowed is more than 0"
+        "boot.conf:10: bounds.config: received '0ms'; allowed is more than 0"
     ]
