Ask again soon for the first configuration

Cause: the pause between readings without news, which keeps a store that answers at once from being asked all the time, was that of a waiting call also after a call that had not waited. It is 0.1 s then.

Evidence: test_the_first_configuration_is_in_force_soon_after_it_is_written failed before and passes.

--- a/dogwoodhook/coordination/configuration_following.py
+++ b/dogwoodhook/coordination/configuration_following.py
@@ -39,6 +39,10 @@
 if TYPE_CHECKING:
     from dogwoodhook.state.route_policy import RoutingConfiguration
 
+MIN_INTERVAL_S = 0.1
+"""Time between two readings without news where the store answers at once: a daemon that
+starts before the first configuration is written asks again soon."""
+
 MAX_ASKED = 3
 """Neighbours asked for a row before the daemon that announced it. They are drawn, since
 a slow VM's link carries a large configuration to a few daemons a second only."""
@@ -172,7 +176,7 @@
                 if announced_row <= before:
                     self._tell(is_news=has_changed)
                 if not has_changed:
-                    self._next_s = started_s + self.freshness.wait_s
+                    self._next_s = started_s + max(wait_s, MIN_INTERVAL_S)
                 return True
             case Result(error=StoreUnavailable(detail)):
                 self._availability.record_failure(detail, now_s=now_s)
--- a/tests/test_configuration_following.py
+++ b/tests/test_configuration_following.py
@@ -31,7 +31,8 @@
         self.answers_at_once = False
 
     def configure(self, version):
-        self.row = StoreRow("config", str(version).encode(), self.row.version + 1)
+        value = str(version).encode()
+        self.row = StoreRow("config", value, self.row.version + 1)
 
     async def read_table(self, table):
         if self.is_down:
@@ -95,9 +96,11 @@
 
 
 @asynccontextmanager
-async def following(daemon, *neighbours, exchange=None):
+async def following(daemon, *neighbours, exchange=None, has_configuration=True):
     store, links = ConfigurationStore(), RecordingLinks(*neighbours)
     exchange = exchange or MemoryExchange()
+    if not has_configuration:
+        store.row = StoreRow("other", b"", 1)
     follower = ConfigurationFollower(
         store,
         RowDecoder("config", lambda row: None, decode),
@@ -109,7 +112,8 @@
         on_change=lambda since_announced_s: None,
     )
     task = asyncio.create_task(follower.run())
-    await until(lambda: follower.in_force is not None)
+    if has_configuration:
+        await until(lambda: follower.in_force is not None)
     try:
         yield store, follower, links
     finally:
@@ -242,3 +246,14 @@
         follower.hear(notice(row=9))
         await asyncio.sleep(0.2)
         assert store.whole_reads == reads
+
+
+async def test_the_first_configuration_is_in_force_soon_after_it_is_written():
+    async with following(READER, LISTENER, has_configuration=False) as (
+        store,
+        follower,
+        _,
+    ):
+        await asyncio.sleep(0.15)
+        store.configure(7)
+        await until(lambda: follower.in_force is not None, timeout_s=0.3)
