--- a/dogwoodhook/coordination/configuration_following.py
+++ b/dogwoodhook/coordination/configuration_following.py
@@ -123,18 +123,17 @@
         )
         self._wake.set()
 
-    @property
-    def _must_catch_up(self) -> bool:
-        return not self._known_version or self._announced_row > self._row_version
-
     def _rank(self) -> int:
         return rank_of(self._daemon, self._links.neighbours())
 
     def _pause_s(self) -> float:
-        if self._must_catch_up:
+        if self._announced_row > self._row_version:
             return 0.0
+        next_in_s = self._next_s - self._clock.now_s()
+        if not self._known_version:
+            return next_in_s
         silence_s = self.freshness.silence_limit_s(self._rank()) - self.age_s
-        return max(silence_s, self._next_s - self._clock.now_s())
+        return max(silence_s, next_in_s)
 
     async def _wait(self, pause_s: float) -> None:
         self._wake.clear()
@@ -148,7 +147,7 @@
         started_s = self._clock.now_s()
         announced_row = self._announced_row
         wait_s = 0.0
-        if self._must_catch_up:
+        if not self._known_version or announced_row > self._row_version:
             result = await self._store.read_table(Table.CONFIGURATION)
         else:
             if self._rank() == 0 and self._availability.is_answering:
--- a/tests/test_configuration_following.py
+++ b/tests/test_configuration_following.py
@@ -100,7 +100,7 @@
     store, links = ConfigurationStore(), RecordingLinks(*neighbours)
     exchange = exchange or MemoryExchange()
     if not has_configuration:
-        store.row = StoreRow("other", b"", 1)
+        store.row = StoreRow("other", b"", 0)
     follower = ConfigurationFollower(
         store,
         RowDecoder("config", lambda row: None, decode),
@@ -257,3 +257,10 @@
         await asyncio.sleep(0.15)
         store.configure(7)
         await until(lambda: follower.in_force is not None, timeout_s=0.3)
+
+
+async def test_an_empty_store_is_not_asked_all_the_time():
+    async with following(READER, LISTENER, has_configuration=False) as (store, _, _):
+        reads = store.whole_reads
+        await asyncio.sleep(0.5)
+        assert store.whole_reads - reads <= 6
