Send the test's SIGHUP as soon as the program has begun

Traced by sending it 10, 30 and 60 ms after the start on a quieter machine: the process ends by the signal each time, since the interpreter, not the program, has it then.

--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import time
+from pathlib import Path
 
 import pytest
 
@@ -44,9 +45,20 @@
     assert "bounds.grace" in errors
 
 
-@pytest.mark.parametrize("delay_s", [0.1, 2.5])
+def survives_sighup(process):
+    """Tell whether the process ignores or handles SIGHUP: the program has begun."""
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    masks = dict(line.split(":", 1) for line in status.splitlines())
+    mask = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+    return bool(mask & 1 << (signal.SIGHUP - 1))
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 2.5])
 def test_sighup_ends_no_daemon_and_sigterm_does(tmp_path, delay_s):
     process = start(tmp_path, local(TEXT))
+    while not survives_sighup(process):
+        assert process.poll() is None
+        time.sleep(0.001)
     time.sleep(delay_s)
     process.send_signal(signal.SIGHUP)
     time.sleep(3.0)
