--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -66,7 +66,6 @@
 SETTINGS_INTERVAL_S = 2.0
 """Time between looks at the settings, which may change without a signal."""
 
-
 LOOP_WATCH_INTERVAL_S = 0.5
 """Time between looks at how late the event loop runs its timers."""
 
--- a/dogwoodhook/platform/store_client.py
+++ b/dogwoodhook/platform/store_client.py
@@ -18,6 +18,7 @@
     Table,
     TableRows,
 )
+from dogwoodhook.coordination.store_reading import wait_for
 from dogwoodhook.vm_settings import Address
 
 CALL_TIMEOUT_S = 1.0
@@ -191,7 +192,8 @@
         start(self._pooled(), wait_s, CALL_TIMEOUT_S)
         tries[0].add_done_callback(lambda _: has_begun.set())
         try:
-            if not await _is_set_within(has_begun, wait_s + SECOND_TRY_S):
+            await wait_for(has_begun, wait_s + SECOND_TRY_S)
+            if not has_begun.is_set():
                 start(self._unpooled(), 0.0, CALL_TIMEOUT_S - SECOND_TRY_S)
             answers = [
                 each
@@ -251,15 +253,6 @@
         return self._single_use
 
 
-async def _is_set_within(event: asyncio.Event, timeout_s: float) -> bool:
-    try:
-        async with asyncio.timeout(timeout_s):
-            await event.wait()
-    except TimeoutError:
-        return False
-    return True
-
-
 def _decode_row(row: dict[str, Any]) -> StoreRow:
     value = None if row.get("deleted") else base64.b64decode(row.get("value") or "")
     return StoreRow(key=row["key"], value=value, version=row["ver"])
