Do not take an answer for written whose connection is being closed

The line of an answer that broke off was missing: the answer counts as written before the connection is lost. test_an_answer_that_breaks_off_has_a_line failed in the commit before.

--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -128,7 +128,8 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Write an answer."""
         finished, is_reset = await super().finish_response(request, resp, start_time)
-        if not is_reset:
+        is_open = self.transport is not None and not self.transport.is_closing()
+        if is_open and not is_reset:
             self._open.pop(id(request), None)
             if not finished.keep_alive:
                 self.note_closing(Closing.ANSWER)
