--- /dev/null
+++ b/tests/platform_adapter/test_pipelined_closings.py
@@ -0,0 +1,78 @@
+"""Requests behind an answer after which their connection can only be closed."""
+
+import asyncio
+
+import pytest
+
+from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES
+from tests.exchanges import until
+from tests.platform_adapter import target_server as behave
+from tests.platform_adapter.raw_caller import raw_caller
+
+SIZE = 4 * BUFFERED_ANSWER_BYTES
+
+
+def large_for(path, *, is_cut, pause_s=0.0):
+    """Answer one path with a large body, cut in the middle or whole; others soon."""
+
+    async def behave_so(server, received, writer):
+        if received.path != path:
+            await asyncio.sleep(0.05)
+            await behave.answer(server, received, writer)
+            return
+        writer.write(behave.head("200 OK", received, length=SIZE, Server_Signature="s"))
+        writer.write(b"x" * (SIZE // 2))
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+        if is_cut:
+            behave.reset_connection(writer)
+            return
+        writer.write(b"x" * (SIZE // 2))
+
+    return behave_so
+
+
+async def start(platform, behaviour):
+    await platform.configure()
+    target = await platform.start_target("t1", behaviour)
+    return target, await platform.start_gateway()
+
+
+@pytest.mark.parametrize("large", ["a", "b"])
+async def test_requests_behind_an_answer_that_breaks_off_are_answered(platform, large):
+    path = f"/read/{large}"
+    target, gateway = await start(platform, large_for(path, is_cut=True, pause_s=0.2))
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/a", "/read/b", "/read/c")
+        await until(lambda: len(target.received) == 3)
+        answers = [await caller.answer() for _ in range(3)]
+    assert all(answers), "closed with requests at a target"
+    assert [each.request_id for each in answers] == ["a", "b", "c"]
+    statuses = {each.request_id: each.status for each in answers}
+    assert statuses.pop(large) == 502
+    assert set(statuses.values()) == {200}
+
+
+async def test_nothing_is_begun_behind_an_answer_that_is_passed_on_as_it_comes(
+    platform,
+):
+    behaviour = large_for("/read/a", is_cut=True, pause_s=0.3)
+    target, gateway = await start(platform, behaviour)
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/a")
+        await asyncio.sleep(0.1)
+        caller.send("/read/b")
+        assert not (await caller.answer()).is_whole
+    assert [each.path for each in target.received] == ["/read/a"]
+
+
+async def test_a_request_behind_a_large_whole_answer_is_answered_after_it(platform):
+    behaviour = large_for("/read/a", is_cut=False, pause_s=0.3)
+    _, gateway = await start(platform, behaviour)
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/a")
+        await asyncio.sleep(0.1)
+        caller.send("/read/b", "/read/c")
+        answers = [await caller.answer() for _ in range(3)]
+    assert [each.status for each in answers] == [200, 200, 200]
+    assert len(answers[0].body) == SIZE
--- /dev/null
+++ b/tests/platform_adapter/test_planned_stops.py
@@ -0,0 +1,192 @@
+"""What callers and targets see of requests around a daemon's planned stop."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES
+from tests.exchanges import until
+from tests.platform_adapter import target_server as behave
+from tests.platform_adapter.conftest import make_route
+from tests.platform_adapter.raw_caller import raw_caller
+
+GRACE_S = 2.0
+PROMISES = (408, 429, 503)
+
+
+async def start(platform, *behaviours, others=()):
+    """Start a daemon and a target of three slots; return the target."""
+    await platform.configure(
+        read=make_route("/read/", kind="safe", timeout="9000ms"),
+        post=make_route("/post/", timeout="9000ms"),
+    )
+    target = await platform.start_target("t1", *behaviours)
+    for name, behaviour in others:
+        await platform.start_target(name, behaviour)
+    await platform.start_gateway(grace_s=GRACE_S)
+    return target
+
+
+@asynccontextmanager
+async def stopping(gateway, *, after_s=0.0):
+    """Stop a daemon meanwhile, and wait until it has ended."""
+
+    async def stop():
+        await gateway.drain()
+        await gateway.close()
+
+    task = asyncio.ensure_future(stop())
+    await asyncio.sleep(after_s)
+    yield
+    await task
+
+
+def by_path(work_s, *, default_s=0.0):
+    """Work as long as the last part of a path says."""
+
+    async def behave_so(server, received, writer):
+        name = received.path.rpartition("/")[2]
+        await asyncio.sleep(work_s.get(name, default_s))
+        await behave.answer(server, received, writer)
+
+    return behave_so
+
+
+@pytest.mark.parametrize("path", ["/read/late", "/post/late"])
+@pytest.mark.parametrize("taken_share", [0.3, 0.5, 0.6, 0.69])
+@pytest.mark.parametrize("work_share", [0.25, 0.4, 0.8])
+async def test_a_request_that_comes_during_a_stop_is_answered_or_refused_unrun(
+    platform, path, taken_share, work_share
+):
+    work_s = {"long": 0.7 * GRACE_S, "late": work_share * GRACE_S}
+    target = await start(platform, by_path(work_s))
+    gateway = platform.gateways[0]
+    async with raw_caller(gateway) as busy, raw_caller(gateway) as caller:
+        busy.send("/read/long")
+        await until(lambda: target.received)
+        async with stopping(gateway, after_s=taken_share * GRACE_S):
+            caller.send(path)
+            answer = await caller.answer()
+        assert answer is not None, "closed without an answer"
+        runs = [each for each in target.received if each.path == path]
+        if answer.status in PROMISES:
+            assert not runs
+            assert "retry-after" in answer.headers
+        elif taken_share >= 0.5:
+            assert answer.status == 200, "taken and given up"
+
+
+async def test_a_request_that_usually_takes_longer_than_the_stop_is_refused(platform):
+    target = await start(platform, behave.after(0.5 * GRACE_S))
+    gateway = platform.gateways[0]
+    for number in range(5):
+        assert (await platform.send(f"/post/{number}", data=b"x")).status == 200
+    after_s = 0.2 * GRACE_S
+    async with raw_caller(gateway) as caller, stopping(gateway, after_s=after_s):
+        caller.send("/post/late")
+        answer = await caller.answer()
+    assert answer.status == 503
+    assert answer.closes
+    assert len(target.received) == 5
+
+
+async def test_a_body_that_is_whole_only_late_in_a_stop_is_refused_unrun(platform):
+    work_s = {"long": 0.7 * GRACE_S, "late": 0.4 * GRACE_S}
+    target = await start(platform, by_path(work_s))
+    gateway = platform.gateways[0]
+    async with raw_caller(gateway) as busy, raw_caller(gateway) as caller:
+        busy.send("/post/long")
+        await until(lambda: target.received)
+        caller.writer.write(
+            b"POST /post/late HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: late\r\n"
+            b"Deadline-Ms: 5000\r\nContent-Length: 8\r\n\r\nhalf"
+        )
+        await asyncio.sleep(0.1)
+        async with stopping(gateway, after_s=0.65 * GRACE_S):
+            caller.writer.write(b"half")
+            answer = await caller.answer()
+    assert answer is not None, "closed without an answer"
+    assert answer.status in PROMISES
+    assert [each.path for each in target.received] == ["/post/long"]
+
+
+async def test_no_second_target_is_tried_late_in_a_stop(platform):
+    """Overdue 0.6 s after it was sent, and never answered."""
+    target = await start(platform, behave.hang)
+    other = await platform.start_target("t2", behave.hang)
+    gateway = platform.gateways[0]
+    await until(lambda: gateway.knows_target("t2"))
+    after_s = 0.35 * GRACE_S
+    async with raw_caller(gateway) as caller, stopping(gateway, after_s=after_s):
+        caller.send("/read/late")
+        await caller.answer()
+    assert len(target.received) + len(other.received) <= 1
+
+
+@pytest.mark.parametrize("path", ["/read/long", "/post/long"])
+async def test_a_request_at_work_at_the_end_of_a_stop_gets_a_final_answer(
+    platform, path
+):
+    target = await start(platform, behave.hang)
+    gateway = platform.gateways[0]
+    async with raw_caller(gateway) as caller:
+        caller.send(path)
+        await until(lambda: target.received)
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        async with stopping(gateway):
+            answer = await caller.answer()
+            ended_s = loop.time() - began_s
+    assert answer is not None, "closed without an answer"
+    assert answer.status in (502, 504)
+    assert GRACE_S * 5 / 6 <= ended_s <= GRACE_S
+
+
+async def test_pipelined_requests_at_targets_are_answered_in_a_stop(platform):
+    await start(platform, by_path({"a": 0.2, "b": 0.6, "c": 0.4}))
+    gateway = platform.gateways[0]
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/a", "/read/b", "/read/c")
+        await asyncio.sleep(0.1)
+        async with stopping(gateway):
+            answers = await caller.answers()
+    assert [each.request_id for each in answers] == ["a", "b", "c"]
+    assert [each.status for each in answers] == [200, 200, 200]
+    assert [each.closes for each in answers] == [False, False, True]
+
+
+async def test_a_pipelined_request_that_waits_its_turn_in_a_stop_is_not_run(platform):
+    target = await start(platform, by_path({"a": 0.3, "c": 0.3}))
+    gateway = platform.gateways[0]
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/a", "/post/b", "/read/c")
+        await until(lambda: len(target.received) == 2)
+        async with stopping(gateway, after_s=0.65 * GRACE_S):
+            answers = await caller.answers()
+    assert [each.request_id for each in answers] == ["a", "b", "c"]
+    assert answers[0].status == answers[2].status == 200
+
+
+async def test_an_answer_is_not_cut_by_bytes_behind_the_one_that_closes(platform):
+    """Unread bytes reset a connection that is closed, with the answer on its way."""
+    size = BUFFERED_ANSWER_BYTES - 1
+
+    async def large(server, received, writer):
+        await asyncio.sleep(0.2)
+        head = behave.head("200 OK", received, length=size, Server_Signature="s")
+        writer.write(head + b"x" * size)
+
+    await start(platform, large)
+    gateway = platform.gateways[0]
+    async with raw_caller(gateway, limit=1024) as caller:
+        caller.send("/read/a")
+        await asyncio.sleep(0.1)
+        async with stopping(gateway):
+            await asyncio.sleep(0.3)
+            for number in range(50):
+                caller.send(f"/read/behind-{number}")
+                await asyncio.sleep(0.01)
+            answer = await caller.answer()
+    assert answer is not None
+    assert answer.is_whole
