Take in a planned stop only what is expected to end before it

Callers saw requests that had come up to 4.2 s after SIGTERM passed on and their connections closed without an answer at 5.6 s, of a grace period of 6 s, among them requests that may not be repeated; also second sendings 0.6 s before the end, and bodies that were whole only then.

Cause: what a stopping daemon took was decided by its own clock alone, not by the work that a service usually takes nor by the time left; at the end it cut and said nothing.

Now the intake ends once the balancer has turned away (2.6 s, or 0.45 of a shorter grace period), and before that a request goes to a target only if nearly all answers of its service come in time. This is asked before every sending, so it holds for bodies that come slowly and for second targets. What does not go is refused at once as not run. What is still at work at 0.9 of the grace period gets a final answer.

--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -52,6 +52,7 @@
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.gateway_listener import CallerListener, OperatorListener
 from dogwoodhook.transport.route_forwarder import RouteForwarder
+from dogwoodhook.transport.stop_timeouts import StopTimeouts
 from dogwoodhook.transport.target_connections import TargetConnections
 from dogwoodhook.vm_settings import VmSettings
 
@@ -101,6 +102,7 @@
         self._clock = clock
         self._readiness = Readiness()
         self._stop = DaemonStop()
+        self._stop_timeouts = StopTimeouts(self._stop, clock)
         self._has_been_ready = asyncio.Event()
         self._suspicion = Suspicion(daemon=settings.vm_name, rng=rng)
         self._directory = TargetDirectory()
@@ -182,12 +184,14 @@
             daemon=settings.vm_name,
             rng=rng,
             stop=self._stop,
+            stop_timeouts=self._stop_timeouts,
         )
         self._callers = CallerListener(
             forwarder.forward,
             settings.caller_address,
+            stop=self._stop,
+            clock=clock,
             may_begin=forwarder.is_repeatable,
-            refuse=forwarder.refuse_stopping,
             on_unanswered=forwarder.note_unanswered,
         )
         self._operator_listeners = [
@@ -248,8 +252,9 @@
         """Send callers elsewhere and finish what is in flight."""
         grace_s = self._settings.bounds.grace_s
         self._stop.begin(now_s=self._clock.now_s(), grace_s=grace_s)
+        self._stop_timeouts.begin_stop()
         self._readiness.drain()
-        await self._callers.drain(grace_s=grace_s)
+        await self._callers.drain()
 
     async def close(self) -> None:
         """End the tasks and close every socket."""
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -6,8 +6,10 @@
 
 from aiohttp import web
 
+from dogwoodhook.clock import Clock
 from dogwoodhook.events import REQUEST_FAILED, log
 from dogwoodhook.metrics import Metrics
+from dogwoodhook.state.daemon_stop import BALANCER_NOTICE_S, DaemonStop
 from dogwoodhook.transport.admin import metrics_answer
 from dogwoodhook.transport.listening import HttpListener
 from dogwoodhook.transport.pipelining import (
@@ -18,25 +20,18 @@
 )
 from dogwoodhook.vm_settings import Address
 
-SERVE_SHARE = 0.7
-"""Share of the grace period in which a stopping daemon still serves requests."""
-
-MIN_LINGER_S = 2.6
-"""Time for which a stopping daemon listens on: the balancer sends new callers until
-it has missed two of its questions, which come once a second."""
+DRAIN_INTERVAL_S = 0.02
+"""Time between looks at whether a stopping daemon has answered all requests."""
 
 CLOSE_TIMEOUT_S = 0.1
 """Time for closing what is left after the drain."""
 
-EXIT_MARGIN_S = 0.6
-"""Time before the end of the grace period at which the daemon exits."""
-
 
 class CallerListener:
-    """Counts requests, and ends them well when the daemon stops.
+    """Takes callers' requests until the daemon has stopped.
 
-    ``refuse`` answers those that come too late for that. ``on_unanswered`` is told of
-    each request whose connection was closed before its answer had been written.
+    ``on_unanswered`` is told of each request whose connection was closed before its
+    answer had been written.
     """
 
     def __init__(
@@ -44,12 +39,14 @@
         forward: Forward,
         address: Address,
         *,
+        stop: DaemonStop,
+        clock: Clock,
         may_begin: MayBegin,
-        refuse: Callable[[web.BaseRequest], web.Response],
         on_unanswered: OnUnanswered,
     ) -> None:
         self._forward = forward
-        self._refuse = refuse
+        self._stop = stop
+        self._clock = clock
         self._listener = HttpListener(
             self._handle,
             host=address.host,
@@ -60,34 +57,25 @@
             close_timeout_s=CLOSE_TIMEOUT_S,
         )
         self._in_flight = 0
-        self._is_closing = False
-        self._is_refusing = False
 
     async def start(self) -> None:
         """Open the listener."""
         await self._listener.start()
 
-    async def drain(self, *, grace_s: float) -> None:
-        """Send callers elsewhere, finish what is in flight, and close."""
-        loop = asyncio.get_running_loop()
-        began_s = loop.time()
-        self._is_closing = True
-        while loop.time() - began_s < grace_s * SERVE_SHARE:
-            await asyncio.sleep(0.05)
-            if loop.time() - began_s > MIN_LINGER_S and not self._in_flight:
+    async def drain(self) -> None:
+        """Listen on until callers go elsewhere and every request has its answer."""
+        listen_until_s = self._clock.now_s() + BALANCER_NOTICE_S
+        while (now_s := self._clock.now_s()) < self._stop.closes_s:
+            if now_s >= listen_until_s and not self._in_flight:
                 break
-        self._is_refusing = True
+            await asyncio.sleep(DRAIN_INTERVAL_S)
         await self._listener.stop_accepting()
-        while self._in_flight and loop.time() - began_s < grace_s - EXIT_MARGIN_S:
-            await asyncio.sleep(0.02)
 
     async def close(self) -> None:
         """Close every connection."""
         await self._listener.close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        if self._is_refusing:
-            return self._refuse(request)
         self._in_flight += 1
         try:
             answer: web.StreamResponse = await self._forward(request)
@@ -96,7 +84,7 @@
             answer = web.Response(status=502)
         finally:
             self._in_flight -= 1
-        if self._is_closing and not answer.prepared:
+        if self._stop.has_begun and not answer.prepared:
             answer.force_close()
         return answer
 
--- a/dogwoodhook/transport/own_answers.py
+++ b/dogwoodhook/transport/own_answers.py
@@ -57,7 +57,6 @@
         self._log(request, UNAVAILABLE_STATUS, detail)
         answer = self.failure(request, UNAVAILABLE_STATUS, detail)
         answer.headers["Retry-After"] = "0"
-        answer.force_close()
         return answer
 
     def body_late(self, request: web.BaseRequest) -> web.Response:
--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -205,8 +205,8 @@
         return request
 
 
-def note_broken_answer(request: web.BaseRequest) -> None:
-    """Note that a caller's connection is closed since its answer broke off."""
+def note_closing(request: web.BaseRequest, closing: Closing) -> None:
+    """Note why the connection of a request is about to be closed."""
     protocol = request.protocol
     if isinstance(protocol, _PipelinedHandler):
-        protocol.note_closing(Closing.BROKEN_ANSWER)
+        protocol.note_closing(closing)
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -54,6 +54,7 @@
 from dogwoodhook.transport.pipelining import Closing, PipelinedRequest
 from dogwoodhook.transport.resend_guard import AttemptTrace
 from dogwoodhook.transport.routed_request import RoutedRequest
+from dogwoodhook.transport.stop_timeouts import StopTimeouts
 
 REPLAY_BUFFER_BYTES = 512 * 1024
 """Bodies up to this size can be sent to another target."""
@@ -96,9 +97,11 @@
         daemon: str,
         rng: random.Random,
         stop: DaemonStop,
+        stop_timeouts: StopTimeouts,
     ) -> None:
         self._metrics = metrics
         self._stop = stop
+        self._stop_timeouts = stop_timeouts
         self._fleet = fleet
         self._dialect = dialect
         self._own_answers = OwnAnswers(dialect, rng)
@@ -122,13 +125,22 @@
         if (request.content_length or 0) > limit:
             return self._own_answers.denial(request, 413, f"a body over {limit} bytes")
         deadline_s = arrived_s + self._allowed_s(request, route)
+        service = route.service_at(self._rng.random())
+        if not self._may_send(route, service, deadline_s=deadline_s):
+            return self._own_answers.stopping(request)
+        left_s = deadline_s - self._clock.now_s()
         try:
-            async with asyncio.timeout(deadline_s - self._clock.now_s()):
+            async with self._stop_timeouts.until_intake_ends(left_s):
                 body = await read_prelude(request, buffer_bytes=REPLAY_BUFFER_BYTES)
         except TimeoutError:
-            return self._own_answers.body_late(request)
+            return self._refuse_unread(request, deadline_s=deadline_s)
         routed = self._routed(
-            request, route, body, arrived_s=arrived_s, deadline_s=deadline_s
+            request,
+            route,
+            service,
+            body,
+            arrived_s=arrived_s,
+            deadline_s=deadline_s,
         )
         routed.configuration_version = configuration.version
         self._fleet.budget.record_request(routed.service, now_s=arrived_s)
@@ -137,9 +149,24 @@
         # Followed to its end even if the caller leaves: it may not run again.
         return await asyncio.shield(asyncio.ensure_future(self._run(routed)))
 
-    def refuse_stopping(self, request: web.BaseRequest) -> web.Response:
-        """Return the answer of a daemon that takes no more requests."""
-        return self._own_answers.stopping(request)
+    def _refuse_unread(
+        self, request: web.BaseRequest, *, deadline_s: float
+    ) -> web.StreamResponse:
+        """Refuse a request whose body did not come in time."""
+        if self._clock.now_s() < deadline_s:
+            return self._own_answers.stopping(request)
+        return self._own_answers.body_late(request)
+
+    def _may_send(self, route: RoutePolicy, service: str, *, deadline_s: float) -> bool:
+        """Tell whether a request may go to a target as far as a stop is concerned."""
+        if not self._stop.has_begun:
+            return True
+        expected_s = self._typical[service].overdue_s(
+            target_latency_s=route.target_latency_s
+        )
+        return self._stop.may_send(
+            now_s=self._clock.now_s(), expected_s=expected_s, deadline_s=deadline_s
+        )
 
     def note_unanswered(self, request: web.BaseRequest, closing: Closing) -> None:
         """Log a request whose connection was closed before its whole answer."""
@@ -177,10 +204,16 @@
             allowed_s = min(allowed_s, int(remaining_ms) / 1000 - CALLER_MARGIN_S)
         return allowed_s
 
+    def _stop_allows(self, routed: RoutedRequest) -> bool:
+        return self._may_send(
+            routed.route, routed.service, deadline_s=routed.deadline_s
+        )
+
     def _routed(
         self,
         request: web.BaseRequest,
         route: RoutePolicy,
+        service: str,
         body: RequestBody,
         *,
         arrived_s: float,
@@ -192,7 +225,7 @@
             request=request,
             request_id=request.headers.get(self._dialect.request_id, ""),
             route=route,
-            service=route.service_at(self._rng.random()),
+            service=service,
             headers=headers,
             body=body,
             arrived_s=arrived_s,
@@ -202,13 +235,26 @@
     async def _run(self, routed: RoutedRequest) -> web.StreamResponse:
         race: dict[asyncio.Task[AttemptResult], TargetEntry] = {}
         try:
-            answer = await self._race(routed, race)
+            async with self._stop_timeouts.until_answers_end():
+                answer = await self._race(routed, race)
+        except TimeoutError:
+            answer = self._end_at_stop(routed, in_flight=len(race))
         finally:
             for task in race:
                 _abandon(task)
         self._count(routed, answer)
         return answer
 
+    def _end_at_stop(
+        self, routed: RoutedRequest, *, in_flight: int
+    ) -> web.StreamResponse:
+        """Return the final answer of a request that the stop of the daemon ends."""
+        if routed.streamed is not None and routed.streamed.prepared:
+            cut_caller(routed.request, Closing.STOP)
+            return routed.streamed
+        routed.runs += in_flight
+        return self._conclude(routed, "the daemon stops")
+
     def _count(self, routed: RoutedRequest, answer: web.StreamResponse) -> None:
         duration_s = self._clock.now_s() - routed.arrived_s
         self._metrics.record_request(
@@ -283,6 +329,8 @@
         now_s = self._clock.now_s()
         if routed.deadline_s - now_s < MIN_SENDING_S:
             return None
+        if not self._stop_allows(routed):
+            return None
         routed.directory_version = self._fleet.directory.version
         return self._fleet.placement.choose(
             self._fleet.directory.serving(routed.service, now_s=now_s),
@@ -322,6 +370,7 @@
             case WholeAnswer():
                 return self._deliver(routed, target.name, result)
             case OpenAnswer():
+                routed.runs += 1
                 return await self._stream(routed, target.name, result)
             case NotRunThere(detail, symptom, has_arrived, has_timed_out):
                 routed.refusals += 1
@@ -417,7 +466,7 @@
             return False
         if routed.unreachable >= MAX_UNREACHABLE:
             return False
-        if routed.has_caller_left:
+        if routed.has_caller_left or not self._stop_allows(routed):
             return False
         if routed.has_run and not routed.route.is_idempotent:
             return False
@@ -442,7 +491,7 @@
         self, routed: RoutedRequest, target: str, opened: OpenAnswer
     ) -> web.StreamResponse:
         """Pass a large answer on as it comes; one that breaks off is broken off."""
-        answer = web.StreamResponse(
+        answer = routed.streamed = web.StreamResponse(
             status=opened.status,
             reason=opened.reason,
             headers=end_to_end_headers(opened.headers),
@@ -478,6 +527,8 @@
     def _give_up(self, routed: RoutedRequest, detail: str) -> web.Response:
         now_s = self._clock.now_s()
         fields = self._log_fields(routed)
+        if not routed.has_run and not self._stop_allows(routed):
+            return self._own_answers.stopping(routed.request)
         if not routed.has_run:
             log(REQUEST_REFUSED, **fields, status=UNAVAILABLE_STATUS, detail=detail)
             cause = self._cause(routed)
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -18,7 +18,8 @@
     ``deadline_s`` is on the elapsed clock. ``runs`` counts the attempts that may
     have run; ``refusals`` those that did not, and ``unreachable`` those among them
     that got no connection in time. ``failure`` is the own error of
-    ``failed_target``, kept while another one may still do better.
+    ``failed_target``, kept while another one may still do better. ``streamed`` is an
+    answer that is passed on as it comes.
     """
 
     request: web.BaseRequest
@@ -40,6 +41,7 @@
     target_s: float = 0.0
     failure: WholeAnswer | None = None
     failed_target: str = ""
+    streamed: web.StreamResponse | None = None
     configuration_version: int = 0
     directory_version: int = 0
     last_standing: Standing = Standing.SOUND
--- /dev/null
+++ b/dogwoodhook/transport/stop_timeouts.py
@@ -0,0 +1,80 @@
+"""Ends what is under way when a planned stop of the daemon says so."""
+
+import asyncio
+import math
+from collections.abc import Callable
+from types import TracebackType
+
+from dogwoodhook.clock import Clock
+from dogwoodhook.state.daemon_stop import DaemonStop
+
+
+class StopTimeouts:
+    """Makes timeouts that also end with a phase of the stop, which may begin later.
+
+    ::
+
+        async with timeouts.until_answers_end():
+            ...  # TimeoutError once requests at targets are given up
+    """
+
+    def __init__(self, stop: DaemonStop, clock: Clock) -> None:
+        self._stop = stop
+        self._clock = clock
+        self._running: set[_StopTimeout] = set()
+
+    def until_intake_ends(self, timeout_s: float) -> "_StopTimeout":
+        """Return a timeout that ends when nothing goes to targets any more."""
+        return self._timeout(lambda: self._stop.intake_ends_s, timeout_s)
+
+    def until_answers_end(self) -> "_StopTimeout":
+        """Return a timeout that ends when requests at targets are given up."""
+        return self._timeout(lambda: self._stop.answers_end_s, math.inf)
+
+    def begin_stop(self) -> None:
+        """Shorten the timeouts that run now: the stop has begun."""
+        for timeout in self._running:
+            timeout.shorten()
+
+    def _timeout(self, ends_s: Callable[[], float], timeout_s: float) -> "_StopTimeout":
+        deadline_s = self._clock.now_s() + timeout_s
+        return _StopTimeout(
+            lambda: min(deadline_s, ends_s()) - self._clock.now_s(), self._running
+        )
+
+
+class _StopTimeout:
+    """An ``asyncio.timeout`` whose end may come nearer."""
+
+    def __init__(
+        self, left_s: Callable[[], float], running: "set[_StopTimeout]"
+    ) -> None:
+        self._left_s = left_s
+        self._running = running
+        self._timeout = asyncio.timeout(self._finite(left_s()))
+
+    def shorten(self) -> None:
+        """End in time for the stop."""
+        if self._timeout.expired():
+            return
+        left_s = self._finite(self._left_s())
+        if left_s is not None:
+            loop = asyncio.get_running_loop()
+            self._timeout.reschedule(loop.time() + left_s)
+
+    async def __aenter__(self) -> None:
+        await self._timeout.__aenter__()
+        self._running.add(self)
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._running.discard(self)
+        await self._timeout.__aexit__(kind, error, traceback)
+
+    @staticmethod
+    def _finite(left_s: float) -> float | None:
+        return None if math.isinf(left_s) else left_s
