Do not close a connection while requests behind the answer are at targets

Callers that send several requests on a connection lost the later ones: targets ran them, and the connection was closed behind the answer in front. Shown for every answer of a stopping daemon, for a large answer that its target breaks off, and for a large one that waits for its turn until its deadline, which cut even the answer in front of it.

Cause: whether a connection closes was decided with one answer in view, while requests behind it had been begun at targets.

Now the last answer that is owed closes the connection of a stopping daemon. Large answers are read whole, in bounded memory, while requests behind them are at targets, so that one that breaks off becomes a failure. Nothing is begun behind an answer that is passed on as it comes, nor while the daemon stops. A stop waits for the writing of answers, not for their coming.

--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import aiohttp
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -141,11 +141,7 @@
         return MayHaveRun(problem, Symptom.RESET)
     protocol = response.connection.protocol if response.connection else None
     body = bytearray()
-    async for chunk in response.content.iter_any():
-        body += chunk
-        if len(body) > BUFFERED_ANSWER_BYTES:
-            break
-    is_whole = response.content.at_eof()
+    is_whole = await _read_up_to(response, body, BUFFERED_ANSWER_BYTES)
     if is_whole and not _has_length(headers) and _was_reset(protocol):
         return MayHaveRun("an answer without a length was reset", Symptom.RESET)
     if dialect.says_not_run(response.status, headers):
@@ -158,6 +154,39 @@
     return OpenAnswer(response.status, reason, headers, bytes(body), response, protocol)
 
 
+async def read_on(opened: OpenAnswer, *, limit_bytes: int) -> AttemptResult:
+    """Read a large answer to its end, or as far as it may be kept."""
+    body = bytearray(opened.body)
+    result: AttemptResult | None = None
+    try:
+        is_whole = await _read_up_to(opened.response, body, limit_bytes)
+        if not is_whole:
+            result = replace(opened, body=bytes(body))
+        elif opened.was_reset:
+            result = MayHaveRun("an answer without a length was reset", Symptom.RESET)
+        else:
+            result = WholeAnswer(
+                opened.status, opened.reason, opened.headers, bytes(body)
+            )
+    except (aiohttp.ClientError, OSError) as error:
+        result = MayHaveRun(f"the answer broke off: {error!r}", Symptom.RESET)
+    finally:
+        if not isinstance(result, OpenAnswer):
+            opened.response.close()
+    return result
+
+
+async def _read_up_to(
+    response: aiohttp.ClientResponse, body: bytearray, limit_bytes: int
+) -> bool:
+    """Read an answer's body until there is too much; tell whether it is whole."""
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > limit_bytes:
+            break
+    return response.content.at_eof()
+
+
 def _has_length(headers: Mapping[str, str]) -> bool:
     coding = headers.get("Transfer-Encoding", "").lower()
     return "Content-Length" in headers or coding == "chunked"
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -1,8 +1,8 @@
 """Listeners for callers and for the balancer's readiness questions."""
 
 import asyncio
-import functools
 from collections.abc import Callable
+from typing import Any
 
 from aiohttp import web
 
@@ -47,16 +47,16 @@
         self._forward = forward
         self._stop = stop
         self._clock = clock
+        self._may_begin = may_begin
+        self._on_unanswered = on_unanswered
+        self._server: PipelinedServer | None = None
         self._listener = HttpListener(
             self._handle,
             host=address.host,
             port=address.port,
-            make_server=functools.partial(
-                PipelinedServer, may_begin=may_begin, on_unanswered=on_unanswered
-            ),
+            make_server=self._make_server,
             close_timeout_s=CLOSE_TIMEOUT_S,
         )
-        self._in_flight = 0
 
     async def start(self) -> None:
         """Open the listener."""
@@ -66,7 +66,7 @@
         """Listen on until callers go elsewhere and every request has its answer."""
         listen_until_s = self._clock.now_s() + BALANCER_NOTICE_S
         while (now_s := self._clock.now_s()) < self._stop.closes_s:
-            if now_s >= listen_until_s and not self._in_flight:
+            if now_s >= listen_until_s and not self._has_unanswered:
                 break
             await asyncio.sleep(DRAIN_INTERVAL_S)
         await self._listener.stop_accepting()
@@ -76,17 +76,25 @@
         await self._listener.close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._in_flight += 1
         try:
-            answer: web.StreamResponse = await self._forward(request)
+            return await self._forward(request)
         except Exception as error:
             log(REQUEST_FAILED, error=repr(error))
-            answer = web.Response(status=502)
-        finally:
-            self._in_flight -= 1
-        if self._stop.has_begun and not answer.prepared:
-            answer.force_close()
-        return answer
+            return web.Response(status=502)
+
+    @property
+    def _has_unanswered(self) -> bool:
+        return self._server is not None and self._server.has_unanswered
+
+    def _make_server(self, forward: Forward, **options: Any) -> PipelinedServer:
+        self._server = PipelinedServer(
+            forward,
+            may_begin=self._may_begin,
+            is_stopping=lambda: self._stop.has_begun,
+            on_unanswered=self._on_unanswered,
+            **options,
+        )
+        return self._server
 
 
 class OperatorListener:
--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -3,6 +3,10 @@
 aiohttp handles the requests of a connection one after the other. A caller that
 sends several before the first answer would wait for the sum of their times. Here
 the repeatable ones among them go to targets at once; only their answers wait.
+
+A request that was begun is owed its answer, so the connection is not closed behind the
+answer in front of it. Where that cannot be kept, nothing is begun: while the daemon
+stops, and behind an answer that is passed on as it comes, which may break off.
 """
 
 import asyncio
@@ -22,6 +26,7 @@
 
 Forward = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 MayBegin = Callable[[web.BaseRequest], bool]
+IsStopping = Callable[[], bool]
 
 
 class Closing(StrEnum):
@@ -65,6 +70,8 @@
         "_begun",
         "_closing",
         "_forward",
+        "_is_stopping",
+        "_is_streaming",
         "_may_begin",
         "_on_unanswered",
         "_open",
@@ -81,12 +88,34 @@
         self._begun: dict[int, PipelinedRequest] = {}
         self._forward = manager.forward
         self._may_begin = manager.may_begin
+        self._is_stopping = manager.is_stopping
         self._on_unanswered = manager.on_unanswered
+        self._is_streaming = False
         self._open: dict[int, web.BaseRequest] = {}
         self._closing: Closing | None = None
 
+    @property
+    def has_begun_behind(self) -> bool:
+        """Tell whether requests behind the current one are at targets."""
+        return bool(self._begun)
+
+    @property
+    def has_unanswered(self) -> bool:
+        """Tell whether a request that has come still waits for its whole answer."""
+        return bool(self._open or self._messages)
+
+    def begin_streaming(self) -> None:
+        """Begin nothing more until the current answer, passed on as it comes, ends."""
+        self._is_streaming = True
+
     def data_received(self, data: bytes) -> None:
+        """Parse what came, and begin the requests that may be."""
         super().data_received(data)
+        self._begin_waiting()
+
+    def _begin_waiting(self) -> None:
+        if self._is_streaming or self._is_stopping():
+            return
         # While nothing is being answered, the first message is next anyway.
         next_ones = 1 if self._current_request is None else 0
         for message, payload in itertools.islice(self._messages, next_ones, None):
@@ -126,13 +155,17 @@
         resp: web.StreamResponse,
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
-        """Write an answer."""
+        """Write an answer; while the daemon stops, the last one that is owed closes."""
+        if self._is_stopping() and not self._begun and not resp.prepared:
+            resp.force_close()
         finished, is_reset = await super().finish_response(request, resp, start_time)
+        self._is_streaming = False
         is_open = self.transport is not None and not self.transport.is_closing()
         if is_open and not is_reset:
             self._open.pop(id(request), None)
             if not finished.keep_alive:
                 self.note_closing(Closing.ANSWER)
+        self._begin_waiting()
         return finished, is_reset
 
     async def shutdown(self, timeout: float | None = 15.0) -> None:
@@ -157,7 +190,8 @@
 class PipelinedServer(web.Server):
     """A server whose ``forward`` may be called for several requests at once.
 
-    ``may_begin`` tells which requests may be forwarded before their turn.
+    ``may_begin`` tells which requests may be forwarded before their turn, and
+    ``is_stopping`` whether connections are to be closed.
     ``on_unanswered`` is called for each request whose connection was closed before
     its whole answer had been written.
     """
@@ -167,14 +201,25 @@
         forward: Forward,
         *,
         may_begin: MayBegin,
+        is_stopping: IsStopping,
         on_unanswered: OnUnanswered,
         **options: Any,
     ) -> None:
         super().__init__(self._handle, request_factory=self._request, **options)
         self.forward = forward
         self.may_begin = may_begin
+        self.is_stopping = is_stopping
         self.on_unanswered = on_unanswered
 
+    @property
+    def has_unanswered(self) -> bool:
+        """Tell whether a request of any connection waits for its whole answer."""
+        return any(
+            connection.has_unanswered
+            for connection in self.connections
+            if isinstance(connection, _PipelinedHandler)
+        )
+
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
         return _PipelinedHandler(self, loop=self._loop, **self._kwargs)
@@ -205,6 +250,19 @@
         return request
 
 
+def has_begun_behind(request: web.BaseRequest) -> bool:
+    """Tell whether requests behind this one, whose turn it is, are at targets."""
+    protocol = request.protocol
+    return isinstance(protocol, _PipelinedHandler) and protocol.has_begun_behind
+
+
+def begin_streaming(request: web.BaseRequest) -> None:
+    """Note that a request's answer is passed on as it comes from now on."""
+    protocol = request.protocol
+    if isinstance(protocol, _PipelinedHandler):
+        protocol.begin_streaming()
+
+
 def note_closing(request: web.BaseRequest, closing: Closing) -> None:
     """Note why the connection of a request is about to be closed."""
     protocol = request.protocol
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -46,12 +46,18 @@
     OpenAnswer,
     WholeAnswer,
     attempt,
+    read_on,
 )
 from dogwoodhook.transport.bodies import RequestBody, read_prelude
 from dogwoodhook.transport.fleet_reports import FleetReports
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.own_answers import UNAVAILABLE_STATUS, OwnAnswers
-from dogwoodhook.transport.pipelining import Closing, PipelinedRequest
+from dogwoodhook.transport.pipelining import (
+    Closing,
+    PipelinedRequest,
+    begin_streaming,
+    has_begun_behind,
+)
 from dogwoodhook.transport.resend_guard import AttemptTrace
 from dogwoodhook.transport.routed_request import RoutedRequest
 from dogwoodhook.transport.stop_timeouts import StopTimeouts
@@ -59,6 +65,12 @@
 REPLAY_BUFFER_BYTES = 512 * 1024
 """Bodies up to this size can be sent to another target."""
 
+HELD_ANSWER_BYTES = 4 * 1024 * 1024
+"""Answers up to this size are read whole while requests behind them are at targets."""
+
+MAX_HELD_ANSWERS = 5
+"""Such answers at the same time; with the size, a tenth of a small VM's memory."""
+
 ANSWER_MARGIN_S = 0.05
 """Time before the route's timeout at which the daemon gives its own answer."""
 
@@ -108,6 +120,7 @@
         self._clock = clock
         self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
         self._rng = rng
+        self._held = 0
         self._typical: defaultdict[str, TypicalLatency] = defaultdict(TypicalLatency)
 
     async def forward(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -370,8 +383,11 @@
             case WholeAnswer():
                 return self._deliver(routed, target.name, result)
             case OpenAnswer():
-                routed.runs += 1
-                return await self._stream(routed, target.name, result)
+                routed.is_answered = True
+                held = await self._hold(routed, result)
+                if isinstance(held, OpenAnswer):
+                    return await self._stream(routed, target.name, held)
+                return await self._settle(routed, target, held)
             case NotRunThere(detail, symptom, has_arrived, has_timed_out):
                 routed.refusals += 1
                 routed.unreachable += has_timed_out
@@ -384,6 +400,31 @@
                 self._fail(routed, target, symptom, detail)
                 return detail
 
+    async def _hold(self, routed: RoutedRequest, opened: OpenAnswer) -> AttemptResult:
+        """Read a large answer on, where its breaking off would cost other answers.
+
+        Once a part of it has gone to the caller, the connection can only be closed.
+        """
+        try:
+            async with asyncio.timeout(routed.deadline_s - self._clock.now_s()):
+                if isinstance(routed.request, PipelinedRequest):
+                    await routed.request.wait_for_turn()
+                if not has_begun_behind(routed.request):
+                    return opened
+                if self._held >= MAX_HELD_ANSWERS:
+                    return opened
+                self._held += 1
+                try:
+                    return await read_on(opened, limit_bytes=HELD_ANSWER_BYTES)
+                finally:
+                    self._held -= 1
+        except TimeoutError:
+            opened.response.close()
+            return MayHaveRun("no answer in time", None)
+        except asyncio.CancelledError:
+            opened.response.close()
+            raise
+
     def _conclude(self, routed: RoutedRequest, detail: str) -> web.StreamResponse:
         """Return the final answer of a request that no target answered well."""
         if routed.failure is not None:
@@ -498,8 +539,7 @@
         )
         try:
             async with asyncio.timeout(routed.deadline_s - self._clock.now_s()):
-                if isinstance(routed.request, PipelinedRequest):
-                    await routed.request.wait_for_turn()
+                begin_streaming(routed.request)
                 await answer.prepare(routed.request)
                 await answer.write(opened.body)
                 async for chunk in opened.response.content.iter_any():
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -17,7 +17,8 @@
 
     ``deadline_s`` is on the elapsed clock. ``runs`` counts the attempts that may
     have run; ``refusals`` those that did not, and ``unreachable`` those among them
-    that got no connection in time. ``failure`` is the own error of
+    that got no connection in time. ``is_answered`` tells that a target's answer has
+    begun. ``failure`` is the own error of
     ``failed_target``, kept while another one may still do better. ``streamed`` is an
     answer that is passed on as it comes.
     """
@@ -34,6 +35,7 @@
     refusals: int = 0
     unreachable: int = 0
     arrivals: int = 0
+    is_answered: bool = False
     tried: set[str] = field(default_factory=set)
     last_target: str = ""
     started_s: float = 0.0
@@ -49,7 +51,7 @@
     @property
     def has_run(self) -> bool:
         """Tell whether the request may have run."""
-        return self.runs > 0
+        return self.runs > 0 or self.is_answered
 
     @property
     def has_caller_left(self) -> bool:
--- a/tests/platform_adapter/test_pipelined_closings.py
+++ b/tests/platform_adapter/test_pipelined_closings.py
@@ -76,3 +76,41 @@
         answers = [await caller.answer() for _ in range(3)]
     assert [each.status for each in answers] == [200, 200, 200]
     assert len(answers[0].body) == SIZE
+
+
+async def test_a_large_answer_that_waits_its_turn_too_long_cuts_no_other(platform):
+    async def behave_so(server, received, writer):
+        if received.path == "/read/a":
+            await asyncio.sleep(0.8)
+            await behave.answer(server, received, writer)
+            return
+        writer.write(behave.head("200 OK", received, length=SIZE, Server_Signature="s"))
+        writer.write(b"x" * SIZE)
+
+    _, gateway = await start(platform, behave_so)
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/a")
+        caller.send("/read/b", deadline_ms=600)
+        answers = [await caller.answer() for _ in range(2)]
+    assert all(answers), "closed with requests at a target"
+    assert [each.status for each in answers] == [200, 504]
+
+
+async def test_callers_of_a_stop_get_the_answers_that_wait_for_their_turn(platform):
+    """All but the first have been answered by their target when the stop begins."""
+
+    async def behave_so(server, received, writer):
+        await asyncio.sleep(1.2 if received.path == "/read/a" else 0.0)
+        await behave.answer(server, received, writer)
+
+    target, gateway = await start(platform, behave_so)
+    names = [chr(ord("a") + number) for number in range(12)]
+    async with raw_caller(gateway) as caller:
+        caller.send(*[f"/read/{name}" for name in names])
+        await until(lambda: len(target.received) == len(names))
+        await gateway.drain()
+        closing = asyncio.ensure_future(gateway.close())
+        answers = await caller.answers()
+        await closing
+    assert [each.request_id for each in answers] == names
+    assert {each.status for each in answers} == {200}
