Read a connection on after its last answer until the caller closes

A caller that sends on behind the answer that closes its connection, more requests or the rest of a refused body, found the connection reset, and the answer lost with it: what is closed with unread bytes is reset.

The sending side is closed first, and what comes is read and dropped until the caller closes too, for a second after its last byte and ten at most; a stop waits for that.

--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -24,6 +24,13 @@
 MAX_BEGUN = 16
 """Requests of one connection that are at targets at the same time."""
 
+LINGER_S = 1.0
+"""Time for which a connection is read on after its last answer, and after what comes
+then: some round trips, in which the caller reads the answer and closes."""
+
+MAX_LINGER_S = 10.0
+"""Time after which a caller that goes on sending is cut off."""
+
 Forward = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 MayBegin = Callable[[web.BaseRequest], bool]
 IsStopping = Callable[[], bool]
@@ -70,6 +77,8 @@
         "_begun",
         "_closing",
         "_forward",
+        "_has_received",
+        "_is_lingering",
         "_is_stopping",
         "_is_streaming",
         "_may_begin",
@@ -91,6 +100,8 @@
         self._is_stopping = manager.is_stopping
         self._on_unanswered = manager.on_unanswered
         self._is_streaming = False
+        self._is_lingering = False
+        self._has_received = False
         self._open: dict[int, web.BaseRequest] = {}
         self._closing: Closing | None = None
 
@@ -101,8 +112,11 @@
 
     @property
     def has_unanswered(self) -> bool:
-        """Tell whether a request that has come still waits for its whole answer."""
-        return bool(self._open or self._messages)
+        """Tell whether a request that has come still waits for its whole answer.
+
+        That goes on while the answer may be lost on its way to the caller.
+        """
+        return self._is_lingering or bool(self._open or self._messages)
 
     def begin_streaming(self) -> None:
         """Begin nothing more until the current answer, passed on as it comes, ends."""
@@ -110,6 +124,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what came, and begin the requests that may be."""
+        self._has_received = True
         super().data_received(data)
         self._begin_waiting()
 
@@ -165,9 +180,38 @@
             self._open.pop(id(request), None)
             if not finished.keep_alive:
                 self.note_closing(Closing.ANSWER)
+                await self._linger()
         self._begin_waiting()
         return finished, is_reset
 
+    async def _linger(self) -> None:
+        """Close the sending side, and read on until the caller closes, too.
+
+        A connection that is closed with unread bytes is reset, and an answer that the
+        caller has not read yet is lost with it.
+        """
+        assert self.transport is not None
+        self._is_lingering = self._has_received = True
+        # Discards what comes from now on.
+        self.close()
+        self._messages.clear()
+        self.transport.write_eof()
+        if self._buffer_paused:
+            self._resume_reading_for_buffer()
+        until_s = self._loop.time() + MAX_LINGER_S
+        while self._is_active and self._loop.time() < until_s:
+            self._has_received = False
+            await asyncio.sleep(LINGER_S)
+        self._is_lingering = False
+        self.force_close()
+
+    @property
+    def _is_active(self) -> bool:
+        """Tell whether bytes still come, or wait to be written."""
+        if self.transport is None:
+            return False
+        return self._has_received or self.transport.get_write_buffer_size() > 0
+
     async def shutdown(self, timeout: float | None = 15.0) -> None:
         """Close the connection because the daemon stops."""
         self.note_closing(Closing.STOP)
@@ -178,6 +222,7 @@
         return self._begun.pop(id(message), None)
 
     def connection_lost(self, exc: BaseException | None) -> None:
+        self._is_lingering = False
         for request in self._open.values():
             self._on_unanswered(request, self._closing or Closing.CALLER)
         self._open.clear()
--- a/tests/platform_adapter/test_gateway_store.py
+++ b/tests/platform_adapter/test_gateway_store.py
@@ -4,8 +4,8 @@
 
 import aiohttp
 
+from dogwoodhook.state.daemon_stop import MAX_INTAKE_SHARE
 from dogwoodhook.state.target_directory import LAPSE_HOLD_S
-from dogwoodhook.transport.gateway_listener import SERVE_SHARE
 from tests.exchanges import until
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.conftest import make_route
@@ -189,7 +189,7 @@
     held = asyncio.ensure_future(platform.send("/post/1", data=b"x"))
     await until(lambda: target.received)
     drain = asyncio.ensure_future(gateway.drain())
-    await asyncio.sleep(2.0 * SERVE_SHARE + 0.05)
+    await asyncio.sleep(2.0 * MAX_INTAKE_SHARE + 0.05)
     reply = await platform.send("/post/2", data=b"x", headers={"Request-Id": "late"})
     assert (reply.status, reply.headers["Request-Id"]) == (503, "late")
     assert reply.headers["Retry-After"] == "0"
--- a/tests/platform_adapter/test_planned_stops.py
+++ b/tests/platform_adapter/test_planned_stops.py
@@ -168,6 +168,24 @@
     assert answers[0].status == answers[2].status == 200
 
 
+async def test_an_upload_that_is_refused_may_read_its_answer_when_all_is_sent(platform):
+    target = await start(platform)
+    gateway = platform.gateways[0]
+    async with raw_caller(gateway) as caller:
+        caller.writer.write(
+            b"POST /post/late HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: late\r\n"
+            b"Deadline-Ms: 5000\r\nContent-Length: 600000\r\n\r\n"
+        )
+        async with stopping(gateway):
+            for _ in range(16):
+                await asyncio.sleep(0.1)
+                caller.writer.write(b"x" * 1000)
+            answer = await caller.answer()
+    assert answer is not None, "closed without an answer"
+    assert answer.status == 503
+    assert not target.received
+
+
 async def test_an_answer_is_not_cut_by_bytes_behind_the_one_that_closes(platform):
     """Unread bytes reset a connection that is closed, with the answer on its way."""
     size = BUFFERED_ANSWER_BYTES - 1
