Tell in the log whether a refusal carried the request's id

An earlier refusal that a target writes once more on a kept connection could not be told from one of the current request in the log. The detail of 513 names it now; callers see no change.

--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -147,7 +147,10 @@
     if dialect.says_not_run(response.status, headers):
         is_busy = response.status not in dialect.not_run_statuses
         symptom = Symptom.BUSY if is_busy else None
-        return NotRunThere(f"status {response.status}", symptom, has_arrived=True)
+        detail = f"status {response.status}"
+        if dialect.request_id not in headers:
+            detail += " without a request id"
+        return NotRunThere(detail, symptom, has_arrived=True)
     reason = response.reason or ""
     if is_whole:
         return WholeAnswer(response.status, reason, headers, bytes(body))
