Do not take a refusal without an id on a used connection for the current request's

A caller was told 503 with Retry-After while a target ran its request, or the request ran at a second target, when a target wrote an earlier refusal once more on a kept connection.

Cause: an answer counts as the request's by the id that it carries, and refusals were excepted from that. On a connection that has carried an earlier request nothing else tells whose refusal it is. Now only a new connection, which has carried no other, is excepted; on a used one such a refusal leaves open whether the request has run.

--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -3,7 +3,7 @@
 A small answer is read to its end before any of it goes to the caller, so that an
 answer that breaks off can still be replaced. An answer counts as the target's only
 if it carries the request's id; whatever else came on the connection belongs to
-another request.
+another request. So does a refusal without an id, unless the connection is new.
 """
 
 import asyncio
@@ -118,7 +118,7 @@
                 trace_request_ctx=trace,
                 middlewares=(trace.block_resend,),
             )
-            result = await _read_answer(response, sending, dialect)
+            result = await _read_answer(response, sending, dialect, trace)
     except TimeoutError:
         result = _after_timeout(trace)
     except CallerBodyError:
@@ -133,10 +133,13 @@
 
 
 async def _read_answer(
-    response: aiohttp.ClientResponse, sending: Attempt, dialect: HttpDialect
+    response: aiohttp.ClientResponse,
+    sending: Attempt,
+    dialect: HttpDialect,
+    trace: AttemptTrace,
 ) -> AttemptResult:
     headers = response.headers
-    problem = _problem(response, sending, dialect)
+    problem = _problem(response, sending, dialect, trace)
     if problem is not None:
         return MayHaveRun(problem, Symptom.RESET)
     protocol = response.connection.protocol if response.connection else None
@@ -205,7 +208,10 @@
 
 
 def _problem(
-    response: aiohttp.ClientResponse, sending: Attempt, dialect: HttpDialect
+    response: aiohttp.ClientResponse,
+    sending: Attempt,
+    dialect: HttpDialect,
+    trace: AttemptTrace,
 ) -> str | None:
     headers = response.headers
     says_not_run = dialect.says_not_run(response.status, headers)
@@ -213,7 +219,9 @@
     echoed = headers.get(dialect.request_id)
     if echoed is not None and echoed != sending.request_id:
         return f"an answer to request {echoed}"
-    if echoed is None and not says_not_run:
+    # On a new connection there was no other request that a refusal could be for.
+    is_refusal_of_this = says_not_run and not trace.is_reused
+    if echoed is None and not is_refusal_of_this:
         return "an answer without a request id"
     if is_success and dialect.signature not in headers:
         return "a success without a signature"
