Enforce the configuration's limits on callers' heads and idle connections

Callers whose heads were within the configuration's limit got 400, which no caller tries again, for a line over 8,190 bytes or more than 128 headers. Heads without end, heads that stall and idle connections were held for 75 s.

Cause: the server library's own limits were in force; those of the configuration were decoded and not used.

Heads are now bounded as a whole, in bytes and time, and connections in idle time, by the configuration in force. A head beyond that is refused with 431 or 408 behind the answers that are owed for requests in front of it, and logged (517).

Eleven of the thirteen cases of test_caller_limits.py failed before.

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -309,6 +309,13 @@
     Level.INFO,
     "A caller closed its connection before its request was answered whole.",
 )
+REQUEST_MALFORMED = _event(
+    517,
+    "request-malformed",
+    Level.NOTICE,
+    "What a caller sent is no request, or its head is too large or too late; the"
+    " connection is closed.",
+)
 DATAGRAM_DROPPED = _event(
     810, "datagram-dropped", Level.WARNING, "A datagram was not from this fleet."
 )
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -45,6 +45,7 @@
 from dogwoodhook.state.fleet_budget import FleetBudget
 from dogwoodhook.state.fleet_load import FleetLoad
 from dogwoodhook.state.placement import Placement
+from dogwoodhook.state.route_policy import CallerLimits
 from dogwoodhook.state.suspicion import FailureReport, Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
 from dogwoodhook.transport.configuration_exchange import ConfigurationExchange
@@ -193,6 +194,7 @@
             clock=clock,
             may_begin=forwarder.is_repeatable,
             on_unanswered=forwarder.note_unanswered,
+            get_limits=self._caller_limits,
         )
         self._operator_listeners = [
             OperatorListener(lambda: self.is_ready, self._metrics, address)
@@ -309,6 +311,10 @@
             self._update_readiness()
             await asyncio.sleep(1.0 if self.is_ready else STARTING_INTERVAL_S)
 
+    def _caller_limits(self) -> CallerLimits:
+        in_force = self._configuration.in_force
+        return in_force.limits if in_force else CallerLimits()
+
     def _use_configuration(self, since_announced_s: float) -> None:
         self._metrics.record_adoption(since_announced_s * 1000)
         self._update_readiness()
--- /dev/null
+++ b/dogwoodhook/transport/bounded_requests.py
@@ -0,0 +1,158 @@
+"""Connections of callers whose heads and idle times are bounded.
+
+The server library bounds each line of a head and the number of lines, and counts a head
+that stalls as an idle connection. Here the head as a whole is bounded, in bytes and in
+time, by the configuration in force. What goes beyond is refused after the answers that
+are owed for requests in front of it.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import web
+from aiohttp.http import HttpProcessingError
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+from aiohttp.web_protocol import RequestHandler, _ErrInfo
+
+from dogwoodhook.events import REQUEST_MALFORMED, log
+from dogwoodhook.state.route_policy import CallerLimits
+
+MAX_LINE_BYTES = 1024 * 1024
+"""Limit of the parser for a line, above that of any configuration's heads."""
+
+MAX_LINES = 256 * 1024
+"""Limit of the parser for the lines of a head, which has fewer bytes than that."""
+
+HEAD_END = b"\r\n\r\n"
+
+HEAD_TOO_LARGE_STATUS = 431
+HEAD_LATE_STATUS = 408
+SERVER_ERROR_STATUS = 500
+
+GetLimits = Callable[[], CallerLimits]
+
+
+class BoundedRequestHandler(RequestHandler):
+    """The server's side of a caller's connection."""
+
+    __slots__ = (
+        "_get_limits",
+        "_head_bytes",
+        "_head_timer",
+        "_is_refusing",
+        "_last_body",
+    )
+
+    def __init__(
+        self,
+        manager: web.Server,
+        *,
+        get_limits: GetLimits,
+        loop: asyncio.AbstractEventLoop,
+        **options: Any,
+    ) -> None:
+        options["keepalive_timeout"] = get_limits().idle_timeout_s
+        super().__init__(
+            manager,
+            loop=loop,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            max_headers=MAX_LINES,
+            **options,
+        )
+        self._get_limits = get_limits
+        self._head_bytes = 0
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._is_refusing = False
+        self._last_body: StreamReader = EMPTY_PAYLOAD
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came, unless a head in it is beyond the limits."""
+        if self._is_refusing:
+            return
+        last = self._messages[-1] if self._messages else None
+        was_in_head = self._last_body.is_eof() and not self._upgraded
+        super().data_received(data)
+        if self._messages and self._messages[-1] is not last:
+            message, self._last_body = self._messages[-1]
+            self._is_refusing = isinstance(message, _ErrInfo)
+            self._note_head()
+            if self._last_body is EMPTY_PAYLOAD and not data.endswith(HEAD_END):
+                self._note_piece_of_head(0)
+        elif was_in_head:
+            self._note_piece_of_head(len(data))
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the timer of a head that is not whole."""
+        self._note_head()
+        super().connection_lost(exc)
+
+    def _note_head(self) -> None:
+        self._head_bytes = 0
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _note_piece_of_head(self, size: int) -> None:
+        if self._buffer_paused or self._is_refusing:
+            return
+        limits = self._get_limits()
+        self._head_bytes += size
+        if self._head_bytes > limits.max_header_bytes:
+            self._refuse(
+                HEAD_TOO_LARGE_STATUS, f"a head over {limits.max_header_bytes} bytes"
+            )
+        elif self._head_timer is None:
+            self._head_timer = self._loop.call_later(
+                limits.header_timeout_s, self._refuse_late
+            )
+
+    def _refuse_late(self) -> None:
+        self._refuse(HEAD_LATE_STATUS, "the head did not come in time")
+
+    def _refuse(self, status: int, detail: str) -> None:
+        """Read nothing more, and answer so when the requests in front are answered."""
+        self._note_head()
+        self._is_refusing = True
+        error = HttpProcessingError(code=status, message=detail)
+        self._messages.append((_ErrInfo(status, error, detail), EMPTY_PAYLOAD))
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _process_keepalive(self) -> None:
+        """Close the connection once it has been idle for as long as is allowed now."""
+        idle_since_s = self._next_keepalive_close_time - self._keepalive_timeout
+        closes_s = idle_since_s + self._get_limits().idle_timeout_s
+        if self._loop.time() < closes_s:
+            self._keepalive_handle = self._loop.call_at(
+                closes_s, self._process_keepalive
+            )
+            return
+        super()._process_keepalive()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = SERVER_ERROR_STATUS,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer what is no request, and close the connection."""
+        if status >= SERVER_ERROR_STATUS:
+            return super().handle_error(request, status, exc, message)
+        if isinstance(exc, LineTooLong):
+            status = HEAD_TOO_LARGE_STATUS
+        log(REQUEST_MALFORMED, status=status, detail=message or repr(exc))
+        answer = web.Response(
+            status=status, text=f"{message}\n", headers={"Connection": "close"}
+        )
+        answer.force_close()
+        return answer
+
+
+def head_bytes(request: web.BaseRequest) -> int:
+    """Return the size of a request's head, without its version and line ends."""
+    names = sum(len(name) + len(value) for name, value in request.raw_headers)
+    return len(request.method) + len(request.path_qs) + names
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -11,6 +11,7 @@
 from dogwoodhook.metrics import Metrics
 from dogwoodhook.state.daemon_stop import BALANCER_NOTICE_S, DaemonStop
 from dogwoodhook.transport.admin import metrics_answer
+from dogwoodhook.transport.bounded_requests import GetLimits
 from dogwoodhook.transport.listening import HttpListener
 from dogwoodhook.transport.pipelining import (
     Forward,
@@ -31,7 +32,7 @@
     """Takes callers' requests until the daemon has stopped.
 
     ``on_unanswered`` is told of each request whose connection was closed before its
-    answer had been written.
+    answer had been written. ``get_limits`` returns what callers may send now.
     """
 
     def __init__(
@@ -43,12 +44,14 @@
         clock: Clock,
         may_begin: MayBegin,
         on_unanswered: OnUnanswered,
+        get_limits: GetLimits,
     ) -> None:
         self._forward = forward
         self._stop = stop
         self._clock = clock
         self._may_begin = may_begin
         self._on_unanswered = on_unanswered
+        self._get_limits = get_limits
         self._server: PipelinedServer | None = None
         self._listener = HttpListener(
             self._handle,
@@ -92,6 +95,7 @@
             may_begin=self._may_begin,
             is_stopping=lambda: self._stop.has_begun,
             on_unanswered=self._on_unanswered,
+            get_limits=self._get_limits,
             **options,
         )
         return self._server
--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -21,6 +21,8 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler
 
+from dogwoodhook.transport.bounded_requests import BoundedRequestHandler, GetLimits
+
 MAX_BEGUN = 16
 """Requests of one connection that are at targets at the same time."""
 
@@ -70,7 +72,7 @@
         self._answer.cancel()
 
 
-class _PipelinedHandler(RequestHandler):
+class _PipelinedHandler(BoundedRequestHandler):
     """A connection that begins the requests behind the one it answers."""
 
     __slots__ = (
@@ -93,7 +95,7 @@
         loop: asyncio.AbstractEventLoop,
         **options: Any,
     ) -> None:
-        super().__init__(manager, loop=loop, **options)
+        super().__init__(manager, get_limits=manager.get_limits, loop=loop, **options)
         self._begun: dict[int, PipelinedRequest] = {}
         self._forward = manager.forward
         self._may_begin = manager.may_begin
@@ -238,7 +240,7 @@
     ``may_begin`` tells which requests may be forwarded before their turn, and
     ``is_stopping`` whether connections are to be closed.
     ``on_unanswered`` is called for each request whose connection was closed before
-    its whole answer had been written.
+    its whole answer had been written. ``get_limits`` returns what callers may send now.
     """
 
     def __init__(
@@ -248,6 +250,7 @@
         may_begin: MayBegin,
         is_stopping: IsStopping,
         on_unanswered: OnUnanswered,
+        get_limits: GetLimits,
         **options: Any,
     ) -> None:
         super().__init__(self._handle, request_factory=self._request, **options)
@@ -255,6 +258,7 @@
         self.may_begin = may_begin
         self.is_stopping = is_stopping
         self.on_unanswered = on_unanswered
+        self.get_limits = get_limits
 
     @property
     def has_unanswered(self) -> bool:
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -49,6 +49,10 @@
     read_on,
 )
 from dogwoodhook.transport.bodies import RequestBody, read_prelude
+from dogwoodhook.transport.bounded_requests import (
+    HEAD_TOO_LARGE_STATUS,
+    head_bytes,
+)
 from dogwoodhook.transport.fleet_reports import FleetReports
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.own_answers import UNAVAILABLE_STATUS, OwnAnswers
@@ -134,9 +138,13 @@
             return self._own_answers.denial(
                 request, 404, f"no route in version {configuration.version}"
             )
-        limit = configuration.limits.max_body_bytes
-        if (request.content_length or 0) > limit:
-            return self._own_answers.denial(request, 413, f"a body over {limit} bytes")
+        limits = configuration.limits
+        if head_bytes(request) > limits.max_header_bytes:
+            detail = f"a head over {limits.max_header_bytes} bytes"
+            return self._own_answers.denial(request, HEAD_TOO_LARGE_STATUS, detail)
+        if (request.content_length or 0) > limits.max_body_bytes:
+            detail = f"a body over {limits.max_body_bytes} bytes"
+            return self._own_answers.denial(request, 413, detail)
         deadline_s = arrived_s + self._allowed_s(request, route)
         service = route.service_at(self._rng.random())
         if not self._may_send(route, service, deadline_s=deadline_s):
--- /dev/null
+++ b/tests/platform_adapter/test_caller_limits.py
@@ -0,0 +1,137 @@
+"""The configuration's limits on what a caller sends, and on how long it takes."""
+
+import asyncio
+
+import pytest
+
+from tests.platform_adapter import target_server as behave
+from tests.platform_adapter.conftest import make_configuration
+from tests.platform_adapter.raw_caller import raw_caller
+
+MAX_HEADER_BYTES = 16384
+HEADER_TIMEOUT_S = 0.4
+IDLE_TIMEOUT_S = 1.0
+READ_BYTES = 256 * 1024
+"""What the daemon reads at once."""
+
+
+async def start(platform, *behaviours, version=1):
+    configuration = make_configuration(version)
+    configuration["limits"] |= {
+        "maxHeaderBytes": MAX_HEADER_BYTES,
+        "headerTimeout": f"{HEADER_TIMEOUT_S * 1000:.0f}ms",
+        "idleTimeout": f"{IDLE_TIMEOUT_S * 1000:.0f}ms",
+    }
+    await platform.store.put("op", "config", configuration)
+    target = await platform.start_target("t1", *behaviours)
+    await platform.start_gateway()
+    return target, platform.gateways[0]
+
+
+@pytest.mark.parametrize(
+    ("path", "headers"),
+    [
+        ("/post/1", {"X-Long": "x" * 12_000}),
+        ("/post/1", {f"X-{number}": "x" * 20 for number in range(400)}),
+        ("/post/1", {f"X-{number}": "" for number in range(1_500)}),
+        ("/post/" + "x" * 12_000, {}),
+    ],
+    ids=["long header", "many headers", "short headers", "long path"],
+)
+async def test_a_head_within_the_limit_is_not_denied(platform, path, headers):
+    target, _ = await start(platform)
+    assert (await platform.send(path, data=b"x", headers=headers)).status == 200
+    received = target.received[0]
+    assert received.path == path
+    assert headers.keys() <= {name.title() for name in received.headers}
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [{"X-Long": "x" * 17_000}, {f"X-{number}": "x" * 90 for number in range(200)}],
+    ids=["long header", "many headers"],
+)
+async def test_a_head_over_the_limit_is_refused_as_such(platform, headers):
+    target, _ = await start(platform)
+    assert (await platform.send("/post/1", data=b"x", headers=headers)).status == 431
+    assert not target.received
+
+
+@pytest.mark.parametrize("piece", [b"x" * 8192, b"X-Another: line\r\n" * 400])
+async def test_a_head_without_end_is_cut_off(platform, piece):
+    _, gateway = await start(platform)
+    sent = 0
+    async with raw_caller(gateway) as caller:
+        caller.writer.write(b"GET /read/1 HTTP/1.1\r\nX-Long: ")
+        answering = asyncio.ensure_future(caller.answer())
+        while not answering.done() and sent < 100 * READ_BYTES:
+            caller.writer.write(piece)
+            sent += len(piece)
+            await asyncio.sleep(0)
+        answer = await answering
+    assert answer.status == 431
+    assert answer.closes
+    assert sent < 10 * READ_BYTES
+
+
+async def test_a_head_that_stalls_is_refused_at_its_timeout(platform):
+    _, gateway = await start(platform)
+    loop = asyncio.get_running_loop()
+    async with raw_caller(gateway) as caller:
+        began_s = loop.time()
+        caller.writer.write(b"GET /read/1 HTTP/1.1\r\nHost: 127")
+        answer = await caller.answer()
+    assert answer.status == 408
+    assert answer.closes
+    assert loop.time() - began_s >= HEADER_TIMEOUT_S
+
+
+async def test_a_head_that_stalls_cuts_no_answer_in_front_of_it(platform):
+    _, gateway = await start(platform, behave.after(2 * HEADER_TIMEOUT_S))
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/1")
+        caller.writer.write(b"GET /read/2 HTTP/1.1\r\nHost: 127")
+        answers = await caller.answers()
+    assert [each.status for each in answers] == [200, 408]
+
+
+async def test_a_body_may_take_longer_than_a_head(platform):
+    target, gateway = await start(platform)
+    async with raw_caller(gateway) as caller:
+        caller.writer.write(
+            b"POST /post/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: slow\r\n"
+            b"Content-Length: 4\r\n\r\n"
+        )
+        for byte in b"slow":
+            await asyncio.sleep(HEADER_TIMEOUT_S / 2)
+            caller.writer.write(bytes([byte]))
+        answer = await caller.answer()
+    assert answer.status == 200
+    assert target.received[0].body == b"slow"
+
+
+async def test_an_idle_connection_serves_until_its_timeout_and_is_closed_then(platform):
+    _, gateway = await start(platform)
+    async with raw_caller(gateway) as caller:
+        for _ in range(2):
+            caller.send("/read/1")
+            assert (await caller.answer()).status == 200
+            await asyncio.sleep(0.8 * IDLE_TIMEOUT_S)
+        async with asyncio.timeout(2 * IDLE_TIMEOUT_S):
+            assert await caller.answer() is None
+
+
+async def test_longer_limits_of_a_newer_configuration_hold_for_open_connections(
+    platform,
+):
+    _, gateway = await start(platform)
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/1")
+        assert (await caller.answer()).status == 200
+        await platform.configure(2)
+        async with asyncio.timeout(5):
+            while gateway.configuration_version < 2:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(2 * IDLE_TIMEOUT_S)
+        caller.send("/read/2")
+        assert (await caller.answer()).status == 200
