Do not stop while an unsafe request without a caller is at a target

A request that may not be repeated is followed to its end if its caller leaves. A planned stop did not wait for it: with no caller left it counted as answered, so the daemon ended once the balancer had turned away, and broke the connection on which the target was working.

Cause: the stop asked callers' connections what is under way, not the forwarder.

--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -50,6 +50,7 @@
 from dogwoodhook.transport.configuration_exchange import ConfigurationExchange
 from dogwoodhook.transport.datagrams import DatagramPeers
 from dogwoodhook.transport.fleet_view import FleetView
+from dogwoodhook.transport.following import FollowedTasks
 from dogwoodhook.transport.gateway_listener import CallerListener, OperatorListener
 from dogwoodhook.transport.route_forwarder import RouteForwarder
 from dogwoodhook.transport.stop_timeouts import StopTimeouts
@@ -176,6 +177,7 @@
             version=lambda: self.configuration_version,
             age_s=lambda: self._configuration.age_s,
         )
+        followed = FollowedTasks()
         forwarder = RouteForwarder(
             fleet,
             platform.dialect,
@@ -185,6 +187,7 @@
             rng=rng,
             stop=self._stop,
             stop_timeouts=self._stop_timeouts,
+            followed=followed,
         )
         self._callers = CallerListener(
             forwarder.forward,
@@ -193,6 +196,7 @@
             clock=clock,
             may_begin=forwarder.is_repeatable,
             on_unanswered=forwarder.note_unanswered,
+            followed=followed,
         )
         self._operator_listeners = [
             OperatorListener(lambda: self.is_ready, self._metrics, address)
--- a/dogwoodhook/transport/following.py
+++ b/dogwoodhook/transport/following.py
@@ -13,6 +13,11 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[Any]] = set()
 
+    @property
+    def are_running(self) -> bool:
+        """Tell whether a task is left."""
+        return bool(self._tasks)
+
     async def run(self, work: Coroutine[Any, Any, Value]) -> Value:
         """Run to the end, and return the result if the waiter is still there."""
         task = asyncio.ensure_future(work)
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -11,6 +11,7 @@
 from dogwoodhook.metrics import Metrics
 from dogwoodhook.state.daemon_stop import BALANCER_NOTICE_S, DaemonStop
 from dogwoodhook.transport.admin import metrics_answer
+from dogwoodhook.transport.following import FollowedTasks
 from dogwoodhook.transport.listening import HttpListener
 from dogwoodhook.transport.pipelining import (
     Forward,
@@ -31,7 +32,7 @@
     """Takes callers' requests until the daemon has stopped.
 
     ``on_unanswered`` is told of each request whose connection was closed before its
-    answer had been written.
+    answer had been written. ``followed`` holds requests that go on without a caller.
     """
 
     def __init__(
@@ -43,12 +44,14 @@
         clock: Clock,
         may_begin: MayBegin,
         on_unanswered: OnUnanswered,
+        followed: FollowedTasks,
     ) -> None:
         self._forward = forward
         self._stop = stop
         self._clock = clock
         self._may_begin = may_begin
         self._on_unanswered = on_unanswered
+        self._followed = followed
         self._server: PipelinedServer | None = None
         self._listener = HttpListener(
             self._handle,
@@ -63,10 +66,10 @@
         await self._listener.start()
 
     async def drain(self) -> None:
-        """Listen on until callers go elsewhere and every request has its answer."""
+        """Listen on until callers go elsewhere and every request has ended."""
         listen_until_s = self._clock.now_s() + BALANCER_NOTICE_S
         while (now_s := self._clock.now_s()) < self._stop.closes_s:
-            if now_s >= listen_until_s and not self._has_unanswered:
+            if now_s >= listen_until_s and not self._has_work:
                 break
             await asyncio.sleep(DRAIN_INTERVAL_S)
         await self._listener.stop_accepting()
@@ -83,7 +86,9 @@
             return web.Response(status=502)
 
     @property
-    def _has_unanswered(self) -> bool:
+    def _has_work(self) -> bool:
+        if self._followed.are_running:
+            return True
         return self._server is not None and self._server.has_unanswered
 
     def _make_server(self, forward: Forward, **options: Any) -> PipelinedServer:
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -51,6 +51,7 @@
 from dogwoodhook.transport.bodies import RequestBody, read_prelude
 from dogwoodhook.transport.fleet_reports import FleetReports
 from dogwoodhook.transport.fleet_view import FleetView
+from dogwoodhook.transport.following import FollowedTasks
 from dogwoodhook.transport.own_answers import UNAVAILABLE_STATUS, OwnAnswers
 from dogwoodhook.transport.pipelining import (
     Closing,
@@ -110,10 +111,12 @@
         rng: random.Random,
         stop: DaemonStop,
         stop_timeouts: StopTimeouts,
+        followed: FollowedTasks,
     ) -> None:
         self._metrics = metrics
         self._stop = stop
         self._stop_timeouts = stop_timeouts
+        self._followed = followed
         self._fleet = fleet
         self._dialect = dialect
         self._own_answers = OwnAnswers(dialect, rng)
@@ -160,7 +163,7 @@
         if route.is_idempotent:
             return await self._run(routed)
         # Followed to its end even if the caller leaves: it may not run again.
-        return await asyncio.shield(asyncio.ensure_future(self._run(routed)))
+        return await self._followed.run(self._run(routed))
 
     def _refuse_unread(
         self, request: web.BaseRequest, *, deadline_s: float
--- a/tests/platform_adapter/test_gateway_stops.py
+++ b/tests/platform_adapter/test_gateway_stops.py
@@ -208,3 +208,14 @@
             answer = await caller.answer()
     assert answer is not None
     assert answer.is_whole
+
+
+async def test_an_unsafe_request_whose_caller_left_is_not_cut_by_a_stop(platform):
+    target = await start(platform, behave.after(3.5))
+    gateway = await platform.start_gateway("vm-2", grace_s=6.0)
+    async with raw_caller(gateway) as caller:
+        caller.send("/post/a", deadline_ms=9000)
+        await until(lambda: target.received)
+    async with stopping(gateway):
+        pass
+    assert not target.cut
