--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -51,6 +51,7 @@
 from dogwoodhook.transport.configuration_exchange import ConfigurationExchange
 from dogwoodhook.transport.datagrams import DatagramPeers
 from dogwoodhook.transport.fleet_view import FleetView
+from dogwoodhook.transport.following import FollowedTasks
 from dogwoodhook.transport.gateway_listener import CallerListener, OperatorListener
 from dogwoodhook.transport.route_forwarder import RouteForwarder
 from dogwoodhook.transport.stop_timeouts import StopTimeouts
@@ -177,6 +178,7 @@
             version=lambda: self.configuration_version,
             age_s=lambda: self._configuration.age_s,
         )
+        followed = FollowedTasks()
         forwarder = RouteForwarder(
             fleet,
             platform.dialect,
@@ -186,6 +188,7 @@
             rng=rng,
             stop=self._stop,
             stop_timeouts=self._stop_timeouts,
+            followed=followed,
         )
         self._callers = CallerListener(
             forwarder.forward,
@@ -195,6 +198,7 @@
             may_begin=forwarder.is_repeatable,
             on_unanswered=forwarder.note_unanswered,
             get_limits=self._caller_limits,
+            followed=followed,
         )
         self._operator_listeners = [
             OperatorListener(lambda: self.is_ready, self._metrics, address)
