Do not believe a shed on a used connection

A caller of the daemon with templates was told "not-run; reason=target-shed" for an idempotent request that a target was running, when the target wrote an earlier request's shed on the pooled connection where the answer was due.

Cause: the protocol with these targets has no request id, so an answer belongs to a request by its place on the connection alone, and the declaration of a shed was believed there.

A request that is shed on a used connection is queued again as before, but can end only as answered or unknown. Only idempotent requests use pooled connections, so a second run is allowed. On a connection of its own a shed counts as before.

Evidence: both cases of test_a_shed_on_a_used_connection_does_not_prove_that_the_request_was_not_run failed before.

--- a/dogwoodhook/transport/exchange.py
+++ b/dogwoodhook/transport/exchange.py
@@ -3,7 +3,8 @@
 ``open_answer`` sends the request and waits for the answer's head. What it returns
 says whether the request was certainly not run: only where no connection was held,
 so that no byte left, or where the target declares it. Everything else without an
-answer is unknown.
+answer is unknown. On a connection that has carried an earlier request, a target's
+declaration may be of that one, so it proves nothing.
 """
 
 import asyncio
@@ -58,12 +59,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptFailure:
-    """No answer came. ``failure`` is ``None`` where the target is not to blame."""
+    """No answer came. ``failure`` is ``None`` where the target is not to blame.
+
+    ``is_proved`` tells that a declaration can only be of this request.
+    """
 
     outcome: NotRun | Unknown
     failure: FailureKind | None
     is_reused: bool = False
     is_draining: bool = False
+    is_proved: bool = True
 
 
 async def open_answer(
@@ -91,21 +96,26 @@
         if isinstance(error.__cause__, CallerBodyError):
             return Error(_caller_failure(trace))
         return Error(_connection_failure(trace))
-    declared = _declared_not_run(response)
+    declared = _declared_not_run(response, trace)
     if declared is not None:
         response.close()
         return Error(declared)
     return Ok(TargetAnswer(response, trace))
 
 
-def _declared_not_run(response: aiohttp.ClientResponse) -> AttemptFailure | None:
+def _declared_not_run(
+    response: aiohttp.ClientResponse, trace: AttemptTrace
+) -> AttemptFailure | None:
     if response.status != SHED_STATUS:
         return None
     state = response.headers.get(TARGET_HEADER)
     if state not in (TARGET_SHED, TARGET_DRAINING):
         return None
     return AttemptFailure(
-        NotRun(NotRunReason.TARGET_SHED), None, is_draining=state == TARGET_DRAINING
+        NotRun(NotRunReason.TARGET_SHED),
+        None,
+        is_draining=state == TARGET_DRAINING,
+        is_proved=not trace.is_reused,
     )
 
 
--- a/dogwoodhook/transport/forwarder.py
+++ b/dogwoodhook/transport/forwarder.py
@@ -223,6 +223,8 @@
             self._blame(call, target.name, failed, timeout_s)
         if failed.outcome == NotRun(NotRunReason.TARGET_SHED):
             self._record_shed(call, target.name, failed)
+        if not failed.is_proved:
+            call.doubt = Unknown(UnknownReason.EARLIER_ATTEMPT)
         if self._may_retry(call, failed.outcome, attempts):
             return _Again()
         return self._own_reply(call, failed.outcome)
--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -131,6 +131,46 @@
             assert is_not_run(seen) != (nonce in may_have_run)
 
 
+@pytest.mark.parametrize("declared", ["shed", "draining"])
+async def test_a_shed_on_a_used_connection_does_not_prove_that_the_request_was_not_run(
+    declared,
+):
+    shed = make_answer(b"", status="503 Busy", headers={"Dogwoodhook-Target": declared})
+    first = (ReceiveRequest(), Send(make_answer(b"")), ReceiveRequest(), Send(shed))
+
+    def script(index):
+        return (*first, Hold()) if index == 0 else (ReceiveRequest(), Send(shed))
+
+    async with (
+        RawTarget(script) as target,
+        LocalProxy([target.port], parameters=SHORT_QUEUE) as proxy,
+        open_caller() as session,
+    ):
+        assert (await exchange(session, proxy, nonce="n-1")).outcome == "answered"
+        seen = await exchange(session, proxy, nonce="n-2")
+        assert target.connections[0].requests[-1].nonce == b"n-2"
+        assert seen.outcome == "unknown; reason=earlier-attempt"
+
+
+async def test_a_request_shed_on_a_used_connection_is_sent_again_on_a_new_one():
+    shed = make_answer(b"", status="503 Busy", headers={"Dogwoodhook-Target": "shed"})
+    run = (ReceiveRequest(), Send(make_answer(b"run")))
+
+    def script(index):
+        return (*run, ReceiveRequest(), Send(shed)) if index == 0 else run
+
+    parameters = replace(GET_IS_IDEMPOTENT, retry_budget_percent=0)
+    async with (
+        RawTarget(script) as target,
+        LocalProxy([target.port], parameters=parameters) as proxy,
+        open_caller() as session,
+    ):
+        for _ in range(2):
+            seen = await exchange(session, proxy)
+            assert (seen.outcome, seen.body) == ("answered", b"run")
+        assert len(target.connections) == 2
+
+
 def nonces_at(target):
     return {
         request.nonce.decode()
