--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -67,3 +67,33 @@
     output, errors = process.communicate(timeout=30)
     assert process.returncode == 0, errors
     assert "daemon-stopped" in output
+
+
+def loaded(expression):
+    """Evaluate an expression in a process that has loaded the daemon's program."""
+    code = f"""
+import gc, ssl, sys
+from dogwoodhook.platform.__main__ import main
+try:
+    main()
+except SystemExit:
+    print({expression})
+"""
+    environment = dict(os.environ)
+    for name in ("DOGWOODHOOK_SETTINGS", "SSL_CERT_FILE", "SSL_CERT_DIR"):
+        environment.pop(name, None)
+    finished = subprocess.run(
+        [sys.executable, "-c", code], env=environment, capture_output=True, text=True
+    )
+    assert not finished.returncode, finished.stderr
+    return finished.stdout.strip()
+
+
+def test_a_start_parses_no_certificates():
+    assert loaded("ssl.create_default_context().cert_store_stats()['x509']") == "0"
+
+
+def test_garbage_is_collected_after_a_start_but_not_among_the_modules():
+    assert loaded("gc.isenabled() and gc.get_freeze_count() > len(sys.modules)") == (
+        "True"
+    )
