Read on behind a closing answer also where a body had held reading back

A caller of a stopping daemon lost the rest of its answer, with a reset, when a long body was coming behind it: 4,096 of 250,000 bytes came.

Cause: the reading that is to prevent the reset was resumed only where the queue of requests had stopped it, not where a body that nobody takes had. So nothing was read, and closing with unread bytes reset the connection. A stop also did not wait for bytes that are still to be written.

test_an_answer_is_not_cut_by_a_body_whose_reading_is_held_back failed before; test_a_stop_waits_for_the_end_of_an_answer_that_is_read_slowly passed before, too: the system's buffers hold that much.

--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -118,7 +118,9 @@
 
         That goes on while the answer may be lost on its way to the caller.
         """
-        return self._is_lingering or bool(self._open or self._messages)
+        if self._is_lingering or self._open or self._messages:
+            return True
+        return self._has_unsent
 
     def begin_streaming(self) -> None:
         """Begin nothing more until the current answer, passed on as it comes, ends."""
@@ -198,6 +200,9 @@
         self.close()
         self._messages.clear()
         self.transport.write_eof()
+        if self._reading_paused:
+            # A body that nobody takes any more held it back.
+            self.resume_reading(resume_parser=False)
         if self._buffer_paused:
             self._resume_reading_for_buffer()
         until_s = self._loop.time() + MAX_LINGER_S
@@ -210,9 +215,13 @@
     @property
     def _is_active(self) -> bool:
         """Tell whether bytes still come, or wait to be written."""
+        return self._has_received or self._has_unsent
+
+    @property
+    def _has_unsent(self) -> bool:
         if self.transport is None:
             return False
-        return self._has_received or self.transport.get_write_buffer_size() > 0
+        return self.transport.get_write_buffer_size() > 0
 
     async def shutdown(self, timeout: float | None = 15.0) -> None:
         """Close the connection because the daemon stops."""
--- a/tests/platform_adapter/raw_caller.py
+++ b/tests/platform_adapter/raw_caller.py
@@ -25,6 +25,19 @@
         return self.headers.get("connection", "").lower() == "close"
 
 
+def make_request(path, *, length=None, deadline_ms=5000):
+    """Return the head of a request; the last part of its path is its id."""
+    method = "GET" if path.startswith("/read") else "POST"
+    text = (
+        f"{method} {path} HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+        f"Request-Id: {path.rpartition('/')[2]}\r\n"
+        f"Deadline-Ms: {deadline_ms}\r\n"
+    )
+    if length is not None:
+        text += f"Content-Length: {length}\r\n"
+    return text.encode() + b"\r\n"
+
+
 class RawCaller:
     """One connection to a daemon."""
 
@@ -36,15 +49,9 @@
         """Send requests at once; the last part of a path is the request's id."""
         text = b""
         for path in paths:
-            method = "GET" if path.startswith("/read") else "POST"
-            text += (
-                f"{method} {path} HTTP/1.1\r\nHost: 127.0.0.1\r\n"
-                f"Request-Id: {path.rpartition('/')[2]}\r\n"
-                f"Deadline-Ms: {deadline_ms}\r\n"
-            ).encode()
-            if body is not None:
-                text += f"Content-Length: {len(body)}\r\n".encode()
-            text += b"\r\n" + (body or b"")
+            length = None if body is None else len(body)
+            text += make_request(path, length=length, deadline_ms=deadline_ms)
+            text += body or b""
         self.writer.write(text)
 
     async def answer(self):
--- a/tests/platform_adapter/test_gateway_stops.py
+++ b/tests/platform_adapter/test_gateway_stops.py
@@ -9,7 +9,8 @@
 from tests.exchanges import until
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.conftest import make_route
-from tests.platform_adapter.raw_caller import raw_caller
+from tests.platform_adapter.raw_caller import make_request, raw_caller
+from tests.platform_adapter.slow_reader import read_to_end, slow_reader
 
 GRACE_S = 2.0
 PROMISES = (408, 429, 503)
@@ -219,3 +220,51 @@
     async with stopping(gateway):
         pass
     assert not target.cut
+
+
+async def test_an_answer_is_not_cut_by_a_body_whose_reading_is_held_back(platform):
+    """The body behind it is larger than what the daemon reads without a taker."""
+    size, body_size = BUFFERED_ANSWER_BYTES - 1, 1_000_000
+
+    async def large(server, received, writer):
+        await asyncio.sleep(0.2)
+        head = behave.head("200 OK", received, length=size, Server_Signature="s")
+        writer.write(head + b"x" * size)
+
+    target = await start(platform, large)
+    gateway = await platform.start_gateway("vm-2", grace_s=6.0)
+    loop = asyncio.get_running_loop()
+    async with slow_reader(gateway) as connection:
+        await loop.sock_sendall(connection, make_request("/read/a"))
+        await until(lambda: target.received)
+        async with stopping(gateway, after_s=0.05):
+            behind = make_request("/post/b", length=body_size)
+            sending = asyncio.ensure_future(
+                loop.sock_sendall(connection, behind + b"x" * body_size)
+            )
+            await asyncio.sleep(2.0)
+            text = await read_to_end(connection)
+            sending.cancel()
+    assert text.endswith(b"x" * size)
+
+
+async def test_a_stop_waits_for_the_end_of_an_answer_that_is_read_slowly(platform):
+    size = 3_000_000
+
+    async def large(server, received, writer):
+        head = behave.head("200 OK", received, length=size, Server_Signature="s")
+        writer.write(head + b"x" * size)
+        await writer.drain()
+
+    await start(platform, large)
+    gateway = await platform.start_gateway("vm-2", grace_s=6.0)
+    loop = asyncio.get_running_loop()
+    async with slow_reader(gateway) as connection:
+        await loop.sock_sendall(connection, make_request("/read/a"))
+        async with stopping(gateway, after_s=2.5):
+            text = b""
+            while len(text) < size - 100_000:
+                text += await loop.sock_recv(connection, 65536)
+            await asyncio.sleep(1.0)
+            text += await read_to_end(connection)
+    assert text.endswith(b"x" * size)
