Do not take an answer without a length for whole when it is reset

A caller of the daemon with templates got a 200 framed as whole with half a body when a target reset an answer that only the end of its connection ends.

Cause: the client library ends such a body even on a reset. The gateway asked the connection's state for that; the earlier daemon did not. Now the connection itself fails the body, for both daemons, and the gateway's own check goes.

Evidence: both cases of test_an_answer_without_a_length_that_is_reset_never_looks_whole failed before; the gateway's cases in test_gateway_requests.py pass as before. Answers cut on used connections were sound and are tested now.

--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, replace
 
 import aiohttp
@@ -59,12 +59,6 @@
     headers: CIMultiDictProxy[str]
     body: bytes
     response: aiohttp.ClientResponse
-    protocol: asyncio.BaseProtocol | None
-
-    @property
-    def was_reset(self) -> bool:
-        """Tell whether an answer without a length, read to its end, was reset."""
-        return not _has_length(self.headers) and _was_reset(self.protocol)
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,11 +136,8 @@
     problem = _problem(response, sending, dialect, trace)
     if problem is not None:
         return MayHaveRun(problem, Symptom.RESET)
-    protocol = response.connection.protocol if response.connection else None
     body = bytearray()
     is_whole = await _read_up_to(response, body, BUFFERED_ANSWER_BYTES)
-    if is_whole and not _has_length(headers) and _was_reset(protocol):
-        return MayHaveRun("an answer without a length was reset", Symptom.RESET)
     if dialect.says_not_run(response.status, headers):
         is_busy = response.status not in dialect.not_run_statuses
         symptom = Symptom.BUSY if is_busy else None
@@ -157,7 +148,7 @@
     reason = response.reason or ""
     if is_whole:
         return WholeAnswer(response.status, reason, headers, bytes(body))
-    return OpenAnswer(response.status, reason, headers, bytes(body), response, protocol)
+    return OpenAnswer(response.status, reason, headers, bytes(body), response)
 
 
 async def read_on(opened: OpenAnswer, *, limit_bytes: int) -> AttemptResult:
@@ -168,8 +159,6 @@
         is_whole = await _read_up_to(opened.response, body, limit_bytes)
         if not is_whole:
             result = replace(opened, body=bytes(body))
-        elif opened.was_reset:
-            result = MayHaveRun("an answer without a length was reset", Symptom.RESET)
         else:
             result = WholeAnswer(
                 opened.status, opened.reason, opened.headers, bytes(body)
@@ -193,20 +182,6 @@
     return response.content.at_eof()
 
 
-def _has_length(headers: Mapping[str, str]) -> bool:
-    coding = headers.get("Transfer-Encoding", "").lower()
-    return "Content-Length" in headers or coding == "chunked"
-
-
-def _was_reset(protocol: asyncio.BaseProtocol | None) -> bool:
-    """Tell whether a connection was reset.
-
-    The client library ends a body without a length even then.
-    """
-    exception = getattr(protocol, "exception", None)
-    return exception is not None and isinstance(exception(), aiohttp.ClientOSError)
-
-
 def _problem(
     response: aiohttp.ClientResponse,
     sending: Attempt,
--- a/dogwoodhook/transport/bounded_answers.py
+++ b/dogwoodhook/transport/bounded_answers.py
@@ -80,6 +80,12 @@
         if self._body_bytes - content_bytes > allowed:
             self._cut("a body's framing without end")
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the current answer; the library takes one without a length for whole."""
+        if exc is not None and self._answer is not None and not self._answer.is_eof():
+            self._answer.set_exception(aiohttp.ClientPayloadError(f"reset: {exc}"))
+        super().connection_lost(exc)
+
     @property
     def _is_cut(self) -> bool:
         return self.transport is None or self.transport.is_closing()
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -544,8 +544,6 @@
                 await answer.write(opened.body)
                 async for chunk in opened.response.content.iter_any():
                     await answer.write(chunk)
-                if opened.was_reset:
-                    raise ConnectionResetError("an answer without a length was reset")
         except Exception as error:
             cut_caller(routed.request)
             fields = self._log_fields(routed)
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -69,6 +69,35 @@
         assert await exchange(session, proxy) == Whole(200, ANSWERED, b"0123456789")
 
 
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_an_answer_without_a_length_that_is_reset_never_looks_whole(method):
+    start = Send(b"HTTP/1.1 200 OK\r\n\r\n01234")
+    async with (
+        RawTarget((ReceiveRequest(), start, Pause(20), Abort())) as target,
+        LocalProxy([target.port]) as proxy,
+        open_caller() as session,
+    ):
+        assert is_unknown(await exchange(session, proxy, method=method))
+
+
+@pytest.mark.parametrize("index", range(0, len(SIZED), 3))
+async def test_an_answer_cut_on_a_used_connection_never_looks_whole(index):
+    first = (*TURN, ReceiveRequest(), Send(SIZED[:index]))
+
+    def script(number):
+        return first if number == 0 else echo_steps(9)
+
+    async with (
+        RawTarget(script) as target,
+        LocalProxy([target.port]) as proxy,
+        open_caller() as session,
+    ):
+        await exchange(session, proxy)
+        seen = await exchange(session, proxy, nonce="n")
+        assert len(target.connections[0].requests) == 2
+        assert seen == Whole(200, ANSWERED, b"n") or is_unknown(seen)
+
+
 @pytest.mark.parametrize(
     "extra",
     [b"x", STALE, STALE[:30], b"\r\n\r\n"],
