Do not believe heads that are made of two or contradict themselves

A caller was told 503 while a target ran its request, or got a 200 for a target's failure, when part of an earlier head came before the request's answer on its connection: the parser joins both into one head, with the status of the first and the request id of the second. A caller got the bytes of another transfer coding as the body, or a 101 as its final answer.

Cause: as with repeated refusals, bytes count as the request's by their place. A head with a status line inside, a 101 or a coding besides chunked now ends its connection, for both daemons. In the gateway all ids of an answer must be the request's, not only the first, and a success that says that it was not run proves neither.

--- /dev/null
+++ b/dogwoodhook/transport/answer_heads.py
@@ -0,0 +1,26 @@
+"""Heads of answers that cannot be believed.
+
+A target in trouble may break off in the middle of a head and write another answer
+behind it. The parser then sees one head, with the fields of both answers.
+"""
+
+import re
+
+from aiohttp.http import RawResponseMessage
+
+_STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}(?!\d)")
+_SWITCHING_PROTOCOLS = 101
+
+
+def head_problem(message: RawResponseMessage) -> str | None:
+    """Return why a head is no proxied request's, ``None`` where it may be."""
+    if message.code == _SWITCHING_PROTOCOLS:
+        return "a switch of protocols that was not asked for"
+    texts = (message.reason, *message.headers.values())
+    if any(_STATUS_LINE.search(text) for text in texts):
+        return "a status line within a head"
+    # Any other coding would be taken for the body, since this header is not passed on.
+    codings = message.headers.getall("Transfer-Encoding", [])
+    if codings and ", ".join(codings).lower() != "chunked":
+        return "a transfer coding other than chunked"
+    return None
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -191,13 +191,15 @@
     headers = response.headers
     says_not_run = dialect.says_not_run(response.status, headers)
     is_success = 200 <= response.status < 300
-    echoed = headers.get(dialect.request_id)
-    if echoed is not None and echoed != sending.request_id:
-        return f"an answer to request {echoed}"
+    echoed = set(headers.getall(dialect.request_id, []))
+    if echoed - {sending.request_id}:
+        return f"an answer to request {', '.join(sorted(echoed))}"
     # On a new connection there was no other request that a refusal could be for.
     is_refusal_of_this = says_not_run and not trace.is_reused
-    if echoed is None and not is_refusal_of_this:
+    if not echoed and not is_refusal_of_this:
         return "an answer without a request id"
+    if is_success and says_not_run:
+        return "a success that says it was not run"
     if is_success and dialect.signature not in headers:
         return "a success without a signature"
     if "Content-Encoding" in headers:
--- a/dogwoodhook/transport/bounded_answers.py
+++ b/dogwoodhook/transport/bounded_answers.py
@@ -2,8 +2,8 @@
 
 A target in trouble may send bytes that are no answer without end: in a head, in the
 framing of a body, or behind a whole answer. The client library bounds each line and the
-number of headers, and nothing else. A connection beyond the bounds is closed at once,
-whatever time its request has left.
+number of headers, and nothing else. A connection beyond the bounds, or with a head that
+cannot be believed, is closed at once, whatever time its request has left.
 """
 
 import functools
@@ -14,6 +14,8 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from dogwoodhook.transport.answer_heads import head_problem
+
 HEAD_END = b"\r\n\r\n"
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -51,6 +53,10 @@
     ) -> None:
         """Take a head that was parsed; interim ones are followed by another."""
         message, body = data
+        problem = head_problem(message)
+        if problem is not None and self._answer is None:
+            self._cut(problem)
+            return
         if message.code >= FIRST_FINAL_STATUS and self._answer is None:
             self._answer = body
         super().feed_data(data, size)
--- /dev/null
+++ b/tests/platform_adapter/test_confused_heads.py
@@ -0,0 +1,193 @@
+"""Answers whose heads are malformed, made of two, or contradict themselves."""
+
+import asyncio
+
+import pytest
+
+from tests.platform_adapter import target_server as behave
+
+PROMISES = (408, 421, 429, 503)
+WORK_S = 0.05
+REFUSED = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+MISDIRECTED = "HTTP/1.1 421 Misdirected"
+SIGNED = "Server-Signature: t1\r\n"
+FINAL = "HTTP/1.1 200 OK\r\n"
+
+
+def part_of_a_head(text):
+    """Return a behaviour: part of an earlier head, then a run and its answer."""
+
+    async def behave_so(server, received, writer):
+        writer.write(text.encode())
+        await asyncio.sleep(WORK_S)
+        await behave.answer(server, received, writer)
+
+    return behave_so
+
+
+def part_of_a_head_before_an_error(text):
+    """Return a behaviour: part of an earlier head, then a failed run's answer."""
+
+    async def behave_so(server, received, writer):
+        writer.write(text.encode())
+        await asyncio.sleep(WORK_S)
+        await behave.server_error(server, received, writer)
+
+    return behave_so
+
+
+def run_and_write(text):
+    """Return a behaviour: a run, then these bytes with the request's id in them."""
+
+    async def behave_so(server, received, writer):
+        await asyncio.sleep(WORK_S)
+        writer.write(text.replace("ID", received.request_id).encode("latin-1"))
+
+    return behave_so
+
+
+PARTS_OF_REFUSALS = {
+    "status": "HTTP/1.1 4",
+    "reason": MISDIRECTED,
+    "status_line": REFUSED.partition("\n")[0] + "\n",
+    "name": REFUSED + "Retry-Af",
+    "value": REFUSED + "Retry-After: 1",
+    "begun_value": REFUSED + "Retry-After:",
+    "line": REFUSED,
+    "bare_line": REFUSED.replace("\r", ""),
+    "folded": REFUSED + "X: a\r\n ",
+}
+
+
+@pytest.fixture(params=["used", "new"])
+async def target(request, platform):
+    """Return a target which has answered a request on a kept connection, or none."""
+    await platform.configure()
+    target = await platform.start_target("t1")
+    await platform.start_gateway()
+    if request.param == "used":
+        assert (await platform.send("/post/sound", data=b"x")).status == 200
+    return target
+
+
+@pytest.mark.parametrize("part", PARTS_OF_REFUSALS)
+@pytest.mark.parametrize("path", ["/read/1", "/post/1"])
+async def test_a_part_of_a_refusal_makes_no_refusal_of_the_answer_behind_it(
+    platform, target, path, part
+):
+    target.behaviours = [part_of_a_head(PARTS_OF_REFUSALS[part])]
+    reply = await platform.send(path)
+    assert target.received[-1].path == path
+    assert reply.status not in PROMISES
+
+
+PARTS_OF_SUCCESSES = {
+    "reason": "HTTP/1.1 200 O",
+    "value": f"{FINAL}{SIGNED}Date: Mon",
+    "line": f"{FINAL}{SIGNED}",
+}
+
+
+@pytest.mark.parametrize("part", PARTS_OF_SUCCESSES)
+@pytest.mark.parametrize("path", ["/read/1", "/post/1"])
+async def test_a_part_of_a_success_makes_no_success_of_the_failure_behind_it(
+    platform, target, path, part
+):
+    target.behaviours = [part_of_a_head_before_an_error(PARTS_OF_SUCCESSES[part])]
+    reply = await platform.send(path)
+    assert reply.status >= 500
+
+
+NO_WHOLE_ANSWERS = {
+    "two_ids": f"{FINAL}Request-Id: ID\r\nRequest-Id: another\r\n{SIGNED}"
+    "Content-Length: 2\r\n\r\nno",
+    "two_ids_reversed": f"{FINAL}Request-Id: another\r\nRequest-Id: ID\r\n{SIGNED}"
+    "Content-Length: 2\r\n\r\nno",
+    "two_ids_in_one_line": f"{FINAL}Request-Id: ID, another\r\n{SIGNED}"
+    "Content-Length: 2\r\n\r\nno",
+    "folded_id": f"{FINAL}Request-Id: ID\r\n another\r\n{SIGNED}"
+    "Content-Length: 2\r\n\r\nno",
+    "two_lengths": f"{FINAL}Request-Id: ID\r\n{SIGNED}Content-Length: 2\r\n"
+    "Content-Length: 5\r\n\r\nwhole",
+    "signed_length": f"{FINAL}Request-Id: ID\r\n{SIGNED}Content-Length: +2\r\n\r\nno",
+    "coded": f"{FINAL}Request-Id: ID\r\n{SIGNED}"
+    "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+    "coded_in_two_lines": f"{FINAL}Request-Id: ID\r\n{SIGNED}"
+    "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+    "switching": f"HTTP/1.1 101 Switching Protocols\r\nRequest-Id: ID\r\n{SIGNED}"
+    "Connection: upgrade\r\nUpgrade: other\r\n\r\nother bytes",
+    "switching_to_nothing": f"HTTP/1.1 101 Switching Protocols\r\nRequest-Id: ID\r\n"
+    f"{SIGNED}\r\n",
+    "not_run_success": f"{FINAL}Request-Id: ID\r\n{SIGNED}Not-Executed: 1\r\n"
+    "Content-Length: 2\r\n\r\nno",
+    "two_ids_of_a_refusal": f"{REFUSED}Request-Id: ID\r\nRequest-Id: another\r\n"
+    "Content-Length: 0\r\n\r\n",
+    "spaced_refusal": "HTTP/1.1 503 Busy\r\nNot-Executed : 1\r\nRequest-Id: ID\r\n"
+    "Content-Length: 0\r\n\r\n",
+    "folded_refusal": "HTTP/1.1 503 Busy\r\nX: a\r\n Not-Executed: 1\r\n"
+    "Request-Id: ID\r\nContent-Length: 0\r\n\r\n",
+    "long_refusal": f"{REFUSED}Request-Id: ID\r\nContent-Length: 1\r\n\r\n",
+    "timeout": f"HTTP/1.1 408 Timeout\r\nRequest-Id: ID\r\n{SIGNED}"
+    "Content-Length: 0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("kind", NO_WHOLE_ANSWERS)
+@pytest.mark.parametrize("path", ["/read/1", "/post/1"])
+async def test_an_answer_that_contradicts_itself_is_neither_success_nor_promise(
+    platform, target, path, kind
+):
+    target.behaviours = [run_and_write(NO_WHOLE_ANSWERS[kind])]
+    headers = {"Deadline-Ms": "600"}
+    reply = await platform.send(path, headers=headers)
+    assert reply.status in (502, 504)
+
+
+WHOLE_ANSWERS = {
+    "lower_case": "HTTP/1.1 200 OK\r\nrequest-id: ID\r\nserver-signature: t1\r\n"
+    "content-length: 5\r\n\r\nwhole",
+    "spaces": f"{FINAL}Request-Id:   ID  \r\n{SIGNED}Content-Length: 5\r\n\r\nwhole",
+    "chunked": f"{FINAL}Request-Id: ID\r\n{SIGNED}Transfer-Encoding: Chunked\r\n\r\n"
+    "5\r\nwhole\r\n0\r\n\r\n",
+    "same_id_twice": f"{FINAL}Request-Id: ID\r\nRequest-Id: ID\r\n{SIGNED}"
+    "Content-Length: 5\r\n\r\nwhole",
+    "via": f"{FINAL}Via: HTTP/1.1 inner\r\nServer: HTTP/1.1\r\nRequest-Id: ID\r\n"
+    f"{SIGNED}Content-Length: 5\r\n\r\nwhole",
+    "closing": f"{FINAL}Connection: close\r\nRequest-Id: ID\r\n{SIGNED}"
+    "Content-Length: 5\r\n\r\nwhole",
+    "longer": f"{FINAL}Request-Id: ID\r\n{SIGNED}Content-Length: 5\r\n\r\nwhole, more",
+    "interim": f"HTTP/1.1 103 Early Hints\r\nRequest-Id: another\r\n\r\n{FINAL}"
+    f"Request-Id: ID\r\n{SIGNED}Content-Length: 5\r\n\r\nwhole",
+}
+
+
+@pytest.mark.parametrize("kind", WHOLE_ANSWERS)
+async def test_an_unusual_answer_arrives_whole(platform, target, kind):
+    target.behaviours = [run_and_write(WHOLE_ANSWERS[kind]), behave.answer]
+    reply = await platform.send("/post/1")
+    assert (reply.status, reply.body) == (200, b"whole")
+    assert (await platform.send("/post/2")).body == b"t1 ran /post/2"
+
+
+NO_BODY = {
+    "head": ("HEAD", f"{FINAL}Request-Id: ID\r\n{SIGNED}Content-Length: 4\r\n\r\nmore"),
+    "204": (
+        "POST",
+        f"HTTP/1.1 204 None\r\nRequest-Id: ID\r\n{SIGNED}Content-Length: 4\r\n\r\nmore",
+    ),
+    "304": (
+        "GET",
+        f"HTTP/1.1 304 Same\r\nRequest-Id: ID\r\n{SIGNED}Content-Length: 4\r\n\r\nmore",
+    ),
+}
+
+
+@pytest.mark.parametrize("kind", NO_BODY)
+async def test_a_body_behind_an_answer_that_has_none_reaches_nobody(
+    platform, target, kind
+):
+    method, text = NO_BODY[kind]
+    target.behaviours = [run_and_write(text), behave.answer]
+    reply = await platform.send("/post/1", method=method)
+    assert (reply.status // 100, reply.body) in [(2, b""), (3, b""), (5, b"")]
+    assert (await platform.send("/post/2")).body == b"t1 ran /post/2"
