Ask for the liveness of neighbours only, where only they are told

Each report of load and each message handed on to neighbours asked for the liveness of every known daemon, those of other data centres too, and dropped these afterwards.

--- a/dogwoodhook/transport/datagrams.py
+++ b/dogwoodhook/transport/datagrams.py
@@ -4,7 +4,7 @@
 import random
 import socket
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import cast
 
@@ -117,7 +117,7 @@
 
     def neighbours(self) -> list[str]:
         """Return the names of the live peers in the own data centre."""
-        return [peer.daemon for peer in self._near(self._live())]
+        return [peer.daemon for peer in self._live_neighbours()]
 
     def address_of(self, daemon: str) -> Address | None:
         """Return where a daemon is reached, ``None`` for one that is not known."""
@@ -145,7 +145,7 @@
 
     def tell_neighbours(self, message: FleetMessage) -> None:
         """Send a message to the live peers in the own data centre."""
-        self._send(message, self._near(self._live()))
+        self._send(message, self._live_neighbours())
 
     def greet(self, hello: DaemonHello, *, all_data_centres: bool) -> None:
         """Greet the known peers of the own data centre, or of all of them."""
@@ -153,10 +153,16 @@
         self._send(hello, known if all_data_centres else self._near(known))
 
     def _live(self) -> list[Peer]:
+        return self._live_among(self._peers.values())
+
+    def _live_neighbours(self) -> list[Peer]:
+        return self._live_among(self._near(self._peers.values()))
+
+    def _live_among(self, peers: Iterable[Peer]) -> list[Peer]:
         now_s = self._clock.now_s()
         return [
             peer
-            for peer in self._peers.values()
+            for peer in peers
             if self._liveness.is_live(
                 peer.daemon, silence_s=self._silence_s(peer), now_s=now_s
             )
@@ -166,7 +172,7 @@
         is_near = peer.data_centre == self._data_centre
         return NEIGHBOUR_SILENCE_S if is_near else REMOTE_SILENCE_S
 
-    def _near(self, peers: list[Peer]) -> list[Peer]:
+    def _near(self, peers: Iterable[Peer]) -> list[Peer]:
         return [peer for peer in peers if peer.data_centre == self._data_centre]
 
     def _send(self, message: FleetMessage, peers: list[Peer]) -> None:
