Compare entries of targets by fields only where they differ at all

A reading of the store holds the heartbeats of all targets, hundreds a second. For each row two entries were copied without their warm-up to tell whether the change matters, although nearly all rows differ in their sequence only, which entries do not hold.

Equal entries are told first.

--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -170,6 +170,9 @@
 
 def _differs(held: TargetEntry, entry: TargetEntry) -> bool:
     """Tell whether a change matters; a shrinking warm-up alone does not."""
+    if held == entry:
+        # Nearly every row read is a heartbeat.
+        return False
     return replace(held, warmup_s=0.0) != replace(entry, warmup_s=0.0) or (
         held.warmup_s > 0
     ) != (entry.warmup_s > 0)
