Let the soak notice requests that are lost in planned stops

A third of the callers now keep up to five requests in flight on a connection, safe and unsafe; some of them upload and read slowly. Targets work for up to 3 s, answer with up to 1 MiB, sometimes break off in it, and are gray in two more ways: they write an earlier refusal again, or close in the middle of a head. Daemons are stopped in series that overlap, and beside pauses, reloads and changes of configuration, with grace periods of 3, 3.5 and 6 s.

New checks: a request that was read and dropped, and a daemon's own failure in a stop in place of the answer of a target at work. The excuse of the last sixth of a grace period is stricter: the request was sent at most 3 s after SIGTERM and its target was still at work then. It now ends with the grace period that is in force, or with the longer of two where the settings changed in the last 2 s; before, with 3 s for a daemon that might have 3.5 s. An answer that had begun may be cut where its target broke off in it or its deadline passed: such answers are passed on as they come, and the soak had none before.

--- a/tests/platform_adapter/raw_caller.py
+++ b/tests/platform_adapter/raw_caller.py
@@ -5,6 +5,20 @@
 from dataclasses import dataclass
 
 HEAD_END = b"\r\n\r\n"
+PIECE_BYTES = 64 * 1024
+
+
+def request_text(path, *, body=None, deadline_ms=5000):
+    """Return the bytes of a request; the last part of its path is its id."""
+    method = "GET" if path.startswith("/read") else "POST"
+    text = (
+        f"{method} {path} HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+        f"Request-Id: {path.rpartition('/')[2]}\r\n"
+        f"Deadline-Ms: {deadline_ms}\r\n"
+    ).encode()
+    if body is not None:
+        text += f"Content-Length: {len(body)}\r\n".encode()
+    return text + b"\r\n" + (body or b"")
 
 
 @dataclass(frozen=True)
@@ -34,21 +48,17 @@
 
     def send(self, *paths, body=None, deadline_ms=5000):
         """Send requests at once; the last part of a path is the request's id."""
-        text = b""
-        for path in paths:
-            method = "GET" if path.startswith("/read") else "POST"
-            text += (
-                f"{method} {path} HTTP/1.1\r\nHost: 127.0.0.1\r\n"
-                f"Request-Id: {path.rpartition('/')[2]}\r\n"
-                f"Deadline-Ms: {deadline_ms}\r\n"
-            ).encode()
-            if body is not None:
-                text += f"Content-Length: {len(body)}\r\n".encode()
-            text += b"\r\n" + (body or b"")
-        self.writer.write(text)
-
-    async def answer(self):
-        """Return the next answer, or ``None`` where the connection ended before it."""
+        self.writer.write(
+            b"".join(
+                request_text(path, body=body, deadline_ms=deadline_ms) for path in paths
+            )
+        )
+
+    async def answer(self, *, pause_s=0.0):
+        """Return the next answer, or ``None`` where the connection ended before it.
+
+        ``pause_s`` is the time to wait before each piece of its body.
+        """
         try:
             head = await self.reader.readuntil(HEAD_END)
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -60,11 +70,15 @@
             headers[name.lower()] = value.strip()
         status = int(status_line.split(" ")[1])
         length = int(headers.get("content-length", 0))
+        body = b""
         try:
-            body = await self.reader.readexactly(length)
+            while len(body) < length:
+                await asyncio.sleep(pause_s)
+                piece = min(length - len(body), PIECE_BYTES)
+                body += await self.reader.readexactly(piece)
         except (asyncio.IncompleteReadError, ConnectionError) as error:
-            partial = getattr(error, "partial", b"")
-            return RawAnswer(status, headers, partial, is_whole=False)
+            body += getattr(error, "partial", b"")
+            return RawAnswer(status, headers, body, is_whole=False)
         return RawAnswer(status, headers, body)
 
     async def answers(self):
--- a/tests/platform_adapter/soak/__init__.py
+++ b/tests/platform_adapter/soak/__init__.py
@@ -4,8 +4,10 @@
 
     python -m tests.platform_adapter.soak --seed 7 --seconds 60
     python -m tests.platform_adapter.soak --seed 100 --count 50 --seconds 20
+    python -m tests.platform_adapter.soak --seed 3 --daemons 40 --callers 100
 
-Daemons are processes of their own; the store and the targets are stand-ins. Signals
+Daemons are processes of their own; the store and the targets are stand-ins. Callers
+send one request at a time on a connection, or several before they read. Signals
 stop, pause, kill and restart daemons, relays cut and silence their connections, and the
 stand-ins misbehave, in series that overlap. ``records`` tells what must hold, from what
 callers and targets saw.
--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -7,11 +7,14 @@
 
 from absl import app, flags
 
-from tests.platform_adapter.soak.run import Report, soak
+from tests.platform_adapter.soak.run import Report, Size, soak
 
 SEED = flags.DEFINE_integer("seed", 1, "First seed.")
 COUNT = flags.DEFINE_integer("count", 1, "Seeds to run.", lower_bound=1)
 SECONDS = flags.DEFINE_float("seconds", 20.0, "Disturbed time of each.", lower_bound=1)
+DAEMONS = flags.DEFINE_integer("daemons", Size.daemons, "Daemons.", lower_bound=2)
+TARGETS = flags.DEFINE_integer("targets", Size.targets, "Targets.", lower_bound=3)
+CALLERS = flags.DEFINE_integer("callers", Size.callers, "Callers.", lower_bound=1)
 FOLDER = flags.DEFINE_string("folder", None, "Folder to keep settings and logs in.")
 
 
@@ -22,7 +25,8 @@
     folder = Path(FOLDER.value) / str(seed) if FOLDER.value else None
     if folder is not None:
         folder.mkdir(parents=True, exist_ok=True)
-    return await soak(seed=seed, seconds=SECONDS.value, folder=folder)
+    size = Size(DAEMONS.value, TARGETS.value, CALLERS.value)
+    return await soak(seed=seed, seconds=SECONDS.value, folder=folder, size=size)
 
 
 def main(_: list[str]) -> None:
--- a/tests/platform_adapter/soak/faults.py
+++ b/tests/platform_adapter/soak/faults.py
@@ -2,10 +2,17 @@
 
 import asyncio
 import signal
-from contextlib import ExitStack, nullcontext
+import time
+from contextlib import ExitStack, contextmanager
 
 from tests.platform_adapter import target_server as behave
-from tests.platform_adapter.soak.world import Daemon, World
+from tests.platform_adapter.soak.world import (
+    Daemon,
+    SoakTarget,
+    World,
+    cut_head,
+    repeat_refusal,
+)
 
 GRAY_BEHAVIOURS = (
     behave.reset,
@@ -19,6 +26,8 @@
     behave.unframed_reset,
     behave.extra,
     behave.bare_503,
+    repeat_refusal,
+    cut_head,
 )
 
 MIN_TARGETS = 3
@@ -48,12 +57,32 @@
     running = _running(world)
     if len(running) < 2:
         return
-    daemon = world.rng.choice(running)
-    with world.disturbing(daemon):
+    await _stop_and_restart(world, world.rng.choice(running))
+
+
+async def _stop_and_restart(world: World, daemon: Daemon) -> None:
+    with world.disturbing(daemon, is_planned=True):
         await world.stop(daemon)
         await world.restart(daemon)
 
 
+async def stop_daemons(world: World) -> None:
+    """Stop several daemons one after the other, before the first has ended."""
+    async with asyncio.TaskGroup() as group:
+        for _ in range(world.rng.randint(2, 3)):
+            group.create_task(stop_daemon(world))
+            await asyncio.sleep(world.rng.uniform(0.2, 2.0))
+
+
+async def stop_beside_another_fault(world: World) -> None:
+    """Stop a daemon while others, or what it is told, change."""
+    other = world.rng.choice([pause_daemon, reload_daemon, change_configuration])
+    async with asyncio.TaskGroup() as group:
+        group.create_task(stop_daemon(world))
+        await asyncio.sleep(world.rng.uniform(0.0, 1.0))
+        group.create_task(other(world))
+
+
 async def pause_daemon(world: World) -> None:
     """Let a daemon stand still for seconds."""
     running = _running(world)
@@ -91,12 +120,22 @@
         faults.refused, faults.is_silent, faults.delay_s = 0, False, 0.0
 
 
+@contextmanager
+def _harming(target: SoakTarget):
+    """Note that a target's link is harmed, and was until now."""
+    target.harmed_s = float("inf")
+    try:
+        yield
+    finally:
+        target.harmed_s = time.monotonic()
+
+
 async def cut_connections(world: World) -> None:
     """Cut the connections of a daemon to the store or to a target, one way or both."""
     side = world.rng.choice([*world.daemons, *world.targets.values()])
     is_daemon = isinstance(side, Daemon)
     relay = side.store if is_daemon else side.relay
-    with world.disturbing(side) if is_daemon else nullcontext():
+    with world.disturbing(side) if is_daemon else _harming(side):
         relay.is_cut_to_server = world.rng.random() < 0.7
         relay.is_cut_to_client = not relay.is_cut_to_server or world.rng.random() < 0.5
         await asyncio.sleep(world.rng.uniform(0.5, 4.0))
@@ -135,6 +174,8 @@
 FAULTS = (
     kill_daemons,
     stop_daemon,
+    stop_daemons,
+    stop_beside_another_fault,
     pause_daemon,
     reload_daemon,
     disturb_store,
--- a/tests/platform_adapter/soak/world.py
+++ b/tests/platform_adapter/soak/world.py
@@ -8,7 +8,7 @@
 import time
 from asyncio.subprocess import Process
 from contextlib import AsyncExitStack, contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 from dogwoodhook.testing.fleet import free_port
@@ -29,20 +29,83 @@
 STOP_TIMEOUT_S = 15.0
 """Time in which a daemon must be gone after SIGTERM."""
 
-MIN_GRACE_S = 3.0
-"""The shorter of the grace periods in the settings files."""
+GRACES_S = (3.0, 3.5, 6.0)
+"""Grace periods in the settings files."""
+
+SETTINGS_KNOWN_S = 2.0
+"""Time after a change of a settings file in which its daemon may not know it yet."""
+
+BREAK_OFF_SHARE = 0.1
+"""Share of the large answers of sound targets that are broken off."""
+
+ROUTE_TIMEOUT = "6000ms"
+"""Longer than the deadlines of the callers, which bound each exchange."""
 
 INVALID_S = 0.3
 """Time for which a version that must not be taken is the newest."""
 
-REFUSALS = (behave.refuse, behave.misdirected)
+SLOTS = 8
+
+
+def make_path(prefix, request_id, *, work_s=0.0, padding=0):
+    """Return a path that tells a target how long to work and how much to answer."""
+    return f"/{prefix}/{work_s:.3f}-{padding}/{request_id}"
+
+
+def _order_of(received):
+    """Return the work and the length that a path orders."""
+    work_s, _, padding = received.path.split("/")[2].partition("-")
+    return float(work_s), int(padding)
+
+
+async def _answer_in_full(server, received, writer):
+    await _write_padded(server, received, writer, share=1.0)
+
+
+async def _break_off(server, received, writer):
+    await _write_padded(server, received, writer, share=server.rng.random())
+    behave.reset_connection(writer)
+
+
+async def _write_padded(server, received, writer, *, share):
+    padding = _order_of(received)[1]
+    body = f"{server.name} ran {received.path}".encode() + PADDING * padding
+    head = behave.head(
+        "200 OK", received, length=len(body), Server_Signature=server.name
+    )
+    writer.write(head + body[: int(len(body) * share)])
+    await writer.drain()
+
+
+async def _refuse_first(server, received, writer):
+    server.refused[received.connection] = received
+    await behave.refuse(server, received, writer)
+
+
+async def repeat_refusal(server, received, writer):
+    """Write the refusal of the connection's earlier request again, then answer."""
+    await behave.refuse(server, server.refused.pop(received.connection), writer)
+    await asyncio.sleep(0.1)
+    await behave.answer(server, received, writer)
+
+
+async def cut_head(server, received, writer):
+    """Close in the middle of the head."""
+    text = behave.head("200 OK", received, length=2, Server_Signature=server.name)
+    writer.write(text[: server.rng.randrange(1, len(text))])
+    writer.close()
+
+
+PADDING = b"~"
+REFUSALS = (behave.refuse, behave.misdirected, _refuse_first)
 
 
 @dataclass
 class SoakTarget(TargetServer):
     """A target whose behaviour is drawn anew for each request.
 
-    ``gray`` is how it fails ``gray_share`` of them.
+    ``gray`` is how it fails ``gray_share`` of them. ``harmed_s`` is the last time at
+    which its link was.
     """
 
     rng: random.Random = field(default_factory=random.Random)
@@ -50,6 +113,8 @@
     gray: object = None
     gray_share: float = 0.8
     relay: Relay | None = None
+    harmed_s: float = 0.0
+    refused: dict = field(default_factory=dict)
 
     def __post_init__(self):
         self.behaviours = [self._behave]
@@ -58,14 +123,36 @@
         if received.headers.get("expected-instance") != self.name:
             await behave.misdirected(server, received, writer)
             return
-        fails = self.gray is not None and self.rng.random() < self.gray_share
-        behaviour = self.gray if fails else behave.answer
+        behaviour = self._choose(received)
         if behaviour in REFUSALS:
             await behaviour(server, received, writer)
             return
-        self.runs.append(RunRecord(received.request_id, self.name, time.monotonic()))
-        await asyncio.sleep(self.rng.uniform(0.005, 0.15))
-        await behaviour(server, received, writer)
+        run = RunRecord(received.request_id, self.name, time.monotonic())
+        self.runs.append(run)
+        work_s, padding = _order_of(received)
+        if behaviour is _answer_in_full:
+            run.padding = padding
+        try:
+            if behaviour is not repeat_refusal:
+                await asyncio.sleep(work_s)
+            run.broke_off = behaviour is _break_off
+            await behaviour(server, received, writer)
+        except asyncio.CancelledError:
+            run.was_cut = True
+            raise
+        finally:
+            run.ended_s = time.monotonic()
+            run.is_sound = behaviour is _answer_in_full and self.harmed_s < run.at_s
+
+    def _choose(self, received):
+        """Return how to behave now."""
+        if self.gray is None or self.rng.random() >= self.gray_share:
+            is_large = _order_of(received)[1] > 0
+            fails = is_large and self.rng.random() < BREAK_OFF_SHARE
+            return _break_off if fails else _answer_in_full
+        if self.gray is repeat_refusal and received.connection not in self.refused:
+            return _refuse_first
+        return self.gray
 
 
 @dataclass
@@ -82,6 +169,8 @@
     process: Process | None = None
     is_stopping: bool = False
     starts: int = 0
+    graces_s: tuple[float, float] = (GRACES_S[0], GRACES_S[0])
+    rewritten_s: float = 0.0
 
     @property
     def url(self):
@@ -93,16 +182,24 @@
         """Tell whether the process is there."""
         return self.process is not None and self.process.returncode is None
 
-    def write_settings(self, ports, *, grace="3s"):
+    @property
+    def possible_graces_s(self):
+        """Return the grace periods that may be in force: the new one, or the old."""
+        is_known = time.monotonic() > self.rewritten_s + SETTINGS_KNOWN_S
+        return self.graces_s[1:] if is_known else self.graces_s
+
+    def write_settings(self, ports, *, grace_s):
         """Write the settings file; ``ports`` are those of readiness and peers."""
         readiness, peers = ports
+        self.graces_s = (self.graces_s[1], grace_s)
+        self.rewritten_s = time.monotonic()
         self.settings_path.write_text(
             f"nodeName={self.name}\nip={self.host}\nzone={self.data_centre}\n"
             f"listen.frontend={self.host}:{self.caller_port}\n"
             f"listen.readiness={self.host}:{readiness}\n"
             f"portRange={peers},{peers + 15}\n"
             f"provider.address=127.0.0.1:{self.store.port}\n"
-            f"bounds.grace={grace}\nbounds.retryBudgetExtra=62\n"
+            f"bounds.grace={grace_s * 1000:.0f}ms\nbounds.retryBudgetExtra=62\n"
             f"bounds.config={CONFIGURATION_BOUND_S}s\n"
         )
 
@@ -135,7 +232,10 @@
         self.targets: dict[str, SoakTarget] = {}
         self.all_targets: list[SoakTarget] = []
         self.daemons: list[Daemon] = []
-        self.routes = {}
+        self.routes = {
+            "read": make_route("/read/", kind="safe", timeout=ROUTE_TIMEOUT),
+            "post": make_route("/post/", timeout=ROUTE_TIMEOUT),
+        }
         self.changes: list[Change] = []
         self.disturbances: list[Disturbance] = []
         self._folder = folder
@@ -162,7 +262,7 @@
         """Write the next version, or one that must not be taken and then the next."""
         self._version += self.rng.randint(1, 3)
         name = f"extra{self._version}"
-        routes = {**self.routes, name: make_route(f"/{name}/")}
+        routes = {**self.routes, name: make_route(f"/{name}/", timeout=ROUTE_TIMEOUT)}
         configuration = make_configuration(self._version, **routes)
         if is_valid:
             self.routes = routes
@@ -175,16 +275,17 @@
             await self.configure()
 
     @contextmanager
-    def disturbing(self, daemon=None):
+    def disturbing(self, daemon=None, *, is_planned=False):
         """Note that a daemon, or else the store, is disturbed meanwhile."""
         started_s = time.monotonic()
         place = len(self.disturbances)
         name = daemon.name if daemon else None
-        self.disturbances.append(Disturbance(name, started_s, float("inf")))
+        disturbance = Disturbance(name, started_s, float("inf"), is_planned)
+        self.disturbances.append(disturbance)
         try:
             yield
         finally:
-            self.disturbances[place] = Disturbance(name, started_s, time.monotonic())
+            self.disturbances[place] = replace(disturbance, until_s=time.monotonic())
 
     async def add_target(self, data_centre, *, port=None):
         """Start a target and register it; a port makes it take over an address."""
@@ -205,7 +306,9 @@
 
     async def _register(self, target, *, data_centre="dc-1", state="ready"):
         address = f"127.0.0.1:{target.relay.port}"
-        entry = target.entry(zone=data_centre, state=state, address=address)
+        entry = target.entry(
+            zone=data_centre, state=state, address=address, slots=SLOTS
+        )
         await self.store.put("servers", target.name, entry)
 
     async def add_daemon(self, data_centre):
@@ -224,13 +327,13 @@
             log_path=self._folder / f"vm-{number}.log",
             store=relay,
         )
-        daemon.write_settings(others)
+        daemon.write_settings(others, grace_s=self.rng.choice(GRACES_S))
         self.daemons.append(daemon)
         await daemon.start()
 
     def rewrite_settings(self, daemon):
         """Change a daemon's settings file."""
-        daemon.write_settings(self._ports[1:], grace=self.rng.choice(["3s", "3500ms"]))
+        daemon.write_settings(self._ports[1:], grace_s=self.rng.choice(GRACES_S))
 
     def kill(self, daemon):
         """Kill a daemon with what it holds."""
@@ -240,7 +343,9 @@
     async def stop(self, daemon):
         """Stop a daemon with SIGTERM; one that stays on counts as killed."""
         daemon.is_stopping = True
-        self.ends.append(Stop(daemon.name, time.monotonic(), MIN_GRACE_S))
+        graces_s = daemon.possible_graces_s
+        stop = Stop(daemon.name, time.monotonic(), min(graces_s), max(graces_s))
+        self.ends.append(stop)
         daemon.send_signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(STOP_TIMEOUT_S):
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -47,12 +47,15 @@
     54,
     # A call for targets that had failed kept a daemon from asking for configurations.
     203,
+    # Pipelined requests at targets were dropped behind an answer that closed.
+    400,
 )
 """Seeds that found a fault once, each with a line on its cause."""
 
 
-def rules(call, *runs, ends=()):
-    return [each.rule for each in find_violations([call], runs, ends)]
+def rules(call, *runs, ends=(), disturbances=()):
+    found = find_violations([call], runs, ends, disturbances)
+    return [each.rule for each in found]
 
 
 def test_a_request_that_ran_once_and_was_answered_breaks_nothing():
@@ -90,6 +93,129 @@
     assert rules(cut, RUN, ends=[Stop("vm-2", -0.6, 3.0)]) == ["cut"]
 
 
+CUT = replace(CALL, ending=Ending.BROKEN, status=0)
+
+
+def test_a_cut_late_in_a_stop_is_excused_only_where_a_target_was_still_at_work():
+    stop = Stop("vm-1", -0.6, 3.0)
+    assert rules(CUT, replace(RUN, ended_s=1.95), ends=[stop]) == []
+    assert rules(CUT, replace(RUN, ended_s=1.85), ends=[stop]) == ["cut"]
+
+
+@pytest.mark.parametrize("status", [0, 504])
+def test_a_request_taken_late_in_a_stop_may_not_be_given_up(status):
+    call = replace(CUT, status=status, signature="", sent_s=3.1, ended_s=5.5)
+    if status:
+        call = replace(call, ending=Ending.ANSWERED)
+    run = replace(RUN, at_s=3.2, ended_s=5.5, was_cut=True)
+    rule = "given up in a stop" if status else "cut"
+    assert rules(call, run, ends=[Stop("vm-1", 0.0, 6.0)]) == [rule]
+    assert rules(call, run, ends=[Stop("vm-1", 0.2, 6.0)]) == []
+
+
+def test_a_stop_with_either_of_two_grace_periods_may_cut_in_the_last_sixth_of_each():
+    stop = Stop("vm-1", -4.0, 3.0, longest_s=6.0)
+    sent = replace(CUT, sent_s=-2.0)
+    assert rules(replace(sent, ended_s=1.9), RUN, ends=[stop]) == []
+    assert rules(replace(sent, ended_s=2.1), RUN, ends=[stop]) == ["cut"]
+
+
+@pytest.mark.parametrize(
+    ("changes", "is_excused"),
+    [
+        ({}, False),
+        ({"broke_off": True}, True),
+    ],
+)
+def test_only_an_answer_that_is_passed_on_as_it_comes_may_break_off(
+    changes, is_excused
+):
+    run = replace(RUN, **changes)
+    assert bool(rules(replace(CUT, has_begun=True), run)) != is_excused
+    assert rules(CUT, run) == ["cut"]
+
+
+def test_an_answer_that_is_passed_on_may_break_off_at_its_deadline():
+    begun = replace(CUT, has_begun=True, limit_s=0.9)
+    assert rules(begun, RUN) == []
+    assert rules(replace(begun, limit_s=1.1), RUN) == ["cut"]
+    assert rules(replace(begun, has_begun=False), RUN) == ["cut"]
+
+
+READ = replace(CUT, whole_s=1.7)
+
+
+@pytest.mark.parametrize(
+    ("changes", "is_found"),
+    [
+        ({}, True),
+        ({"whole_s": None}, False),
+        ({"whole_s": 1.9}, False),
+        ({"is_behind": True}, False),
+        ({"limit_s": 0.9}, False),
+        ({"ending": Ending.TIMED_OUT}, False),
+    ],
+)
+def test_a_request_that_was_read_and_dropped_is_found(changes, is_found):
+    rule = ["read and dropped"] if is_found else []
+    assert rules(replace(READ, **changes)) == rule
+
+
+@pytest.mark.parametrize(
+    ("disturbance", "is_excused"),
+    [
+        (Disturbance("vm-1", 1.5, 1.6), True),
+        (Disturbance("vm-1", -3.0, -1.9), True),
+        (Disturbance("vm-1", -3.0, -2.1), False),
+        (Disturbance("vm-1", 2.1, 3.0), False),
+        (Disturbance("vm-2", 1.5, 1.6), False),
+        (Disturbance(None, 1.5, 1.6), False),
+        (Disturbance("vm-1", 1.5, 1.6, is_planned=True), False),
+    ],
+)
+def test_only_an_unplanned_disturbance_of_its_daemon_excuses_a_loss(
+    disturbance, is_excused
+):
+    assert bool(rules(READ, disturbances=[disturbance])) != is_excused
+
+
+GIVEN_UP = replace(CALL, status=502, body="", signature="", limit_s=4.0)
+WORKING = replace(RUN, ended_s=2.0, was_cut=True)
+
+
+@pytest.mark.parametrize(
+    ("call", "run", "stop", "is_found"),
+    [
+        (GIVEN_UP, WORKING, Stop("vm-1", 0.5, 6.0), True),
+        (replace(GIVEN_UP, status=504), WORKING, Stop("vm-1", 1.5, 6.0), True),
+        (GIVEN_UP, WORKING, Stop("vm-2", 0.5, 6.0), False),
+        (GIVEN_UP, WORKING, Stop("vm-1", 2.1, 6.0), False),
+        (GIVEN_UP, WORKING, Stop("vm-1", -6.1, 6.0), False),
+        (GIVEN_UP, replace(WORKING, was_cut=False), Stop("vm-1", 0.5, 6.0), False),
+        (GIVEN_UP, replace(WORKING, is_sound=False), Stop("vm-1", 0.5, 6.0), False),
+        (replace(GIVEN_UP, signature="t1"), WORKING, Stop("vm-1", 0.5, 6.0), False),
+        (replace(GIVEN_UP, limit_s=0.9), WORKING, Stop("vm-1", 0.5, 6.0), False),
+        (GIVEN_UP, WORKING, Stop("vm-1", -0.6, 3.0), False),
+    ],
+)
+def test_a_daemons_own_failure_in_place_of_a_targets_answer_is_found(
+    call, run, stop, is_found
+):
+    rule = ["given up in a stop"] if is_found else []
+    assert rules(call, run, ends=[stop]) == rule
+
+
+def test_an_answer_of_another_length_than_the_targets_is_found():
+    assert rules(replace(CALL, padding=5), replace(RUN, padding=5)) == []
+    rule = ["not the target's answer"]
+    assert rules(replace(CALL, padding=4), replace(RUN, padding=5)) == rule
+
+
+def test_a_refusal_of_a_request_that_runs_later_is_found():
+    refused = replace(CALL, status=429, signature="")
+    assert rules(refused, replace(RUN, at_s=2.5)) == ["said not to have run"]
+
+
 ADDED = replace(CALL, added_in=5, sent_s=10.0, ended_s=10.1)
 UNKNOWN = replace(ADDED, status=404)
 
