--- a/tests/platform_adapter/test_gateway_stops.py
+++ b/tests/platform_adapter/test_gateway_stops.py
@@ -11,7 +11,7 @@
 from tests.exchanges import until
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.conftest import make_route
-from tests.platform_adapter.raw_caller import make_request, raw_caller
+from tests.platform_adapter.raw_caller import raw_caller, request_text
 from tests.platform_adapter.slow_reader import read_to_end, slow_reader
 
 GRACE_S = 2.0
@@ -237,13 +237,11 @@
     gateway = await platform.start_gateway("vm-2", grace_s=6.0)
     loop = asyncio.get_running_loop()
     async with slow_reader(gateway) as connection:
-        await loop.sock_sendall(connection, make_request("/read/a"))
+        await loop.sock_sendall(connection, request_text("/read/a"))
         await until(lambda: target.received)
         async with stopping(gateway, after_s=0.05):
-            behind = make_request("/post/b", length=body_size)
-            sending = asyncio.ensure_future(
-                loop.sock_sendall(connection, behind + b"x" * body_size)
-            )
+            behind = request_text("/post/b", body=b"x" * body_size)
+            sending = asyncio.ensure_future(loop.sock_sendall(connection, behind))
             await asyncio.sleep(2.0)
             text = await read_to_end(connection)
             sending.cancel()
@@ -262,7 +260,7 @@
     gateway = await platform.start_gateway("vm-2", grace_s=6.0)
     loop = asyncio.get_running_loop()
     async with slow_reader(gateway) as connection:
-        await loop.sock_sendall(connection, make_request("/read/a"))
+        await loop.sock_sendall(connection, request_text("/read/a"))
         async with stopping(gateway, after_s=2.5):
             text = b""
             while len(text) < size - 100_000:
