Do not take a request that is parsed late for half a head

Callers of the daemon got a 408 that belonged to no request, up to the configuration's time for heads after an answer: on connections where a request lay behind a body whose reading had been held back, or where an empty line followed a request.

Cause: whether half a head had come was judged by the last bytes of one call, which are none when what was held back is parsed. Now by the last bytes of the connection, and empty lines between requests are no head.

Both tests failed before.

--- a/dogwoodhook/transport/bounded_requests.py
+++ b/dogwoodhook/transport/bounded_requests.py
@@ -25,7 +25,8 @@
 MAX_LINES = 256 * 1024
 """Limit of the parser for the lines of a head, which has fewer bytes than that."""
 
-HEAD_END = b"\r\n\r\n"
+LINE_END = b"\r\n"
+HEAD_END = 2 * LINE_END
 
 HEAD_TOO_LARGE_STATUS = 431
 HEAD_LATE_STATUS = 408
@@ -43,6 +44,7 @@
         "_head_timer",
         "_is_refusing",
         "_last_body",
+        "_tail",
     )
 
     def __init__(
@@ -67,11 +69,13 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._is_refusing = False
         self._last_body: StreamReader = EMPTY_PAYLOAD
+        self._tail = b""
 
     def data_received(self, data: bytes) -> None:
         """Parse what came, unless a head in it is beyond the limits."""
         if self._is_refusing:
             return
+        self._tail = (self._tail + data[-len(HEAD_END) :])[-len(HEAD_END) :]
         last = self._messages[-1] if self._messages else None
         was_in_head = self._last_body.is_eof() and not self._upgraded
         super().data_received(data)
@@ -79,9 +83,9 @@
             message, self._last_body = self._messages[-1]
             self._is_refusing = isinstance(message, _ErrInfo)
             self._note_head()
-            if self._last_body is EMPTY_PAYLOAD and not data.endswith(HEAD_END):
+            if self._last_body is EMPTY_PAYLOAD and self._tail != HEAD_END:
                 self._note_piece_of_head(0)
-        elif was_in_head:
+        elif was_in_head and data.strip(LINE_END):
             self._note_piece_of_head(len(data))
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/tests/platform_adapter/test_caller_limits.py
+++ b/tests/platform_adapter/test_caller_limits.py
@@ -135,3 +135,26 @@
         await asyncio.sleep(2 * IDLE_TIMEOUT_S)
         caller.send("/read/2")
         assert (await caller.answer()).status == 200
+
+
+async def test_a_request_that_is_parsed_late_is_not_taken_for_half_a_head(platform):
+    """It lies behind a body whose reading was held back."""
+    _, gateway = await start(platform)
+    async with raw_caller(gateway) as caller:
+        caller.send("/post/1", body=b"x" * 1_000_000)
+        caller.send("/read/2")
+        assert [(await caller.answer()).status for _ in range(2)] == [200, 200]
+        await asyncio.sleep(1.5 * HEADER_TIMEOUT_S)
+        caller.send("/read/3")
+        assert (await caller.answer()).status == 200
+
+
+async def test_empty_lines_between_requests_are_no_head(platform):
+    _, gateway = await start(platform)
+    async with raw_caller(gateway) as caller:
+        caller.send("/post/1", body=b"x")
+        assert (await caller.answer()).status == 200
+        caller.writer.write(b"\r\n")
+        await asyncio.sleep(1.5 * HEADER_TIMEOUT_S)
+        caller.send("/read/2")
+        assert (await caller.answer()).status == 200
