Read datagrams in batches

A datagram that comes alone is taken at once. After it the socket is looked at each 10 ms, and all that has come is taken in one go, until a look finds nothing.

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -322,6 +322,9 @@
 FLEET_JOINED = _event(
     811, "fleet-joined", Level.INFO, "This daemon knows the fleet's key and its peers."
 )
+DATAGRAM_UNSENT = _event(
+    812, "datagram-unsent", Level.INFO, "A datagram to another daemon was lost here."
+)
 REQUEST_FAILED = _event(
     990,
     "request-failed",
--- a/dogwoodhook/transport/datagrams.py
+++ b/dogwoodhook/transport/datagrams.py
@@ -1,12 +1,9 @@
 """Datagrams to and from the other daemons of the fleet."""
 
-import asyncio
 import random
-import socket
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
-from typing import cast
 
 from expression import Result
 
@@ -32,15 +29,12 @@
     SeenMessages,
     choose_relays,
 )
+from dogwoodhook.transport.datagram_socket import DatagramSocket, Sender
 from dogwoodhook.vm_settings import Address
 
 NUMBER_BITS = 62
 """Size of the number of a daemon's first relayed message."""
 
-RECEIVE_BUFFER_BYTES = 1024 * 1024
-"""Datagrams that may wait: a thousand a second come while targets shed, and a stalled
-daemon must not lose what it needs for the fleet's budget."""
-
 Receiver = Callable[[FleetMessage], None]
 
 
@@ -53,7 +47,7 @@
     address: Address
 
 
-class DatagramPeers(asyncio.DatagramProtocol):
+class DatagramPeers:
     """One socket for all peers. Nothing is sent or heard before the key is known.
 
     Greetings go to every daemon that was ever known, everything else to those that
@@ -82,27 +76,15 @@
         self._daemon = daemon
         self._data_centre = data_centre
         self._peers: dict[str, Peer] = {}
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket = DatagramSocket(self._hear)
 
     async def start(self, address: Address) -> None:
         """Open the socket."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(address.host, address.port)
-        )
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the socket."""
-        # The event loop's class does not derive from DatagramTransport.
-        self._transport = cast("asyncio.DatagramTransport", transport)
-        transport.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
+        self._socket.open(address)
 
     def close(self) -> None:
         """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
+        self._socket.close()
 
     def __len__(self) -> int:
         """Return the number of live peers."""
@@ -176,24 +158,25 @@
         return [peer for peer in peers if peer.data_centre == self._data_centre]
 
     def _send(self, message: FleetMessage, peers: list[Peer]) -> None:
-        if self._transport is None or self.key is None:
+        if self.key is None:
             return
         datagram = encode_datagram(message, key=self.key)
         for peer in peers:
-            self._transport.sendto(datagram, (peer.address.host, peer.address.port))
+            self._socket.send(datagram, peer.address)
         self.sent_bytes += len(datagram) * len(peers)
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+    def _hear(self, datagram: bytes, sender: Sender) -> None:
         """Decode a datagram and hand it on."""
         if self.key is None:
             return
-        match decode_datagram(data, key=self.key):
+        match decode_datagram(datagram, key=self.key):
             case Result(tag="ok", ok=message):
                 self._liveness.hear(message.daemon, now_s=self._clock.now_s())
                 self._take(message)
             case Result(error=problem):
                 self.dropped += 1
-                log(DATAGRAM_DROPPED, sender=f"{addr[0]}:{addr[1]}", problem=problem)
+                host, port = sender
+                log(DATAGRAM_DROPPED, sender=f"{host}:{port}", problem=problem)
 
     def _take(self, message: FleetMessage) -> None:
         match message:
@@ -209,9 +192,6 @@
             case _:
                 self._receive(message)
 
-    def error_received(self, exc: Exception) -> None:
-        """Ignore a peer that is gone: datagrams are safe to lose."""
-
 
 def _may_be_missed(message: BroadcastMessage) -> bool:
     """Tell whether a message is one of many, of which a loss matters little."""
