Tell the neighbours of requests that begin sooner than of those that end

A daemon told its neighbours of its requests in flight at most once in 4 ms for each of them: 108 ms in a data centre of 27. It bounded the processor time of hearing reports, which batches have made cheaper.

A request that has begun takes a slot which others may choose meanwhile; one that has ended only leaves a slot free.

--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -165,9 +165,7 @@
             is_ready=self._has_been_ready,
             tell=self.peers.broadcast,
             tell_neighbours=self.peers.tell_neighbours,
-            tell_load=LoadSharing(
-                self._load, self.peers, daemon=settings.vm_name
-            ).note_change,
+            load_sharing=LoadSharing(self._load, self.peers, daemon=settings.vm_name),
             count_daemons=lambda: len(self.peers) + 1,
         )
         self._metrics = Metrics(
--- a/dogwoodhook/transport/fleet_view.py
+++ b/dogwoodhook/transport/fleet_view.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from dogwoodhook.coordination.fleet_messages import TargetFailure, TargetSuccess
+from dogwoodhook.coordination.load_sharing import LoadSharing
 from dogwoodhook.state.fleet_budget import FleetBudget
 from dogwoodhook.state.placement import Placement
 from dogwoodhook.state.route_policy import RoutingConfiguration
@@ -18,7 +19,7 @@
     """The parts that a forwarder shares with the rest of the daemon.
 
     ``is_ready`` is set once routes and targets are known. ``tell`` reaches all
-    daemons, ``tell_neighbours`` and ``tell_load`` those of the own data centre.
+    daemons, ``tell_neighbours`` and ``load_sharing`` those of the own data centre.
     """
 
     configuration: Callable[[], RoutingConfiguration | None]
@@ -30,5 +31,5 @@
     is_ready: asyncio.Event
     tell: Callable[[TargetFailure | TargetSuccess], None]
     tell_neighbours: Callable[[TargetFailure], None]
-    tell_load: Callable[[], None]
+    load_sharing: LoadSharing
     count_daemons: Callable[[], int]
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -481,7 +481,7 @@
         loop = asyncio.get_running_loop()
         overdue = loop.call_later(overdue_s, self._note_overdue, routed, target)
         fleet.placement.start(target, now_s=now_s)
-        fleet.tell_load()
+        fleet.load_sharing.note_start()
         fleet.connections.record_use(target)
         try:
             result = await attempt(
@@ -494,7 +494,7 @@
         finally:
             routed.target_s += self._clock.now_s() - now_s
             fleet.placement.finish(target)
-            fleet.tell_load()
+            fleet.load_sharing.note_end()
             overdue.cancel()
         if isinstance(result, WholeAnswer):
             if may_use_idle:
