--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -365,6 +365,7 @@
             return None
         if not self._stop_allows(routed):
             return None
+        self._fleet.hear_waiting()
         routed.directory_version = self._fleet.directory.version
         return self._fleet.placement.choose(
             self._fleet.directory.serving(routed.service, now_s=now_s),
@@ -481,7 +482,7 @@
         loop = asyncio.get_running_loop()
         overdue = loop.call_later(overdue_s, self._note_overdue, routed, target)
         fleet.placement.start(target, now_s=now_s)
-        fleet.tell_load()
+        fleet.load_sharing.note_start()
         fleet.connections.record_use(target)
         try:
             result = await attempt(
@@ -494,7 +495,7 @@
         finally:
             routed.target_s += self._clock.now_s() - now_s
             fleet.placement.finish(target)
-            fleet.tell_load()
+            fleet.load_sharing.note_end()
             overdue.cancel()
         if isinstance(result, WholeAnswer):
             if may_use_idle:
