Reproduce that a large answer that stalls cuts the answers behind it in a stop

Two pipelined requests are at targets when SIGTERM comes. The first one's answer is large and stalls in the middle; it is held, as requests behind it are at targets, and the holding ends only with the request's deadline. So both callers' answers, also the second that the target has given long ago, are dropped when the connections are closed at 0.95 of the grace period.

The test fails so: [None, None], 'closed with an answer of a target in hand'.

--- a/tests/platform_adapter/test_gateway_stops.py
+++ b/tests/platform_adapter/test_gateway_stops.py
@@ -289,3 +289,26 @@
         async with stopping(gateway):
             answer = await caller.answer()
     assert answer.status == 200
+
+
+async def test_a_large_answer_that_stalls_in_a_stop_cuts_no_answer_behind_it(platform):
+    """It is held while a request behind it is at a target, which answers it."""
+    size = 4 * BUFFERED_ANSWER_BYTES
+
+    async def behave_so(server, received, writer):
+        if received.path != "/read/a":
+            await behave.answer(server, received, writer)
+            return
+        writer.write(behave.head("200 OK", received, length=size, Server_Signature="s"))
+        writer.write(b"x" * (size // 2))
+        await behave.hang(server, received, writer)
+
+    target = await start(platform, behave_so)
+    gateway = platform.gateways[0]
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/a", "/read/b")
+        await until(lambda: len(target.received) == 2)
+        async with stopping(gateway):
+            answers = [await caller.answer() for _ in range(2)]
+    assert all(answers), "closed with an answer of a target in hand"
+    assert [each.status for each in answers] == [502, 200]
