Reproduce that a control character in a target's head cuts its connection's answers

The client side of the HTTP library reads control characters in header values and reasons, its server side refuses to write them: ValueError while the answer is prepared, outside of what turns errors into 502. The caller's connection is closed without an answer, and with it the answers of requests behind, which sound targets work on.

--- a/tests/platform_adapter/test_pipelined_closings.py
+++ b/tests/platform_adapter/test_pipelined_closings.py
@@ -114,3 +114,24 @@
         await closing
     assert [each.request_id for each in answers] == names
     assert {each.status for each in answers} == {200}
+
+
+@pytest.mark.parametrize("line", [b"X: a\x01b", b"X: \x7f"], ids=["start", "delete"])
+@pytest.mark.parametrize("path", ["/read/a", "/post/a"])
+async def test_a_control_character_in_a_head_cuts_no_answer(platform, path, line):
+    """The library refuses to write what it has read from a target."""
+
+    async def behave_so(server, received, writer):
+        if received.path == path:
+            head = behave.head("200 OK", received, length=2, Server_Signature="s")
+            writer.write(head.replace(b"\r\n\r\n", b"\r\n" + line + b"\r\n\r\nok"))
+            return
+        await asyncio.sleep(0.2)
+        await behave.answer(server, received, writer)
+
+    _, gateway = await start(platform, behave_so)
+    async with raw_caller(gateway) as caller:
+        caller.send(path, "/read/b")
+        answers = [await caller.answer() for _ in range(2)]
+    assert all(answers), "closed without an answer"
+    assert [each.status for each in answers] == [502, 200]
