Believe no answer's head with a control character

Such a head is taken for no answer, as other malformed ones are: its caller gets 502, or another target's answer where the request may be repeated, and requests behind it are answered.

--- a/dogwoodhook/transport/answer_heads.py
+++ b/dogwoodhook/transport/answer_heads.py
@@ -9,6 +9,7 @@
 from aiohttp.http import RawResponseMessage
 
 _STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}(?!\d)")
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _SWITCHING_PROTOCOLS = 101
 
 
@@ -19,6 +20,9 @@
     texts = (message.reason, *message.headers.values())
     if any(_STATUS_LINE.search(text) for text in texts):
         return "a status line within a head"
+    # The library would not write them to the caller.
+    if any(_CONTROL_CHARACTER.search(text) for text in texts):
+        return "a control character within a head"
     # Any other coding would be taken for the body, since this header is not passed on.
     codings = message.headers.getall("Transfer-Encoding", [])
     if codings and ", ".join(codings).lower() != "chunked":
