Reproduce that a host that cannot be read cuts the answers in front of its request

A request in absolute form whose host begins with xn-- and is no international name raises UnicodeError while the request is made. Behind another request that is in the connection's callback for data: the event loop breaks the connection, and the requests in front that are at sound targets are cut. Alone it ends the task of the connection, which stays open and silent.

Fails so: [None, None, None], 'Fatal error: protocol.data_received() call failed'; alone TimeoutError after 5 s.

--- a/tests/platform_adapter/test_pipelined_closings.py
+++ b/tests/platform_adapter/test_pipelined_closings.py
@@ -135,3 +135,27 @@
         answers = [await caller.answer() for _ in range(2)]
     assert all(answers), "closed without an answer"
     assert [each.status for each in answers] == [502, 200]
+
+
+async def test_a_request_whose_host_cannot_be_read_cuts_no_answer_in_front(platform):
+    """Its name is no international one, though it begins like one."""
+    target = await platform.start_target("t1", behave.after(0.2))
+    await platform.configure()
+    gateway = await platform.start_gateway()
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/a", "/read/b")
+        await until(lambda: len(target.received) == 2)
+        caller.writer.write(b"GET http://xn--/read/c HTTP/1.1\r\nHost: xn--\r\n\r\n")
+        answers = [await caller.answer() for _ in range(3)]
+    assert all(answers), "closed with requests at a target"
+    assert [each.status for each in answers] == [200, 200, 400]
+
+
+async def test_a_request_whose_host_cannot_be_read_is_refused(platform):
+    await platform.configure()
+    gateway = await platform.start_gateway()
+    async with raw_caller(gateway) as caller, asyncio.timeout(5):
+        caller.writer.write(b"GET http://xn--/read/a HTTP/1.1\r\nHost: xn--\r\n\r\n")
+        answer = await caller.answer()
+    assert answer.status == 400
+    assert answer.closes
