Refuse a request whose host cannot be decoded where it is parsed

It is answered 400, behind the answers that are owed in front of it, and nothing after it is read. Before, the library raised while it made the request.

--- a/dogwoodhook/transport/bounded_requests.py
+++ b/dogwoodhook/transport/bounded_requests.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from aiohttp import web
-from aiohttp.http import HttpProcessingError
+from aiohttp.http import HttpProcessingError, RawRequestMessage
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
@@ -28,6 +28,7 @@
 LINE_END = b"\r\n"
 HEAD_END = 2 * LINE_END
 
+BAD_REQUEST_STATUS = 400
 HEAD_TOO_LARGE_STATUS = 431
 HEAD_LATE_STATUS = 408
 SERVER_ERROR_STATUS = 500
@@ -78,7 +79,9 @@
         self._tail = (self._tail + data[-len(HEAD_END) :])[-len(HEAD_END) :]
         last = self._messages[-1] if self._messages else None
         was_in_head = self._last_body.is_eof() and not self._upgraded
+        first_new = len(self._messages)
         super().data_received(data)
+        self._refuse_unreadable(first_new)
         if self._messages and self._messages[-1] is not last:
             message, self._last_body = self._messages[-1]
             self._is_refusing = isinstance(message, _ErrInfo)
@@ -113,6 +116,17 @@
                 limits.header_timeout_s, self._refuse_late
             )
 
+    def _refuse_unreadable(self, first: int) -> None:
+        """Refuse a new request whose host cannot be decoded, and what follows it."""
+        for index in range(first, len(self._messages)):
+            message, _ = self._messages[index]
+            if has_readable_host(message):
+                continue
+            while len(self._messages) > index:
+                self._messages.pop()
+            self._refuse(BAD_REQUEST_STATUS, "a host that cannot be read")
+            return
+
     def _refuse_late(self) -> None:
         self._refuse(HEAD_LATE_STATUS, "the head did not come in time")
 
@@ -156,6 +170,16 @@
         return answer
 
 
+def has_readable_host(message: RawRequestMessage | _ErrInfo) -> bool:
+    """Tell whether the host in a request's target, if there is one, can be decoded."""
+    if isinstance(message, _ErrInfo) or not message.url.absolute:
+        return True
+    try:
+        return message.url.host is not None
+    except ValueError:
+        return False
+
+
 def head_bytes(request: web.BaseRequest) -> int:
     """Return the size of a request's head, without its version and line ends."""
     names = sum(len(name) + len(value) for name, value in request.raw_headers)
