Reproduce that a body behind a declined upgrade is taken for a head

What comes behind a request that asks for an upgrade is kept by the library and parsed when that request is answered, past the place where the limits of heads note what was parsed. So the rest of a body is counted and timed as a head and then dropped, until its request is refused with 408; and a request behind a slow upgrade is refused with 408 though its head was whole.

Fails so: 408 instead of 200, 3 cases.

--- a/tests/platform_adapter/test_caller_limits.py
+++ b/tests/platform_adapter/test_caller_limits.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from dogwoodhook.transport.bounded_requests import LINE_END
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.conftest import make_configuration
-from tests.platform_adapter.raw_caller import raw_caller
+from tests.platform_adapter.raw_caller import raw_caller, request_text
 
 MAX_HEADER_BYTES = 16384
 HEADER_TIMEOUT_S = 0.4
@@ -158,3 +159,34 @@
         await asyncio.sleep(1.5 * HEADER_TIMEOUT_S)
         caller.send("/read/2")
         assert (await caller.answer()).status == 200
+
+
+@pytest.mark.parametrize("body_bytes", [200, 2 * MAX_HEADER_BYTES])
+async def test_a_body_behind_a_declined_upgrade_is_not_taken_for_a_head(
+    platform, body_bytes
+):
+    """Its request was read together with the one that asked for the upgrade."""
+    target, gateway = await start(platform, behave.after(0.2))
+    upgrade = request_text("/read/1")[: -len(LINE_END)]
+    upgrade += b"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
+    behind = request_text("/post/2", body=b"x" * body_bytes)
+    async with raw_caller(gateway) as caller:
+        caller.writer.write(upgrade + behind[: -body_bytes // 2])
+        assert (await caller.answer()).status == 200
+        caller.writer.write(behind[-body_bytes // 2 : -1])
+        await asyncio.sleep(1.5 * HEADER_TIMEOUT_S)
+        caller.writer.write(behind[-1:])
+        answer = await caller.answer()
+    assert answer.status == 200
+    assert target.received[1].body == b"x" * body_bytes
+
+
+async def test_a_request_behind_a_slow_upgrade_is_not_late(platform):
+    target, gateway = await start(platform, behave.after(1.5 * HEADER_TIMEOUT_S))
+    upgrade = request_text("/read/1")[: -len(LINE_END)]
+    upgrade += b"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
+    async with raw_caller(gateway) as caller:
+        caller.writer.write(upgrade + request_text("/post/2", body=b"x"))
+        statuses = [(await caller.answer()).status for _ in range(2)]
+    assert statuses == [200, 200]
+    assert len(target.received) == 2
