Bound what is kept behind a declined upgrade as what is read from the connection

What the library kept is parsed by the same place as all that callers send, when the upgrade's answer is about to be written; a head is not timed while it is kept. Nothing of it is begun before the answer, which may close.

--- a/dogwoodhook/transport/bounded_requests.py
+++ b/dogwoodhook/transport/bounded_requests.py
@@ -86,11 +86,30 @@
             message, self._last_body = self._messages[-1]
             self._is_refusing = isinstance(message, _ErrInfo)
             self._note_head()
-            if self._last_body is EMPTY_PAYLOAD and self._tail != HEAD_END:
+            is_at_head = self._last_body is EMPTY_PAYLOAD and not self._upgraded
+            if is_at_head and self._tail != HEAD_END:
                 self._note_piece_of_head(0)
         elif was_in_head and data.strip(LINE_END):
             self._note_piece_of_head(len(data))
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Read what was kept behind an upgrade that is declined; write the answer."""
+        if self._upgraded and not self._messages and self._parser is not None:
+            self._parser.set_upgraded(False)
+            self._upgraded = False
+            kept, self._message_tail = self._message_tail, b""
+            if kept:
+                # Nothing of it is begun before the answer has been written.
+                BoundedRequestHandler.data_received(self, kept)
+            if self._buffer_paused:
+                self._resume_reading_if_drained()
+        return await super().finish_response(request, resp, start_time)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the timer of a head that is not whole."""
         self._note_head()
