Reproduce that requests behind answers that are not held are cut

A large answer with requests behind it at targets is held, but for those over 4 MiB, and for a sixth one at a time. Those are passed on as they come; where one breaks off, the connection is closed and the requests behind it, which are at sound targets, are cut.

Fails so, 3 times of 3 both: the second answer is None. Not mended here: to wait for room instead would let a stalled answer hold back those of other callers, which is a choice.

--- a/tests/platform_adapter/test_pipelined_closings.py
+++ b/tests/platform_adapter/test_pipelined_closings.py
@@ -5,6 +5,7 @@
 import pytest
 
 from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES
+from dogwoodhook.transport.route_forwarder import HELD_ANSWER_BYTES, MAX_HELD_ANSWERS
 from tests.exchanges import until
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.raw_caller import raw_caller
@@ -159,3 +160,50 @@
         answer = await caller.answer()
     assert answer.status == 400
     assert answer.closes
+
+
+async def test_a_request_behind_more_large_answers_than_are_held_is_answered(platform):
+    """Each connection has one in front, which breaks off, and one at a sound target."""
+
+    async def behave_so(server, received, writer):
+        if not received.path.startswith("/read/large"):
+            await behave.answer(server, received, writer)
+            return
+        writer.write(behave.head("200 OK", received, length=SIZE, Server_Signature="s"))
+        writer.write(b"x" * (SIZE // 2))
+        await writer.drain()
+        await asyncio.sleep(0.5)
+        behave.reset_connection(writer)
+
+    _, gateway = await start(platform, behave_so)
+    await platform.start_target("t2", behave_so)
+    await until(lambda: gateway.knows_target("t2"))
+
+    async def call(number):
+        async with raw_caller(gateway) as caller:
+            caller.send(f"/read/large-{number}", f"/read/{number}")
+            return [await caller.answer() for _ in range(2)]
+
+    found = await asyncio.gather(*map(call, range(MAX_HELD_ANSWERS + 1)))
+    assert all(behind for _, behind in found), "closed with a request at a target"
+
+
+async def test_a_request_behind_an_answer_too_large_to_hold_is_answered(platform):
+    size = HELD_ANSWER_BYTES + SIZE
+
+    async def behave_so(server, received, writer):
+        if received.path != "/read/a":
+            await behave.answer(server, received, writer)
+            return
+        writer.write(behave.head("200 OK", received, length=size, Server_Signature="s"))
+        writer.write(b"x" * (size - 1))
+        await writer.drain()
+        await asyncio.sleep(0.3)
+        behave.reset_connection(writer)
+
+    target, gateway = await start(platform, behave_so)
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/a", "/read/b")
+        await until(lambda: len(target.received) == 2)
+        answers = [await caller.answer() for _ in range(2)]
+    assert all(answers), "closed with a request at a target"
