--- a/dogwoodhook/transport/bounded_requests.py
+++ b/dogwoodhook/transport/bounded_requests.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from aiohttp import web
-from aiohttp.http import HttpProcessingError
+from aiohttp.http import HttpProcessingError, RawRequestMessage
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
@@ -28,6 +28,7 @@
 LINE_END = b"\r\n"
 HEAD_END = 2 * LINE_END
 
+BAD_REQUEST_STATUS = 400
 HEAD_TOO_LARGE_STATUS = 431
 HEAD_LATE_STATUS = 408
 SERVER_ERROR_STATUS = 500
@@ -78,16 +79,37 @@
         self._tail = (self._tail + data[-len(HEAD_END) :])[-len(HEAD_END) :]
         last = self._messages[-1] if self._messages else None
         was_in_head = self._last_body.is_eof() and not self._upgraded
+        first_new = len(self._messages)
         super().data_received(data)
+        self._refuse_unreadable(first_new)
         if self._messages and self._messages[-1] is not last:
             message, self._last_body = self._messages[-1]
             self._is_refusing = isinstance(message, _ErrInfo)
             self._note_head()
-            if self._last_body is EMPTY_PAYLOAD and self._tail != HEAD_END:
+            is_at_head = self._last_body is EMPTY_PAYLOAD and not self._upgraded
+            if is_at_head and self._tail != HEAD_END:
                 self._note_piece_of_head(0)
         elif was_in_head and data.strip(LINE_END):
             self._note_piece_of_head(len(data))
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Read what was kept behind an upgrade that is declined; write the answer."""
+        if self._upgraded and not self._messages and self._parser is not None:
+            self._parser.set_upgraded(False)
+            self._upgraded = False
+            kept, self._message_tail = self._message_tail, b""
+            if kept:
+                # Nothing of it is begun before the answer has been written.
+                BoundedRequestHandler.data_received(self, kept)
+            if self._buffer_paused:
+                self._resume_reading_if_drained()
+        return await super().finish_response(request, resp, start_time)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the timer of a head that is not whole."""
         self._note_head()
@@ -113,6 +135,17 @@
                 limits.header_timeout_s, self._refuse_late
             )
 
+    def _refuse_unreadable(self, first: int) -> None:
+        """Refuse a new request whose host cannot be decoded, and what follows it."""
+        for index in range(first, len(self._messages)):
+            message, _ = self._messages[index]
+            if has_readable_host(message):
+                continue
+            while len(self._messages) > index:
+                self._messages.pop()
+            self._refuse(BAD_REQUEST_STATUS, "a host that cannot be read")
+            return
+
     def _refuse_late(self) -> None:
         self._refuse(HEAD_LATE_STATUS, "the head did not come in time")
 
@@ -156,6 +189,16 @@
         return answer
 
 
+def has_readable_host(message: RawRequestMessage | _ErrInfo) -> bool:
+    """Tell whether the host in a request's target, if there is one, can be decoded."""
+    if isinstance(message, _ErrInfo) or not message.url.absolute:
+        return True
+    try:
+        return message.url.host is not None
+    except ValueError:
+        return False
+
+
 def head_bytes(request: web.BaseRequest) -> int:
     """Return the size of a request's head, without its version and line ends."""
     names = sum(len(name) + len(value) for name, value in request.raw_headers)
--- a/tests/platform_adapter/test_pipelined_closings.py
+++ b/tests/platform_adapter/test_pipelined_closings.py
@@ -5,6 +5,7 @@
 import pytest
 
 from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES
+from dogwoodhook.transport.route_forwarder import HELD_ANSWER_BYTES, MAX_HELD_ANSWERS
 from tests.exchanges import until
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.raw_caller import raw_caller
@@ -114,3 +115,95 @@
         await closing
     assert [each.request_id for each in answers] == names
     assert {each.status for each in answers} == {200}
+
+
+@pytest.mark.parametrize("line", [b"X: a\x01b", b"X: \x7f"], ids=["start", "delete"])
+@pytest.mark.parametrize("path", ["/read/a", "/post/a"])
+async def test_a_control_character_in_a_head_cuts_no_answer(platform, path, line):
+    """The library refuses to write what it has read from a target."""
+
+    async def behave_so(server, received, writer):
+        if received.path == path:
+            head = behave.head("200 OK", received, length=2, Server_Signature="s")
+            writer.write(head.replace(b"\r\n\r\n", b"\r\n" + line + b"\r\n\r\nok"))
+            return
+        await asyncio.sleep(0.2)
+        await behave.answer(server, received, writer)
+
+    _, gateway = await start(platform, behave_so)
+    async with raw_caller(gateway) as caller:
+        caller.send(path, "/read/b")
+        answers = [await caller.answer() for _ in range(2)]
+    assert all(answers), "closed without an answer"
+    assert [each.status for each in answers] == [502, 200]
+
+
+async def test_a_request_whose_host_cannot_be_read_cuts_no_answer_in_front(platform):
+    """Its name is no international one, though it begins like one."""
+    target = await platform.start_target("t1", behave.after(0.2))
+    await platform.configure()
+    gateway = await platform.start_gateway()
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/a", "/read/b")
+        await until(lambda: len(target.received) == 2)
+        caller.writer.write(b"GET http://xn--/read/c HTTP/1.1\r\nHost: xn--\r\n\r\n")
+        answers = [await caller.answer() for _ in range(3)]
+    assert all(answers), "closed with requests at a target"
+    assert [each.status for each in answers] == [200, 200, 400]
+
+
+async def test_a_request_whose_host_cannot_be_read_is_refused(platform):
+    await platform.configure()
+    gateway = await platform.start_gateway()
+    async with raw_caller(gateway) as caller, asyncio.timeout(5):
+        caller.writer.write(b"GET http://xn--/read/a HTTP/1.1\r\nHost: xn--\r\n\r\n")
+        answer = await caller.answer()
+    assert answer.status == 400
+    assert answer.closes
+
+
+async def test_a_request_behind_more_large_answers_than_are_held_is_answered(platform):
+    """Each connection has one in front, which breaks off, and one at a sound target."""
+
+    async def behave_so(server, received, writer):
+        if not received.path.startswith("/read/large"):
+            await behave.answer(server, received, writer)
+            return
+        writer.write(behave.head("200 OK", received, length=SIZE, Server_Signature="s"))
+        writer.write(b"x" * (SIZE // 2))
+        await writer.drain()
+        await asyncio.sleep(0.5)
+        behave.reset_connection(writer)
+
+    _, gateway = await start(platform, behave_so)
+    await platform.start_target("t2", behave_so)
+    await until(lambda: gateway.knows_target("t2"))
+
+    async def call(number):
+        async with raw_caller(gateway) as caller:
+            caller.send(f"/read/large-{number}", f"/read/{number}")
+            return [await caller.answer() for _ in range(2)]
+
+    found = await asyncio.gather(*map(call, range(MAX_HELD_ANSWERS + 1)))
+    assert all(behind for _, behind in found), "closed with a request at a target"
+
+
+async def test_a_request_behind_an_answer_too_large_to_hold_is_answered(platform):
+    size = HELD_ANSWER_BYTES + SIZE
+
+    async def behave_so(server, received, writer):
+        if received.path != "/read/a":
+            await behave.answer(server, received, writer)
+            return
+        writer.write(behave.head("200 OK", received, length=size, Server_Signature="s"))
+        writer.write(b"x" * (size - 1))
+        await writer.drain()
+        await asyncio.sleep(0.3)
+        behave.reset_connection(writer)
+
+    target, gateway = await start(platform, behave_so)
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/a", "/read/b")
+        await until(lambda: len(target.received) == 2)
+        answers = [await caller.answer() for _ in range(2)]
+    assert all(answers), "closed with a request at a target"
