--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -25,10 +25,14 @@
 DRAIN_INTERVAL_S = 0.02
 """Time between looks at whether a stopping daemon has answered all requests."""
 
+QUIET_LOOKS = 3
+"""Looks without work after the last connection was accepted: a connection takes some
+passes of the event loop until its first request has been read."""
+
 CLOSE_TIMEOUT_S = 0.01
 """Time for each of the two steps in which the library closes what is left after the
-drain; together less than half of the last twentieth of any grace period of a second or
-more, so that the process is gone before its end."""
+drain; together less than half of what is kept for closing in any grace period of a
+second or more."""
 
 
 class CallerListener:
@@ -72,18 +76,30 @@
         await self._listener.start()
 
     async def drain(self) -> None:
-        """Listen on until callers go elsewhere and every request has ended."""
+        """Listen on until callers go elsewhere and every request has ended.
+
+        What has been accepted until then is still served or refused.
+        """
         listen_until_s = self._clock.now_s() + BALANCER_NOTICE_S
-        while (now_s := self._clock.now_s()) < self._stop.closes_s:
+        while (now_s := self._clock.now_s()) < self._stop.answers_end_s:
             if now_s >= listen_until_s and not self._has_work:
                 break
-            await asyncio.sleep(min(DRAIN_INTERVAL_S, self._stop.closes_s - now_s))
+            await self._wait(until_s=self._stop.answers_end_s)
         await self._listener.stop_accepting()
+        quiet_looks = 0
+        while quiet_looks < QUIET_LOOKS and self._clock.now_s() < self._stop.closes_s:
+            await self._wait(until_s=self._stop.closes_s)
+            quiet_looks = 0 if self._has_work else quiet_looks + 1
 
     async def close(self) -> None:
         """Close every connection."""
         await self._listener.close()
 
+    async def _wait(self, *, until_s: float) -> None:
+        """Wait until the next look, or the time at which looking ends."""
+        left_s = max(0.0, until_s - self._clock.now_s())
+        await asyncio.sleep(min(DRAIN_INTERVAL_S, left_s))
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
             return await self._forward(request)
