A reading holds what its teller knew from another daemon

Cause: a reading is said to hold all that matters between two versions, but it held what was news to its teller when its call ended. A change that the teller had heard of from another daemon, with a gap or during its call, was left out. A neighbour that lost the other daemon's datagram took the version of the reading, and neither later readings nor its own calls went back to the change. It learned of it only if a call of its own covered a heartbeat of the target, or by the target's removal.

Change: the directory keeps the version at which each row mattered last, and a reading holds all that mattered after the version that it follows on. No further calls.

--- a/dogwoodhook/coordination/target_following.py
+++ b/dogwoodhook/coordination/target_following.py
@@ -121,18 +121,16 @@
             case Result(tag="ok", ok=rows):
                 self._availability.record_answer(heard_s=self._heard_s, now_s=now_s)
                 self._read_s = started_s
-                applied, hold_s = self._apply(rows, now_s)
+                hold_s = self._apply(rows, now_s)
                 if before and is_told:
-                    self._tell(applied, before, rows.version, hold_s)
+                    self._tell(before, rows.version, hold_s)
                 return True
             case Result(error=problem):
                 self._availability.record_failure(problem.detail, now_s=now_s)
                 return False
 
-    def _apply(
-        self, rows: TableRows, now_s: float
-    ) -> tuple[tuple[TargetChange, ...], float]:
-        """Apply rows; return what mattered, and how long removals wait."""
+    def _apply(self, rows: TableRows, now_s: float) -> float:
+        """Apply rows; return how long removals wait."""
         changes = [
             TargetChange(row.key, row.version, self._decoder.target(row))
             for row in rows.rows
@@ -143,33 +141,31 @@
             changes, version=rows.version, now_s=now_s, removal_hold_s=hold_s
         )
         _log_changes(applied, source="store", version=rows.version)
-        return applied, hold_s
+        return hold_s
 
-    def _tell(
-        self,
-        applied: tuple[TargetChange, ...],
-        before: int,
-        version: int,
-        hold_s: float,
-    ) -> None:
-        """Send the changes in datagrams that follow on one another."""
-        if len(applied) > MAX_CHANGES_TOLD:
+    def _tell(self, before: int, version: int, hold_s: float) -> None:
+        """Send the changes in datagrams that follow on one another.
+
+        Those are told too that another daemon's reading has brought meanwhile: its
+        datagram may be lost to some.
+        """
+        ordered = self._directory.changes_after(before)
+        if len(ordered) > MAX_CHANGES_TOLD:
             # Nobody knows this version yet, so everybody reads.
-            applied, before = (), version
-        ordered = sorted(applied, key=lambda change: change.version)
+            ordered, before = (), version
         while True:
             part, ordered = (
                 ordered[:MAX_CHANGES_PER_READING],
                 ordered[MAX_CHANGES_PER_READING:],
             )
-            until = part[-1].version if ordered else version
+            until = min(part[-1].version, version) if ordered else version
             self._links.tell_neighbours(
                 StoreReading(
                     daemon=self._daemon,
                     after_version=before,
                     version=until,
                     removal_hold_s=hold_s,
-                    changes=tuple(part),
+                    changes=part,
                 )
             )
             if not ordered:
--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -61,6 +61,8 @@
         self.version = 0
         self._entries: dict[str, TargetEntry] = {}
         self._versions: dict[str, int] = {}
+        # Versions of the rows that were the last to matter to placing.
+        self._mattered: dict[str, int] = {}
         self._lapsing: dict[str, float] = {}
         self._joined_s: dict[str, float] = {}
         self._serving: dict[str, tuple[TargetEntry, ...]] = {}
@@ -100,6 +102,7 @@
             if is_new and self.version:
                 self._joined_s[change.name] = now_s
             if self._apply_one(change, now_s + removal_hold_s):
+                self._mattered[change.name] = change.version
                 applied.append(change)
         self.version = max(self.version, version)
         if applied:
@@ -108,6 +111,19 @@
         self._trim()
         return tuple(applied)
 
+    def changes_after(self, version: int) -> tuple[TargetChange, ...]:
+        """Return all that matters to placing since a version, by version.
+
+        Whoever knows the targets up to that version and applies these knows what is
+        known here, from whomever it came.
+        """
+        changes = [
+            TargetChange(name, self._versions[name], self._listed(name))
+            for name, mattered in self._mattered.items()
+            if mattered > version
+        ]
+        return tuple(sorted(changes, key=lambda change: change.version))
+
     def replace_all(
         self,
         entries: Iterable[TargetChange],
@@ -131,6 +147,9 @@
             removal_hold_s=removal_hold_s,
         )
 
+    def _listed(self, name: str) -> TargetEntry | None:
+        return None if name in self._lapsing else self._entries.get(name)
+
     def _apply_one(self, change: TargetChange, removal_s: float) -> bool:
         held = self._entries.get(change.name)
         if change.entry is None:
@@ -166,6 +185,7 @@
             : len(removed) // 2
         ]:
             del self._versions[name]
+            self._mattered.pop(name, None)
 
 
 def _differs(held: TargetEntry, entry: TargetEntry) -> bool:
--- a/tests/test_target_directory.py
+++ b/tests/test_target_directory.py
@@ -98,3 +98,21 @@
     assert directory.has_joined_lately("t3", now_s=6.0)
     assert not directory.has_joined_lately("t3", now_s=5.0 + NEWCOMER_S)
     assert not directory.has_joined_lately("t1", now_s=6.0)
+
+
+def test_changes_since_a_version_hold_all_that_mattered_and_no_heartbeat(directory):
+    draining = replace(T1, is_draining=True)
+    # Heard of with a gap: the version stays.
+    directory.apply([TargetChange("t1", 12, draining)], version=9, now_s=0.0)
+    heartbeats = [TargetChange("t1", 14, draining), TargetChange("t2", 13, T2)]
+    directory.apply(heartbeats, version=15, now_s=0.0)
+    assert directory.changes_after(9) == (TargetChange("t1", 14, draining),)
+    assert directory.changes_after(12) == ()
+
+
+def test_a_removal_is_among_the_changes_while_it_waits_and_after(directory):
+    removal = TargetChange("t1", 10, None)
+    directory.apply([removal], version=10, now_s=0.0, removal_hold_s=1.0)
+    assert directory.changes_after(9) == (removal,)
+    assert names(directory, now_s=2.0) == ["t2"]
+    assert directory.changes_after(9) == (removal,)
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -136,6 +136,17 @@
         await until(lambda: directory.version == 7)
 
 
+async def test_a_reader_tells_what_it_has_heard_from_another_daemon():
+    """Neighbours that lost the other daemon's datagram."""
+    async with following("vm-1") as (store, links, _, follower):
+        store.add(6)
+        entry = decode(store.rows[5])
+        follower.hear(StoreReading("vm-9", 5, 6, 0.0, (TargetChange("t6", 6, entry),)))
+        await until(lambda: any(told.version == 7 for told in links.told))
+        changes = [each for told in links.told for each in told.changes]
+        assert [each.name for each in changes] == [f"t{each}" for each in range(2, 8)]
+
+
 async def test_a_daemon_that_was_away_for_long_reads_the_whole_table(monkeypatch):
     monkeypatch.setattr("dogwoodhook.coordination.target_following.MAX_CATCH_UP_S", 0.3)
     async with following("vm-1") as (store, _, directory, _):
