A reading of several datagrams vouches for its version as a whole

Cause: each datagram of a reading with more than five changes vouched for the version of its last change. That is the version of the target's newest row, which moves with heartbeats: a change in a later datagram may have happened before it. Who lost that one and then heard of the next version from another daemon had no gap, and did not learn of the change.

Change: the datagrams are numbered; the version moves on once all have come. An incomplete reading is no sign of life either.

--- a/dogwoodhook/coordination/fleet_messages.py
+++ b/dogwoodhook/coordination/fleet_messages.py
@@ -56,7 +56,9 @@
 
     The changes are all that matter between two versions of the store. A daemon
     that does not know the first version reads for itself. ``removal_hold_s`` is
-    how long removals wait, where the store has just been away.
+    how long removals wait, where the store has just been away. Where the changes do
+    not fit one datagram, this is one of several ``parts``; all of them together lead
+    from the one version to the other.
     """
 
     daemon: str
@@ -64,6 +66,8 @@
     version: int
     removal_hold_s: float
     changes: tuple[TargetChange, ...] = ()
+    part: int = 0
+    parts: int = 1
     kind: Literal["reading"] = "reading"
 
 
--- a/dogwoodhook/coordination/target_following.py
+++ b/dogwoodhook/coordination/target_following.py
@@ -66,6 +66,7 @@
         self._read_s = float("-inf")
         self._heard_s = float("-inf")
         self._must_read = asyncio.Event()
+        self._parts = _PartsHeard()
 
     async def run(self) -> None:
         """Read when it is due, until cancelled."""
@@ -88,8 +89,10 @@
             # The changes hold although others before them were missed.
             version = self._directory.version
             self._must_read.set()
-        else:
+        elif self._parts.complete(reading):
             self._heard_s = now_s
+        else:
+            version = self._directory.version
         applied = self._directory.apply(
             reading.changes,
             version=version,
@@ -144,33 +147,45 @@
         return hold_s
 
     def _tell(self, before: int, version: int, hold_s: float) -> None:
-        """Send the changes in datagrams that follow on one another.
+        """Send the changes, in several datagrams where they are many.
 
         Those are told too that another daemon's reading has brought meanwhile: its
         datagram may be lost to some.
         """
-        ordered = self._directory.changes_after(before)
-        if len(ordered) > MAX_CHANGES_TOLD:
+        changes = self._directory.changes_after(before)
+        if len(changes) > MAX_CHANGES_TOLD:
             # Nobody knows this version yet, so everybody reads.
-            ordered, before = (), version
-        while True:
-            part, ordered = (
-                ordered[:MAX_CHANGES_PER_READING],
-                ordered[MAX_CHANGES_PER_READING:],
-            )
-            until = min(part[-1].version, version) if ordered else version
+            changes, before = (), version
+        starts = range(0, len(changes), MAX_CHANGES_PER_READING) or range(1)
+        for part, start in enumerate(starts):
             self._links.tell_neighbours(
                 StoreReading(
                     daemon=self._daemon,
                     after_version=before,
-                    version=until,
+                    version=version,
                     removal_hold_s=hold_s,
-                    changes=part,
+                    changes=changes[start : start + MAX_CHANGES_PER_READING],
+                    part=part,
+                    parts=len(starts),
                 )
             )
-            if not ordered:
-                return
-            before = until
+
+
+class _PartsHeard:
+    """Which parts of the reading that came last have been heard."""
+
+    def __init__(self) -> None:
+        self._reading = ("", 0, 0)
+        self._parts: set[int] = set()
+
+    def complete(self, reading: StoreReading) -> bool:
+        """Note a part; tell whether all parts of its reading have been heard."""
+        key = (reading.daemon, reading.after_version, reading.version)
+        if key != self._reading:
+            self._reading = key
+            self._parts = set()
+        self._parts.add(reading.part)
+        return len(self._parts) >= reading.parts
 
 
 def _log_changes(
--- a/tests/test_leaving_targets_fleet.py
+++ b/tests/test_leaving_targets_fleet.py
@@ -202,3 +202,14 @@
         seed=seed, conditions=lambda rank: conditions, leaving_s=0.4
     )
     assert max(delays_s.values()) < BOUND_S - SENDING_S
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("way_s", [0.02, 0.1])
+def test_a_lost_part_of_a_reading_hides_no_leaving_target(seed, way_s):
+    """So many leave that a reading takes several datagrams."""
+    conditions = Conditions(way_s=(way_s, way_s), lost=DATAGRAMS_LOST)
+    delays_s = leave_one_by_one(
+        seed=seed, conditions=lambda rank: conditions, leaving_s=0.1
+    )
+    assert max(delays_s.values()) < BOUND_S - SENDING_S
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -9,7 +9,11 @@
 from dogwoodhook.coordination.fleet_messages import StoreReading
 from dogwoodhook.coordination.store import StoreRow, StoreUnavailable, TableRows
 from dogwoodhook.coordination.store_reading import RowDecoder
-from dogwoodhook.coordination.target_following import MAX_CHANGES_TOLD, TargetFollower
+from dogwoodhook.coordination.target_following import (
+    MAX_CHANGES_PER_READING,
+    MAX_CHANGES_TOLD,
+    TargetFollower,
+)
 from dogwoodhook.state.target_directory import (
     TargetChange,
     TargetDirectory,
@@ -147,6 +151,28 @@
         assert [each.name for each in changes] == [f"t{each}" for each in range(2, 8)]
 
 
+async def test_a_version_is_known_once_all_parts_of_its_reading_have_come(monkeypatch):
+    monkeypatch.setattr(
+        "dogwoodhook.coordination.target_following.rank_of",
+        lambda daemon, daemons: 0 if daemon == "vm-1" else 3,
+    )
+    async with (
+        following("vm-1") as (store, links, _, _),
+        following("vm-2", "vm-1") as (_, _, directory, follower),
+    ):
+        store.add(2 * MAX_CHANGES_PER_READING)
+        version = len(store.rows)
+        await until(lambda: any(told.version == version for told in links.told))
+        first, second = [told for told in links.told if told.changes]
+        follower.hear(first)
+        assert directory.get(first.changes[0].name) is not None
+        assert directory.version == 1
+        follower.hear(first)
+        assert directory.version == 1
+        follower.hear(second)
+        assert directory.version == version
+
+
 async def test_a_daemon_that_was_away_for_long_reads_the_whole_table(monkeypatch):
     monkeypatch.setattr("dogwoodhook.coordination.target_following.MAX_CATCH_UP_S", 0.3)
     async with following("vm-1") as (store, _, directory, _):
