--- a/tests/test_load_sharing.py
+++ b/tests/test_load_sharing.py
@@ -1,19 +1,17 @@
 """When the neighbours are told of requests in flight, and what that is worth."""
 
-import heapq
-import itertools
+import asyncio
 import random
 from collections import Counter
 from dataclasses import replace
 
-import pytest
-
 from dogwoodhook.coordination import load_sharing
 from dogwoodhook.coordination.load_sharing import LoadSharing
 from dogwoodhook.state.fleet_load import FleetLoad
 from dogwoodhook.state.placement import Placement
 from dogwoodhook.state.suspicion import Suspicion
 from dogwoodhook.state.target_directory import TargetEntry
+from tests import virtual_time
 
 TARGET = TargetEntry("t", "payouts", "10.0.0.1", 80, "oulu-1", 3, False, 0.0, 1)
 NEIGHBOURS = 26
@@ -24,130 +22,76 @@
 REQUESTS = 4000
 
 
-class VirtualLoop:
-    """Time that passes from one event to the next; has the parts of a loop in use."""
-
-    def __init__(self):
-        self.now_s = 0.0
-        self._events = []
-        self._numbers = itertools.count()
-
-    def time(self):
-        return self.now_s
-
-    def call_at(self, at_s, call, *args):
-        event = _Event(at_s, next(self._numbers), call, args)
-        heapq.heappush(self._events, (at_s, event.number, event))
-        return event
-
-    def run_until(self, is_done):
-        while self._events and not is_done():
-            self.now_s, _, event = heapq.heappop(self._events)
-            if not event.is_cancelled:
-                event.call(*event.args)
-
-
-class _Event:
-    def __init__(self, at_s, number, call, args):
-        self.at_s, self.number, self.call, self.args = at_s, number, call, args
-        self.is_cancelled = False
-
-    def when(self):
-        return self.at_s
-
-    def cancel(self):
-        self.is_cancelled = True
-
-
-@pytest.fixture
-def loop(monkeypatch):
-    loop = VirtualLoop()
-    monkeypatch.setattr(load_sharing.asyncio, "get_running_loop", lambda: loop)
-    return loop
-
-
 class Links:
-    """Takes down when reports were sent."""
+    """Takes down when reports were sent, and of what."""
 
-    def __init__(self, loop, neighbours=NEIGHBOURS):
+    def __init__(self):
         self.sent = []
-        self._loop = loop
-        self._names = [f"vm-{number}" for number in range(neighbours)]
 
     def neighbours(self):
-        return self._names
+        return [f"vm-{number}" for number in range(NEIGHBOURS)]
 
     def tell_neighbours(self, message):
-        self.sent.append((self._loop.now_s, message.in_flight))
-
+        now_s = asyncio.get_running_loop().time()
+        self.sent.append((now_s, message.in_flight))
 
-def make_sharing(loop):
-    load, links = FleetLoad(), Links(loop)
-    return load, links, LoadSharing(load, links, daemon="vm-1")
 
+def reports_of(*changes):
+    """Return the reports of starts and ends, each a time and whether it is a start."""
 
-def note_later(loop, load, sharing, at_s, *, is_start):
-    def note():
-        if is_start:
-            load.start("t1")
-            sharing.note_start()
-        else:
-            load.finish("t1")
-            sharing.note_end()
+    async def work():
+        load, links = FleetLoad(), Links()
+        sharing = LoadSharing(load, links, daemon="vm-1")
+        loop = asyncio.get_running_loop()
+        for at_s, is_start in changes:
+            await asyncio.sleep(at_s - loop.time())
+            if is_start:
+                load.start("t1")
+                sharing.note_start()
+            else:
+                load.finish("t1")
+                sharing.note_end()
+        await asyncio.sleep(1.0)
+        return links.sent
 
-    loop.call_at(at_s, note)
+    return virtual_time.run(work)
 
 
-def test_a_first_change_is_told_at_once(loop):
-    load, links, sharing = make_sharing(loop)
-    note_later(loop, load, sharing, 0.0, is_start=True)
-    loop.run_until(lambda: False)
-    assert links.sent == [(0.0, {"t1": 1})]
+def test_a_first_change_is_told_at_once():
+    assert reports_of((0.0, True)) == [(0.0, {"t1": 1})]
 
 
-def test_a_start_soon_after_a_report_is_told_sooner_than_an_end(loop):
-    load, links, sharing = make_sharing(loop)
-    note_later(loop, load, sharing, 0.0, is_start=True)
-    note_later(loop, load, sharing, 0.001, is_start=False)
-    note_later(loop, load, sharing, 10.0, is_start=True)
-    note_later(loop, load, sharing, 10.001, is_start=True)
-    loop.run_until(lambda: False)
-    (_, end_s, _, start_s) = [at_s for at_s, _ in links.sent]
-    assert start_s - 10.0 < end_s
+def test_a_start_soon_after_a_report_is_told_sooner_than_an_end():
+    (_, end_s), (began_s, start_s) = (
+        [at_s for at_s, _ in reports_of((0.0, True), (0.001, second))]
+        for second in (False, True)
+    )
+    assert began_s < start_s < end_s
 
 
-def test_a_start_is_told_with_the_ends_that_wait(loop):
-    load, links, sharing = make_sharing(loop)
-    note_later(loop, load, sharing, 0.0, is_start=True)
-    note_later(loop, load, sharing, 0.001, is_start=False)
-    note_later(loop, load, sharing, 0.002, is_start=True)
-    loop.run_until(lambda: False)
-    assert [in_flight for _, in_flight in links.sent] == [{"t1": 1}, {"t1": 1}]
+def test_a_start_is_told_with_the_ends_that_wait():
+    reports = reports_of((0.0, True), (0.001, False), (0.002, True))
+    assert [in_flight for _, in_flight in reports] == [{"t1": 1}, {"t1": 1}]
 
 
-def test_the_last_state_is_always_told(loop):
-    load, links, sharing = make_sharing(loop)
-    for number in range(20):
-        note_later(loop, load, sharing, number * 0.003, is_start=number % 2 == 0)
-    loop.run_until(lambda: False)
-    assert links.sent[-1][1] == {}
+def test_the_last_state_is_always_told():
+    changes = [(number * 0.003, number % 2 == 0) for number in range(20)]
+    assert reports_of(*changes)[-1][1] == {}
 
 
-def test_reports_in_a_burst_are_bounded(loop):
-    load, links, sharing = make_sharing(loop)
-    for number in range(1000):
-        note_later(loop, load, sharing, number * 0.001, is_start=True)
-    loop.run_until(lambda: False)
-    in_a_second = sum(at_s < 1.0 for at_s, _ in links.sent)
+def test_reports_in_a_burst_are_bounded():
+    reports = reports_of(*((number * 0.001, True) for number in range(1000)))
+    in_a_second = sum(at_s < 1.0 for at_s, _ in reports)
     assert in_a_second * NEIGHBOURS <= 1000 + NEIGHBOURS
 
 
 class ModelFleet:
     """Daemons of a data centre that share a service's targets in virtual time."""
 
-    def __init__(self, loop, seed):
+    def __init__(self, *, seed):
         self.requests = self.waited = 0
-        self._loop = loop
+        self.is_done = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
         self._rng = random.Random(seed)
         self._targets = [replace(TARGET, name=f"t{each}") for each in range(TARGETS)]
         self._busy = Counter()
@@ -158,7 +102,7 @@
             for number, load in enumerate(self._loads)
         ]
         self._rate = BUSY_SHARE * TARGET.slots * TARGETS / WORK_S
-        loop.call_at(0.0, self._request)
+        self._request()
 
     def _placement(self, load):
         return Placement(
@@ -171,13 +115,15 @@
         )
 
     def _request(self):
-        now_s = self._loop.now_s
+        now_s = self._loop.time()
         number = self._rng.randrange(len(self._loads))
         placement = self._placements[number]
         target = placement.choose(
             self._targets, tried=frozenset(), is_idempotent=False, now_s=now_s
         ).target
         self.requests += 1
+        if self.requests >= REQUESTS:
+            self.is_done.set()
         self.waited += self._busy[target.name] >= target.slots
         self._busy[target.name] += 1
         placement.start(target, now_s=now_s)
@@ -192,13 +138,13 @@
         self._sharing[number].note_end()
 
     def tell(self, teller, report):
-        heard_s = self._loop.now_s + HEARD_AFTER_S
+        heard_s = self._loop.time() + HEARD_AFTER_S
         self._loop.call_at(heard_s, self._hear, teller, report)
 
     def _hear(self, teller, report):
         for number, load in enumerate(self._loads):
             if number != teller:
-                load.hear(report.daemon, report.in_flight, now_s=self._loop.now_s)
+                load.hear(report.daemon, report.in_flight, now_s=self._loop.time())
 
 
 class _ModelLinks:
@@ -213,16 +159,19 @@
         self._fleet.tell(self._number, report)
 
 
-def queueing_share(loop):
-    fleet = ModelFleet(loop, seed=5)
-    loop.run_until(lambda: fleet.requests >= REQUESTS)
-    return fleet.waited / fleet.requests
+def queueing_share():
+    """Return the share of requests that found no free slot."""
+
+    async def work():
+        fleet = ModelFleet(seed=5)
+        await fleet.is_done.wait()
+        return fleet.waited / fleet.requests
+
+    return virtual_time.run(work)
 
 
-def test_telling_starts_sooner_than_ends_lets_fewer_requests_find_no_slot(
-    loop, monkeypatch
-):
-    share = queueing_share(loop)
+def test_telling_starts_sooner_than_ends_lets_fewer_requests_find_no_slot(monkeypatch):
+    share = queueing_share()
     same = load_sharing.END_INTERVAL_S_PER_NEIGHBOUR
     monkeypatch.setattr(load_sharing, "START_INTERVAL_S_PER_NEIGHBOUR", same)
-    assert share < 0.75 * queueing_share(loop)
+    assert share < 0.75 * queueing_share()
