Read large answers on for a little longer than a stop waits for targets

A large answer behind one that the stop gives up has its turn only then. Reading goes on for half of the time between the end of answers and the closing.

--- a/dogwoodhook/state/daemon_stop.py
+++ b/dogwoodhook/state/daemon_stop.py
@@ -24,6 +24,10 @@
 """Share of the grace period for which targets may work; the last sixth of it is not
 owed to them."""
 
+READING_SHARE = 0.925
+"""Share of the grace period for which the rest of an answer that has begun is read
+before any of it is passed on: halfway from the end of answers to the closing."""
+
 CLOSE_SHARE = 0.95
 """Share of the grace period after which connections are closed as they are."""
 
@@ -50,6 +54,11 @@
         """Time at which requests at targets are given up."""
         return self._at(ANSWERS_SHARE * self.grace_s)
 
+    @property
+    def reading_ends_s(self) -> float:
+        """Time at which held answers are given up that are not whole."""
+        return self._at(READING_SHARE * self.grace_s)
+
     @property
     def closes_s(self) -> float:
         """Time at which every connection is closed."""
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -436,7 +436,7 @@
                     return opened
                 self._held += 1
                 try:
-                    async with self._stop_timeouts.until_answers_end():
+                    async with self._stop_timeouts.until_reading_ends():
                         return await read_on(opened, limit_bytes=HELD_ANSWER_BYTES)
                 finally:
                     self._held -= 1
--- a/dogwoodhook/transport/stop_timeouts.py
+++ b/dogwoodhook/transport/stop_timeouts.py
@@ -31,6 +31,10 @@
         """Return a timeout that ends when requests at targets are given up."""
         return self._timeout(lambda: self._stop.answers_end_s, math.inf)
 
+    def until_reading_ends(self) -> "_StopTimeout":
+        """Return a timeout that ends when answers that are held are given up."""
+        return self._timeout(lambda: self._stop.reading_ends_s, math.inf)
+
     def begin_stop(self) -> None:
         """Shorten the timeouts that run now: the stop has begun."""
         for timeout in self._running:
--- a/tests/platform_adapter/test_gateway_stops.py
+++ b/tests/platform_adapter/test_gateway_stops.py
@@ -312,3 +312,30 @@
             answers = [await caller.answer() for _ in range(2)]
     assert all(answers), "closed with an answer of a target in hand"
     assert [each.status for each in answers] == [502, 200]
+
+
+async def test_a_large_answer_behind_one_that_a_stop_gives_up_is_delivered(platform):
+    """It waits for its turn, and a request behind it is answered, too."""
+    size = 12 * BUFFERED_ANSWER_BYTES
+
+    async def behave_so(server, received, writer):
+        match received.path:
+            case "/read/a":
+                await behave.hang(server, received, writer)
+            case "/read/b":
+                head = behave.head(
+                    "200 OK", received, length=size, Server_Signature="s"
+                )
+                writer.write(head + b"x" * size)
+            case _:
+                await behave.answer(server, received, writer)
+
+    target = await start(platform, behave_so)
+    gateway = await platform.start_gateway("vm-2", grace_s=6.0)
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/a", "/read/b", "/read/c", deadline_ms=9000)
+        await until(lambda: len(target.received) == 3)
+        async with stopping(gateway):
+            answers = [await caller.answer() for _ in range(3)]
+    assert [each.status for each in answers] == [502, 200, 200]
+    assert all(each.is_whole for each in answers)
--- a/tests/test_daemon_stop.py
+++ b/tests/test_daemon_stop.py
@@ -28,7 +28,7 @@
     assert 100 < stop.intake_ends_s <= 100 + BALANCER_NOTICE_S
     assert stop.intake_ends_s <= 100 + grace_s / 2
     assert stop.answers_end_s >= 100 + grace_s * 5 / 6, "the last sixth is not owed"
-    assert stop.answers_end_s < stop.closes_s < 100 + grace_s
+    assert stop.answers_end_s < stop.reading_ends_s < stop.closes_s < 100 + grace_s
 
 
 @given(grace_s=GRACES, after_s=TIMES, expected_s=TIMES, left_s=TIMES)
