Reproduce that a request's time begins only with its turn

A pipelined request that is not begun ahead of its turn (an unsafe one; any in a planned stop or behind an answer that is streamed) has all its time again when its turn comes: it goes to a target after its caller's deadline, with the whole deadline, and is held past its route's timeout.

--- a/tests/platform_adapter/test_pipelined_closings.py
+++ b/tests/platform_adapter/test_pipelined_closings.py
@@ -207,3 +207,31 @@
         await until(lambda: len(target.received) == 2)
         answers = [await caller.answer() for _ in range(2)]
     assert all(answers), "closed with a request at a target"
+
+
+@pytest.mark.parametrize("path", ["/read/b", "/post/b"])
+async def test_the_time_of_a_request_goes_on_while_it_waits_for_its_turn(
+    platform, path
+):
+    """Nothing is begun ahead of its turn: the one in front is streamed, or unsafe."""
+
+    async def behave_so(server, received, writer):
+        if received.path != "/read/a":
+            await behave.answer(server, received, writer)
+            return
+        writer.write(behave.head("200 OK", received, length=SIZE, Server_Signature="s"))
+        writer.write(b"x" * (SIZE // 2))
+        await writer.drain()
+        await asyncio.sleep(1.0)
+        writer.write(b"x" * (SIZE // 2))
+
+    target, gateway = await start(platform, behave_so)
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/a")
+        await until(lambda: target.received)
+        await asyncio.sleep(0.1)
+        caller.send(path, deadline_ms=600)
+        answers = [await caller.answer() for _ in range(2)]
+    assert [each.path for each in target.received] == ["/read/a"]
+    assert answers[0].is_whole
+    assert answers[1].status in (408, 503)
