Count the time of a request from when it came, also while it waits for its turn

The connection notes when a head was parsed, and what forwards the request takes that for its arrival: its deadline and its route's timeout go on while it waits. One that is past its time when its turn comes is refused as not run.

--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -33,6 +33,9 @@
 MAX_LINGER_S = 10.0
 """Time after which a caller that goes on sending is cut off."""
 
+_ARRIVED_S = "arrived_s"
+"""Key of the time on the event loop's clock at which a request's head had come."""
+
 Forward = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 MayBegin = Callable[[web.BaseRequest], bool]
 IsStopping = Callable[[], bool]
@@ -76,6 +79,7 @@
     """A connection that begins the requests behind the one it answers."""
 
     __slots__ = (
+        "_arrived_s",
         "_begun",
         "_closing",
         "_forward",
@@ -96,6 +100,7 @@
         **options: Any,
     ) -> None:
         super().__init__(manager, get_limits=manager.get_limits, loop=loop, **options)
+        self._arrived_s: dict[int, float] = {}
         self._begun: dict[int, PipelinedRequest] = {}
         self._forward = manager.forward
         self._may_begin = manager.may_begin
@@ -132,7 +137,15 @@
         super().data_received(data)
         self._begin_waiting()
 
+    def _note_arrivals(self) -> None:
+        now_s = self._loop.time()
+        for message, _ in reversed(self._messages):
+            if id(message) in self._arrived_s:
+                return
+            self._arrived_s[id(message)] = now_s
+
     def _begin_waiting(self) -> None:
+        self._note_arrivals()
         if self._is_streaming or self._is_stopping():
             return
         # While nothing is being answered, the first message is next anyway.
@@ -155,9 +168,10 @@
             self._loop,
         )
         if self._may_begin(request):
+            request[_ARRIVED_S] = self._arrived_s[id(message)]
+            self.note_open(request)
             request.begin(self._forward)
             self._begun[id(message)] = request
-            self.note_open(request)
 
     def note_open(self, request: web.BaseRequest) -> None:
         """Keep a request until its answer has been written."""
@@ -228,6 +242,10 @@
         self.note_closing(Closing.STOP)
         await super().shutdown(timeout)
 
+    def take_arrival(self, message: RawRequestMessage) -> float:
+        """Return when a message came, whose turn has come."""
+        return self._arrived_s.pop(id(message), self._loop.time())
+
     def take_begun(self, message: RawRequestMessage) -> PipelinedRequest | None:
         """Return the request that was begun with a message, whose turn has come."""
         return self._begun.pop(id(message), None)
@@ -309,10 +327,12 @@
         task: "asyncio.Task[None]",
     ) -> web.BaseRequest:
         assert isinstance(protocol, _PipelinedHandler)
+        arrived_s = protocol.take_arrival(message)
         begun = protocol.take_begun(message)
         if begun is not None:
             return begun
         request = web.BaseRequest(message, payload, protocol, writer, task, self._loop)
+        request[_ARRIVED_S] = arrived_s
         protocol.note_open(request)
         return request
 
@@ -323,6 +343,13 @@
     return isinstance(protocol, _PipelinedHandler) and protocol.has_begun_behind
 
 
+def waited_s(request: web.BaseRequest) -> float:
+    """Return how long a request has waited for its turn."""
+    now_s = asyncio.get_running_loop().time()
+    arrived_s: float = request.get(_ARRIVED_S, now_s)
+    return now_s - arrived_s
+
+
 def begin_streaming(request: web.BaseRequest) -> None:
     """Note that a request's answer is passed on as it comes from now on."""
     protocol = request.protocol
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -62,6 +62,7 @@
     begin_streaming,
     cut_caller,
     has_begun_behind,
+    waited_s,
 )
 from dogwoodhook.transport.resend_guard import AttemptTrace
 from dogwoodhook.transport.routed_request import RoutedRequest
@@ -132,7 +133,7 @@
 
     async def forward(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the caller's answer."""
-        arrived_s = self._clock.now_s()
+        arrived_s = self._clock.now_s() - waited_s(request)
         configuration = await self._first_configuration()
         if configuration is None:
             return self._own_answers.no_configuration(request)
@@ -167,7 +168,7 @@
             deadline_s=deadline_s,
         )
         routed.configuration_version = configuration.version
-        self._fleet.budget.record_request(routed.service, now_s=arrived_s)
+        self._fleet.budget.record_request(routed.service, now_s=self._clock.now_s())
         if route.is_idempotent:
             return await self._run(routed)
         # Followed to its end even if the caller leaves: it may not run again.
