--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -33,7 +33,7 @@
 MAX_LINGER_S = 10.0
 """Time after which a caller that goes on sending is cut off."""
 
-_ARRIVED_S = "arrived_s"
+_ARRIVED_S = web.RequestKey("arrived_s", float)
 """Key of the time on the event loop's clock at which a request's head had come."""
 
 Forward = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
