Close what is left exactly when a stop says so

The drain looked every 0.02 s whether its time had come, so the closing, which takes 0.04 s, began up to 0.02 s late: the last connection of a stop with a grace period of 1 s was closed 1.002 to 1.012 s after SIGTERM, when the platform may have killed the process.

--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -76,7 +76,7 @@
         while (now_s := self._clock.now_s()) < self._stop.closes_s:
             if now_s >= listen_until_s and not self._has_work:
                 break
-            await asyncio.sleep(DRAIN_INTERVAL_S)
+            await asyncio.sleep(min(DRAIN_INTERVAL_S, self._stop.closes_s - now_s))
         await self._listener.stop_accepting()
 
     async def close(self) -> None:
