A stop answers what it has read while it closes

Callers that open connections until the daemon is gone lost their last requests: the daemon read them and closed without an answer. With six callers against a process, all six at the end of most stops, 22 to 28 ms after they had sent.

Cause: after the drain's last look the library told every connection to close. One whose first request had not been read yet went on to read, dropped it, and was closed 0.02 s later. The same for an idle connection in the passes of the event loop between the last look and its closing.

What owes no answer is then closed at once, without reading any more: what crosses that resets its connection, so nobody has read it.

--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -25,6 +25,10 @@
 DRAIN_INTERVAL_S = 0.02
 """Time between looks at whether a stopping daemon has answered all requests."""
 
+QUIET_LOOKS = 3
+"""Looks without work after the last connection was accepted: a connection takes some
+passes of the event loop until its first request has been read."""
+
 CLOSE_TIMEOUT_S = 0.02
 """Time for each of the two steps in which the library closes what is left after the
 drain; together less than the last twentieth of any grace period of a second or more."""
@@ -71,13 +75,20 @@
         await self._listener.start()
 
     async def drain(self) -> None:
-        """Listen on until callers go elsewhere and every request has ended."""
+        """Listen on until callers go elsewhere and every request has ended.
+
+        What has been accepted until then is still served or refused.
+        """
         listen_until_s = self._clock.now_s() + BALANCER_NOTICE_S
-        while (now_s := self._clock.now_s()) < self._stop.closes_s:
+        while (now_s := self._clock.now_s()) < self._stop.answers_end_s:
             if now_s >= listen_until_s and not self._has_work:
                 break
             await asyncio.sleep(DRAIN_INTERVAL_S)
         await self._listener.stop_accepting()
+        quiet_looks = 0
+        while quiet_looks < QUIET_LOOKS and self._clock.now_s() < self._stop.closes_s:
+            await asyncio.sleep(DRAIN_INTERVAL_S)
+            quiet_looks = 0 if self._has_work else quiet_looks + 1
 
     async def close(self) -> None:
         """Close every connection."""
--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -287,6 +287,18 @@
             if isinstance(connection, _PipelinedHandler)
         )
 
+    def pre_shutdown(self) -> None:
+        """Close at once what owes no answer, so that nothing more is read there.
+
+        What callers send meanwhile resets their connections: nobody has read it.
+        """
+        for connection in self.connections:
+            assert isinstance(connection, _PipelinedHandler)
+            if connection.has_unanswered:
+                connection.close()
+            else:
+                connection.force_close()
+
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
         return _PipelinedHandler(self, loop=self._loop, **self._kwargs)
--- a/tests/platform_adapter/conftest.py
+++ b/tests/platform_adapter/conftest.py
@@ -92,7 +92,7 @@
         return await self._stack.enter_async_context(running_door(self.store))
 
     async def start_gateway(
-        self, name="vm-1", *, is_ready=True, store_address=None, **bounds
+        self, name="vm-1", *, is_ready=True, store_address=None, clock=None, **bounds
     ):
         store_address = store_address or self.store.address
         address = Address(HOST, free_port())
@@ -110,7 +110,7 @@
             PlatformAdapter(
                 settings, store, make_row_decoder(), PLATFORM_DIALECT, lambda: None
             ),
-            SystemClock(),
+            clock or SystemClock(),
         )
         await gateway.start()
         self._stack.push_async_callback(store.close)
--- /dev/null
+++ b/tests/platform_adapter/test_stop_ends.py
@@ -0,0 +1,120 @@
+"""The last requests of a planned stop: what was read is answered or refused."""
+
+import asyncio
+import errno
+import socket
+from contextlib import ExitStack, contextmanager
+
+import pytest
+
+from dogwoodhook.vm_settings import Address
+from tests.exchanges import until
+from tests.platform_adapter.conftest import make_route
+from tests.platform_adapter.raw_caller import request_text
+
+GRACE_S = 1.0
+CALLERS = 6
+
+
+async def start(platform, *behaviours, grace_s=GRACE_S, **options):
+    """Start a daemon and a target; return both."""
+    await platform.configure(
+        read=make_route("/read/", kind="safe", timeout="9000ms"),
+        post=make_route("/post/", timeout="9000ms"),
+    )
+    target = await platform.start_target("t1", *behaviours)
+    return target, await platform.start_gateway(grace_s=grace_s, **options)
+
+
+@contextmanager
+def connection_to(address: Address):
+    """Open a connection whose sends arrive before they return."""
+    with socket.create_connection((address.host, address.port)) as connection:
+        connection.setblocking(False)
+        yield connection
+
+
+def is_open(connection):
+    """Tell whether the daemon has not closed its side yet."""
+    try:
+        return connection.recv(1, socket.MSG_PEEK) != b""
+    except BlockingIOError:
+        return True
+    except ConnectionError:
+        return False
+
+
+async def outcome_of(connection, path):
+    """Send a request on an open connection; return its status or how that ended.
+
+    What the daemon has not read before it closes resets the connection.
+    """
+    loop = asyncio.get_running_loop()
+    text = b""
+    try:
+        connection.send(request_text(path, body=b"x" if path[1] == "p" else None))
+        while piece := await loop.sock_recv(connection, 65536):
+            text += piece
+            head, _, body = text.partition(b"\r\n\r\n")
+            if f"Content-Length: {len(body)}\r\n".encode() in head + b"\r\n":
+                return int(head.split(b" ")[1])
+    except ConnectionError as error:
+        return "reset" if error.errno != errno.EPIPE else "closed before"
+    return "read and dropped"
+
+
+@pytest.mark.parametrize("path", ["/read/", "/post/"])
+async def test_what_is_read_while_connections_are_closed_is_refused(platform, path):
+    """Idle connections send one after the other, one in each pass of the loop."""
+    target, gateway = await start(platform)
+    outcomes = []
+
+    async def send(connection, number):
+        if is_open(connection):
+            outcomes.append(await outcome_of(connection, f"{path}{number}"))
+
+    with ExitStack() as stack:
+        address = gateway.settings.caller_address
+        idle = [stack.enter_context(connection_to(address)) for _ in range(60)]
+        await asyncio.sleep(0.1)
+        await gateway.drain()
+        closing = asyncio.ensure_future(gateway.close())
+        sending = []
+        for number, connection in enumerate(idle):
+            sending.append(asyncio.ensure_future(send(connection, number)))
+            await asyncio.sleep(0)
+        await closing
+        await asyncio.gather(*sending)
+    assert outcomes
+    assert set(outcomes) <= {503, "reset"}
+    assert not target.received
+
+
+@pytest.mark.parametrize("path", ["/read/", "/post/"])
+async def test_callers_that_open_connections_until_the_end_of_a_stop_are_answered(
+    platform, path
+):
+    target, gateway = await start(platform, grace_s=6.0)
+    outcomes = []
+
+    async def call(number):
+        sent = 0
+        while True:
+            try:
+                with connection_to(gateway.settings.caller_address) as connection:
+                    while is_open(connection):
+                        sent += 1
+                        name = f"{path}{number}-{sent}"
+                        outcomes.append((name, await outcome_of(connection, name)))
+                        await asyncio.sleep(0.004)
+            except ConnectionRefusedError:
+                return
+
+    callers = [asyncio.ensure_future(call(number)) for number in range(CALLERS)]
+    await until(lambda: target.received)
+    await gateway.drain()
+    await gateway.close()
+    await asyncio.gather(*callers)
+    runs = {each.path for each in target.received}
+    assert {outcome for _, outcome in outcomes} <= {200, 503, "reset"}
+    assert not [name for name, outcome in outcomes if outcome != 200 and name in runs]
