A stop of a second ends within its grace period

A daemon with a grace period of 1 s was gone 1.005 to 1.025 s after SIGTERM (three runs against a process), and test_an_answer_that_is_cut_at_the_end_of_a_stop_has_a_line failed once in four runs, with a connection closed at 1,009 ms.

Cause: closing began at 0.95 of the grace period, the last look was up to 0.02 s late, and the steps of the closing take 0.04 s, also where only a caller that has its answer has not closed yet; the end of the process was not counted.

Change: at least 0.1 s is kept for closing, and half of the last sixth of shorter grace periods; the last look is on time; a connection whose answer is written is closed without waiting.

Graces from 2 s on keep their times.

--- a/dogwoodhook/state/daemon_stop.py
+++ b/dogwoodhook/state/daemon_stop.py
@@ -27,6 +27,13 @@
 CLOSE_SHARE = 0.95
 """Share of the grace period after which connections are closed as they are."""
 
+MIN_CLOSING_S = 0.1
+"""Least time for closing them and for the end of the process."""
+
+MAX_CLOSING_SHARE = 1 / 12
+"""Share of a short grace period that the closing takes at most: half of the last
+sixth, so that answers have the rest."""
+
 
 @dataclass(slots=True)
 class DaemonStop:
@@ -53,7 +60,8 @@
     @property
     def closes_s(self) -> float:
         """Time at which every connection is closed."""
-        return self._at(CLOSE_SHARE * self.grace_s)
+        least_s = min(MIN_CLOSING_S, MAX_CLOSING_SHARE * self.grace_s)
+        return self._at(min(CLOSE_SHARE * self.grace_s, self.grace_s - least_s))
 
     def begin(self, *, now_s: float, grace_s: float) -> None:
         """Stop within a grace period from now on."""
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -31,7 +31,8 @@
 
 CLOSE_TIMEOUT_S = 0.02
 """Time for each of the two steps in which the library closes what is left after the
-drain; together less than the last twentieth of any grace period of a second or more."""
+drain; together less than half of what is kept for closing in any grace period of a
+second or more."""
 
 
 class CallerListener:
@@ -83,17 +84,22 @@
         while (now_s := self._clock.now_s()) < self._stop.answers_end_s:
             if now_s >= listen_until_s and not self._has_work:
                 break
-            await asyncio.sleep(DRAIN_INTERVAL_S)
+            await self._wait(until_s=self._stop.answers_end_s)
         await self._listener.stop_accepting()
         quiet_looks = 0
         while quiet_looks < QUIET_LOOKS and self._clock.now_s() < self._stop.closes_s:
-            await asyncio.sleep(DRAIN_INTERVAL_S)
+            await self._wait(until_s=self._stop.closes_s)
             quiet_looks = 0 if self._has_work else quiet_looks + 1
 
     async def close(self) -> None:
         """Close every connection."""
         await self._listener.close()
 
+    async def _wait(self, *, until_s: float) -> None:
+        """Wait until the next look, or the time at which looking ends."""
+        left_s = max(0.0, until_s - self._clock.now_s())
+        await asyncio.sleep(min(DRAIN_INTERVAL_S, left_s))
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
             return await self._forward(request)
--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -226,6 +226,10 @@
     async def shutdown(self, timeout: float | None = 15.0) -> None:
         """Close the connection because the daemon stops."""
         self.note_closing(Closing.STOP)
+        if self._is_lingering:
+            # Its answer has been written; the caller alone is waited for.
+            self.force_close()
+            return
         await super().shutdown(timeout)
 
     def take_begun(self, message: RawRequestMessage) -> PipelinedRequest | None:
