A stop does not let requests wait for a first configuration

A daemon that is stopped before it knows a configuration read requests and closed their connections at the end of the stop without an answer, 0.1 to 0.27 s after they had been sent; the users' rule LOST allows 0.2 s.

Cause: a daemon without a configuration lets each request wait 0.3 s for it, also in a stop, beyond the end of its intake.

Change: the waiting ends with the intake; such a request is refused at once.

test_a_request_in_a_stop_does_not_wait_for_a_first_configuration failed before with "read and dropped".

--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -208,7 +208,7 @@
         if self._fleet.is_ready.is_set():
             return self._fleet.configuration()
         with suppress(TimeoutError):
-            async with asyncio.timeout(FIRST_CONFIGURATION_S):
+            async with self._stop_timeouts.until_intake_ends(FIRST_CONFIGURATION_S):
                 await self._fleet.is_ready.wait()
         return self._fleet.configuration()
 
--- a/tests/platform_adapter/test_stop_ends.py
+++ b/tests/platform_adapter/test_stop_ends.py
@@ -118,3 +118,14 @@
     runs = {each.path for each in target.received}
     assert {outcome for _, outcome in outcomes} <= {200, 503, "reset"}
     assert not [name for name, outcome in outcomes if outcome != 200 and name in runs]
+
+
+async def test_a_request_in_a_stop_does_not_wait_for_a_first_configuration(platform):
+    gateway = await platform.start_gateway(is_ready=False, grace_s=GRACE_S)
+    stopping = asyncio.ensure_future(gateway.drain())
+    await asyncio.sleep(0.8 * GRACE_S)
+    with connection_to(gateway.settings.caller_address) as connection:
+        asking = asyncio.ensure_future(outcome_of(connection, "/post/late"))
+        await stopping
+        await gateway.close()
+        assert await asking == 503
