A second SIGTERM does not end a daemon whose event loop has closed

A daemon that got SIGTERM again, or SIGHUP, while it was exiting ended by that signal (-15, -1) instead of 0, and may lose its last log lines.

Cause: an event loop that closes restores the signals' defaults, which kill.

Change: once the daemon has closed it blocks these signals; the thread that writes the log never takes any.

test_signals_until_a_daemon_is_gone_do_not_end_it_otherwise failed before with both signals; it passed in four runs after.

--- a/dogwoodhook/bounded_log.py
+++ b/dogwoodhook/bounded_log.py
@@ -7,6 +7,7 @@
 """
 
 import queue
+import signal
 import threading
 import time
 from typing import TextIO
@@ -83,6 +84,8 @@
         return True
 
     def _write(self) -> None:
+        # Signals are the main thread's alone, which blocks them at its end.
+        signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
         while True:
             lines = [self._lines.get()]
             while not self._lines.empty() and len(lines) < MAX_BATCH_LINES:
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -58,6 +58,9 @@
 from dogwoodhook.transport.target_connections import TargetConnections
 from dogwoodhook.vm_settings import VmSettings
 
+STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
+"""Signals that tell a daemon to stop."""
+
 MAX_ROUTE_SERIES = 50
 """Routes with metric series of their own; later ones share one."""
 
@@ -211,7 +214,7 @@
         """Serve until SIGTERM, then drain and return."""
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
@@ -219,6 +222,8 @@
         await self.drain()
         await self.close()
         log(DAEMON_STOPPED, **self._stop.log_fields(now_s=self._clock.now_s()))
+        # The event loop resets its handlers when it closes, and the defaults kill.
+        signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS | {signal.SIGHUP})
 
     @property
     def is_ready(self) -> bool:
--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -97,3 +97,19 @@
     assert loaded("gc.isenabled() and gc.get_freeze_count() > len(sys.modules)") == (
         "True"
     )
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_signals_until_a_daemon_is_gone_do_not_end_it_otherwise(tmp_path, number):
+    process = start(tmp_path, local(TEXT).replace("bounds.grace=6s", "bounds.grace=1s"))
+    while not survives_sighup(process):
+        assert process.poll() is None
+        time.sleep(0.001)
+    time.sleep(2.5)
+    process.send_signal(signal.SIGTERM)
+    while process.poll() is None:
+        process.send_signal(number)
+        time.sleep(0.001)
+    output, errors = process.communicate(timeout=30)
+    assert process.returncode == 0, errors
+    assert "daemon-stopped" in output
