A VM that was suspended in its planned stop answers before it closes

Callers of a VM that was suspended during its stop saw their connections closed without an answer, with requests at targets.

Cause: the time for targets' work ran on the event loop's clock, which stands still while a VM is suspended; the closing of connections on one that goes on. After a long enough suspension closing came first.

Change: the elapsed clock decides both. Each look of the drain compares it with the event loop's, and shortens the timeouts where they differ by more than before; a stop whose end is over leaves 0.04 s for the last answers.

--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -197,6 +197,7 @@
             forwarder.forward,
             settings.caller_address,
             stop=self._stop,
+            stop_timeouts=self._stop_timeouts,
             clock=clock,
             may_begin=forwarder.is_repeatable,
             on_unanswered=forwarder.note_unanswered,
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -20,6 +20,7 @@
     OnUnanswered,
     PipelinedServer,
 )
+from dogwoodhook.transport.stop_timeouts import StopTimeouts
 from dogwoodhook.vm_settings import Address
 
 DRAIN_INTERVAL_S = 0.02
@@ -29,6 +30,10 @@
 """Looks without work after the last connection was accepted: a connection takes some
 passes of the event loop until its first request has been read."""
 
+LATE_CLOSING_S = 0.04
+"""Time for last answers where the end of the stop is over already, since the VM was
+suspended or the event loop held up."""
+
 CLOSE_TIMEOUT_S = 0.02
 """Time for each of the two steps in which the library closes what is left after the
 drain; together less than half of what is kept for closing in any grace period of a
@@ -49,6 +54,7 @@
         address: Address,
         *,
         stop: DaemonStop,
+        stop_timeouts: StopTimeouts,
         clock: Clock,
         may_begin: MayBegin,
         on_unanswered: OnUnanswered,
@@ -57,6 +63,7 @@
     ) -> None:
         self._forward = forward
         self._stop = stop
+        self._stop_timeouts = stop_timeouts
         self._clock = clock
         self._may_begin = may_begin
         self._on_unanswered = on_unanswered
@@ -87,8 +94,11 @@
             await self._wait(until_s=self._stop.answers_end_s)
         await self._listener.stop_accepting()
         quiet_looks = 0
-        while quiet_looks < QUIET_LOOKS and self._clock.now_s() < self._stop.closes_s:
-            await self._wait(until_s=self._stop.closes_s)
+        closes_s, now_s = self._stop.closes_s, self._clock.now_s()
+        if now_s >= closes_s:
+            closes_s = now_s + LATE_CLOSING_S
+        while quiet_looks < QUIET_LOOKS and self._clock.now_s() < closes_s:
+            await self._wait(until_s=closes_s)
             quiet_looks = 0 if self._has_work else quiet_looks + 1
 
     async def close(self) -> None:
@@ -99,6 +109,7 @@
         """Wait until the next look, or the time at which looking ends."""
         left_s = max(0.0, until_s - self._clock.now_s())
         await asyncio.sleep(min(DRAIN_INTERVAL_S, left_s))
+        self._stop_timeouts.follow_clock()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
--- a/dogwoodhook/transport/stop_timeouts.py
+++ b/dogwoodhook/transport/stop_timeouts.py
@@ -8,6 +8,10 @@
 from dogwoodhook.clock import Clock
 from dogwoodhook.state.daemon_stop import DaemonStop
 
+MAX_DRIFT_S = 0.01
+"""Difference between the clocks beyond which the VM has been suspended; half of the
+time between looks."""
+
 
 class StopTimeouts:
     """Makes timeouts that also end with a phase of the stop, which may begin later.
@@ -22,6 +26,7 @@
         self._stop = stop
         self._clock = clock
         self._running: set[_StopTimeout] = set()
+        self._loop_behind_s = 0.0
 
     def until_intake_ends(self, timeout_s: float) -> "_StopTimeout":
         """Return a timeout that ends when nothing goes to targets any more."""
@@ -33,9 +38,25 @@
 
     def begin_stop(self) -> None:
         """Shorten the timeouts that run now: the stop has begun."""
+        self._loop_behind_s = self._measure_loop_behind_s()
         for timeout in self._running:
             timeout.shorten()
 
+    def follow_clock(self) -> None:
+        """Shorten the timeouts if the VM has been suspended since the last look.
+
+        The clock of the event loop, on which they run, stands still meanwhile.
+        """
+        loop_behind_s = self._measure_loop_behind_s()
+        if loop_behind_s - self._loop_behind_s < MAX_DRIFT_S:
+            return
+        self._loop_behind_s = loop_behind_s
+        for timeout in self._running:
+            timeout.shorten()
+
+    def _measure_loop_behind_s(self) -> float:
+        return self._clock.now_s() - asyncio.get_running_loop().time()
+
     def _timeout(self, ends_s: Callable[[], float], timeout_s: float) -> "_StopTimeout":
         deadline_s = self._clock.now_s() + timeout_s
         return _StopTimeout(
--- a/tests/platform_adapter/test_stop_ends.py
+++ b/tests/platform_adapter/test_stop_ends.py
@@ -3,14 +3,18 @@
 import asyncio
 import errno
 import socket
+import time
 from contextlib import ExitStack, contextmanager
 
 import pytest
 
+from dogwoodhook.clock import SystemClock
+from dogwoodhook.state.daemon_stop import ANSWERS_SHARE
 from dogwoodhook.vm_settings import Address
 from tests.exchanges import until
+from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.conftest import make_route
-from tests.platform_adapter.raw_caller import request_text
+from tests.platform_adapter.raw_caller import raw_caller, request_text
 
 GRACE_S = 1.0
 CALLERS = 6
@@ -129,3 +133,53 @@
         await stopping
         await gateway.close()
         assert await asking == 503
+
+
+class SuspendedClock(SystemClock):
+    """The clock of a VM that is suspended, while that of the event loop stands."""
+
+    suspended_s = 0.0
+
+    def now_s(self):
+        return super().now_s() + self.suspended_s
+
+
+@pytest.mark.parametrize("path", ["/read/a", "/post/a"])
+@pytest.mark.parametrize("suspended_s", [0.5, 60.0])
+async def test_a_request_gets_a_final_answer_if_its_vm_is_suspended_in_a_stop(
+    platform, path, suspended_s
+):
+    clock = SuspendedClock()
+    target, gateway = await start(platform, behave.hang, clock=clock)
+    async with raw_caller(gateway) as caller:
+        caller.send(path)
+        await until(lambda: target.received)
+        stopping = asyncio.ensure_future(gateway.drain())
+        await asyncio.sleep(0.45)
+        clock.suspended_s += suspended_s
+        await stopping
+        await gateway.close()
+        answer = await caller.answer()
+    assert answer is not None, "closed without an answer"
+    assert answer.status in (502, 504)
+
+
+async def answer_and_block(server, received, writer):
+    """Answer, and hold the event loop until requests at targets are given up."""
+    await asyncio.sleep(ANSWERS_SHARE * 2 * GRACE_S - 0.05)
+    await behave.answer(server, received, writer)
+    time.sleep(0.1)  # noqa: ASYNC251
+
+
+@pytest.mark.parametrize("path", ["/read/a", "/post/a"])
+async def test_an_answer_that_waits_to_be_read_when_requests_are_given_up_is_delivered(
+    platform, path
+):
+    target, gateway = await start(platform, answer_and_block, grace_s=2 * GRACE_S)
+    async with raw_caller(gateway) as caller:
+        caller.send(path)
+        await until(lambda: target.received)
+        await gateway.drain()
+        await gateway.close()
+        answer = await caller.answer()
+    assert answer.status == 200
