A large answer that stalls in a stop does not cut those behind it

A caller with requests on one connection lost all their answers, with the requests at sound targets, where a large answer in front came slowly until the end of a planned stop.

Cause: a large answer with requests behind it is read whole before it is passed on, and that reading had the request's deadline as its only end.

Change: it ends with the targets' time in a stop; the request gets 502 and those behind it their answers.

test_a_large_answer_that_stalls_until_the_end_of_a_stop_cuts_no_other failed before: no answer instead of 502 and 200.

--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -436,7 +436,8 @@
                     return opened
                 self._held += 1
                 try:
-                    return await read_on(opened, limit_bytes=HELD_ANSWER_BYTES)
+                    async with self._stop_timeouts.until_answers_end():
+                        return await read_on(opened, limit_bytes=HELD_ANSWER_BYTES)
                 finally:
                     self._held -= 1
         except TimeoutError:
--- a/tests/platform_adapter/test_stop_ends.py
+++ b/tests/platform_adapter/test_stop_ends.py
@@ -10,6 +10,7 @@
 
 from dogwoodhook.clock import SystemClock
 from dogwoodhook.state.daemon_stop import ANSWERS_SHARE
+from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES
 from dogwoodhook.vm_settings import Address
 from tests.exchanges import until
 from tests.platform_adapter import target_server as behave
@@ -183,3 +184,26 @@
         await gateway.close()
         answer = await caller.answer()
     assert answer.status == 200
+
+
+async def test_a_large_answer_that_stalls_until_the_end_of_a_stop_cuts_no_other(
+    platform,
+):
+    async def behave_so(server, received, writer):
+        if received.path != "/read/a":
+            await behave.answer(server, received, writer)
+            return
+        size = 4 * BUFFERED_ANSWER_BYTES
+        head = behave.head("200 OK", received, length=size, Server_Signature="s")
+        writer.write(head + b"x" * (size // 2))
+        await asyncio.sleep(60)
+
+    target, gateway = await start(platform, behave_so, grace_s=2 * GRACE_S)
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/a", "/read/b")
+        await until(lambda: len(target.received) == 2)
+        await gateway.drain()
+        await gateway.close()
+        answers = await caller.answers()
+    assert [each.request_id for each in answers] == ["a", "b"]
+    assert [each.status for each in answers] == [502, 200]
