An answer that came while a stopping daemon was frozen is delivered

A daemon that was stopped by SIGSTOP in its planned stop, beyond the time for targets' work, gave 502 for requests whose answers lay in its sockets.

Cause: a wait for sockets that a signal interrupts returns none if its time is over, so the event loop ran its timers before it read.

Change: when requests at targets are given up, answers that are there are looked for once more, for 0.01 s.

--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -86,6 +86,9 @@
 """Time for which a daemon that has just started lets a request wait until it knows
 routes and targets: some calls to the store."""
 
+LAST_LOOK_S = 0.01
+"""Time for reading answers that are there when requests at targets are given up."""
+
 MAX_REFUSALS = 8
 """Targets that may refuse a request before the caller is told."""
 
@@ -329,8 +332,10 @@
                     return_when=asyncio.FIRST_COMPLETED,
                 )
         except TimeoutError:
-            # Some may have ended in the same pass of the event loop.
-            finished = {task for task in race if task.done()}
+            # What came while the event loop was held up may not have been read yet.
+            finished, _ = await asyncio.wait(
+                race, timeout=LAST_LOOK_S, return_when=asyncio.FIRST_COMPLETED
+            )
             if not finished:
                 raise
         return finished
