A daemon whose output nobody reads ends within its grace period

A daemon whose output was not read was gone up to 2 s after it had stopped: 3.69 s after SIGTERM with a grace period of 3.4 s, 1.97 s with 1 s.

Cause: the log's handler waits a second for room in its queue, and another for its last lines, whatever time is left.

Change: the last lines have half of what is left of the grace period, a second at most in all.

--- a/dogwoodhook/bounded_log.py
+++ b/dogwoodhook/bounded_log.py
@@ -23,6 +23,9 @@
 MAX_BATCH_LINES = 100
 """Lines handed to the stream at once."""
 
+CLOSE_TIMEOUT_S = 1.0
+"""Time for writing the last lines."""
+
 WARNING_SHARE = 0.25
 """Share of the room that only warnings and errors may use."""
 
@@ -61,13 +64,14 @@
             return
         self._untold = 0
 
-    def close(self) -> None:
-        """Write what is queued, for at most a second, and end the thread."""
+    def close(self, *, timeout_s: float = CLOSE_TIMEOUT_S) -> None:
+        """Write what is queued, for as long as that, and end the thread."""
+        ends_s = time.monotonic() + timeout_s
         try:
-            self._lines.put(None, timeout=1.0)
+            self._lines.put(None, timeout=timeout_s)
         except queue.Full:
             return
-        self._writer.join(timeout=1.0)
+        self._writer.join(timeout=max(0.0, ends_s - time.monotonic()))
 
     def _drop(self) -> None:
         self.dropped += 1
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -211,8 +211,8 @@
         ]
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def run(self) -> None:
-        """Serve until SIGTERM, then drain and return."""
+    async def run(self) -> float:
+        """Serve until SIGTERM, then drain; return the time left for the process."""
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
         for number in STOP_SIGNALS:
@@ -223,8 +223,10 @@
         await self.drain()
         await self.close()
         log(DAEMON_STOPPED, **self._stop.log_fields(now_s=self._clock.now_s()))
+        left_s = max(0.0, self._stop.ends_s - self._clock.now_s())
         # The event loop resets its handlers when it closes, and the defaults kill.
         signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS | {signal.SIGHUP})
+        return left_s
 
     @property
     def is_ready(self) -> bool:
@@ -396,6 +398,6 @@
         self._tasks.add(task)
 
 
-async def serve(platform: PlatformAdapter) -> None:
-    """Run a daemon until it is told to stop."""
-    await Gateway(platform, SystemClock()).run()
+async def serve(platform: PlatformAdapter) -> float:
+    """Run a daemon until it is told to stop; return the time left for the process."""
+    return await Gateway(platform, SystemClock()).run()
--- a/dogwoodhook/platform/program.py
+++ b/dogwoodhook/platform/program.py
@@ -5,6 +5,7 @@
 import sys
 from pathlib import Path
 
+from dogwoodhook.bounded_log import CLOSE_TIMEOUT_S
 from dogwoodhook.events import make_bounded_handler
 from dogwoodhook.findings import FindingsError
 from dogwoodhook.gateway import serve
@@ -26,8 +27,10 @@
         print(error, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     handler = make_bounded_handler("info")
+    last_lines_s = CLOSE_TIMEOUT_S
     try:
         with handler.applicationbound():
-            asyncio.run(serve(platform))
+            # The interpreter needs some of the time to end.
+            last_lines_s = min(last_lines_s, asyncio.run(serve(platform)) / 2)
     finally:
-        handler.close()
+        handler.close(timeout_s=last_lines_s)
--- a/dogwoodhook/state/daemon_stop.py
+++ b/dogwoodhook/state/daemon_stop.py
@@ -63,6 +63,11 @@
         least_s = min(MIN_CLOSING_S, MAX_CLOSING_SHARE * self.grace_s)
         return self._at(min(CLOSE_SHARE * self.grace_s, self.grace_s - least_s))
 
+    @property
+    def ends_s(self) -> float:
+        """Time at which the process is gone."""
+        return self._at(self.grace_s)
+
     def begin(self, *, now_s: float, grace_s: float) -> None:
         """Stop within a grace period from now on."""
         self.began_s = now_s
--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -13,13 +13,13 @@
 from tests.platform_adapter.test_settings_file import TEXT
 
 
-def start(tmp_path, text):
+def start(tmp_path, text, *, stdout=subprocess.PIPE):
     path = tmp_path / "boot.conf"
     path.write_text(text)
     return subprocess.Popen(
         [sys.executable, "-m", "dogwoodhook.platform"],
         env={**os.environ, "DOGWOODHOOK_SETTINGS": str(path)},
-        stdout=subprocess.PIPE,
+        stdout=stdout,
         stderr=subprocess.PIPE,
         text=True,
     )
@@ -113,3 +113,33 @@
     output, errors = process.communicate(timeout=30)
     assert process.returncode == 0, errors
     assert "daemon-stopped" in output
+
+
+def full_pipe():
+    """Return the ends of a pipe that nobody reads, and that holds no more."""
+    unread, full = os.pipe()
+    os.set_blocking(full, False)
+    try:
+        while True:
+            os.write(full, b"x")
+    except BlockingIOError:
+        os.set_blocking(full, True)
+    return unread, full
+
+
+def test_a_daemon_whose_output_is_not_read_ends_within_its_grace_period(tmp_path):
+    unread, full = full_pipe()
+    text = local(TEXT).replace("bounds.grace=6s", "bounds.grace=3400ms")
+    process = start(tmp_path, text, stdout=full)
+    while not survives_sighup(process):
+        assert process.poll() is None
+        time.sleep(0.001)
+    time.sleep(2.5)
+    process.send_signal(signal.SIGTERM)
+    stopped_s = time.monotonic()
+    process.communicate(timeout=30)
+    ended_s = time.monotonic() - stopped_s
+    os.close(unread)
+    os.close(full)
+    assert process.returncode == 0
+    assert ended_s <= 3.4
