No listener drops a request that it has read when it closes

A caller whose connection came while a listener was closing waited without an answer: up to 60 s at the native daemon, until the daemon was gone at the others. A request on an idle connection that came at the same time was read and dropped.

Cause: the event loop loses a connection that it is accepting when its listening socket closes. The server library tells every connection to close, and one that has not read its first request yet drops it, and is waited for as long as closing may take; an idle one drops what it reads from then on. The gateway's listener for callers had the second mended, the others not.

Change: nothing more is accepted first, what is being accepted gets its server, then the listening socket closes; when connections are closed, what owes no answer is closed without reading on.

--- a/dogwoodhook/transport/listening.py
+++ b/dogwoodhook/transport/listening.py
@@ -1,8 +1,10 @@
 """Starting and ending aiohttp servers."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -11,6 +13,34 @@
 CLOSE_TIMEOUT_S = 60.0
 """Time that closing a listener gives to requests in flight."""
 
+ACCEPTING_PASSES = 2
+"""Passes of the event loop until a connection that is accepted is its server's."""
+
+FIRST_READING_PASSES = 4
+"""Passes from then on until its first request has been read, if it is there."""
+
+
+class OrderlyServer(web.Server):
+    """A server that drops nothing that it has read when it is closed."""
+
+    def pre_shutdown(self) -> None:
+        """Close at once what owes no answer, so that nothing more is read there.
+
+        What callers send meanwhile resets their connections: nobody has read it.
+        """
+        for connection in self.connections:
+            if self.owes_answer(connection):
+                connection.close()
+            else:
+                connection.force_close()
+
+    def owes_answer(self, connection: RequestHandler) -> bool:
+        """Tell whether a request has been read that is not answered yet."""
+        if connection._messages:
+            return True
+        is_waiting = connection._waiter is not None and not connection._waiter.done()
+        return connection._request_count > 0 and not is_waiting
+
 
 class HttpListener:
     """An HTTP server on one address.
@@ -25,7 +55,7 @@
         *,
         host: str,
         port: int,
-        make_server: Callable[..., web.Server] = web.Server,
+        make_server: Callable[..., OrderlyServer] = OrderlyServer,
         close_timeout_s: float = CLOSE_TIMEOUT_S,
     ) -> None:
         server = make_server(
@@ -48,10 +78,24 @@
 
     async def stop_accepting(self) -> None:
         """Close the listening socket; open connections stay."""
-        if self._site is not None:
-            await self._site.stop()
-            self._site = None
+        site, self._site = self._site, None
+        if site is None:
+            return
+        # The event loop loses a connection that it is accepting when this closes.
+        loop = asyncio.get_running_loop()
+        for listening in getattr(site._server, "sockets", ()):
+            loop.remove_reader(listening.fileno())
+        await _pass(ACCEPTING_PASSES)
+        await site.stop()
 
     async def close(self) -> None:
-        """Close everything."""
+        """Answer what has been read, and close everything."""
+        await self.stop_accepting()
+        await _pass(FIRST_READING_PASSES)
         await self._runner.cleanup()
+
+
+async def _pass(count: int) -> None:
+    """Let the event loop run so many times."""
+    for _ in range(count):
+        await asyncio.sleep(0)
--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -22,6 +22,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from dogwoodhook.transport.bounded_requests import BoundedRequestHandler, GetLimits
+from dogwoodhook.transport.listening import OrderlyServer
 
 MAX_BEGUN = 16
 """Requests of one connection that are at targets at the same time."""
@@ -256,7 +257,7 @@
         request.transport.abort()
 
 
-class PipelinedServer(web.Server):
+class PipelinedServer(OrderlyServer):
     """A server whose ``forward`` may be called for several requests at once.
 
     ``may_begin`` tells which requests may be forwarded before their turn, and
@@ -291,17 +292,10 @@
             if isinstance(connection, _PipelinedHandler)
         )
 
-    def pre_shutdown(self) -> None:
-        """Close at once what owes no answer, so that nothing more is read there.
-
-        What callers send meanwhile resets their connections: nobody has read it.
-        """
-        for connection in self.connections:
-            assert isinstance(connection, _PipelinedHandler)
-            if connection.has_unanswered:
-                connection.close()
-            else:
-                connection.force_close()
+    def owes_answer(self, connection: RequestHandler) -> bool:
+        """Tell whether a request of a connection waits for its whole answer."""
+        assert isinstance(connection, _PipelinedHandler)
+        return connection.has_unanswered
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
--- /dev/null
+++ b/tests/test_listening.py
@@ -0,0 +1,61 @@
+"""What callers see of a listener that closes."""
+
+import asyncio
+import socket
+
+import pytest
+from aiohttp import web
+
+from dogwoodhook.testing.fleet import free_port
+from dogwoodhook.transport.listening import HttpListener
+
+HOST = "127.0.0.1"
+REQUEST = b"GET / HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n"
+
+
+def is_open(connection):
+    """Tell whether the listener has not closed the connection yet."""
+    try:
+        return connection.recv(1, socket.MSG_PEEK) != b""
+    except BlockingIOError:
+        return True
+    except ConnectionError:
+        return False
+
+
+async def outcome_of(connection):
+    """Return the status of an answer, or how the connection ended."""
+    loop = asyncio.get_running_loop()
+    try:
+        text = await loop.sock_recv(connection, 65536)
+    except ConnectionResetError:
+        return "reset"
+    return int(text.split(b" ")[1]) if text else "read and dropped"
+
+
+@pytest.mark.parametrize("passes", range(8))
+@pytest.mark.parametrize("is_idle", [False, True])
+async def test_a_listener_that_closes_drops_nothing_that_it_has_read(passes, is_idle):
+    """The request comes on an idle connection while it closes, or on a new one."""
+
+    async def answer(request):
+        return web.Response()
+
+    port = free_port()
+    listener = HttpListener(answer, host=HOST, port=port)
+    await listener.start()
+    async with asyncio.timeout(5.0):
+        with socket.create_connection((HOST, port)) as connection:
+            connection.setblocking(False)
+            if is_idle:
+                await asyncio.sleep(0.05)
+                closing = asyncio.ensure_future(listener.close())
+            for _ in range(passes):
+                await asyncio.sleep(0)
+            if not is_open(connection):
+                return
+            connection.send(REQUEST)
+            if not is_idle:
+                closing = asyncio.ensure_future(listener.close())
+            assert await outcome_of(connection) in (200, "reset")
+            await closing
