--- a/dogwoodhook/state/daemon_stop.py
+++ b/dogwoodhook/state/daemon_stop.py
@@ -24,10 +24,6 @@
 """Share of the grace period for which targets may work; the last sixth of it is not
 owed to them."""
 
-READING_SHARE = 0.925
-"""Share of the grace period for which the rest of an answer that has begun is read
-before any of it is passed on: halfway from the end of answers to the closing."""
-
 CLOSE_SHARE = 0.95
 """Share of the grace period after which connections are closed as they are."""
 
@@ -63,8 +59,10 @@
 
     @property
     def reading_ends_s(self) -> float:
-        """Time at which held answers are given up that are not whole."""
-        return self._at(READING_SHARE * self.grace_s)
+        """Time at which held answers are given up that are not whole: halfway from
+        the end of answers to the closing.
+        """
+        return (self.answers_end_s + self.closes_s) / 2
 
     @property
     def closes_s(self) -> float:
@@ -72,6 +70,11 @@
         least_s = min(MIN_CLOSING_S, MAX_CLOSING_SHARE * self.grace_s)
         return self._at(min(CLOSE_SHARE * self.grace_s, self.grace_s - least_s))
 
+    @property
+    def ends_s(self) -> float:
+        """Time at which the process is gone."""
+        return self._at(self.grace_s)
+
     def begin(self, *, now_s: float, grace_s: float) -> None:
         """Stop within a grace period from now on."""
         self.began_s = now_s
