A request is not sent to a target that left while it waited for a connection

Cause: nothing asked the directory again between the choice and the first byte.

Change: the directory is asked right before the head is written. The request then goes elsewhere as one that was not run; a large upload too, which until now could be sent only once although nothing of it had been read by a target.

--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -71,6 +71,11 @@
         """Return a target's entry, draining ones included."""
         return self._entries.get(name)
 
+    def is_serving(self, name: str) -> bool:
+        """Tell whether a target takes new work."""
+        entry = self._entries.get(name)
+        return entry is not None and not entry.is_draining
+
     def has_joined_lately(self, name: str, *, now_s: float) -> bool:
         """Tell whether a target joined after this daemon started, and not long ago."""
         return now_s - self._joined_s.get(name, float("-inf")) < NEWCOMER_S
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -18,7 +18,7 @@
 from dogwoodhook.state.suspicion import Symptom
 from dogwoodhook.state.target_directory import TargetEntry
 from dogwoodhook.transport.bodies import CallerBodyError
-from dogwoodhook.transport.resend_guard import AttemptTrace
+from dogwoodhook.transport.resend_guard import AttemptTrace, NotWantedError
 
 BUFFERED_ANSWER_BYTES = 256 * 1024
 """Answers up to this size are read whole before the caller gets any of them."""
@@ -117,6 +117,8 @@
         result = _after_timeout(trace)
     except CallerBodyError:
         result = MayHaveRun("the caller's upload broke off", None)
+    except NotWantedError:
+        result = NotRunThere("the target leaves", None, has_arrived=False)
     except (aiohttp.ClientError, OSError) as error:
         result = _after_error(trace, error)
     finally:
--- a/dogwoodhook/transport/bodies.py
+++ b/dogwoodhook/transport/bodies.py
@@ -17,18 +17,26 @@
     """A caller's body.
 
     ``prelude`` is what was read before a target was chosen. Where ``is_whole``,
-    that is all of it, and the request can be sent again.
+    that is all of it, and the request can be sent again. Where not, it can while
+    nothing of it ``has_been_sent``.
     """
 
     prelude: bytes
     is_whole: bool
     _request: web.BaseRequest = field(repr=False)
+    has_been_sent: bool = False
+
+    @property
+    def can_be_sent(self) -> bool:
+        """Tell whether a further attempt can send it from its beginning."""
+        return self.is_whole or not self.has_been_sent
 
     def content(self) -> bytes | AsyncIterator[bytes]:
         """Return what an attempt sends."""
         return self.prelude if self.is_whole else self._stream()
 
     async def _stream(self) -> AsyncIterator[bytes]:
+        self.has_been_sent = True
         yield self.prelude
         try:
             async for chunk in self._request.content.iter_chunked(CHUNK_BYTES):
--- a/dogwoodhook/transport/resend_guard.py
+++ b/dogwoodhook/transport/resend_guard.py
@@ -15,6 +15,7 @@
 closes it.
 """
 
+from collections.abc import Callable
 from contextvars import ContextVar
 from dataclasses import dataclass
 from types import SimpleNamespace
@@ -22,6 +23,10 @@
 import aiohttp
 
 
+class NotWantedError(aiohttp.ClientError):
+    """What an attempt was to send was not wanted any more when it had a connection."""
+
+
 class ResendBlockedError(aiohttp.ClientError):
     """The client library was about to send a request for the second time."""
 
@@ -35,8 +40,10 @@
 
     ``is_connected`` is true once the attempt holds a connection: from then on
     bytes of the request may have left. ``is_reused`` tells a pooled connection.
+    ``is_wanted`` is asked right before the first byte.
     """
 
+    is_wanted: Callable[[], bool] = lambda: True
     sendings: int = 0
     connections: int = 0
     is_connected: bool = False
@@ -63,6 +70,12 @@
         if self.connections > 1:
             raise ResendBlockedError
 
+    def check_wanted(self) -> None:
+        """Raise ``NotWantedError`` if the request is not to be sent any more."""
+        if not self.is_wanted():
+            self.is_connected = False
+            raise NotWantedError
+
     def discard_connection(self) -> None:
         """Take back a connection that was closed before anything was sent on it."""
         self.connections -= 1
@@ -79,6 +92,7 @@
     config.on_connection_create_start.append(_on_create_start)
     config.on_connection_create_end.append(_on_create_end)
     config.on_connection_reuseconn.append(_on_reuse)
+    config.on_request_headers_sent.append(_on_headers)
     return config
 
 
@@ -114,3 +128,12 @@
     trace.is_connected = True
     trace.is_reused = True
     trace.count_connection()
+
+
+async def _on_headers(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    params: aiohttp.TraceRequestHeadersSentParams,
+) -> None:
+    # Despite its name the library's signal comes before the head is written.
+    _trace_of(context).check_wanted()
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -477,7 +477,7 @@
             connect_timeout_s=CONNECT_TIMEOUT_S * 2**routed.unreachable,
         )
         may_use_idle = fleet.suspicion.may_use_idle(target.name, now_s=now_s)
-        trace = AttemptTrace()
+        trace = AttemptTrace(is_wanted=lambda: fleet.directory.is_serving(target.name))
         loop = asyncio.get_running_loop()
         overdue = loop.call_later(overdue_s, self._note_overdue, routed, target)
         fleet.placement.start(target, now_s=now_s)
@@ -524,7 +524,7 @@
 
     def _may_send_again(self, routed: RoutedRequest) -> bool:
         """Tell whether a request without an answer goes to another target."""
-        if not routed.body.is_whole or routed.refusals > MAX_REFUSALS:
+        if not routed.body.can_be_sent or routed.refusals > MAX_REFUSALS:
             return False
         if routed.unreachable >= MAX_UNREACHABLE:
             return False
--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -6,8 +6,9 @@
 import pytest
 
 from dogwoodhook.state.suspicion import Symptom
-from dogwoodhook.transport import route_forwarder
+from dogwoodhook.transport import route_forwarder, target_connections
 from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES, NotRunThere
+from dogwoodhook.transport.route_forwarder import REPLAY_BUFFER_BYTES
 from tests.exchanges import until
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.conftest import make_route
@@ -402,3 +403,21 @@
     writer.close()
     assert head.startswith(b"HTTP/1.1 408 "), "nothing of it has run"
     assert b"Request-Id: a" in head
+
+
+@pytest.mark.parametrize("size", [1, 2 * REPLAY_BUFFER_BYTES])
+async def test_a_request_that_waited_for_a_connection_is_not_sent_to_a_target_that_left(
+    platform, monkeypatch, size
+):
+    monkeypatch.setattr(target_connections, "MAX_CONNECTIONS_PER_TARGET", 1)
+    leaving = await start(platform, behave.after(1.5), behave.answer)
+    held = asyncio.ensure_future(platform.send("/post/1", data=b"x"))
+    await until(lambda: leaving.received)
+    waiting = asyncio.ensure_future(platform.send("/post/2", data=b"x" * size))
+    await asyncio.sleep(0.2)
+    await platform.store.put("servers", "t1", leaving.entry(state="draining"))
+    await platform.start_target("t2")
+    assert (await held).body == b"t1 ran /post/1"
+    reply = await waiting
+    assert (reply.status, reply.body) == (200, b"t2 ran /post/2")
+    assert len(leaving.received) == 1
