--- a/dogwoodhook/coordination/target_following.py
+++ b/dogwoodhook/coordination/target_following.py
@@ -65,6 +65,7 @@
         self._daemon = daemon
         self._availability = StoreAvailability(Table.TARGETS)
         self._rng = random.Random(daemon)
+        self._started_s = clock.now_s()
         self._read_s = float("-inf")
         self._heard_s = float("-inf")
         self._silent_since_s = float("-inf")
@@ -104,12 +105,17 @@
             now_s=now_s,
             removal_hold_s=reading.removal_hold_s,
         )
-        _log_changes(applied, source=reading.daemon, version=reading.version)
+        _log_changes(
+            applied,
+            source=reading.daemon,
+            version=reading.version,
+            age_s=reading.age_s,
+        )
 
     @property
     def age_s(self) -> float:
         """Return how long ago what is known here was certainly the newest."""
-        return self._clock.now_s() - max(self._read_s, self._heard_s)
+        return self._clock.now_s() - max(self._started_s, self._read_s, self._heard_s)
 
     def _rank(self) -> int:
         return rank_of(self._daemon, self._links.neighbours())
@@ -133,7 +139,7 @@
             case Result(tag="ok", ok=rows):
                 self._availability.record_answer(heard_s=self._heard_s, now_s=now_s)
                 self._read_s = started_s
-                hold_s = self._apply(rows, now_s)
+                hold_s = self._apply(rows, now_s, age_s=now_s - started_s)
                 if before and is_told:
                     self._tell(before, rows.version, hold_s)
                 return True
@@ -141,7 +147,7 @@
                 self._availability.record_failure(problem.detail, now_s=now_s)
                 return False
 
-    def _apply(self, rows: TableRows, now_s: float) -> float:
+    def _apply(self, rows: TableRows, now_s: float, *, age_s: float) -> float:
         """Apply rows; return how long removals wait."""
         changes = [
             TargetChange(row.key, row.version, self._decoder.target(row))
@@ -152,7 +158,7 @@
         applied = apply(
             changes, version=rows.version, now_s=now_s, removal_hold_s=hold_s
         )
-        _log_changes(applied, source="store", version=rows.version)
+        _log_changes(applied, source="store", version=rows.version, age_s=age_s)
         return hold_s
 
     def _tell(self, before: int, version: int, hold_s: float) -> None:
@@ -199,7 +205,7 @@
 
 
 def _log_changes(
-    changes: tuple[TargetChange, ...], *, source: str, version: int
+    changes: tuple[TargetChange, ...], *, source: str, version: int, age_s: float
 ) -> None:
     for change in changes:
         entry = change.entry
@@ -209,7 +215,9 @@
             service=entry.service if entry else "",
             state=_state_of(entry),
             source=source,
+            row=change.version,
             version=version,
+            age_ms=round(age_s * 1000),
         )
 
 
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -149,6 +149,7 @@
         fleet = FleetView(
             configuration=lambda: self._configuration.in_force,
             directory=self._directory,
+            targets_age_s=lambda: self._targets.age_s,
             suspicion=self._suspicion,
             placement=Placement(
                 self._suspicion,
@@ -178,6 +179,7 @@
             version=lambda: self.configuration_version,
             age_s=lambda: self._configuration.age_s,
         )
+        self._metrics.watch_targets(age_s=lambda: self._targets.age_s)
         followed = FollowedTasks()
         forwarder = RouteForwarder(
             fleet,
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -185,6 +185,15 @@
             description="time since the configuration was certainly the newest",
         )
 
+    def watch_targets(self, *, age_s: Callable[[], float]) -> None:
+        """Expose how long ago the list of targets was surely the newest."""
+        self._meter.create_observable_gauge(
+            "dogwoodhook_targets_age",
+            callbacks=[lambda options: [Observation(age_s())]],
+            unit="s",
+            description="time since the list of targets was certainly the newest",
+        )
+
     def record_adoption(self, duration_ms: float) -> None:
         """Record the time from another daemon's word of a version to its use here."""
         self._adoption.record(duration_ms)
--- a/dogwoodhook/transport/fleet_view.py
+++ b/dogwoodhook/transport/fleet_view.py
@@ -17,12 +17,14 @@
 class FleetView:
     """The parts that a forwarder shares with the rest of the daemon.
 
+    ``targets_age_s`` is how long ago the directory was certainly up to date.
     ``is_ready`` is set once routes and targets are known. ``tell`` reaches all
     daemons, ``tell_neighbours`` and ``tell_load`` those of the own data centre.
     """
 
     configuration: Callable[[], RoutingConfiguration | None]
     directory: TargetDirectory
+    targets_age_s: Callable[[], float]
     suspicion: Suspicion
     placement: Placement
     budget: FleetBudget
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -366,6 +366,7 @@
         if not self._stop_allows(routed):
             return None
         routed.directory_version = self._fleet.directory.version
+        routed.directory_age_s = self._fleet.targets_age_s()
         return self._fleet.placement.choose(
             self._fleet.directory.serving(routed.service, now_s=now_s),
             tried=frozenset(routed.tried),
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -44,6 +44,7 @@
     failed_target: str = ""
     configuration_version: int = 0
     directory_version: int = 0
+    directory_age_s: float = 0.0
     last_standing: Standing = Standing.SOUND
 
     @property
@@ -60,7 +61,8 @@
     def log_fields(self, *, now_s: float) -> dict[str, object]:
         """Return what decided the request so far, for the log.
 
-        ``configuration`` and ``targets`` are the versions that were in force.
+        ``configuration`` and ``targets`` are the versions that were in force,
+        ``targets_age_ms`` how old the latter was when the last target was chosen.
         """
         return {
             "request": self.request_id,
@@ -70,6 +72,7 @@
             "standing": self.last_standing.name.lower(),
             "configuration": self.configuration_version,
             "targets": self.directory_version,
+            "targets_age_ms": int(self.directory_age_s * 1000),
             "attempts": len(self.tried),
             "runs": self.runs,
             "after_ms": int((now_s - self.arrived_s) * 1000),
--- a/tests/platform_adapter/test_gateway_store.py
+++ b/tests/platform_adapter/test_gateway_store.py
@@ -237,3 +237,4 @@
             text = await response.text()
     assert 'service="payouts"' in text
     assert "dogwoodhook_request_duration" in text
+    assert "dogwoodhook_targets_age_seconds" in text
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+import logbook
 from expression import Error, Ok
 
 from dogwoodhook.clock import SystemClock
@@ -175,6 +176,18 @@
         assert directory.version == version
 
 
+async def test_a_change_that_was_heard_of_is_logged_with_the_age_of_its_reading():
+    async with following("vm-1", targets=2) as (_, _, _, follower):
+        await until(lambda: follower.age_s < 0.5)
+        change = TargetChange("t1", 7, None)
+        with logbook.TestHandler().applicationbound() as handler:
+            follower.hear(StoreReading("vm-9", 2, 8, 0.0, 0.25, (change,)))
+        [line] = [str(each.message) for each in handler.records]
+        for field in ("target=t1", "source=vm-9", "row=7", "version=8", "age_ms=250"):
+            assert field in line
+        assert follower.age_s < 0.5
+
+
 async def test_a_daemon_that_was_away_for_long_reads_the_whole_table(monkeypatch):
     monkeypatch.setattr("dogwoodhook.coordination.target_following.MAX_CATCH_UP_S", 0.3)
     async with following("vm-1") as (store, _, directory, _):
