--- a/dogwoodhook/coordination/target_following.py
+++ b/dogwoodhook/coordination/target_following.py
@@ -17,7 +17,7 @@
 from dogwoodhook.coordination.store_availability import StoreAvailability
 from dogwoodhook.coordination.store_reading import RowDecoder, read_newer, wait_for
 from dogwoodhook.events import TARGET_CHANGED, log
-from dogwoodhook.state.reader_duty import rank_of, silence_limit_s
+from dogwoodhook.state.reader_duty import counted_age_s, rank_of, silence_limit_s
 from dogwoodhook.state.target_directory import (
     TargetChange,
     TargetDirectory,
@@ -40,7 +40,9 @@
 class TargetFollower:
     """Keeps the directory of targets up to date.
 
-    ``bound_s`` is the time in which a change has to be known; it may change.
+    ``bound_s`` is the time in which a change has to be known; it may change. What is
+    known was certainly the newest at the beginning of the last call of this daemon or
+    of the daemon whose reading it heard.
     """
 
     def __init__(
@@ -63,8 +65,10 @@
         self._daemon = daemon
         self._availability = StoreAvailability(Table.TARGETS)
         self._rng = random.Random(daemon)
+        self._started_s = clock.now_s()
         self._read_s = float("-inf")
         self._heard_s = float("-inf")
+        self._silent_since_s = float("-inf")
         self._must_read = asyncio.Event()
         self._parts = _PartsHeard()
 
@@ -90,7 +94,9 @@
             version = self._directory.version
             self._must_read.set()
         elif self._parts.complete(reading):
-            self._heard_s = now_s
+            self._heard_s = max(self._heard_s, now_s - reading.age_s)
+            counted_s = counted_age_s(reading.age_s, bound_s=self.bound_s)
+            self._silent_since_s = max(self._silent_since_s, now_s - counted_s)
         else:
             version = self._directory.version
         applied = self._directory.apply(
@@ -99,23 +105,32 @@
             now_s=now_s,
             removal_hold_s=reading.removal_hold_s,
         )
-        _log_changes(applied, source=reading.daemon, version=reading.version)
+        _log_changes(
+            applied,
+            source=reading.daemon,
+            version=reading.version,
+            age_s=reading.age_s,
+        )
+
+    @property
+    def age_s(self) -> float:
+        """Return how long ago what is known here was certainly the newest."""
+        return self._clock.now_s() - max(self._started_s, self._read_s, self._heard_s)
 
     def _rank(self) -> int:
         return rank_of(self._daemon, self._links.neighbours())
 
     def _pause_s(self) -> float:
         rank = self._rank()
-        latest_s = self._read_s if rank == 0 else max(self._read_s, self._heard_s)
         limit_s = silence_limit_s(rank, bound_s=self.bound_s)
+        latest_s = max(self._read_s, self._silent_since_s) if rank else self._read_s
         return latest_s + limit_s - self._clock.now_s()
 
     async def _read(self, *, is_told: bool) -> bool:
         """Read what is new, and tell the others unless they know it."""
         started_s = self._clock.now_s()
         before = self._directory.version
-        age_s = started_s - max(self._read_s, self._heard_s)
-        if age_s > MAX_CATCH_UP_S:
+        if self.age_s > MAX_CATCH_UP_S:
             result = await self._store.read_table(Table.TARGETS)
         else:
             result = await read_newer(self._store, Table.TARGETS, after_version=before)
@@ -124,7 +139,7 @@
             case Result(tag="ok", ok=rows):
                 self._availability.record_answer(heard_s=self._heard_s, now_s=now_s)
                 self._read_s = started_s
-                hold_s = self._apply(rows, now_s)
+                hold_s = self._apply(rows, now_s, age_s=now_s - started_s)
                 if before and is_told:
                     self._tell(before, rows.version, hold_s)
                 return True
@@ -132,7 +147,7 @@
                 self._availability.record_failure(problem.detail, now_s=now_s)
                 return False
 
-    def _apply(self, rows: TableRows, now_s: float) -> float:
+    def _apply(self, rows: TableRows, now_s: float, *, age_s: float) -> float:
         """Apply rows; return how long removals wait."""
         changes = [
             TargetChange(row.key, row.version, self._decoder.target(row))
@@ -143,7 +158,7 @@
         applied = apply(
             changes, version=rows.version, now_s=now_s, removal_hold_s=hold_s
         )
-        _log_changes(applied, source="store", version=rows.version)
+        _log_changes(applied, source="store", version=rows.version, age_s=age_s)
         return hold_s
 
     def _tell(self, before: int, version: int, hold_s: float) -> None:
@@ -164,6 +179,7 @@
                     after_version=before,
                     version=version,
                     removal_hold_s=hold_s,
+                    age_s=self._clock.now_s() - self._read_s,
                     changes=changes[start : start + MAX_CHANGES_PER_READING],
                     part=part,
                     parts=len(starts),
@@ -189,7 +205,7 @@
 
 
 def _log_changes(
-    changes: tuple[TargetChange, ...], *, source: str, version: int
+    changes: tuple[TargetChange, ...], *, source: str, version: int, age_s: float
 ) -> None:
     for change in changes:
         entry = change.entry
@@ -199,7 +215,9 @@
             service=entry.service if entry else "",
             state=_state_of(entry),
             source=source,
+            row=change.version,
             version=version,
+            age_ms=round(age_s * 1000),
         )
 
 
--- a/dogwoodhook/transport/fleet_view.py
+++ b/dogwoodhook/transport/fleet_view.py
@@ -18,6 +18,7 @@
 class FleetView:
     """The parts that a forwarder shares with the rest of the daemon.
 
+    ``targets_age_s`` is how long ago the directory was certainly up to date.
     ``is_ready`` is set once routes and targets are known. ``tell`` reaches all
     daemons, ``tell_neighbours`` and ``load_sharing`` those of the own data centre;
     ``hear_waiting`` takes in what they have told and nobody has heard yet.
@@ -25,6 +26,7 @@
 
     configuration: Callable[[], RoutingConfiguration | None]
     directory: TargetDirectory
+    targets_age_s: Callable[[], float]
     suspicion: Suspicion
     placement: Placement
     budget: FleetBudget
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -373,6 +373,7 @@
             return None
         self._fleet.hear_waiting()
         routed.directory_version = self._fleet.directory.version
+        routed.directory_age_s = self._fleet.targets_age_s()
         return self._fleet.placement.choose(
             self._fleet.directory.serving(routed.service, now_s=now_s),
             tried=frozenset(routed.tried),
@@ -485,7 +486,7 @@
             connect_timeout_s=CONNECT_TIMEOUT_S * 2**routed.unreachable,
         )
         may_use_idle = fleet.suspicion.may_use_idle(target.name, now_s=now_s)
-        trace = AttemptTrace()
+        trace = AttemptTrace(is_wanted=lambda: fleet.directory.is_serving(target.name))
         loop = asyncio.get_running_loop()
         overdue = loop.call_later(overdue_s, self._note_overdue, routed, target)
         fleet.placement.start(target, now_s=now_s)
@@ -532,7 +533,7 @@
 
     def _may_send_again(self, routed: RoutedRequest) -> bool:
         """Tell whether a request without an answer goes to another target."""
-        if not routed.body.is_whole or routed.refusals > MAX_REFUSALS:
+        if not routed.body.can_be_sent or routed.refusals > MAX_REFUSALS:
             return False
         if routed.unreachable >= MAX_UNREACHABLE:
             return False
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+import logbook
 from expression import Error, Ok
 
 from dogwoodhook.clock import SystemClock
@@ -90,8 +91,8 @@
         task.cancel()
 
 
-def reading(after, version):
-    return StoreReading("vm-9", after, version, 0.0)
+def reading(after, version, *, age_s=0.0):
+    return StoreReading("vm-9", after, version, 0.0, age_s)
 
 
 async def test_the_reader_tells_its_neighbours_of_each_change():
@@ -133,7 +134,7 @@
         store.is_down = True
         store.add(6)
         change = TargetChange("t1", 7, None)
-        follower.hear(StoreReading("vm-9", 6, 7, 0.0, (change,)))
+        follower.hear(StoreReading("vm-9", 6, 7, 0.0, 0.0, (change,)))
         assert directory.get("t1") is None
         assert directory.version == 1
         store.is_down = False
@@ -145,7 +146,9 @@
     async with following("vm-1") as (store, links, _, follower):
         store.add(6)
         entry = decode(store.rows[5])
-        follower.hear(StoreReading("vm-9", 5, 6, 0.0, (TargetChange("t6", 6, entry),)))
+        follower.hear(
+            StoreReading("vm-9", 5, 6, 0.0, 0.0, (TargetChange("t6", 6, entry),))
+        )
         await until(lambda: any(told.version == 7 for told in links.told))
         changes = [each for told in links.told for each in told.changes]
         assert [each.name for each in changes] == [f"t{each}" for each in range(2, 8)]
@@ -173,6 +176,18 @@
         assert directory.version == version
 
 
+async def test_a_change_that_was_heard_of_is_logged_with_the_age_of_its_reading():
+    async with following("vm-1", targets=2) as (_, _, _, follower):
+        await until(lambda: follower.age_s < 0.5)
+        change = TargetChange("t1", 7, None)
+        with logbook.TestHandler().applicationbound() as handler:
+            follower.hear(StoreReading("vm-9", 2, 8, 0.0, 0.25, (change,)))
+        [line] = [str(each.message) for each in handler.records]
+        for field in ("target=t1", "source=vm-9", "row=7", "version=8", "age_ms=250"):
+            assert field in line
+        assert follower.age_s < 0.5
+
+
 async def test_a_daemon_that_was_away_for_long_reads_the_whole_table(monkeypatch):
     monkeypatch.setattr("dogwoodhook.coordination.target_following.MAX_CATCH_UP_S", 0.3)
     async with following("vm-1") as (store, _, directory, _):
