Let a relay reset its connections and hold back what is sent

For the soak, whose callers have met no relay so far. reset_open ends the open connections with a reset on both sides, delay_s holds each piece back, and host names a server at another address of the machine.

Evidence: the two new tests of test_relay.py.

--- a/dogwoodhook/testing/relay.py
+++ b/dogwoodhook/testing/relay.py
@@ -5,7 +5,8 @@
 
 What is sent in a cut direction is lost; the connections stay open, as they do in
 a network that drops packets. ``silence_open`` does that to the connections open at
-that moment, for good, while new ones work. ``bytes_per_s`` makes the link slow.
+that moment, for good, while new ones work, and ``reset_open`` ends them with a reset.
+``bytes_per_s`` makes the link slow, and ``delay_s`` holds each piece back.
 """
 
 import asyncio
@@ -21,13 +22,15 @@
 class Relay:
     """Relays connections on a port of its own to another one."""
 
-    def __init__(self, *, port: int) -> None:
+    def __init__(self, *, port: int, host: str = LOOPBACK) -> None:
         self.port = 0
         self.is_cut_to_server = False
         self.is_cut_to_client = False
         self.bytes_per_s: float | None = None
+        self.delay_s = 0.0
         self._silent: set[asyncio.Task[None]] = set()
-        self._target_port = port
+        self._target = (host, port)
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -52,6 +55,12 @@
         """Lose all that is sent from now on over the connections that are open."""
         self._silent |= self._tasks
 
+    def reset_open(self) -> None:
+        """Reset the connections that are open, on both of their sides."""
+        for writer in self._writers:
+            _reset_on_close(writer)
+            writer.transport.abort()
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -61,15 +70,17 @@
             task.add_done_callback(self._tasks.discard)
             task.add_done_callback(self._silent.discard)
         try:
-            there, back = await asyncio.open_connection(LOOPBACK, self._target_port)
+            there, back = await asyncio.open_connection(*self._target)
         except OSError:
             writer.close()
             return
+        self._writers |= {writer, back}
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._copy(reader, back, task, is_to_server=True))
                 group.create_task(self._copy(there, writer, task, is_to_server=False))
         finally:
+            self._writers -= {writer, back}
             writer.close()
             back.close()
 
@@ -86,6 +97,7 @@
                 is_cut = (
                     self.is_cut_to_server if is_to_server else self.is_cut_to_client
                 )
+                await asyncio.sleep(self.delay_s)
                 if self.bytes_per_s is not None:
                     await asyncio.sleep(len(data) / self.bytes_per_s)
                 if not is_cut and connection not in self._silent:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -24,3 +24,39 @@
             await reader.read()
         writer.close()
     server.close()
+
+
+async def _echo(reader, writer):
+    while data := await reader.read(10):
+        writer.write(data)
+    writer.close()
+
+
+async def test_open_connections_are_reset_and_new_ones_work():
+    server = await asyncio.start_server(_echo, "127.0.0.1", 0)
+    async with Relay(port=server.sockets[0].getsockname()[1]) as relay:
+        reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+        writer.write(b"x")
+        assert await reader.readexactly(1) == b"x"
+        relay.reset_open()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+        reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+        writer.write(b"y")
+        assert await reader.readexactly(1) == b"y"
+        writer.close()
+    server.close()
+
+
+async def test_each_piece_is_held_back():
+    server = await asyncio.start_server(_echo, "127.0.0.1", 0)
+    async with Relay(port=server.sockets[0].getsockname()[1]) as relay:
+        relay.delay_s = 0.1
+        reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+        started_s = asyncio.get_running_loop().time()
+        writer.write(b"x")
+        assert await reader.readexactly(1) == b"x"
+        assert asyncio.get_running_loop().time() - started_s >= 0.2
+        writer.close()
+    server.close()
