Let the store's stand-in lose answers, at any of its addresses

A call has its effect and its connection ends. Doors, the other addresses of a store, take the same faults as the store itself, so a soak can let it fail for some daemons only.

--- a/tests/platform_adapter/store_server.py
+++ b/tests/platform_adapter/store_server.py
@@ -19,12 +19,31 @@
     """``refused`` names the status of every answer; ``is_silent`` gives none.
 
     With ``hides_changes``, calls for changes are told of none, at the newest version.
+    With ``loses_answers``, a call has its effect, and its connection ends.
     """
 
     refused: int = 0
     is_silent: bool = False
     delay_s: float = 0.0
     hides_changes: bool = False
+    loses_answers: bool = False
+
+    def clear(self):
+        """End every fault."""
+        self.refused, self.is_silent, self.delay_s = 0, False, 0.0
+        self.hides_changes = self.loses_answers = False
+
+    async def disturb(self, request, handle):
+        """Return the answer to one call, or none."""
+        if self.is_silent:
+            await asyncio.sleep(60)
+        await asyncio.sleep(self.delay_s)
+        if self.refused:
+            return web.json_response({}, status=self.refused)
+        response = await handle(request)
+        if self.loses_answers and request.transport is not None:
+            request.transport.abort()
+        return response
 
 
 @dataclass
@@ -37,11 +56,7 @@
 
     async def handle(self, request):
         """Answer one call, or turn it away."""
-        if self.faults.is_silent:
-            await asyncio.sleep(60)
-        if self.faults.refused:
-            return web.json_response({}, status=self.faults.refused)
-        return await self.store.handle(request)
+        return await self.faults.disturb(request, self.store.handle)
 
 
 @dataclass
@@ -92,11 +107,9 @@
     async def handle(self, request):
         """Answer one call."""
         self.calls.append(request.path_qs)
-        if self.faults.is_silent:
-            await asyncio.sleep(60)
-        await asyncio.sleep(self.faults.delay_s)
-        if self.faults.refused:
-            return web.json_response({}, status=self.faults.refused)
+        return await self.faults.disturb(request, self._handle)
+
+    async def _handle(self, request):
         match request.path:
             case "/rows-get":
                 return self._get(request.query["table"], request.query.get("from", ""))
