Pass on in the relay that a side ends its sending, and no more

A soak's caller behind a relay got the head of an answer and then a reset; the answer was whole and sent by a daemon that stops.

Cause: a daemon closes the sending side of a connection behind its last answer and reads on, so that nothing that a caller still sends resets it. The relay closed the caller's side wholly, and a request sent then was answered with a reset.

Change: the end of one direction is passed on as such, and a reset of either ends both sides with a reset.

--- a/dogwoodhook/testing/relay.py
+++ b/dogwoodhook/testing/relay.py
@@ -79,6 +79,10 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._copy(reader, back, task, is_to_server=True))
                 group.create_task(self._copy(there, writer, task, is_to_server=False))
+        except* ConnectionError:
+            # A reset is passed on as one: it tells that an answer is not complete.
+            _reset_on_close(writer)
+            _reset_on_close(back)
         finally:
             self._writers -= {writer, back}
             writer.close()
@@ -92,22 +96,17 @@
         *,
         is_to_server: bool,
     ) -> None:
-        try:
-            while data := await source.read(READ_BYTES):
-                is_cut = (
-                    self.is_cut_to_server if is_to_server else self.is_cut_to_client
-                )
-                await asyncio.sleep(self.delay_s)
-                if self.bytes_per_s is not None:
-                    await asyncio.sleep(len(data) / self.bytes_per_s)
-                if not is_cut and connection not in self._silent:
-                    sink.write(data)
-                    await sink.drain()
-        except ConnectionError:
-            # A reset is passed on as one: it tells that an answer is not complete.
-            _reset_on_close(sink)
-        finally:
-            sink.close()
+        while data := await source.read(READ_BYTES):
+            is_cut = self.is_cut_to_server if is_to_server else self.is_cut_to_client
+            await asyncio.sleep(self.delay_s)
+            if self.bytes_per_s is not None:
+                await asyncio.sleep(len(data) / self.bytes_per_s)
+            if not is_cut and connection not in self._silent:
+                sink.write(data)
+                await sink.drain()
+        # The other direction goes on: a server may read on after its last answer.
+        if not sink.is_closing():
+            sink.write_eof()
 
 
 def _reset_on_close(writer: asyncio.StreamWriter) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -60,3 +60,51 @@
         assert asyncio.get_running_loop().time() - started_s >= 0.2
         writer.close()
     server.close()
+
+
+async def test_a_side_that_only_ends_its_sending_is_read_on():
+    received = asyncio.Event()
+
+    async def answer_and_read_on(reader, writer):
+        await reader.readexactly(1)
+        writer.write(b"answer")
+        writer.write_eof()
+        await reader.readexactly(1)
+        received.set()
+        writer.close()
+
+    server = await asyncio.start_server(answer_and_read_on, "127.0.0.1", 0)
+    async with Relay(port=server.sockets[0].getsockname()[1]) as relay:
+        reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+        writer.write(b"x")
+        await asyncio.sleep(0.05)
+        writer.write(b"y")
+        async with asyncio.timeout(5.0):
+            await received.wait()
+        assert await reader.read() == b"answer"
+        writer.close()
+    server.close()
+
+
+async def _send_on(writer):
+    async with asyncio.timeout(5.0):
+        while True:
+            writer.write(b"y")
+            await writer.drain()
+            await asyncio.sleep(0.01)
+
+
+async def test_what_is_sent_to_a_side_that_is_gone_resets_the_sender():
+    async def answer_and_close(reader, writer):
+        await reader.readexactly(1)
+        writer.close()
+
+    server = await asyncio.start_server(answer_and_close, "127.0.0.1", 0)
+    async with Relay(port=server.sockets[0].getsockname()[1]) as relay:
+        reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+        writer.write(b"x")
+        assert await reader.read() == b""
+        with pytest.raises(ConnectionError):
+            await _send_on(writer)
+        writer.close()
+    server.close()
