Pass on in the relay an end of sending that fails, as a reset

A connection that was reset before the end of the other direction was passed on raised ENOTCONN, and the stand-ins printed it. Any error of a connection ends both sides now.

--- a/dogwoodhook/testing/relay.py
+++ b/dogwoodhook/testing/relay.py
@@ -79,7 +79,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._copy(reader, back, task, is_to_server=True))
                 group.create_task(self._copy(there, writer, task, is_to_server=False))
-        except* ConnectionError:
+        except* OSError:
             # A reset is passed on as one: it tells that an answer is not complete.
             _reset_on_close(writer)
             _reset_on_close(back)
