Do not use a connection again that got bytes right behind an answer

Callers of the gateway got 502 for an unsafe request, and callers of the native daemon could get another request's answer: a target wrote part of a head, or a line end, in one piece with the end of its answer, and the rest of it where the next answer was due.

The parser keeps the start of another head to itself, and a new parser is made for the next request, so the connection looked quiet. Bytes that came in a piece of their own were seen, and so were whole answers.

Now the bytes of a body are counted against its length, the end of one in chunks is compared with the last chunk, and nothing may follow a head without a body. A body in chunks that ends with trailers costs its connection.

--- a/dogwoodhook/transport/bounded_answers.py
+++ b/dogwoodhook/transport/bounded_answers.py
@@ -28,8 +28,14 @@
 FRAMING_PER_CONTENT_BYTE = 16
 """Further such bytes for each byte of content; the smallest chunk has five."""
 
+BYTES_BEHIND = "bytes behind an answer"
+
 FIRST_FINAL_STATUS = 200
 
+LAST_CHUNK = b"0\r\n\r\n"
+"""The end of a body in chunks; one that ends otherwise, such as with trailers, costs
+its connection."""
+
 
 class BoundedResponseHandler(ResponseHandler):
     """The client's side of a connection; counts the bytes of the current answer."""
@@ -40,12 +46,14 @@
         self._head_bytes = 0
         self._head_tail = b""
         self._body_bytes = 0
+        self._body_tail = b""
+        self._is_chunked = False
 
     def set_response_params(self, **options: Any) -> None:
         """Begin to count anew: a request is about to be sent."""
         self._answer = None
         self._head_bytes = self._body_bytes = 0
-        self._head_tail = b""
+        self._head_tail = self._body_tail = b""
         super().set_response_params(**options)
 
     def feed_data(
@@ -59,12 +67,13 @@
             return
         if message.code >= FIRST_FINAL_STATUS and self._answer is None:
             self._answer = body
+            self._is_chunked = message.chunked
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
         """Parse what came, unless there was too much of it."""
         if data and self._answer is not None and self._answer.is_eof():
-            self._cut("bytes behind an answer")
+            self._cut(BYTES_BEHIND)
             return
         # Heads are parsed by themselves: the parser drops a head that comes in the same
         # piece as bytes that it cannot parse.
@@ -78,13 +87,22 @@
             super().data_received(piece)
         if self._is_cut or self._answer is None:
             return
+        if data and self._answer.is_eof():
+            self._cut(BYTES_BEHIND)
+            return
         self._body_bytes += len(data)
+        self._body_tail = (self._body_tail + data[-len(LAST_CHUNK) :])[
+            -len(LAST_CHUNK) :
+        ]
         content_bytes = self._answer.total_bytes
         super().data_received(data)
         content_bytes = max(content_bytes, self._answer.total_bytes)
         allowed = MAX_FRAMING_BYTES + FRAMING_PER_CONTENT_BYTE * content_bytes
         if self._body_bytes - content_bytes > allowed:
             self._cut("a body's framing without end")
+        elif self._answer.is_eof() and self._has_bytes_behind:
+            # The parser keeps the start of another head to itself.
+            self._cut(BYTES_BEHIND)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the current answer; the library takes one without a length for whole."""
@@ -96,6 +114,14 @@
     def _is_cut(self) -> bool:
         return self.transport is None or self.transport.is_closing()
 
+    @property
+    def _has_bytes_behind(self) -> bool:
+        """Tell whether more has come than the whole answer that has been parsed."""
+        assert self._answer is not None
+        if self._is_chunked:
+            return self._body_tail != LAST_CHUNK
+        return self._body_bytes > self._answer.total_bytes
+
     def _head_end(self, data: bytes) -> int:
         """Return the number of bytes up to the head's end, or all of them."""
         before = self._head_tail
--- a/tests/platform_adapter/test_repeated_refusals.py
+++ b/tests/platform_adapter/test_repeated_refusals.py
@@ -115,3 +115,25 @@
     await asyncio.sleep(2 * PAUSE_S)
     assert (await platform.send("/post/2")).status == 200
     assert [each.path for each in target.received] == ["/post/1", "/post/2"]
+
+
+@pytest.mark.parametrize("status", REFUSALS)
+@pytest.mark.parametrize("has_id", [True, False])
+async def test_a_refusal_with_part_of_its_repetition_fails_no_later_request(
+    platform, status, has_id
+):
+    written = []
+
+    async def refuse(server, received, writer):
+        written.append(refusal(status, received.request_id if has_id else None))
+        writer.write(written[0] + written[0][:20])
+
+    async def go_on(server, received, writer):
+        if received.connection == 1:
+            writer.write(written[0][20:])
+        await behave.answer(server, received, writer)
+
+    target = await start(platform, refuse, go_on)
+    assert (await platform.send("/post/1")).status == 503
+    assert (await platform.send("/post/2")).status == 200
+    assert [each.path for each in target.received] == ["/post/1", "/post/2"]
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -400,3 +400,47 @@
         for nonce, seen in whole:
             assert seen.outcome == ANSWERED
             assert f'"nonce": "{nonce}"'.encode() in seen.body
+
+
+PARTS_BEHIND = {
+    "sized": make_answer(b"n-0") + STALE[:9],
+    "line_end": make_answer(b"n-0") + b"\r\n",
+    "empty": make_answer(b"") + STALE[:9],
+    "chunked": CHUNKED + STALE[:9],
+    "chunked_line_end": CHUNKED + b"\r\n",
+}
+
+
+@pytest.mark.parametrize("kind", PARTS_BEHIND)
+async def test_a_connection_with_part_of_an_answer_behind_another_is_not_used_again(
+    kind,
+):
+    def script(index):
+        if index > 0:
+            return echo_steps(9)
+        first = (ReceiveRequest(), Send(PARTS_BEHIND[kind]))
+        return (*first, ReceiveRequest(), Send(STALE), Hold())
+
+    async with (
+        RawTarget(script) as target,
+        LocalProxy([target.port]) as proxy,
+        open_caller() as session,
+    ):
+        await exchange(session, proxy)
+        seen = await exchange(session, proxy, nonce="n-1")
+        assert seen == Whole(200, ANSWERED, b"n-1")
+        assert len(target.connections) == 2
+
+
+@pytest.mark.parametrize("size", [1, 7, len(CHUNKED)])
+async def test_a_connection_is_used_again_behind_a_whole_answer_in_chunks(size):
+    pieces = [CHUNKED[at : at + size] for at in range(0, len(CHUNKED), size)]
+    sends = [each for piece in pieces for each in (Send(piece), Pause(1))]
+    async with (
+        RawTarget((ReceiveRequest(), *sends) * 3) as target,
+        LocalProxy([target.port]) as proxy,
+        open_caller() as session,
+    ):
+        for _ in range(3):
+            assert (await exchange(session, proxy)).body == b"0123456789"
+        assert len(target.connections) == 1
