--- a/properties/faulty_targets.py
+++ b/properties/faulty_targets.py
@@ -311,6 +311,8 @@
         start = 0
         for end in ends:
             if end > start:
+                if self.writer.is_closing():
+                    raise ConnectionResetError
                 self.writer.write(text[start:end])
                 for _ in range(SEGMENT_TURNS):
                     await asyncio.sleep(0)
@@ -353,6 +355,8 @@
 
 def reset_connection(writer):
     """Close with a reset instead of an end."""
+    if writer.is_closing():
+        return
     connection = writer.get_extra_info("socket")
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ON_ZERO)
     writer.transport.abort()
