Play drawn bytes of faulty targets against the native daemon

Its protocol has no ids of requests, so a target's whole answer that crosses the next request cannot be told from that one's. Everything else can: sheds of earlier requests on used connections, parts of heads, resets of answers without a length, and whatever comes while a connection is idle or right behind an answer.

The property holds replies against what targets ran: no answer but the request's own, no "not run" of a request that has run, one run of a request that is not idempotent.

--- a/properties/faulty_targets.py
+++ b/properties/faulty_targets.py
@@ -138,7 +138,79 @@
     pause_ms=st.sampled_from([0, 0, 0, 2]),
     idle_pause_ms=st.sampled_from([0, 1, 4]),
 )
-PLANS = st.one_of(SOUND_PLANS, ODD_PLANS)
+REFUSED_ONCE_MORE_PLANS = st.builds(
+    Plan,
+    before=st.builds(
+        Noise,
+        kind=st.just(NoiseKind.REFUSAL),
+        status=st.sampled_from(REFUSALS),
+        has_id=st.booleans(),
+    ).map(lambda noise: (noise,)),
+    pause_ms=st.sampled_from([0, 2]),
+)
+PLANS = st.one_of(SOUND_PLANS, REFUSED_ONCE_MORE_PLANS, ODD_PLANS)
+
+
+class PlatformWire:
+    """How targets answer on the users' platform."""
+
+    id_field = "Request-Id"
+    has_ids = True
+
+    def refusal(self, status, request_id):
+        """Return the bytes of a refusal."""
+        lines = [f"HTTP/1.1 {status}"]
+        if not status.startswith("421"):
+            lines.append("Not-Executed: 1")
+        if request_id is not None:
+            lines.append(f"Request-Id: {request_id}")
+        lines.append("Content-Length: 0")
+        return "\r\n".join(lines).encode() + HEAD_END
+
+    def answer(
+        self, status, request_id, body, *, framing=Framing.LENGTH, says_close=False
+    ):
+        """Return the bytes of an answer to a request that has run."""
+        lines = ["Server-Signature: s"]
+        if request_id is not None:
+            lines.append(f"Request-Id: {request_id}")
+        return framed(status, lines, body, framing=framing, says_close=says_close)
+
+
+class NativeWire:
+    """How targets answer where there are no ids of requests."""
+
+    id_field = "Dogwoodhook-Nonce"
+    has_ids = False
+
+    def refusal(self, status, request_id):
+        """Return the bytes of a refusal."""
+        word = "draining" if status.startswith("421") else "shed"
+        head = f"HTTP/1.1 503 Busy\r\nDogwoodhook-Target: {word}\r\nContent-Length: 0"
+        return head.encode() + HEAD_END
+
+    def answer(
+        self, status, request_id, body, *, framing=Framing.LENGTH, says_close=False
+    ):
+        """Return the bytes of an answer to a request that has run."""
+        return framed(status, [], body, framing=framing, says_close=says_close)
+
+
+def framed(status, lines, body, *, framing, says_close):
+    """Return the bytes of an answer with these header lines."""
+    lines = [f"HTTP/1.1 {status}", *lines]
+    if says_close:
+        lines.append("Connection: close")
+    match framing:
+        case Framing.LENGTH:
+            lines.append(f"Content-Length: {len(body)}")
+        case Framing.CHUNKS:
+            lines.append("Transfer-Encoding: chunked")
+            middle = len(body) // 2
+            parts = [each for each in (body[:middle], body[middle:]) if each]
+            chunks = [f"{len(each):x}\r\n".encode() + each + b"\r\n" for each in parts]
+            body = b"".join(chunks) + b"0\r\n\r\n"
+    return "\r\n".join(lines).encode() + HEAD_END + body
 
 
 @dataclass(slots=True)
@@ -166,6 +238,8 @@
 
     name: str
     plan_of: object
+    wire: object = None
+    working: int = 0
     runs: list = field(default_factory=list)
     arrivals: list = field(default_factory=list)
     tasks: set = field(default_factory=set)
@@ -194,6 +268,7 @@
 class _Connection:
     def __init__(self, target, reader, writer):
         self.target = target
+        self.wire = target.wire or PlatformWire()
         self.reader = reader
         self.writer = writer
         self.served = []
@@ -202,13 +277,21 @@
     async def serve(self):
         while True:
             method, request_id = await self._receive()
-            plan = self.target.plan_of(request_id)
-            arrival = Arrival(request_id, plan, self.is_clean and plan.is_sound)
-            self.target.arrivals.append(arrival)
-            self.is_clean = arrival.is_clean
-            if not await self._answer(plan, method, request_id):
-                return
-            self.served.append(request_id)
+            self.target.working += 1
+            try:
+                if not await self._serve_one(method, request_id):
+                    return
+            finally:
+                self.target.working -= 1
+
+    async def _serve_one(self, method, request_id):
+        plan = self.target.plan_of(request_id)
+        arrival = Arrival(request_id, plan, self.is_clean and plan.is_sound)
+        self.target.arrivals.append(arrival)
+        self.is_clean = arrival.is_clean
+        is_kept = await self._answer(plan, method, request_id)
+        self.served.append(request_id)
+        return is_kept
 
     async def _receive(self):
         lines = (await self.reader.readuntil(HEAD_END)).decode().split("\r\n")
@@ -219,7 +302,7 @@
         if "chunked" in headers.get("transfer-encoding", ""):
             await self.reader.readuntil(b"0\r\n\r\n")
         await self.reader.readexactly(int(headers.get("content-length", 0)))
-        return lines[0].split(" ")[0], headers.get("request-id", "")
+        return lines[0].split(" ")[0], headers.get(self.wire.id_field.lower(), "")
 
     async def _answer(self, plan, method, request_id):
         """Do as planned; tell whether the connection is kept."""
@@ -265,7 +348,7 @@
         """Return the true answer to a request, and how much of it is its head."""
         if not plan.runs:
             # Without an id, a refusal stands for whatever request is due.
-            text = refusal(plan.refusal, request_id if plan.has_id else None)
+            text = self.wire.refusal(plan.refusal, request_id if plan.has_id else None)
             return text, len(text)
         number = len(self.target.runs)
         body = f"{self.target.name} ran {request_id}, run {number}".encode()
@@ -276,7 +359,7 @@
         status = int(plan.status.split(" ")[0])
         self.target.runs.append(Run(request_id, status, body, self.target.name))
         framing = Framing.LENGTH if method == "HEAD" else plan.framing
-        text = answer(
+        text = self.wire.answer(
             plan.status, request_id, body, framing=framing, says_close=plan.says_close
         )
         return text, text.index(HEAD_END) + len(HEAD_END)
@@ -293,18 +376,35 @@
         has_id = noise.has_id or (is_before and not self.served)
         match noise.kind:
             case NoiseKind.REFUSAL:
-                text = refusal(noise.status, other if has_id else None)
+                text = self.wire.refusal(noise.status, other if has_id else None)
             case NoiseKind.ANSWER:
-                text = answer("200 OK", other if has_id else None, b"of another")
+                text = self.wire.answer(
+                    "200 OK", other if has_id else None, b"of another"
+                )
             case NoiseKind.REPEATED_ANSWER:
                 runs = [each for each in self.target.runs if each.request_id == other]
                 body = runs[-1].body if runs else b""
-                text = answer("200 OK", other, body, framing=Framing.CHUNKS)
+                text = self.wire.answer("200 OK", other, body, framing=Framing.CHUNKS)
             case NoiseKind.INTERIM:
                 text = b"HTTP/1.1 103 Early Hints\r\nLink: x" + HEAD_END
             case NoiseKind.STRAY:
                 text = noise.stray
-        return text if noise.share >= 1 else text[: int(noise.share * len(text))]
+        size = len(text) if noise.share >= 1 else int(noise.share * len(text))
+        if is_before and not self._may_be_told(noise):
+            size = min(size, text.index(HEAD_END))
+        return text[:size]
+
+    def _may_be_told(self, noise):
+        """Tell whether a caller can tell whole noise in front from its answer."""
+        if self.wire.has_ids:
+            return True
+        match noise.kind:
+            case NoiseKind.ANSWER | NoiseKind.REPEATED_ANSWER:
+                return False
+            case NoiseKind.REFUSAL:
+                return bool(self.served)
+            case _:
+                return True
 
     async def _write(self, text, plan):
         ends = sorted({int(each * len(text)) for each in plan.splits} | {len(text)})
@@ -323,36 +423,6 @@
             await self.writer.drain()
 
 
-def refusal(status, request_id):
-    """Return the bytes of a refusal."""
-    head = f"HTTP/1.1 {status}\r\n"
-    if not status.startswith("421"):
-        head += "Not-Executed: 1\r\n"
-    if request_id is not None:
-        head += f"Request-Id: {request_id}\r\n"
-    return head.encode() + b"Content-Length: 0" + HEAD_END
-
-
-def answer(status, request_id, body, *, framing=Framing.LENGTH, says_close=False):
-    """Return the bytes of an answer to a request that has run."""
-    lines = [f"HTTP/1.1 {status}"]
-    if request_id is not None:
-        lines.append(f"Request-Id: {request_id}")
-    lines.append("Server-Signature: s")
-    if says_close:
-        lines.append("Connection: close")
-    match framing:
-        case Framing.LENGTH:
-            lines.append(f"Content-Length: {len(body)}")
-        case Framing.CHUNKS:
-            lines.append("Transfer-Encoding: chunked")
-            middle = len(body) // 2
-            parts = [each for each in (body[:middle], body[middle:], b"") if each]
-            chunks = [f"{len(each):x}\r\n".encode() + each + b"\r\n" for each in parts]
-            body = b"".join(chunks) + b"0\r\n\r\n"
-    return "\r\n".join(lines).encode() + HEAD_END + body
-
-
 def reset_connection(writer):
     """Close with a reset instead of an end."""
     if writer.is_closing():
