--- a/tests/exchanges.py
+++ b/tests/exchanges.py
@@ -1,6 +1,7 @@
 """What a caller sees of one exchange through the proxy."""
 
 import asyncio
+import socket
 from dataclasses import dataclass
 
 import aiohttp
@@ -51,3 +52,13 @@
             if condition():
                 return
             await asyncio.sleep(0.002)
+
+
+def is_open(connection):
+    """Tell whether the other side has not closed a non-blocking socket yet."""
+    try:
+        return connection.recv(1, socket.MSG_PEEK) != b""
+    except BlockingIOError:
+        return True
+    except ConnectionError:
+        return False
--- a/tests/platform_adapter/test_stop_ends.py
+++ b/tests/platform_adapter/test_stop_ends.py
@@ -12,7 +12,7 @@
 from dogwoodhook.state.daemon_stop import ANSWERS_SHARE
 from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES
 from dogwoodhook.vm_settings import Address
-from tests.exchanges import until
+from tests.exchanges import is_open, until
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.conftest import make_route
 from tests.platform_adapter.raw_caller import raw_caller, request_text
@@ -39,16 +39,6 @@
         yield connection
 
 
-def is_open(connection):
-    """Tell whether the daemon has not closed its side yet."""
-    try:
-        return connection.recv(1, socket.MSG_PEEK) != b""
-    except BlockingIOError:
-        return True
-    except ConnectionError:
-        return False
-
-
 async def outcome_of(connection, path):
     """Send a request on an open connection; return its status or how that ended.
 
--- a/tests/test_closing_answers.py
+++ b/tests/test_closing_answers.py
@@ -1,3 +1,5 @@
+"""What callers of a daemon that drains see of answers that close."""
+
 import asyncio
 import socket
 from contextlib import suppress
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -8,21 +8,12 @@
 
 from dogwoodhook.testing.fleet import free_port
 from dogwoodhook.transport.listening import HttpListener
+from tests.exchanges import is_open
 
 HOST = "127.0.0.1"
 REQUEST = b"GET / HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n"
 
 
-def is_open(connection):
-    """Tell whether the listener has not closed the connection yet."""
-    try:
-        return connection.recv(1, socket.MSG_PEEK) != b""
-    except BlockingIOError:
-        return True
-    except ConnectionError:
-        return False
-
-
 async def outcome_of(connection):
     """Return the status of an answer, or how the connection ended."""
     loop = asyncio.get_running_loop()
