Let no two test runs take the same port

test_a_request_behind_a_large_whole_answer_is_answered_after_it failed once with 'address already in use', and so did four long runs of the properties: two runs on one machine were given the same port, which was free until the first of them listened.

The test of stops of processes makes its daemon with the relays that the soak's has now.

--- a/dogwoodhook/testing/fleet.py
+++ b/dogwoodhook/testing/fleet.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 from asyncio.subprocess import Process
+from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -32,6 +33,12 @@
 from dogwoodhook.transport.status import StatusReport
 
 HOST = LOOPBACK
+
+CLAIM_HOST = "127.0.0.2"
+"""Address at which a port is bound for as long as its process may listen on it soon."""
+
+MAX_CLAIMS = 100
+"""Ports that a process claims at a time."""
 FLEET_SECRET = "secret-of-the-local-fleet"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
@@ -45,6 +52,8 @@
 _SINGLE_PORT_COUNT = LAST_SINGLE_PORT - FIRST_SINGLE_PORT + 1
 
 # Programs that run at the same time begin at different ports.
+_CLAIMS: deque[socket.socket] = deque()
+
 _SINGLE_PORTS = (
     FIRST_SINGLE_PORT + (os.getpid() * 97 + offset) % _SINGLE_PORT_COUNT
     for offset in itertools.count()
@@ -288,13 +297,13 @@
 def free_port() -> int:
     """Return a port of the loopback address that is free now.
 
-    No port is returned twice in a row. All lie below those that the system gives
-    to outgoing connections, one of which may otherwise take the port before the
-    listener does.
+    No port is returned twice in a row, nor one that another process was given lately
+    and may not listen on yet. All lie below those that the system gives to outgoing
+    connections, one of which may otherwise take the port before the listener does.
     """
     for _ in range(_SINGLE_PORT_COUNT):
         port = next(_SINGLE_PORTS)
-        if _is_free(port):
+        if _claim(port) and _is_free(port):
             return port
     raise OSError(f"no free port in {FIRST_SINGLE_PORT}..{LAST_SINGLE_PORT}")
 
@@ -310,6 +319,20 @@
     raise OSError(f"no {count} free ports in a row below {LAST_RANGE_PORT}")
 
 
+def _claim(port: int) -> bool:
+    """Keep a port from other processes for a while, unless one has claimed it."""
+    claim = socket.socket()
+    try:
+        claim.bind((CLAIM_HOST, port))
+    except OSError:
+        claim.close()
+        return False
+    if len(_CLAIMS) == MAX_CLAIMS:
+        _CLAIMS.popleft().close()
+    _CLAIMS.append(claim)
+    return True
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
         try:
--- a/tests/platform_adapter/test_stop_processes.py
+++ b/tests/platform_adapter/test_stop_processes.py
@@ -29,6 +29,8 @@
         settings_path=folder / "vm-1.conf",
         log_path=folder / "vm-1.log",
         store=SimpleNamespace(port=platform.store.address.port),
+        door=None,
+        front=None,
     )
     daemon.settings = SimpleNamespace(caller_address=Address(host, daemon.caller_port))
     daemon.write_settings((free_port(), free_port()), grace_s=grace_s)
