One place for the bytes that end messages, and some things said once

The end of a head stood in two modules, and so did keeping the last bytes of what came: transport/framing.py has them. Whether any connection owes an answer is asked by what tells it of one. cut_caller loses a parameter that nobody passed. A request that a stop refuses makes no log fields first. Two behaviours of a test differed in their last line.

No behaviour changes.

--- a/dogwoodhook/transport/bounded_answers.py
+++ b/dogwoodhook/transport/bounded_answers.py
@@ -15,8 +15,7 @@
 from aiohttp.streams import StreamReader
 
 from dogwoodhook.transport.answer_heads import head_problem
-
-HEAD_END = b"\r\n\r\n"
+from dogwoodhook.transport.framing import HEAD_END, LAST_CHUNK, last_bytes
 
 MAX_HEAD_BYTES = 64 * 1024
 """Bytes before a body, interim answers included: four times the usual limit of one
@@ -32,10 +31,6 @@
 
 FIRST_FINAL_STATUS = 200
 
-LAST_CHUNK = b"0\r\n\r\n"
-"""The end of a body in chunks; one that ends otherwise, such as with trailers, costs
-its connection."""
-
 
 class BoundedResponseHandler(ResponseHandler):
     """The client's side of a connection; counts the bytes of the current answer."""
@@ -91,9 +86,7 @@
             self._cut(BYTES_BEHIND)
             return
         self._body_bytes += len(data)
-        self._body_tail = (self._body_tail + data[-len(LAST_CHUNK) :])[
-            -len(LAST_CHUNK) :
-        ]
+        self._body_tail = last_bytes(self._body_tail, data, count=len(LAST_CHUNK))
         content_bytes = self._answer.total_bytes
         super().data_received(data)
         content_bytes = max(content_bytes, self._answer.total_bytes)
@@ -119,6 +112,7 @@
         """Tell whether more has come than the whole answer that has been parsed."""
         assert self._answer is not None
         if self._is_chunked:
+            # A body that ends otherwise, such as with trailers, costs its connection.
             return self._body_tail != LAST_CHUNK
         return self._body_bytes > self._answer.total_bytes
 
--- a/dogwoodhook/transport/bounded_requests.py
+++ b/dogwoodhook/transport/bounded_requests.py
@@ -18,6 +18,7 @@
 
 from dogwoodhook.events import REQUEST_MALFORMED, log
 from dogwoodhook.state.route_policy import CallerLimits
+from dogwoodhook.transport.framing import HEAD_END, LINE_END, last_bytes
 
 MAX_LINE_BYTES = 1024 * 1024
 """Limit of the parser for a line, above that of any configuration's heads."""
@@ -25,9 +26,6 @@
 MAX_LINES = 256 * 1024
 """Limit of the parser for the lines of a head, which has fewer bytes than that."""
 
-LINE_END = b"\r\n"
-HEAD_END = 2 * LINE_END
-
 BAD_REQUEST_STATUS = 400
 HEAD_TOO_LARGE_STATUS = 431
 HEAD_LATE_STATUS = 408
@@ -76,7 +74,7 @@
         """Parse what came, unless a head in it is beyond the limits."""
         if self._is_refusing:
             return
-        self._tail = (self._tail + data[-len(HEAD_END) :])[-len(HEAD_END) :]
+        self._tail = last_bytes(self._tail, data, count=len(HEAD_END))
         last = self._messages[-1] if self._messages else None
         was_in_head = self._last_body.is_eof() and not self._upgraded
         first_new = len(self._messages)
--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -266,11 +266,9 @@
         super().connection_lost(exc)
 
 
-def cut_caller(
-    request: web.BaseRequest, closing: Closing = Closing.BROKEN_ANSWER
-) -> None:
+def cut_caller(request: web.BaseRequest) -> None:
     """Break the caller's connection, so that an unfinished answer shows as such."""
-    note_closing(request, closing)
+    note_closing(request, Closing.BROKEN_ANSWER)
     if request.transport is not None:
         request.transport.abort()
 
@@ -304,11 +302,7 @@
     @property
     def has_unanswered(self) -> bool:
         """Tell whether a request of any connection waits for its whole answer."""
-        return any(
-            connection.has_unanswered
-            for connection in self.connections
-            if isinstance(connection, _PipelinedHandler)
-        )
+        return any(map(self.owes_answer, self.connections))
 
     def owes_answer(self, connection: RequestHandler) -> bool:
         """Tell whether a request of a connection waits for its whole answer."""
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -593,15 +593,15 @@
         log(REQUEST_ANSWERED, **{**fields, "target": target}, status=status)
 
     def _give_up(self, routed: RoutedRequest, detail: str) -> web.Response:
-        now_s = self._clock.now_s()
-        fields = self._log_fields(routed)
         if not routed.has_run and not self._stop_allows(routed):
             return self._own_answers.stopping(routed.request)
+        fields = self._log_fields(routed)
         if not routed.has_run:
             log(REQUEST_REFUSED, **fields, status=UNAVAILABLE_STATUS, detail=detail)
             cause = self._cause(routed)
             return self._own_answers.unavailable(routed.request, detail, cause)
-        status = 504 if now_s + MIN_SENDING_S >= routed.deadline_s else 502
+        left_s = routed.deadline_s - self._clock.now_s()
+        status = 504 if left_s <= MIN_SENDING_S else 502
         log(REQUEST_UNANSWERED, **fields, status=status, detail=detail)
         return self._own_answers.failure(routed.request, status, detail)
 
--- a/tests/platform_adapter/test_caller_limits.py
+++ b/tests/platform_adapter/test_caller_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from dogwoodhook.transport.bounded_requests import LINE_END
+from dogwoodhook.transport.framing import LINE_END
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.conftest import make_configuration
 from tests.platform_adapter.raw_caller import raw_caller, request_text
--- a/tests/platform_adapter/test_confused_heads.py
+++ b/tests/platform_adapter/test_confused_heads.py
@@ -14,24 +14,13 @@
 FINAL = "HTTP/1.1 200 OK\r\n"
 
 
-def part_of_a_head(text):
+def part_of_a_head(text, *, answer=behave.answer):
     """Return a behaviour: part of an earlier head, then a run and its answer."""
 
     async def behave_so(server, received, writer):
         writer.write(text.encode())
         await asyncio.sleep(WORK_S)
-        await behave.answer(server, received, writer)
-
-    return behave_so
-
-
-def part_of_a_head_before_an_error(text):
-    """Return a behaviour: part of an earlier head, then a failed run's answer."""
-
-    async def behave_so(server, received, writer):
-        writer.write(text.encode())
-        await asyncio.sleep(WORK_S)
-        await behave.server_error(server, received, writer)
+        await answer(server, received, writer)
 
     return behave_so
 
@@ -93,7 +82,9 @@
 async def test_a_part_of_a_success_makes_no_success_of_the_failure_behind_it(
     platform, target, path, part
 ):
-    target.behaviours = [part_of_a_head_before_an_error(PARTS_OF_SUCCESSES[part])]
+    target.behaviours = [
+        part_of_a_head(PARTS_OF_SUCCESSES[part], answer=behave.server_error)
+    ]
     reply = await platform.send(path)
     assert reply.status >= 500
 
