Show in the logs which targets ended under a request

The lines of a sending are found by its id, which is new each time, so nothing in the logs connected two sendings of one request, and no line distinguished a target whose process ended from one that reset a connection.

Failed attempts now carry the caller's address and a fingerprint that is the same for each sending. After a connection to a target broke, a new one shows whether its port is closed; if so, 323 target-ended and a counter say so. No decision uses it yet.

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -238,6 +238,13 @@
     "A request with an idempotency key ended, and its outcome could not be stored.",
 )
 
+TARGET_ENDED = _event(
+    323,
+    "target-ended",
+    Level.WARNING,
+    "A request's connection to a target broke and the target's port was closed.",
+)
+
 # 700: quarantine
 REQUEST_QUARANTINED = _event(
     701,
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -51,6 +51,7 @@
 from dogwoodhook.transport.configuration_exchange import ConfigurationExchange
 from dogwoodhook.transport.datagrams import DatagramPeers
 from dogwoodhook.transport.detached_tasks import DetachedTasks
+from dogwoodhook.transport.end_checks import EndChecks
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.gateway_listener import CallerListener, OperatorListener
 from dogwoodhook.transport.route_forwarder import RouteForwarder
@@ -166,6 +167,7 @@
             ),
             budget=self._budget,
             connections=self._connections,
+            end_checks=EndChecks(clock),
             is_ready=self._has_been_ready,
             notify_fleet=self.peers.broadcast,
             notify_neighbours=self.peers.notify_neighbours,
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -27,10 +27,10 @@
 CLOSING_REASONS = 4
 """Reasons for which a caller's connection is closed."""
 
-DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 4 + CLOSING_REASONS
-"""Series of the daemon: two histograms, three gauges and two counters.
+DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 5 + CLOSING_REASONS
+"""Series of the daemon: two histograms, three gauges and three counters.
 
-The second counter has one series for each closing reason.
+One of the counters has one series for each closing reason.
 """
 
 MIN_QUEUEING_MS = 0.5
@@ -69,7 +69,7 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    14969
+    14970
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
@@ -147,6 +147,7 @@
         self._requests: Counter[_RequestSeries] = Counter()
         self._retries: Counter[_RetrySeries] = Counter()
         self._unanswered: Counter[_ClosingSeries] = Counter()
+        self._target_ends = 0
         meter.create_observable_counter(
             "dogwoodhook_requests",
             callbacks=[lambda options: _observations(self._requests)],
@@ -163,6 +164,12 @@
             description="requests whose connection was closed before a whole answer",
         )
 
+        meter.create_observable_counter(
+            "dogwoodhook_target_ends",
+            callbacks=[lambda options: [Observation(self._target_ends)]],
+            description="requests in flight at targets whose processes ended",
+        )
+
     def watch_peer_bytes(self, read_total: Callable[[], int]) -> None:
         """Expose the bytes sent to peers; the total is read at each exposition."""
         self._meter.create_observable_counter(
@@ -205,6 +212,10 @@
         """Record how late the event loop ran a timer."""
         self._loop_delay.record(delay_ms)
 
+    def record_target_end(self) -> None:
+        """Record a request that was in flight at a target when its process ended."""
+        self._target_ends += 1
+
     def record_unanswered(self, closed_by: str) -> None:
         """Record a request whose connection closed before its answer was complete."""
         self._unanswered[_ClosingSeries(closed_by)] += 1
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -78,10 +78,15 @@
 
 @dataclass(frozen=True, slots=True)
 class MayHaveRun:
-    """The request was sent, and no valid answer to it was received."""
+    """The request was sent, and no valid answer to it was received.
+
+    ``has_lost_connection`` is set where the connection broke, as opposed to an answer
+    that was invalid or did not arrive in time.
+    """
 
     detail: str
     symptom: Symptom | None
+    has_lost_connection: bool = False
 
 
 AttemptResult = CompleteAnswer | OpenAnswer | NotRunAtTarget | MayHaveRun
@@ -168,7 +173,8 @@
                 opened.status, opened.reason, opened.headers, bytes(body)
             )
     except (aiohttp.ClientError, OSError) as error:
-        result = MayHaveRun(f"the answer broke off: {error!r}", Symptom.RESET)
+        detail = f"the answer broke off: {error!r}"
+        result = MayHaveRun(detail, Symptom.RESET, has_lost_connection=True)
     finally:
         if not isinstance(result, OpenAnswer):
             opened.response.close()
@@ -237,9 +243,19 @@
     has_answered = isinstance(
         error, (aiohttp.ClientPayloadError, aiohttp.ClientResponseError)
     )
+    return MayHaveRun(
+        detail,
+        _symptom_of_loss(trace, error, has_answered=has_answered),
+        has_lost_connection=True,
+    )
+
+
+def _symptom_of_loss(
+    trace: AttemptTrace, error: Exception, *, has_answered: bool
+) -> Symptom | None:
     if has_answered or not trace.is_reused:
-        return MayHaveRun(detail, Symptom.RESET)
+        return Symptom.RESET
     if isinstance(error, aiohttp.ServerDisconnectedError):
         # The target may have closed the idle connection before it got the request.
-        return MayHaveRun(detail, None)
-    return MayHaveRun(detail, Symptom.IDLE_RESET)
+        return None
+    return Symptom.IDLE_RESET
--- a/dogwoodhook/transport/bodies.py
+++ b/dogwoodhook/transport/bodies.py
@@ -19,10 +19,13 @@
     ``prelude`` is the part that was read before a target was chosen. If the prelude
     ``is_complete``, it is the complete body, and the request can be sent more than
     once. Otherwise it can be sent only while ``has_been_sent`` is false.
+    ``identifying_bytes`` are the same for each sending of the same body, however it
+    arrives: the complete body, or its first bytes and its declared length.
     """
 
     prelude: bytes
     is_complete: bool
+    identifying_bytes: bytes
     _request: web.BaseRequest = field(repr=False)
     has_been_sent: bool = False
 
@@ -48,17 +51,20 @@
 async def read_prelude(request: web.BaseRequest, *, buffer_bytes: int) -> RequestBody:
     """Read a body up to the size of the replay buffer; the rest is streamed later."""
     if not request.body_exists:
-        return RequestBody(b"", is_complete=True, _request=request)
+        return RequestBody(b"", True, b"", _request=request)
     await _send_continue_if_expected(request)
     parts: list[bytes] = []
     size = 0
     while size <= buffer_bytes:
         chunk = await request.content.read(CHUNK_BYTES)
         if not chunk:
-            return RequestBody(b"".join(parts), is_complete=True, _request=request)
+            body = b"".join(parts)
+            return RequestBody(body, True, body, _request=request)
         parts.append(chunk)
         size += len(chunk)
-    return RequestBody(b"".join(parts), is_complete=False, _request=request)
+    prelude = b"".join(parts)
+    length = f"{request.content_length}".encode()
+    return RequestBody(prelude, False, prelude[:buffer_bytes] + length, request)
 
 
 async def _send_continue_if_expected(request: web.BaseRequest) -> None:
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -20,6 +20,7 @@
     REQUEST_CUT,
     REQUEST_REFUSED,
     REQUEST_UNANSWERED,
+    TARGET_ENDED,
     log,
 )
 from dogwoodhook.metrics import Metrics
@@ -53,6 +54,7 @@
     head_bytes,
 )
 from dogwoodhook.transport.detached_tasks import DetachedTasks
+from dogwoodhook.transport.end_checks import PortState
 from dogwoodhook.transport.fleet_reports import FleetReports
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.own_answers import UNAVAILABLE_STATUS, OwnAnswers
@@ -269,6 +271,7 @@
             body=body,
             arrived_s=arrived_s,
             deadline_s=deadline_s,
+            caller=request.remote or "",
         )
 
     async def _run(self, routed: RoutedRequest) -> web.StreamResponse:
@@ -540,8 +543,29 @@
             is_late = latency_s >= overdue_s
             if result.status < SERVER_ERROR_STATUS and not is_late:
                 self._reports.report_success(target.name, sent_s=now_s)
+        if isinstance(result, MayHaveRun) and result.has_lost_connection:
+            await self._check_end(routed, target, sent_s=now_s)
         return result
 
+    async def _check_end(
+        self, routed: RoutedRequest, target: TargetEntry, *, sent_s: float
+    ) -> None:
+        """Check whether a target ended that broke a request's connection."""
+        port = await self._fleet.end_checks.check(target)
+        if port is not PortState.CLOSED:
+            return
+        self._metrics.record_target_end()
+        log(
+            TARGET_ENDED,
+            request=routed.request_id,
+            fingerprint=routed.fingerprint,
+            caller=routed.caller,
+            service=routed.service,
+            target=target.name,
+            incarnation=target.incarnation,
+            after_ms=round((self._clock.now_s() - sent_s) * 1000),
+        )
+
     def _report_overdue(self, routed: RoutedRequest, target: TargetEntry) -> None:
         self._reports.report_failure(routed, target.name, Symptom.OVERDUE)
 
@@ -555,8 +579,13 @@
         """Log a failed attempt, and report its symptom to the fleet."""
         if symptom is not None:
             self._reports.report_failure(routed, target.name, symptom)
-        fields = self._log_fields(routed)
-        log(ATTEMPT_FAILED, **{**fields, "target": target.name}, detail=detail)
+        fields = {
+            **self._log_fields(routed),
+            "target": target.name,
+            "caller": routed.caller,
+            "fingerprint": routed.fingerprint,
+        }
+        log(ATTEMPT_FAILED, **fields, detail=detail)
 
     def _may_send_again(self, routed: RoutedRequest) -> bool:
         """Return whether a request without an answer may go to another target."""
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from dogwoodhook.state.quarantine import body_digest, fingerprint
 from dogwoodhook.state.route_policy import RoutePolicy
 from dogwoodhook.state.suspicion import Standing
 from dogwoodhook.transport.attempts import CompleteAnswer
@@ -15,7 +16,8 @@
 class RoutedRequest:
     """A request that is being forwarded, and the results of its attempts.
 
-    ``deadline_s`` is on the elapsed clock. ``runs`` counts the attempts that may have
+    ``deadline_s`` is on the elapsed clock. ``caller`` is the address that the caller's
+    connection comes from. ``runs`` counts the attempts that may have
     run, ``refusals`` those that did not run, and ``unreachable`` those among the
     latter that got no connection in time. ``arrivals`` counts the attempts that
     reached a target. ``has_answer_started`` is set once the start of a target's answer
@@ -32,6 +34,7 @@
     body: RequestBody
     arrived_s: float
     deadline_s: float
+    caller: str = ""
     runs: int = 0
     refusals: int = 0
     unreachable: int = 0
@@ -48,12 +51,26 @@
     directory_version: int = 0
     directory_age_s: float = 0.0
     last_standing: Standing = Standing.SOUND
+    _fingerprint: str = ""
 
     @property
     def may_have_run(self) -> bool:
         """Return whether the request may have run."""
         return self.runs > 0 or self.has_answer_started
 
+    @property
+    def fingerprint(self) -> str:
+        """Return an identifier that is the same for each sending of the request."""
+        if not self._fingerprint:
+            self._fingerprint = fingerprint(
+                service=self.service,
+                workspace=self.caller,
+                method=self.request.method,
+                path=self.request.path_qs,
+                digest=body_digest(self.body.identifying_bytes),
+            )
+        return self._fingerprint
+
     @property
     def has_caller_left(self) -> bool:
         """Return whether the caller has closed its connection."""
