--- a/tests/platform_adapter/conftest.py
+++ b/tests/platform_adapter/conftest.py
@@ -71,14 +71,12 @@
     def __init__(self, store: StoreServer, stack: AsyncExitStack) -> None:
         self.store = store
         self.gateways = []
-        self._stack = stack
+        self.stack = stack
         self._session = None
         self._requests = 0
 
     async def start_target(self, name, *behaviours, **entry):
-        target = await self._stack.enter_async_context(
-            running_target(name, *behaviours)
-        )
+        target = await self.stack.enter_async_context(running_target(name, *behaviours))
         await self.store.put("servers", name, target.entry(**entry))
         return target
 
@@ -87,13 +85,11 @@
 
     async def open_relay(self):
         """Open a relay to the store, and return it."""
-        return await self._stack.enter_async_context(
-            Relay(port=self.store.address.port)
-        )
+        return await self.stack.enter_async_context(Relay(port=self.store.address.port))
 
     async def open_store_endpoint(self):
         """Open another endpoint of the store, with separate faults, and return it."""
-        return await self._stack.enter_async_context(running_store_endpoint(self.store))
+        return await self.stack.enter_async_context(running_store_endpoint(self.store))
 
     async def start_gateway(
         self, name="vm-1", *, is_ready=True, store_address=None, clock=None, **bounds
@@ -117,8 +113,8 @@
             clock or SystemClock(),
         )
         await gateway.start()
-        self._stack.push_async_callback(store.close)
-        self._stack.push_async_callback(gateway.close)
+        self.stack.push_async_callback(store.close)
+        self.stack.push_async_callback(gateway.close)
         gateway.url = f"http://{address}"
         gateway.settings = settings
         self.gateways.append(gateway)
@@ -130,7 +126,7 @@
         """Send one request on a kept-alive connection, and return the reply."""
         if self._session is None:
             self._session = aiohttp.ClientSession(auto_decompress=False)
-            self._stack.push_async_callback(self._session.close)
+            self.stack.push_async_callback(self._session.close)
         self._requests += 1
         gateway = gateway or self.gateways[0]
         method = method or ("GET" if path.startswith("/read") else "POST")
