Refuse requests under which targets end, across sendings and daemons

Callers saw neighbours of one request get 502 and 503: each sending of it ended up to three targets, at any daemon, without limit.

Cause: on the users' platform nothing counted ends against a request. Each sending began without history, and within one a broken connection allowed a retry at once, up to the route's attempts.

state/quarantine.py decides for both daemons, by a policy each. A target whose port is closed after a connection broke has ended; all daemons count ends by caller, path and body, and without the caller if it changes. Any answer clears the request. After the third end it is refused; a trial after 1.5 s tells a sound request from a harmful one. Reports hold all that a daemon knows, so each makes up for lost ones, and a daemon that starts learns them from the others. An ended target is avoided for a second only.

--- a/dogwoodhook/coordination/fleet_links.py
+++ b/dogwoodhook/coordination/fleet_links.py
@@ -20,6 +20,10 @@
         """Send a message to the neighbours."""
         ...
 
+    def notify_some(self, message: FleetMessage, count: int) -> None:
+        """Send a message to ``count`` daemons chosen at random, of any data centre."""
+        ...
+
     def broadcast(self, message: BroadcastMessage) -> None:
         """Send a message to the daemons of all data centres."""
         ...
--- a/dogwoodhook/coordination/fleet_messages.py
+++ b/dogwoodhook/coordination/fleet_messages.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Literal
 
+from dogwoodhook.state.quarantine import SuspectState
 from dogwoodhook.state.suspicion import Symptom
 from dogwoodhook.state.target_directory import TargetChange
 
@@ -97,7 +98,16 @@
     kind: Literal["load"] = "load"
 
 
-BroadcastMessage = TargetFailure | TargetSuccess | ConfigurationNotice
+@dataclass(frozen=True, slots=True)
+class SuspectStates:
+    """What a daemon knows of some requests under which targets ended."""
+
+    daemon: str
+    states: tuple[SuspectState, ...]
+    kind: Literal["suspects"] = "suspects"
+
+
+BroadcastMessage = TargetFailure | TargetSuccess | ConfigurationNotice | SuspectStates
 """Messages that are sent to the daemons of all data centres."""
 
 
@@ -123,5 +133,6 @@
     | StoreUpdate
     | ConfigurationNotice
     | LoadReport
+    | SuspectStates
     | Relayed
 )
--- /dev/null
+++ b/dogwoodhook/coordination/fleet_quarantine.py
@@ -0,0 +1,212 @@
+"""Quarantine of requests across a fleet whose daemons exchange datagrams.
+
+A crash, a success of a suspect, a decision and the run of a suspect are sent to all
+daemons at once, and those that matter several times, since datagrams are lost. Daemons
+restart, too, so every second each daemon also sends a few of the states that it knows
+to a few others, as long as there are any.
+
+A request has two fingerprints, with its caller and without. The first distinguishes it
+from the same request of another caller, the second recognises it if its caller's
+address changes.
+"""
+
+import asyncio
+import random
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from dogwoodhook.clock import Clock
+from dogwoodhook.coordination.fleet_links import FleetLinks
+from dogwoodhook.coordination.fleet_messages import SuspectStates
+from dogwoodhook.events import REQUEST_CLEARED, REQUEST_QUARANTINED, log
+from dogwoodhook.state.quarantine import (
+    Admission,
+    Admit,
+    Quarantine,
+    Refuse,
+    RunAlone,
+)
+
+EXCHANGE_INTERVAL_S = 1.0
+"""Interval at which a daemon sends some of the states that it knows."""
+
+REPEAT_INTERVAL_S = 0.1
+"""Interval at which a state that matters is sent again."""
+
+REPEATS = 3
+"""Number of times that it is sent again."""
+
+EXCHANGE_PEERS = 2
+"""Daemons to which they are sent: everyone knows after some seconds."""
+
+EXCHANGED_STATES = 3
+"""States sent at a time, so that a datagram fits into one packet."""
+
+RECENT_S = 10.0
+"""Time for which a first crash and a success are sent again."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestIdentity:
+    """The fingerprints of a request: with its caller, and that of any caller."""
+
+    fingerprint: str
+    any_caller_fingerprint: str
+
+    def __iter__(self) -> Iterator[str]:
+        return iter((self.fingerprint, self.any_caller_fingerprint))
+
+    def log_fields(self) -> dict[str, str]:
+        """Return the fingerprints as log fields."""
+        return {
+            "fingerprint": self.fingerprint,
+            "of_any_caller": self.any_caller_fingerprint,
+        }
+
+
+class FleetQuarantine:
+    """Shares one daemon's quarantine with the other daemons."""
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        links: FleetLinks,
+        clock: Clock,
+        *,
+        daemon: str,
+        rng: random.Random,
+    ) -> None:
+        self._quarantine = quarantine
+        self._links = links
+        self._clock = clock
+        self._daemon = daemon
+        self._rng = rng
+        self._repeats: dict[str, int] = {}
+        self._has_repeats = asyncio.Event()
+
+    def __len__(self) -> int:
+        """Return the number of fingerprints that are suspected or in quarantine."""
+        return len(self._quarantine)
+
+    def check(self, identity: RequestIdentity) -> Admission:
+        """Decide how a request may run; called before each attempt."""
+        now_s = self._clock.now_s()
+        admissions = [self._quarantine.check(each, now_s) for each in identity]
+        self._share_decisions()
+        refusals = [each.until_s for each in admissions if isinstance(each, Refuse)]
+        if refusals:
+            return Refuse(max(refusals))
+        alone = [each.avoid for each in admissions if isinstance(each, RunAlone)]
+        return RunAlone(frozenset().union(*alone)) if alone else Admit()
+
+    def begin_alone(self, identity: RequestIdentity, target: str) -> None:
+        """Record that a suspect is sent to a target; other daemons do not run it."""
+        for fingerprint in identity:
+            self._quarantine.begin_alone(fingerprint, target)
+        self._share(identity)
+
+    def end_alone(self, identity: RequestIdentity) -> None:
+        """Record that the suspect's run ended, whatever its outcome."""
+        for fingerprint in identity:
+            self._quarantine.end_alone(fingerprint)
+
+    def record_crash(
+        self, service: str, identity: RequestIdentity, target: str
+    ) -> None:
+        """Record that a target ended with the request in flight."""
+        now_s = self._clock.now_s()
+        own, of_any_caller = identity
+        self._quarantine.record_crash(service, own, target, now_s, daemon=self._daemon)
+        self._quarantine.record_crash(
+            service, of_any_caller, target, now_s, daemon=self._daemon, caller=own
+        )
+        self._share(identity)
+        self._share_decisions()
+
+    def record_success(self, identity: RequestIdentity) -> None:
+        """Clear a suspect that a target answered."""
+        now_s = self._clock.now_s()
+        cleared = [
+            each for each in identity if self._quarantine.record_success(each, now_s)
+        ]
+        for fingerprint in cleared:
+            log(REQUEST_CLEARED, fingerprint=fingerprint)
+        if cleared:
+            self._share(cleared)
+
+    def receive(self, message: SuspectStates) -> None:
+        """Add what another daemon knows."""
+        self._quarantine.merge(message.states, self._clock.now_s())
+
+    async def run(self) -> None:
+        """Send states again, and some of them to some daemons, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._repeat_forever())
+            group.create_task(self._exchange_forever())
+
+    async def _exchange_forever(self) -> None:
+        while True:
+            await asyncio.sleep(EXCHANGE_INTERVAL_S)
+            self.exchange()
+
+    async def _repeat_forever(self) -> None:
+        while True:
+            await self._has_repeats.wait()
+            await asyncio.sleep(REPEAT_INTERVAL_S)
+            self.repeat()
+
+    def repeat(self) -> None:
+        """Send the states again that changed a short time ago."""
+        due = list(self._repeats)
+        for start in range(0, len(due), EXCHANGED_STATES):
+            chosen = due[start : start + EXCHANGED_STATES]
+            self._links.broadcast(self._message(chosen))
+        self._repeats = {
+            fingerprint: left - 1
+            for fingerprint, left in self._repeats.items()
+            if left > 1
+        }
+        if not self._repeats:
+            self._has_repeats.clear()
+
+    def exchange(self) -> None:
+        """Decide on suspects, and send some of the known states to some daemons."""
+        self._share_decisions()
+        now_s = self._clock.now_s()
+        changed = self._quarantine.changed_fingerprints(now_s, within_s=RECENT_S)
+        if not changed:
+            return
+        chosen = self._rng.sample(changed, min(EXCHANGED_STATES, len(changed)))
+        self._links.notify_some(self._message(chosen), EXCHANGE_PEERS)
+
+    def _share_decisions(self) -> None:
+        now_s = self._clock.now_s()
+        decided = self._quarantine.take_unpublished(now_s)
+        for each in decided:
+            log(
+                REQUEST_QUARANTINED,
+                service=each.service,
+                fingerprint=each.fingerprint,
+                targets=",".join(crash.target for crash in each.evidence),
+                daemons=",".join(sorted({crash.daemon for crash in each.evidence})),
+                quarantines=each.crashes,
+                for_s=round(each.until_s - now_s, 1),
+            )
+        if decided:
+            self._share(each.fingerprint for each in decided)
+
+    def _share(self, fingerprints: Iterable[str]) -> None:
+        """Send states to all daemons, and again later if they can refuse a request."""
+        shared = tuple(fingerprints)
+        self._links.broadcast(self._message(shared))
+        for fingerprint in shared:
+            if self._quarantine.is_critical(fingerprint):
+                self._repeats[fingerprint] = REPEATS
+                self._has_repeats.set()
+
+    def _message(self, fingerprints: Iterable[str]) -> SuspectStates:
+        now_s = self._clock.now_s()
+        states = (self._quarantine.state(each, now_s) for each in fingerprints)
+        return SuspectStates(
+            self._daemon, tuple(each for each in states if each is not None)
+        )
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -250,7 +250,14 @@
     701,
     "request-quarantined",
     Level.WARNING,
-    "A request crashed targets and is refused for a limited time.",
+    "A request crashed targets and is refused for a limited time. On the users'"
+    " platform `targets` are those that ended, and `daemons` those that saw it.",
+)
+REQUEST_CLEARED = _event(
+    702,
+    "request-cleared",
+    Level.INFO,
+    "A request under which targets had ended was answered, and is no longer suspected.",
 )
 
 # 800: peers
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -18,9 +18,11 @@
     FleetMessage,
     LoadReport,
     StoreUpdate,
+    SuspectStates,
     TargetFailure,
     TargetSuccess,
 )
+from dogwoodhook.coordination.fleet_quarantine import FleetQuarantine
 from dogwoodhook.coordination.load_sharing import LoadSharing
 from dogwoodhook.coordination.store import Store
 from dogwoodhook.coordination.store_reading import RowDecoder
@@ -45,6 +47,7 @@
 from dogwoodhook.state.fleet_budget import FleetBudget
 from dogwoodhook.state.fleet_load import FleetLoad
 from dogwoodhook.state.placement import Placement
+from dogwoodhook.state.quarantine import ENDED_PROCESSES_POLICY, Quarantine
 from dogwoodhook.state.route_policy import CallerLimits
 from dogwoodhook.state.suspicion import FailureReport, Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
@@ -142,6 +145,13 @@
             daemon=settings.vm_name,
             bound_s=settings.bounds.drain_s,
         )
+        self._quarantine = FleetQuarantine(
+            Quarantine(policy=ENDED_PROCESSES_POLICY),
+            self.peers,
+            clock,
+            daemon=settings.vm_name,
+            rng=rng,
+        )
         bounds = settings.bounds
         self._budget = FleetBudget(
             ratio=bounds.retry_ratio,
@@ -168,6 +178,7 @@
             budget=self._budget,
             connections=self._connections,
             end_checks=EndChecks(clock),
+            quarantine=self._quarantine,
             is_ready=self._has_been_ready,
             notify_fleet=self.peers.broadcast,
             notify_neighbours=self.peers.notify_neighbours,
@@ -260,6 +271,7 @@
         self._spawn(self._targets.run)
         self._spawn(self._configuration.run)
         self._spawn(self._joining.run)
+        self._spawn(self._quarantine.run)
         self._spawn(self._keep_ready)
         self._spawn(self._watch_settings)
         self._spawn(self._watch_event_loop)
@@ -366,6 +378,8 @@
                 self._targets.receive(message)
             case ConfigurationNotice():
                 self._configuration.receive(message)
+            case SuspectStates():
+                self._quarantine.receive(message)
             case _:
                 return
 
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -27,8 +27,8 @@
 CLOSING_REASONS = 4
 """Reasons for which a caller's connection is closed."""
 
-DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 5 + CLOSING_REASONS
-"""Series of the daemon: two histograms, three gauges and three counters.
+DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 6 + CLOSING_REASONS
+"""Series of the daemon: two histograms, three gauges and four counters.
 
 One of the counters has one series for each closing reason.
 """
@@ -69,7 +69,7 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    14970
+    14971
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
@@ -148,6 +148,7 @@
         self._retries: Counter[_RetrySeries] = Counter()
         self._unanswered: Counter[_ClosingSeries] = Counter()
         self._target_ends = 0
+        self._quarantine_refusals = 0
         meter.create_observable_counter(
             "dogwoodhook_requests",
             callbacks=[lambda options: _observations(self._requests)],
@@ -169,6 +170,11 @@
             callbacks=[lambda options: [Observation(self._target_ends)]],
             description="requests in flight at targets whose processes ended",
         )
+        meter.create_observable_counter(
+            "dogwoodhook_quarantine_refusals",
+            callbacks=[lambda options: [Observation(self._quarantine_refusals)]],
+            description="requests refused because targets ended under them before",
+        )
 
     def watch_peer_bytes(self, read_total: Callable[[], int]) -> None:
         """Expose the bytes sent to peers; the total is read at each exposition."""
@@ -216,6 +222,10 @@
         """Record a request that was in flight at a target when its process ended."""
         self._target_ends += 1
 
+    def record_quarantine_refusal(self) -> None:
+        """Record a request that was refused because of its quarantine."""
+        self._quarantine_refusals += 1
+
     def record_unanswered(self, closed_by: str) -> None:
         """Record a request whose connection closed before its answer was complete."""
         self._unanswered[_ClosingSeries(closed_by)] += 1
--- a/dogwoodhook/state/quarantine.py
+++ b/dogwoodhook/state/quarantine.py
@@ -9,10 +9,15 @@
 with it. A success clears a request. When several fingerprints have equally many
 crashes, or very many have any, a third crash decides. When very many have three,
 the cause is the network or the service, and no request is put in quarantine.
+
+Daemons exchange what they know as ``SuspectState``. A state holds everything known of a
+fingerprint, with ages in place of times, so states may be lost, or arrive twice or out
+of order: ``Quarantine.merge`` adds only what is new.
 """
 
 import hashlib
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 CRASHES_UNTIL_QUARANTINE = 2
@@ -46,7 +51,63 @@
 RUNNING_RETRY_S = 1.0
 """Retry delay sent to a caller whose suspect request is running already."""
 
+MAX_CRASHES_KEPT = 6
+"""Crashes kept of each fingerprint, the latest ones."""
+
+MAX_CALLERS_KEPT = 4
+"""Callers kept of each fingerprint."""
+
+MIN_CALLERS = 2
+"""Callers under which targets crashed before a request of any caller is a suspect."""
+
 _DIGEST_BYTES = 16
+_NEVER_S = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantinePolicy:
+    """How much evidence it takes to refuse a request, and for how long.
+
+    ``crashes_until_alone`` is the number of crashes from which a suspect runs alone.
+    A further crash of the same target counts after ``repeated_crash_s``.
+    ``durations_s`` are those of the first and of later quarantines of a request; the
+    last one also holds for all that follow.
+    """
+
+    crashes_until_alone: int
+    crashes_until_quarantine: int
+    crashes_when_ambiguous: int
+    max_candidates: int
+    durations_s: tuple[float, ...]
+    repeated_crash_s: float = float("inf")
+
+    def duration_s(self, earlier: int) -> float:
+        """Return the duration of a quarantine after ``earlier`` others."""
+        return self.durations_s[min(earlier, len(self.durations_s) - 1)]
+
+
+LOST_CONNECTIONS_POLICY = QuarantinePolicy(
+    crashes_until_alone=1,
+    crashes_until_quarantine=CRASHES_UNTIL_QUARANTINE,
+    crashes_when_ambiguous=CRASHES_WHEN_AMBIGUOUS,
+    max_candidates=MAX_CANDIDATES,
+    durations_s=tuple(
+        min(QUARANTINE_S * 2**earlier, MAX_QUARANTINE_S) for earlier in range(8)
+    ),
+)
+"""Every lost connection counts as a crash, so a network fault looks like many."""
+
+ENDED_PROCESSES_POLICY = QuarantinePolicy(
+    crashes_until_alone=2,
+    crashes_until_quarantine=3,
+    crashes_when_ambiguous=3,
+    max_candidates=64,
+    durations_s=(1.0, 60.0, 900.0, MAX_QUARANTINE_S),
+    repeated_crash_s=1.0,
+)
+"""Only a target whose port is closed counts as crashed. Three targets may end by
+themselves under a sound request, so the first quarantine is short: the run after it
+succeeds, or ends the last target for a long time."""
 
 
 def body_digest(body: bytes) -> bytes:
@@ -103,23 +164,71 @@
 
 @dataclass(frozen=True, slots=True)
 class Quarantined:
-    """A fingerprint in quarantine until a moment of the elapsed clock."""
+    """A fingerprint in quarantine until a moment of the elapsed clock.
+
+    ``evidence`` holds the crashes that led to it, where this daemon decided it.
+    """
 
     service: str
     fingerprint: str
     until_s: float
     crashes: int
+    evidence: tuple["Crash", ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """A target that crashed with the request in flight, as a daemon saw it."""
+
+    target: str
+    daemon: str
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectState:
+    """What a daemon knows of a fingerprint; ages and times left are as of its sending.
+
+    ``is_of_any_caller`` tells that the fingerprint leaves the caller out; ``callers``
+    are then those under which targets crashed. ``quarantines`` counts the quarantines
+    so far, the last of which was decided ``decided_age_s`` ago. ``held_for_s`` is the
+    time for which only the sender runs the request. ``cleared_age_s`` is the time since
+    the request succeeded.
+    """
+
+    service: str
+    fingerprint: str
+    crashes: tuple[Crash, ...] = ()
+    is_of_any_caller: bool = False
+    callers: tuple[str, ...] = ()
+    quarantines: int = 0
+    decided_age_s: float = 0.0
+    refused_for_s: float = 0.0
+    held_for_s: float = 0.0
+    cleared_age_s: float | None = None
 
 
 @dataclass(slots=True)
 class _Suspect:
     service: str
-    targets: set[str] = field(default_factory=set)
+    is_of_any_caller: bool = False
+    crashed: dict[str, tuple[float, str]] = field(default_factory=dict)
+    callers: set[str] = field(default_factory=set)
     crashed_at_s: float = 0.0
+    decided_s: float = _NEVER_S
     quarantined_until_s: float = 0.0
+    held_until_s: float = 0.0
     crashes: int = 0
     was_quarantined: bool = False
 
+    @property
+    def targets(self) -> frozenset[str]:
+        return frozenset(self.crashed)
+
+    @property
+    def is_eligible(self) -> bool:
+        return not self.is_of_any_caller or len(self.callers) >= MIN_CALLERS
+
 
 class Quarantine:
     """The suspects and quarantined fingerprints that one daemon knows.
@@ -135,21 +244,48 @@
     Refuse(until_s=30.7)
     """
 
-    def __init__(self, *, max_fingerprints: int = MAX_FINGERPRINTS) -> None:
+    def __init__(
+        self,
+        *,
+        policy: QuarantinePolicy = LOST_CONNECTIONS_POLICY,
+        max_fingerprints: int = MAX_FINGERPRINTS,
+    ) -> None:
+        self._policy = policy
         self._max_fingerprints = max_fingerprints
         self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
+        # The time of the last success of fingerprints that are no longer suspects.
+        self._cleared_s: OrderedDict[str, float] = OrderedDict()
         self._running: dict[str, str] = {}
+        # The fingerprints among them whose quarantine had ended before.
+        self._trials: set[str] = set()
         self._unpublished: list[Quarantined] = []
 
+    def __len__(self) -> int:
+        """Return the number of suspects and quarantined fingerprints."""
+        return len(self._suspects)
+
     def record_crash(
-        self, service: str, fingerprint: str, target: str, now_s: float
+        self,
+        service: str,
+        fingerprint: str,
+        target: str,
+        now_s: float,
+        *,
+        daemon: str = "",
+        caller: str | None = None,
     ) -> None:
-        """Record that a target crashed with the request in flight."""
+        """Record that a target crashed with the request in flight.
+
+        ``daemon`` saw the crash. ``caller`` is given for a fingerprint that leaves the
+        caller out.
+        """
         suspect = self._get_or_add_suspect(service, fingerprint, now_s)
-        if suspect.quarantined_until_s > now_s:
+        if suspect.quarantined_until_s > now_s and fingerprint not in self._trials:
             return
-        suspect.targets.add(target)
-        suspect.crashed_at_s = now_s
+        if caller is not None:
+            suspect.is_of_any_caller = True
+            suspect.callers.add(caller)
+        self._add_crash(suspect, self._name(suspect, target, now_s), now_s, daemon)
         if suspect.was_quarantined:
             self._quarantine(fingerprint, suspect, now_s)
 
@@ -162,12 +298,13 @@
             return
         self.record_crash(service, fingerprint, target, now_s)
 
-    def record_success(self, fingerprint: str, now_s: float) -> None:
-        """Clear a suspect that a target answered."""
+    def record_success(self, fingerprint: str, now_s: float) -> bool:
+        """Clear a suspect that a target answered; return whether it was one."""
         suspect = self._suspects.get(fingerprint)
         if suspect is None or suspect.quarantined_until_s > now_s:
-            return
-        del self._suspects[fingerprint]
+            return False
+        self._clear(fingerprint, now_s)
+        return True
 
     def adopt(self, quarantined: Quarantined, now_s: float) -> None:
         """Adopt a quarantine from a peer or the table; the longer one is kept."""
@@ -191,26 +328,38 @@
             return Admit()
         if suspect.quarantined_until_s > now_s:
             return Refuse(suspect.quarantined_until_s)
-        is_explained = not suspect.targets and not suspect.was_quarantined
+        if suspect.held_until_s > now_s:
+            return Refuse(suspect.held_until_s)
+        is_explained = not suspect.crashed and not suspect.was_quarantined
         if is_explained or self._is_expired(suspect, now_s):
             del self._suspects[fingerprint]
             return Admit()
         if self._is_decision_needed(suspect) and now_s < _decision_at_s(suspect):
             return Refuse(_decision_at_s(suspect))
         if self._is_confirmed_cause(suspect, now_s):
-            self._quarantine(fingerprint, suspect, now_s)
-            return Refuse(suspect.quarantined_until_s)
+            self._quarantine(fingerprint, suspect, _decision_at_s(suspect))
+            if suspect.quarantined_until_s > now_s:
+                return Refuse(suspect.quarantined_until_s)
+        crashes = len(suspect.crashed)
+        if not suspect.was_quarantined and (
+            crashes < self._policy.crashes_until_alone or not suspect.is_eligible
+        ):
+            return Admit()
         if fingerprint in self._running:
             return Refuse(now_s + RUNNING_RETRY_S)
-        return RunAlone(frozenset(suspect.targets) | frozenset(self._running.values()))
+        return RunAlone(suspect.targets | frozenset(self._running.values()))
 
     def begin_alone(self, fingerprint: str, target: str) -> None:
         """Record that a suspect is sent to a target."""
         self._running[fingerprint] = target
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and suspect.was_quarantined:
+            self._trials.add(fingerprint)
 
     def end_alone(self, fingerprint: str) -> None:
         """Record that the suspect's run ended, whatever its outcome."""
         self._running.pop(fingerprint, None)
+        self._trials.discard(fingerprint)
 
     def take_unpublished(self, now_s: float) -> tuple[Quarantined, ...]:
         """Decide on suspects; return the quarantines decided since the last call."""
@@ -221,6 +370,135 @@
         self._unpublished.clear()
         return taken
 
+    def state(self, fingerprint: str, now_s: float) -> SuspectState | None:
+        """Return what is known of a fingerprint, for other daemons."""
+        suspect = self._suspects.get(fingerprint)
+        cleared_s = self._cleared_s.get(fingerprint)
+        if suspect is None:
+            if cleared_s is None:
+                return None
+            return SuspectState("", fingerprint, cleared_age_s=now_s - cleared_s)
+        return SuspectState(
+            service=suspect.service,
+            fingerprint=fingerprint,
+            crashes=tuple(
+                Crash(target, daemon, now_s - crashed_s)
+                for target, (crashed_s, daemon) in suspect.crashed.items()
+            ),
+            is_of_any_caller=suspect.is_of_any_caller,
+            callers=tuple(sorted(suspect.callers)),
+            quarantines=suspect.crashes,
+            decided_age_s=now_s - suspect.decided_s if suspect.crashes else 0.0,
+            refused_for_s=max(0.0, suspect.quarantined_until_s - now_s),
+            held_for_s=RUNNING_RETRY_S if fingerprint in self._running else 0.0,
+            cleared_age_s=None if cleared_s is None else now_s - cleared_s,
+        )
+
+    def is_critical(self, fingerprint: str) -> bool:
+        """Return whether a daemon that does not know the state may run the request.
+
+        The state of a single crash may be lost: it admits the request.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return fingerprint in self._cleared_s
+        return (
+            suspect.was_quarantined
+            or len(suspect.crashed) >= self._policy.crashes_until_alone
+        )
+
+    def changed_fingerprints(self, now_s: float, *, within_s: float) -> list[str]:
+        """Return the fingerprints that other daemons need to know.
+
+        These are the ones that are, or may soon be, in quarantine, and all that had a
+        crash or a success within the time.
+        """
+        suspects = [
+            fingerprint
+            for fingerprint, suspect in self._suspects.items()
+            if self.is_critical(fingerprint) or now_s - suspect.crashed_at_s < within_s
+        ]
+        cleared = [
+            fingerprint
+            for fingerprint, cleared_s in self._cleared_s.items()
+            if now_s - cleared_s < within_s and fingerprint not in self._suspects
+        ]
+        return suspects + cleared
+
+    def merge(self, states: Iterable[SuspectState], now_s: float) -> None:
+        """Add what another daemon knows; idempotent, in any order."""
+        for state in states:
+            if state.cleared_age_s is not None:
+                self._clear(state.fingerprint, now_s - state.cleared_age_s)
+            settled_s = self._cleared_s.get(state.fingerprint, _NEVER_S)
+            self._merge_quarantine(state, settled_s, now_s)
+            self._merge_crashes(state, settled_s, now_s)
+
+    def _merge_quarantine(
+        self, state: SuspectState, settled_s: float, now_s: float
+    ) -> None:
+        decided_s = now_s - state.decided_age_s
+        if not state.quarantines or decided_s <= settled_s:
+            return
+        suspect = self._get_or_add_suspect(state.service, state.fingerprint, now_s)
+        suspect.is_of_any_caller |= state.is_of_any_caller
+        suspect.crashes = max(suspect.crashes, state.quarantines)
+        suspect.was_quarantined = True
+        suspect.decided_s = max(suspect.decided_s, decided_s)
+        suspect.crashed_at_s = max(suspect.crashed_at_s, decided_s)
+        suspect.quarantined_until_s = max(
+            suspect.quarantined_until_s, now_s + state.refused_for_s
+        )
+        self._clear_explained_crashes(suspect)
+
+    def _merge_crashes(
+        self, state: SuspectState, settled_s: float, now_s: float
+    ) -> None:
+        known = self._suspects.get(state.fingerprint)
+        if known is not None:
+            settled_s = max(settled_s, known.decided_s)
+        settled_s = max(settled_s, now_s - SUSPICION_S)
+        for crash in state.crashes:
+            crashed_s = now_s - crash.age_s
+            if crashed_s <= settled_s:
+                continue
+            suspect = self._get_or_add_suspect(state.service, state.fingerprint, now_s)
+            suspect.is_of_any_caller |= state.is_of_any_caller
+            suspect.callers |= set(state.callers[:MAX_CALLERS_KEPT])
+            if crash.target not in suspect.crashed:
+                self._add_crash(suspect, crash.target, crashed_s, crash.daemon)
+        held = self._suspects.get(state.fingerprint)
+        if held is not None:
+            held.held_until_s = max(held.held_until_s, now_s + state.held_for_s)
+
+    def _name(self, suspect: _Suspect, target: str, now_s: float) -> str:
+        """Return a name for a target's crash that differs from its earlier ones."""
+        for number in range(1, MAX_CRASHES_KEPT):
+            name = target if number == 1 else f"{target}#{number}"
+            crashed_s, _ = suspect.crashed.get(name, (now_s, ""))
+            if now_s - crashed_s < self._policy.repeated_crash_s:
+                return name
+        return target
+
+    def _add_crash(
+        self, suspect: _Suspect, target: str, crashed_s: float, daemon: str
+    ) -> None:
+        suspect.crashed[target] = (crashed_s, daemon)
+        suspect.crashed_at_s = max(suspect.crashed_at_s, crashed_s)
+        while len(suspect.crashed) > MAX_CRASHES_KEPT:
+            del suspect.crashed[next(iter(suspect.crashed))]
+
+    def _clear(self, fingerprint: str, cleared_s: float) -> None:
+        """Remove a suspect whose crashes and quarantine are older than a success."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and suspect.crashed_at_s <= cleared_s:
+            del self._suspects[fingerprint]
+        before_s = self._cleared_s.get(fingerprint, _NEVER_S)
+        self._cleared_s[fingerprint] = max(before_s, cleared_s)
+        self._cleared_s.move_to_end(fingerprint)
+        while len(self._cleared_s) > self._max_fingerprints:
+            self._cleared_s.popitem(last=False)
+
     def _get_or_add_suspect(
         self, service: str, fingerprint: str, now_s: float
     ) -> _Suspect:
@@ -241,16 +519,18 @@
         return now_s > last_s + retention_s
 
     def _is_decision_needed(self, suspect: _Suspect) -> bool:
-        return len(suspect.targets) >= CRASHES_UNTIL_QUARANTINE
+        is_enough = len(suspect.crashed) >= self._policy.crashes_until_quarantine
+        return is_enough and suspect.is_eligible
 
     def _is_confirmed_cause(self, suspect: _Suspect, now_s: float) -> bool:
         if not self._is_decision_needed(suspect):
             return False
-        crashed = len(suspect.targets)
+        crashed = len(suspect.crashed)
         competing = self._count_competing_suspects(suspect, now_s)
         if competing == 0 and not self._is_failure_widespread(suspect.service, now_s):
             return True
-        return crashed >= CRASHES_WHEN_AMBIGUOUS and competing < MAX_CANDIDATES
+        is_enough = crashed >= self._policy.crashes_when_ambiguous
+        return is_enough and competing < self._policy.max_candidates
 
     def _count_competing_suspects(self, suspect: _Suspect, now_s: float) -> int:
         return sum(
@@ -258,7 +538,7 @@
             for other in self._suspects.values()
             if other is not suspect
             and other.service == suspect.service
-            and len(other.targets) >= len(suspect.targets)
+            and len(other.crashed) >= len(suspect.crashed)
             and other.quarantined_until_s <= now_s
             and not self._is_expired(other, now_s)
         )
@@ -271,13 +551,18 @@
             for each in self._suspects.values()
             if each.service == service and now_s - each.crashed_at_s < CRASH_WINDOW_S
         )
-        return recent > MAX_CANDIDATES
+        return recent > self._policy.max_candidates
 
     def _quarantine(self, fingerprint: str, suspect: _Suspect, now_s: float) -> None:
-        duration_s = min(QUARANTINE_S * 2**suspect.crashes, MAX_QUARANTINE_S)
+        duration_s = self._policy.duration_s(suspect.crashes)
         suspect.crashes += 1
+        suspect.decided_s = now_s
         suspect.was_quarantined = True
         suspect.quarantined_until_s = now_s + duration_s
+        crashed = tuple(
+            Crash(target, daemon, now_s - crashed_s)
+            for target, (crashed_s, daemon) in suspect.crashed.items()
+        )
         self._clear_explained_crashes(suspect)
         self._unpublished.append(
             Quarantined(
@@ -285,6 +570,7 @@
                 fingerprint,
                 suspect.quarantined_until_s,
                 suspect.crashes,
+                crashed,
             )
         )
 
@@ -292,8 +578,9 @@
         # A crash whose cause is known does not count against other requests.
         for other in self._suspects.values():
             if other is not cause and other.service == cause.service:
-                other.targets -= cause.targets
-        cause.targets.clear()
+                for target in cause.crashed:
+                    other.crashed.pop(target, None)
+        cause.crashed.clear()
 
 
 def _decision_at_s(suspect: _Suspect) -> float:
--- a/dogwoodhook/state/suspicion.py
+++ b/dogwoodhook/state/suspicion.py
@@ -38,6 +38,10 @@
 """Holding time after a failure for requests that are not idempotent. Gray episodes
 last some ten seconds, and every request sent to the target before the end may fail."""
 
+ENDED_HOLD_S = 1.0
+"""Holding time after a target's process ended for the first time: it is unreachable at
+first, and as good as any other when it is back."""
+
 IDEMPOTENT_HOLD_S = 2.0
 """Holding time after a failure for idempotent requests."""
 
@@ -101,6 +105,7 @@
     answered with a server error. ``OVERDUE``: it did not answer within the time in
     which nearly all answers arrive. ``SILENT``: it did not answer before the deadline.
     ``UNREACHABLE``: no connection could be opened. ``BUSY``: it refused the request.
+    ``ENDED``: its process ended with the request in flight.
     """
 
     RESET = "reset"
@@ -110,6 +115,7 @@
     SILENT = "silent"
     UNREACHABLE = "unreachable"
     BUSY = "busy"
+    ENDED = "ended"
 
 
 # These may come from the network path between daemon and target, not from the target.
@@ -264,7 +270,7 @@
         self, suspect: _Suspect, report: FailureReport, now_s: float
     ) -> bool:
         match report.symptom:
-            case Symptom.RESET | Symptom.IDLE_RESET:
+            case Symptom.RESET | Symptom.IDLE_RESET | Symptom.ENDED:
                 return True
             case Symptom.ERROR:
                 return self._errors(suspect, now_s) >= ERRORS_TO_SUSPECT
@@ -307,6 +313,11 @@
     def _avoid_after_failure(
         self, suspect: _Suspect, symptom: Symptom, now_s: float
     ) -> None:
+        if symptom is Symptom.ENDED and not self._has_failed(suspect, now_s):
+            self._add_failures(suspect, 1, now_s)
+            until_s = now_s + ENDED_HOLD_S
+            suspect.avoid(until_s=until_s, idempotent_avoided_until_s=until_s)
+            return
         if symptom is Symptom.IDLE_RESET:
             suspect.idle_reuse_paused_until_s = now_s + IDLE_REUSE_PAUSE_S
         if symptom is not Symptom.IDLE_RESET or not suspect.failures:
@@ -317,6 +328,10 @@
             idempotent_avoided_until_s=now_s + IDEMPOTENT_HOLD_S + spread_s,
         )
 
+    def _has_failed(self, suspect: _Suspect, now_s: float) -> bool:
+        is_recent = now_s - suspect.failed_s <= FAILURE_RETENTION_S
+        return is_recent and suspect.failures > 0
+
     def _mark_busy(self, target: str, now_s: float) -> None:
         suspect = self._suspect(target)
         suspect.slow_until_s = max(suspect.slow_until_s, now_s + BUSY_HOLD_S)
--- a/dogwoodhook/transport/datagrams.py
+++ b/dogwoodhook/transport/datagrams.py
@@ -133,6 +133,11 @@
         """Send a message to the live peers in the own data centre."""
         self._send(message, self._live_neighbours())
 
+    def notify_some(self, message: FleetMessage, count: int) -> None:
+        """Send a message to ``count`` live peers chosen at random."""
+        live = self._live()
+        self._send(message, self._rng.sample(live, min(count, len(live))))
+
     def send_hello(self, hello: DaemonHello, *, all_data_centres: bool) -> None:
         """Send a hello to the known peers of the own data centre, or of all."""
         known = list(self._peers.values())
--- a/dogwoodhook/transport/fleet_view.py
+++ b/dogwoodhook/transport/fleet_view.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from dogwoodhook.coordination.fleet_messages import TargetFailure, TargetSuccess
+from dogwoodhook.coordination.fleet_quarantine import FleetQuarantine
 from dogwoodhook.coordination.load_sharing import LoadSharing
 from dogwoodhook.state.fleet_budget import FleetBudget
 from dogwoodhook.state.placement import Placement
@@ -34,6 +35,7 @@
     budget: FleetBudget
     connections: TargetConnections
     end_checks: EndChecks
+    quarantine: FleetQuarantine
     is_ready: asyncio.Event
     notify_fleet: Callable[[TargetFailure | TargetSuccess], None]
     notify_neighbours: Callable[[TargetFailure], None]
--- a/dogwoodhook/transport/own_answers.py
+++ b/dogwoodhook/transport/own_answers.py
@@ -45,6 +45,14 @@
         answer.headers["Retry-After"] = f"{retry_s:.2f}"
         return answer
 
+    def quarantined(
+        self, request: web.BaseRequest, detail: str, *, for_s: float
+    ) -> web.Response:
+        """Refuse a request as not run, and say how long it will be refused."""
+        answer = self.failure(request, UNAVAILABLE_STATUS, detail)
+        answer.headers["Retry-After"] = f"{for_s:.2f}"
+        return answer
+
     def no_configuration(self, request: web.BaseRequest) -> web.Response:
         """Refuse a request because no configuration has been loaded yet."""
         detail = "no configuration is known yet"
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -9,8 +9,9 @@
 import random
 from collections import defaultdict
 from contextlib import suppress
+from dataclasses import replace
 
-from aiohttp import web
+from aiohttp import ClientError, web
 
 from dogwoodhook.clock import Clock
 from dogwoodhook.events import (
@@ -28,6 +29,7 @@
 from dogwoodhook.protocol.http_conventions import HttpConventions
 from dogwoodhook.state.daemon_stop import DaemonStop
 from dogwoodhook.state.placement import Candidate
+from dogwoodhook.state.quarantine import Admission, Admit, Refuse, RunAlone
 from dogwoodhook.state.retry_after import (
     NoTargetKnown,
     RefusalCause,
@@ -281,6 +283,8 @@
         finally:
             for task in pending:
                 _discard_attempt(task)
+            if routed.runs_alone:
+                self._fleet.quarantine.end_alone(routed.identity)
         self._record_metrics(routed, answer)
         return answer
 
@@ -309,6 +313,9 @@
         There is at most one attempt at a time, except that an overdue idempotent
         request is hedged: it is sent to a second target as well.
         """
+        refused_until_s = self._begin_if_admitted(routed)
+        if refused_until_s is not None:
+            return self._refuse_quarantined(routed, refused_until_s)
         target = self._next_target(routed)
         detail = "no target serves it"
         while True:
@@ -336,6 +343,39 @@
             if not pending and self._may_send_again(routed):
                 target = self._next_target(routed)
 
+    def _admission(self, routed: RoutedRequest) -> Admission:
+        quarantine = self._fleet.quarantine
+        # Nearly always empty, and then no request needs its fingerprints.
+        return quarantine.check(routed.identity) if len(quarantine) else Admit()
+
+    def _begin_if_admitted(self, routed: RoutedRequest) -> float | None:
+        """Return ``None`` if the request may run, or until when it is refused."""
+        self._fleet.receive_pending()
+        match self._admission(routed):
+            case Refuse(until_s):
+                return until_s
+            case RunAlone():
+                routed.runs_alone = True
+                self._fleet.quarantine.begin_alone(routed.identity, routed.request_id)
+            case Admit():
+                pass
+        return None
+
+    def _refuse_quarantined(
+        self, routed: RoutedRequest, until_s: float
+    ) -> web.StreamResponse:
+        self._metrics.record_quarantine_refusal()
+        for_s = max(0.0, until_s - self._clock.now_s())
+        detail = "targets ended under this request"
+        log(
+            REQUEST_REFUSED,
+            **self._log_fields(routed),
+            **routed.identity.log_fields(),
+            status=UNAVAILABLE_STATUS,
+            detail=detail,
+        )
+        return self._own_answers.quarantined(routed.request, detail, for_s=for_s)
+
     async def _wait_for_answers(
         self,
         routed: RoutedRequest,
@@ -376,6 +416,8 @@
         another request.
         """
         routed.is_hedge_considered = True
+        if not isinstance(self._admission(routed), Admit):
+            return None
         candidate = self._choose_candidate(routed)
         if candidate is None or candidate.standing is Standing.FAILING:
             return None
@@ -409,6 +451,7 @@
             routed.route.is_idempotent
             and routed.body.is_complete
             and not routed.is_hedge_considered
+            and not routed.runs_alone
             and routed.runs + in_flight < routed.route.max_targets
         )
         if not may_hedge:
@@ -437,7 +480,8 @@
                 routed.has_answer_started = True
                 buffered = await self._buffer_large_answer(routed, result)
                 if isinstance(buffered, OpenAnswer):
-                    return await self._stream(routed, target.name, buffered)
+                    return await self._stream(routed, target, buffered)
+                buffered = await self._check_survival(routed, target, buffered)
                 return await self._handle_result(routed, target, buffered)
             case NotRunAtTarget(detail, symptom, has_arrived, has_timed_out):
                 routed.refusals += 1
@@ -543,28 +587,46 @@
             is_late = latency_s >= overdue_s
             if result.status < SERVER_ERROR_STATUS and not is_late:
                 self._reports.report_success(target.name, sent_s=now_s)
-        if isinstance(result, MayHaveRun) and result.has_lost_connection:
-            await self._check_end(routed, target, sent_s=now_s)
+        return await self._check_survival(routed, target, result)
+
+    async def _check_survival(
+        self, routed: RoutedRequest, target: TargetEntry, result: AttemptResult
+    ) -> AttemptResult:
+        """Record whether the target's process lived on or ended under a request."""
+        match result:
+            case CompleteAnswer():
+                self._record_survival(routed)
+            case MayHaveRun(has_lost_connection=True):
+                if await self._has_ended(routed, target):
+                    return replace(result, symptom=Symptom.ENDED)
+            case _:
+                pass
         return result
 
-    async def _check_end(
-        self, routed: RoutedRequest, target: TargetEntry, *, sent_s: float
-    ) -> None:
-        """Check whether a target ended that broke a request's connection."""
+    def _record_survival(self, routed: RoutedRequest) -> None:
+        if len(self._fleet.quarantine):
+            self._fleet.quarantine.record_success(routed.identity)
+
+    async def _has_ended(self, routed: RoutedRequest, target: TargetEntry) -> bool:
+        """Return whether the target of a broken connection ended; record it if so."""
         port = await self._fleet.end_checks.check(target)
         if port is not PortState.CLOSED:
-            return
+            return False
+        self._fleet.quarantine.record_crash(
+            routed.service, routed.identity, f"{target.name}/{target.incarnation}"
+        )
         self._metrics.record_target_end()
         log(
             TARGET_ENDED,
             request=routed.request_id,
-            fingerprint=routed.fingerprint,
+            **routed.identity.log_fields(),
             caller=routed.caller,
             service=routed.service,
             target=target.name,
             incarnation=target.incarnation,
-            after_ms=round((self._clock.now_s() - sent_s) * 1000),
+            after_ms=round((self._clock.now_s() - routed.arrived_s) * 1000),
         )
+        return True
 
     def _report_overdue(self, routed: RoutedRequest, target: TargetEntry) -> None:
         self._reports.report_failure(routed, target.name, Symptom.OVERDUE)
@@ -583,7 +645,7 @@
             **self._log_fields(routed),
             "target": target.name,
             "caller": routed.caller,
-            "fingerprint": routed.fingerprint,
+            "fingerprint": routed.identity.fingerprint,
         }
         log(ATTEMPT_FAILED, **fields, detail=detail)
 
@@ -599,6 +661,8 @@
             return False
         if routed.runs >= routed.route.max_targets:
             return False
+        if routed.arrivals and not isinstance(self._admission(routed), Admit):
+            return False
         return not routed.arrivals or self._reports.take_retry(routed)
 
     def _deliver(
@@ -615,7 +679,7 @@
         )
 
     async def _stream(
-        self, routed: RoutedRequest, target: str, opened: OpenAnswer
+        self, routed: RoutedRequest, target: TargetEntry, opened: OpenAnswer
     ) -> web.StreamResponse:
         """Stream a large answer to the caller; abort the connection on an error."""
         answer = web.StreamResponse(
@@ -634,10 +698,13 @@
             abort_caller_connection(routed.request)
             fields = self._log_fields(routed)
             log(REQUEST_UNANSWERED, **fields, detail=f"the answer broke off: {error!r}")
+            if isinstance(error, ClientError):
+                await self._has_ended(routed, target)
             return answer
         finally:
             opened.response.close()
-        self._log_answered(routed, target, opened.status)
+        self._record_survival(routed)
+        self._log_answered(routed, target.name, opened.status)
         return answer
 
     def _log_fields(self, routed: RoutedRequest) -> dict[str, object]:
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from dogwoodhook.coordination.fleet_quarantine import RequestIdentity
 from dogwoodhook.state.quarantine import body_digest, fingerprint
 from dogwoodhook.state.route_policy import RoutePolicy
 from dogwoodhook.state.suspicion import Standing
@@ -51,7 +52,8 @@
     directory_version: int = 0
     directory_age_s: float = 0.0
     last_standing: Standing = Standing.SOUND
-    _fingerprint: str = ""
+    runs_alone: bool = False
+    _identity: RequestIdentity | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -59,17 +61,22 @@
         return self.runs > 0 or self.has_answer_started
 
     @property
-    def fingerprint(self) -> str:
-        """Return an identifier that is the same for each sending of the request."""
-        if not self._fingerprint:
-            self._fingerprint = fingerprint(
-                service=self.service,
-                workspace=self.caller,
-                method=self.request.method,
-                path=self.request.path_qs,
-                digest=body_digest(self.body.identifying_bytes),
+    def identity(self) -> RequestIdentity:
+        """Return the fingerprints, which are the same for each sending."""
+        if self._identity is None:
+            digest = body_digest(self.body.identifying_bytes)
+            of_caller, of_any_caller = (
+                fingerprint(
+                    service=self.service,
+                    workspace=caller,
+                    method=self.request.method,
+                    path=self.request.path_qs,
+                    digest=digest,
+                )
+                for caller in (self.caller, "")
             )
-        return self._fingerprint
+            self._identity = RequestIdentity(of_caller, of_any_caller)
+        return self._identity
 
     @property
     def has_caller_left(self) -> bool:
--- a/tests/platform_adapter/test_harmful_requests.py
+++ b/tests/platform_adapter/test_harmful_requests.py
@@ -171,7 +171,7 @@
 async def test_a_daemon_that_starts_later_sends_a_harmful_request_again(platform):
     targets = await start(platform)
     caller = Caller(platform, CALLER_HOST)
-    for _ in range(6):
+    for _ in range(12):
         await caller.send("/post/bad", body=BODY)
         await asyncio.sleep(INTERVAL_S)
     ended = len(end_times_s(targets))
--- /dev/null
+++ b/tests/test_fleet_quarantine.py
@@ -0,0 +1,225 @@
+"""Quarantine over datagrams that are lost, late or sent twice."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dogwoodhook.clock import ManualClock
+from dogwoodhook.coordination.fleet_quarantine import (
+    EXCHANGE_INTERVAL_S,
+    REPEAT_INTERVAL_S,
+    FleetQuarantine,
+    RequestIdentity,
+)
+from dogwoodhook.protocol.fleet_codec import decode_datagram, encode_datagram
+from dogwoodhook.state.quarantine import (
+    ENDED_PROCESSES_POLICY,
+    Admit,
+    Quarantine,
+    Refuse,
+    RunAlone,
+)
+
+CONTACT_S = 3.0
+MAX_LATER_ARRIVALS = 3
+HARMFUL = RequestIdentity("harmful", "harmful of any caller")
+OTHER = RequestIdentity("other", "other of any caller")
+KEY = b"a fleet's key"
+
+
+class Links:
+    """Delivers a daemon's messages, losing some."""
+
+    def __init__(self, fleet, daemon):
+        self._fleet = fleet
+        self._daemon = daemon
+
+    def broadcast(self, message):
+        self._fleet.deliver(message, self._fleet.others(self._daemon))
+
+    def notify_some(self, message, count):
+        others = self._fleet.others(self._daemon)
+        chosen = self._fleet.rng.sample(others, min(count, len(others)))
+        self._fleet.deliver(message, chosen)
+
+
+class Fleet:
+    """Daemons whose messages arrive at once, unless they are lost."""
+
+    def __init__(self, daemons, *, loss=0.0, seed=1):
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.clock = ManualClock()
+        self.ticks = 0
+        self.daemons = {}
+        for number in range(daemons):
+            self.start(f"vm-{number}")
+
+    def start(self, name):
+        self.daemons[name] = FleetQuarantine(
+            Quarantine(policy=ENDED_PROCESSES_POLICY),
+            Links(self, name),
+            self.clock,
+            daemon=name,
+            rng=self.rng,
+        )
+        return self.daemons[name]
+
+    def others(self, daemon):
+        return [each for name, each in self.daemons.items() if name != daemon]
+
+    def deliver(self, message, receivers):
+        datagram = encode_datagram(message, key=KEY)
+        for receiver in receivers:
+            if self.rng.random() >= self.loss:
+                receiver.receive(decode_datagram(datagram, key=KEY).ok)
+
+    def wait(self, seconds):
+        """Let time pass, with the exchanges that daemons make in it."""
+        for _ in range(round(seconds / REPEAT_INTERVAL_S)):
+            self.ticks += 1
+            self.clock.elapsed_s += REPEAT_INTERVAL_S
+            for daemon in self.daemons.values():
+                daemon.repeat()
+                if self.ticks % round(EXCHANGE_INTERVAL_S / REPEAT_INTERVAL_S) == 0:
+                    daemon.exchange()
+
+
+def check_all(fleet, identity=HARMFUL):
+    return [type(each.check(identity)) for each in fleet.daemons.values()]
+
+
+def end_targets(fleet, count, *, identity=HARMFUL, gap_s=0.1):
+    daemons = list(fleet.daemons.values())
+    for number in range(count):
+        daemon = daemons[number % len(daemons)]
+        daemon.record_crash("payouts", identity, f"t{number}/1")
+        fleet.wait(gap_s)
+
+
+def test_every_daemon_refuses_a_request_after_the_third_end():
+    fleet = Fleet(4)
+    end_targets(fleet, 3)
+    assert check_all(fleet) == [Refuse] * 4
+    assert check_all(fleet, OTHER) == [Admit] * 4
+
+
+def test_a_request_under_which_one_target_ended_may_be_repeated_at_once():
+    fleet = Fleet(2)
+    end_targets(fleet, 1)
+    assert check_all(fleet) == [Admit] * 2
+
+
+def test_a_request_under_which_two_targets_ended_runs_alone():
+    fleet = Fleet(2)
+    end_targets(fleet, 2)
+    first, second = fleet.daemons.values()
+    assert isinstance(first.check(HARMFUL), RunAlone)
+    first.begin_alone(HARMFUL, "request")
+    assert isinstance(second.check(HARMFUL), Refuse)
+
+
+def test_a_success_anywhere_clears_the_request_for_all():
+    fleet = Fleet(3)
+    end_targets(fleet, 2)
+    next(iter(fleet.daemons.values())).record_success(HARMFUL)
+    assert check_all(fleet) == [Admit] * 3
+    end_targets(fleet, 2)
+    assert Refuse not in check_all(fleet)
+
+
+def test_a_cleared_request_does_not_come_back_from_a_daemon_that_missed_it():
+    fleet = Fleet(3)
+    end_targets(fleet, 2)
+    fleet.loss = 1.0
+    next(iter(fleet.daemons.values())).record_success(HARMFUL)
+    fleet.loss = 0.0
+    fleet.wait(5.0)
+    assert check_all(fleet) == [Admit] * 3
+
+
+def test_a_daemon_that_starts_later_learns_of_the_quarantine():
+    fleet = Fleet(3)
+    end_targets(fleet, 3)
+    fleet.wait(2.0)
+    for daemon in fleet.daemons.values():
+        daemon.check(HARMFUL)
+    end_targets(fleet, 1)
+    started = fleet.start("vm-new")
+    fleet.wait(4.0)
+    assert isinstance(started.check(HARMFUL), Refuse)
+
+
+def test_further_ends_of_the_only_target_count():
+    fleet = Fleet(2)
+    daemon = fleet.daemons["vm-0"]
+    for _ in range(3):
+        daemon.record_crash("payouts", HARMFUL, "t1/1")
+        fleet.wait(1.5)
+    assert check_all(fleet) == [Refuse] * 2
+
+
+def test_ends_reported_by_all_daemons_with_a_request_at_the_target_count_once():
+    fleet = Fleet(4)
+    for daemon in fleet.daemons.values():
+        daemon.record_crash("payouts", HARMFUL, "t1/1")
+    assert check_all(fleet) == [Admit] * 4
+
+
+def test_the_same_request_of_a_sound_caller_is_admitted():
+    fleet = Fleet(2)
+    end_targets(fleet, 3)
+    fleet.wait(1.0)
+    sound = RequestIdentity("sound", HARMFUL.any_caller_fingerprint)
+    assert check_all(fleet, sound) == [Admit] * 2
+
+
+def test_a_request_whose_caller_changes_its_address_is_refused():
+    fleet = Fleet(2)
+    for number in range(3):
+        identity = RequestIdentity(f"{number}", HARMFUL.any_caller_fingerprint)
+        fleet.daemons["vm-0"].record_crash("payouts", identity, f"t{number}/1")
+    assert check_all(fleet) == [Refuse] * 2
+
+
+def test_suspects_of_a_mass_failure_are_not_refused():
+    fleet = Fleet(3)
+    for number in range(300):
+        identity = RequestIdentity(f"{number}", f"{number} of any caller")
+        end_targets(fleet, 1, identity=identity, gap_s=0.0)
+    assert check_all(fleet, RequestIdentity("7", "7 of any caller")) == [Admit] * 3
+
+
+def test_nothing_is_sent_while_nothing_is_suspected():
+    fleet = Fleet(2)
+    fleet.deliver = pytest.fail
+    fleet.wait(2.0)
+
+
+@given(
+    daemons=st.integers(1, 12),
+    loss=st.sampled_from((0.0, 0.1, 0.3)),
+    seed=st.integers(0, 2**32),
+    interval_s=st.sampled_from((0.1, 0.4, 1.7)),
+)
+def test_a_harmful_request_reaches_targets_at_most_three_times_later(
+    daemons, loss, seed, interval_s
+):
+    fleet = Fleet(daemons, loss=loss, seed=seed)
+    arrived_s = []
+    while fleet.clock.now_s() < 200:
+        fleet.wait(interval_s)
+        daemon = fleet.rng.choice(list(fleet.daemons.values()))
+        admission = daemon.check(HARMFUL)
+        if isinstance(admission, Refuse):
+            continue
+        if isinstance(admission, RunAlone):
+            daemon.begin_alone(HARMFUL, "request")
+            daemon.end_alone(HARMFUL)
+        arrived_s.append(fleet.clock.now_s())
+        daemon.record_crash("payouts", HARMFUL, f"t{len(arrived_s) % 6}/1")
+        interval_s = max(interval_s, 0.4)
+    later = [each for each in arrived_s if each > arrived_s[2] + CONTACT_S]
+    assert len(later) <= MAX_LATER_ARRIVALS
