Let the soak send requests that end the targets that run them

Each soak now sends harmful requests to any daemon, again and again, beside all other faults: a target that runs one closes its port and resets its connections, and is back up to 2 s later. The check is of what targets saw: at most three arrivals later than 3 s after the third end, from daemons that were not disturbed.

--- a/dogwoodhook/testing/relay.py
+++ b/dogwoodhook/testing/relay.py
@@ -6,8 +6,9 @@
 Data sent in a cut direction is lost; the connections stay open, as in a network that
 drops packets. ``silence_open_connections`` does the same permanently to the connections
 that are open at that moment, while new ones work. ``reset_open_connections`` closes
-the open connections with a reset. ``bytes_per_s`` limits the bandwidth, and ``delay_s``
-delays each piece of data.
+the open connections with a reset, and ``close_port`` the port too, as if the process
+behind it had ended. ``bytes_per_s`` limits the bandwidth, and ``delay_s`` delays each
+piece of data.
 """
 
 import asyncio
@@ -36,10 +37,25 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> "Relay":
-        self._server = await asyncio.start_server(self._accept, LOOPBACK, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        await self.open_port()
         return self
 
+    @property
+    def is_listening(self) -> bool:
+        """Return whether the port is open."""
+        return self._server is not None and self._server.is_serving()
+
+    async def open_port(self) -> None:
+        """Accept connections, at the same port as before if it was open already."""
+        self._server = await asyncio.start_server(self._accept, LOOPBACK, self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def close_port(self) -> None:
+        """Close the port, and reset the connections that are open."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_open_connections()
+
     async def __aexit__(
         self,
         kind: type[BaseException] | None,
--- a/tests/platform_adapter/soak/callers.py
+++ b/tests/platform_adapter/soak/callers.py
@@ -13,6 +13,7 @@
 from tests.platform_adapter.raw_caller import RawCaller, request_text
 from tests.platform_adapter.soak.records import CallRecord, Ending
 from tests.platform_adapter.soak.world import (
+    BODY,
     PADDING,
     SHORT_TIMEOUT_MS,
     SHORT_TIMEOUT_ROUTE,
@@ -59,7 +60,6 @@
 """Share of the requests that have a large answer."""
 
 MAX_PADDING = 1024 * 1024
-BODY = b"hours"
 UPLOAD_PIECES = 5
 """Number of single bytes at the end of a slow upload that are sent one at a time."""
 
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -13,6 +13,7 @@
 from dogwoodhook.transport.target_sessions import make_session
 from tests.platform_adapter.soak.callers import Callers
 from tests.platform_adapter.soak.faults import run_series
+from tests.platform_adapter.soak.harmful import HarmfulCaller, find_unstopped_requests
 from tests.platform_adapter.soak.records import (
     Violation,
     find_abandoned_work,
@@ -92,9 +93,11 @@
     lateness_s = [0.0]
     watcher = asyncio.create_task(_watch_lateness(lateness_s))
     caller_tasks = callers.start(size.callers)
+    harmful = HarmfulCaller(world, seed=seed)
+    harmful_task = asyncio.create_task(harmful.run())
     series = [asyncio.create_task(run_series(world, injected)) for _ in range(SERIES)]
     await asyncio.sleep(seconds)
-    violations += await _cancel_series(series)
+    violations += await _cancel_series([*series, harmful_task])
     await _end_faults(world)
     violations += await _wait_until_serving(world, callers, RECOVERY_TIMEOUT_S)
     callers.end()
@@ -113,6 +116,10 @@
         + find_abandoned_work(calls, runs, interruptions, disturbances)
         + find_late_answers(calls, interruptions, disturbances)
     )
+    arrivals = [
+        each for target in world.all_targets for each in target.harmful_arrivals
+    ]
+    checks += find_unstopped_requests(arrivals, harmful.calls, disturbances)
     violations += checks.broken
     endings = Counter(str(each.status or each.ending) for each in calls)
     return Report(
--- a/tests/platform_adapter/soak/world.py
+++ b/tests/platform_adapter/soak/world.py
@@ -57,6 +57,25 @@
 """Time for which an invalid version of the configuration is the newest."""
 
 SLOTS = 8
+BODY = b"hours"
+
+HARMFUL = "harmful"
+"""Second segment of the paths of requests that end each target that runs them."""
+
+HARMFUL_WORK_S = 0.02
+MAX_DOWN_S = 2.0
+"""Longest time from a target's end until it accepts connections again."""
+
+
+@dataclass(slots=True)
+class HarmfulArrival:
+    """A harmful request at a target, which ended at ``ended_s`` if it was not cut."""
+
+    path: str
+    request_id: str
+    target: str
+    arrived_s: float
+    ended_s: float | None = None
 
 
 def make_path(prefix, request_id, *, work_s=0.0, padding=0):
@@ -136,6 +155,8 @@
     relay: Relay | None = None
     link_fault_until_s: float = 0.0
     refused_requests: dict = field(default_factory=dict)
+    harmful_arrivals: list[HarmfulArrival] = field(default_factory=list)
+    restarts: set[asyncio.Task] = field(default_factory=set)
 
     def __post_init__(self):
         self.behaviours = [self._behave]
@@ -144,6 +165,9 @@
         if received.headers.get("expected-instance") != self.name:
             await behave.misdirected(server, received, writer)
             return
+        if received.path.split("/")[2] == HARMFUL:
+            await self._end(received)
+            return
         behaviour = self._choose(received)
         if behaviour in REFUSALS:
             await behaviour(server, received, writer)
@@ -171,6 +195,27 @@
             run.ended_s = time.monotonic()
             run.is_sound = is_sound_answer and self.link_fault_until_s < run.started_s
 
+    async def _end(self, received):
+        """Close the port and all connections, and open the port again later."""
+        arrival = HarmfulArrival(
+            received.path, received.request_id, self.name, time.monotonic()
+        )
+        self.harmful_arrivals.append(arrival)
+        await asyncio.sleep(HARMFUL_WORK_S)
+        if not self.relay.is_listening:
+            return
+        arrival.ended_s = time.monotonic()
+        self.link_fault_until_s = float("inf")
+        self.relay.close_port()
+        # Drawn from the id, so that the faults of a seed stay the same.
+        down_s = random.Random(received.request_id).uniform(0.3, MAX_DOWN_S)
+        self.restarts.add(asyncio.create_task(self._restart(down_s=down_s)))
+
+    async def _restart(self, *, down_s):
+        await asyncio.sleep(down_s)
+        await self.relay.open_port()
+        self.link_fault_until_s = time.monotonic()
+
     def _choose(self, received):
         """Return the behaviour for one request."""
         if self.gray_behaviour is None or self.rng.random() >= self.gray_failure_share:
@@ -295,6 +340,9 @@
         return self
 
     async def __aexit__(self, *error):
+        for target in self.all_targets:
+            for restart in target.restarts:
+                restart.cancel()
         for daemon in self.daemons:
             daemon.send_signal(signal.SIGCONT)
             daemon.send_signal(signal.SIGKILL)
--- a/tests/platform_adapter/target_server.py
+++ b/tests/platform_adapter/target_server.py
@@ -200,6 +200,8 @@
         if not work.done():
             self.cut_count += 1
             work.cancel()
+            # Retrieves the error of a reset connection, if it was one.
+            watch.exception()
             raise ConnectionResetError
         reader_byte = await self._next_byte(watch, writer)
         reader._buffer[:0] = reader_byte
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.platform_adapter.soak.harmful import HarmfulCall, find_unstopped_requests
 from tests.platform_adapter.soak.records import (
     CallRecord,
     Change,
@@ -20,6 +21,7 @@
     find_violations,
 )
 from tests.platform_adapter.soak.run import soak
+from tests.platform_adapter.soak.world import HarmfulArrival
 
 CALL = CallRecord(
     request_id="a",
@@ -452,7 +454,37 @@
     assert broken_version_rules(UNKNOWN_ROUTE, is_valid=False) == []
 
 
+def find_unstopped(arrived_s, *, disturbances=()):
+    """Return whether harmful requests that end a target each are found unstopped."""
+    arrivals = [
+        HarmfulArrival("/post/harmful/0", f"{at_s}", "t1", at_s, at_s)
+        for at_s in arrived_s
+    ]
+    calls = [HarmfulCall(f"{at_s}", "vm-1", at_s) for at_s in arrived_s]
+    return bool(find_unstopped_requests(arrivals, calls, disturbances).broken)
+
+
+def test_a_fourth_later_arrival_of_a_harmful_request_is_found():
+    assert not find_unstopped([1.0, 2.0, 3.0, 6.1, 6.2, 6.3])
+    assert find_unstopped([1.0, 2.0, 3.0, 6.1, 6.2, 6.3, 6.4])
+
+
+def test_arrivals_of_a_harmful_request_soon_after_the_third_end_are_allowed():
+    assert not find_unstopped([1.0, 2.0, 3.0, 4.0, 4.5, 5.0, 5.5, 5.9])
+
+
+def test_arrivals_of_a_harmful_request_from_a_disturbed_daemon_are_allowed():
+    kill = Disturbance("vm-1", 5.0, 6.0)
+    assert not find_unstopped([1.0, 2.0, 3.0, 6.1, 6.2, 6.3, 6.4], disturbances=[kill])
+
+
 @pytest.mark.parametrize("seed", [1, *FAILED_SEEDS])
 async def test_a_short_soak_finds_no_violation(seed):
     report = await soak(seed=seed, seconds=6.0)
     assert not report.violations, str(report)
+
+
+async def test_a_soak_in_which_targets_end_without_limit_finds_no_violation():
+    report = await soak(seed=1000, seconds=14.0)
+    assert not report.violations, report
+    assert report.checked["ends targets without limit"]
