Identify a large body by its first bytes and its length, however it arrives

Callers that sent a large upload again could get it run at a target after the fleet had refused it, and one sent again with its idempotency key could be denied as another request.

The digest covered whatever had been read before a target was chosen, which depends on how the bytes arrive. Now it covers the first bytes up to the size of the replay buffer, and the declared length.

--- a/dogwoodhook/transport/calls.py
+++ b/dogwoodhook/transport/calls.py
@@ -104,7 +104,7 @@
                 workspace=workspace,
                 method=request.method,
                 path=request.path_qs,
-                digest=body_digest(body.prelude),
+                digest=body_digest(body.identifying_bytes),
             ),
             idempotency_key=request.headers.get(IDEMPOTENCY_KEY_HEADER),
             deadline_s=now_s + timeout_ms / 1000,
