Bound every number and text of the rows that others write

With one odd entry among those of the targets, every request of its service got 502 for as long as it stood (slots of 400 digits), and a safe one that was sent to its address got 502 instead of another target.

Cause: values of entries had a lower bound and no upper one; the decision that weighs requests by slots overflowed, and the error outside the expected types ended the request. Bounded now: numbers, durations, names, hosts (by their form), ports (ASCII digits), the configuration's version, weights and attempts. An entry that is refused is logged once with its problem, and was not shown before.

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -238,6 +238,12 @@
     "A request with an idempotency key ended, and its outcome could not be stored.",
 )
 
+TARGET_ENTRY_REFUSED = _event(
+    322,
+    "target-entry-refused",
+    Level.WARNING,
+    "An entry in the store's table of targets is not used; `problem` says why.",
+)
 TARGET_ENDED = _event(
     323,
     "target-ended",
@@ -365,6 +371,12 @@
     Level.INFO,
     "This daemon has the fleet's key and the list of its peers.",
 )
+DAEMON_ROW_REFUSED = _event(
+    813,
+    "daemon-row-refused",
+    Level.WARNING,
+    "A row in the store's table of daemons is not used; `problem` says why.",
+)
 DATAGRAM_UNSENT = _event(
     812,
     "datagram-unsent",
--- a/dogwoodhook/platform/durations.py
+++ b/dogwoodhook/platform/durations.py
@@ -2,7 +2,7 @@
 
 import re
 
-_DURATION = re.compile(r"(-?\d+(?:\.\d+)?)(ms|s)")
+_DURATION = re.compile(r"(-?\d+(?:\.\d+)?)(ms|s)", re.ASCII)
 
 
 def parse_duration_s(text: object) -> float:
--- a/dogwoodhook/platform/rows.py
+++ b/dogwoodhook/platform/rows.py
@@ -2,13 +2,16 @@
 
 In the platform's rows, ``backend`` is a target service, a server is a target, ``zone``
 is a data centre, and ``state`` is a target's phase. A row that cannot be decoded as a
-target is treated as if there were none.
+target is treated as if there were none, and logged. Every number and text of a row has
+an upper bound, since other programs write to these tables too.
 """
 
 import json
+from collections import OrderedDict
 from typing import Annotated, Any, Literal
 
 from pydantic import (
+    AfterValidator,
     BaseModel,
     BeforeValidator,
     ConfigDict,
@@ -20,6 +23,7 @@
 
 from dogwoodhook.coordination.store import StoreRow
 from dogwoodhook.coordination.store_reading import RowDecoder
+from dogwoodhook.events import TARGET_ENTRY_REFUSED, log
 from dogwoodhook.findings import Finding, FindingsError
 from dogwoodhook.platform.durations import parse_duration_s
 from dogwoodhook.platform.settings_file import parse_address
@@ -34,8 +38,34 @@
 
 CONFIGURATION_KEY = "config"
 
-_DurationS = Annotated[float, BeforeValidator(parse_duration_s), Field(ge=0)]
-_Count = Annotated[int, Field(ge=0, strict=True)]
+MAX_DURATION_S = 30 * 24 * 3600.0
+"""Longest duration that a row may contain."""
+
+MAX_COUNT = 2**53
+"""Largest count that a row may contain: every smaller one is exact as a float."""
+
+MAX_SLOTS = 100_000
+"""Most slots of a target; work is weighed by them."""
+
+MAX_TEXT_LENGTH = 200
+"""Longest name that a row may contain, the store's limit for keys."""
+
+MAX_REPORTED_ROWS = 256
+"""Rows whose last problem is remembered, so that it is logged once."""
+
+
+def _encodable(text: str) -> str:
+    text.encode()
+    return text
+
+
+_DurationS = Annotated[
+    float, BeforeValidator(parse_duration_s), Field(ge=0, le=MAX_DURATION_S)
+]
+_Count = Annotated[int, Field(ge=0, le=MAX_COUNT, strict=True)]
+_Text = Annotated[
+    str, Field(max_length=MAX_TEXT_LENGTH, strict=True), AfterValidator(_encodable)
+]
 
 
 class _PlatformModel(BaseModel):
@@ -43,12 +73,12 @@
 
 
 class _ServerEntry(_PlatformModel):
-    backend: Annotated[str, Field(min_length=1, strict=True)]
+    backend: Annotated[_Text, Field(min_length=1)]
     address: Annotated[str, Field(strict=True)]
-    zone: Annotated[str, Field(strict=True)]
+    zone: _Text
     # The version of the target's software, not of the routing configuration.
     config_version: Annotated[str, Field(strict=True)]
-    slots: Annotated[int, Field(ge=1, strict=True)]
+    slots: Annotated[int, Field(ge=1, le=MAX_SLOTS, strict=True)]
     state: Literal["ready", "draining"]
     warmup_left: _DurationS
     sequence: _Count
@@ -57,7 +87,7 @@
 
 class _WeightedBackend(_PlatformModel):
     backend: str
-    weight: Annotated[float, Field(ge=0)]
+    weight: Annotated[float, Field(ge=0, le=MAX_COUNT)]
 
 
 class _RouteRow(_PlatformModel):
@@ -67,7 +97,7 @@
     timeout: _DurationS
     target_latency: _DurationS
     priority: int
-    attempts: Annotated[int, Field(ge=1)]
+    attempts: Annotated[int, Field(ge=1, le=MAX_COUNT)]
     backend: str | None = None
     weighted_backends: tuple[_WeightedBackend, ...] = ()
 
@@ -91,24 +121,50 @@
 
 
 class _ConfigurationRow(_PlatformModel):
-    config_version: int
+    config_version: Annotated[int, Field(ge=-MAX_COUNT, le=MAX_COUNT)]
     # ``ConfigurationDecoder`` decodes each route separately.
     routes: dict[str, Any]
     backends: dict[str, _BackendRow]
     limits: _LimitsRow
 
 
-def decode_target(row: StoreRow) -> TargetEntry | None:
-    """Return a row's target, or ``None`` if it was removed or cannot be decoded."""
-    if row.value is None:
-        return None
-    try:
-        server = _ServerEntry.model_validate(json.loads(row.value))
-        address = parse_address(server.address)
-    except (ValueError, RecursionError):
+class TargetDecoder:
+    """Decodes the entries of targets, and logs once why it refused one."""
+
+    def __init__(self) -> None:
+        self._problems: OrderedDict[str, str] = OrderedDict()
+
+    def decode(self, row: StoreRow) -> TargetEntry | None:
+        """Return a row's target, or ``None`` if it was removed or cannot be decoded."""
+        if row.value is None:
+            self._problems.pop(row.key, None)
+            return None
+        try:
+            entry = _parse_target(row.key, row.value)
+        except ValidationError as error:
+            problem = "; ".join(str(each) for each in _findings(error))
+        except (ValueError, RecursionError) as error:
+            problem = str(error)
+        else:
+            self._problems.pop(row.key, None)
+            return entry
+        self._report(row.key, problem[:MAX_TEXT_LENGTH])
         return None
+
+    def _report(self, name: str, problem: str) -> None:
+        if self._problems.get(name) == problem:
+            return
+        self._problems[name] = problem
+        while len(self._problems) > MAX_REPORTED_ROWS:
+            self._problems.popitem(last=False)
+        log(TARGET_ENTRY_REFUSED, target=name, problem=problem)
+
+
+def _parse_target(name: str, value: bytes) -> TargetEntry:
+    server = _ServerEntry.model_validate(json.loads(value))
+    address = parse_address(server.address)
     return TargetEntry(
-        name=row.key,
+        name=name,
         service=server.backend,
         host=address.host,
         port=address.port,
@@ -216,6 +272,6 @@
     """Return the decoder of the platform's rows."""
     return RowDecoder(
         configuration_key=CONFIGURATION_KEY,
-        target=decode_target,
+        target=TargetDecoder().decode,
         configuration=ConfigurationDecoder().decode,
     )
--- a/dogwoodhook/platform/settings_file.py
+++ b/dogwoodhook/platform/settings_file.py
@@ -10,7 +10,14 @@
 
 from dogwoodhook.findings import Finding, FindingsError
 from dogwoodhook.platform.durations import parse_duration_s
-from dogwoodhook.vm_settings import Address, ServiceBounds, VmSettings
+from dogwoodhook.vm_settings import (
+    MAX_HOST_LENGTH,
+    MAX_PORT,
+    Address,
+    ServiceBounds,
+    VmSettings,
+    is_host,
+)
 
 SETTINGS_VARIABLE = "DOGWOODHOOK_SETTINGS"
 
@@ -114,9 +121,10 @@
     >>> parse_address("10.1.0.15:8641")
     Address(host='10.1.0.15', port=8641)
     """
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdigit():
-        raise ValueError(f"received {text!r}; allowed is host:port")
+    host, _, port = text.rpartition(":")
+    if not is_host(host) or not (port.isascii() and port.isdigit()):
+        shown = text if len(text) <= MAX_HOST_LENGTH else f"{text[:20]}..."
+        raise ValueError(f"received {shown!r}; allowed is host:port")
     return Address(host, _port(port))
 
 
@@ -155,8 +163,8 @@
 
 def _port(text: str) -> int:
     port = int(text)
-    if not 1 <= port <= 65535:
-        raise ValueError(f"received port {port}, allowed 1..65535")
+    if not 1 <= port <= MAX_PORT:
+        raise ValueError(f"received port {port}, allowed 1..{MAX_PORT}")
     return port
 
 
--- a/dogwoodhook/vm_settings.py
+++ b/dogwoodhook/vm_settings.py
@@ -1,7 +1,26 @@
 """Settings that a daemon gets from the platform on its VM, before any connection."""
 
+import re
 from dataclasses import dataclass
 
+MAX_HOST_LENGTH = 253
+"""Longest host name in characters (RFC 1035)."""
+
+MAX_PORT = 65535
+
+_HOST = re.compile(r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*\.?")
+
+
+def is_host(text: object) -> bool:
+    """Return whether a text is an IPv4 address or a host name, by its form.
+
+    >>> is_host("10.1.0.15"), is_host("payouts.example"), is_host("a b")
+    (True, True, False)
+    """
+    if not isinstance(text, str) or len(text) > MAX_HOST_LENGTH:
+        return False
+    return _HOST.fullmatch(text) is not None
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
--- a/tests/platform_adapter/test_platform_rows.py
+++ b/tests/platform_adapter/test_platform_rows.py
@@ -2,11 +2,12 @@
 
 import json
 
+import logbook
 import pytest
 
 from dogwoodhook.coordination.store import StoreRow
 from dogwoodhook.findings import FindingsError
-from dogwoodhook.platform.rows import ConfigurationDecoder, decode_target
+from dogwoodhook.platform.rows import ConfigurationDecoder, TargetDecoder
 from dogwoodhook.state.target_directory import TargetEntry
 
 SERVER = {
@@ -64,7 +65,7 @@
 
 
 def test_a_server_becomes_a_target():
-    assert decode_target(row(SERVER)) == TargetEntry(
+    assert TargetDecoder().decode(row(SERVER)) == TargetEntry(
         name="t1",
         service="payouts",
         host="10.128.0.9",
@@ -78,13 +79,13 @@
 
 
 def test_a_draining_server_is_marked():
-    assert decode_target(row({**SERVER, "state": "draining"})).is_draining
+    assert TargetDecoder().decode(row({**SERVER, "state": "draining"})).is_draining
 
 
 @pytest.mark.parametrize("name", [name for name in SERVER if name != "born"])
 def test_an_entry_that_lacks_a_field_yields_no_target(name):
     entry = {key: value for key, value in SERVER.items() if key != name}
-    assert decode_target(row(entry)) is None
+    assert TargetDecoder().decode(row(entry)) is None
 
 
 @pytest.mark.parametrize(
@@ -102,12 +103,12 @@
     ],
 )
 def test_an_entry_with_an_invalid_field_yields_no_target(change):
-    assert decode_target(row({**SERVER, **change})) is None
+    assert TargetDecoder().decode(row({**SERVER, **change})) is None
 
 
 @pytest.mark.parametrize("raw", [b"", b"\xff\x00", b"[]", b"null", b'{"a":'])
 def test_bytes_that_cannot_be_decoded_yield_no_target(raw):
-    assert decode_target(row(raw)) is None
+    assert TargetDecoder().decode(row(raw)) is None
 
 
 def test_a_configuration_is_decoded_completely():
@@ -163,3 +164,37 @@
     with pytest.raises(FindingsError):
         decoder.decode(row(broken, key="config"))
     assert len(decoder.decode(row(CONFIGURATION, key="config")).routes) == 2
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"slots": 10**17},
+        {"born": 10**400},
+        {"sequence": 10**400},
+        {"warmupLeft": "9" * 400 + "s"},
+        {"zone": "z" * 60_000},
+        {"zone": "\ud800"},
+        {"backend": "\ud800"},
+        {"address": "a\ud800b:9"},
+        {"address": "a" * 50_000 + ":9"},
+        {"address": "127.0.0.1:\u0661\u0662"},
+    ],
+)
+def test_a_value_without_an_upper_bound_is_used(change):
+    assert TargetDecoder().decode(row({**SERVER, **change})) is None
+
+
+def test_a_refused_entry_is_not_logged():
+    decoder = TargetDecoder()
+    with logbook.TestHandler() as logged:
+        for _ in range(3):
+            decoder.decode(row({**SERVER, "slots": 10**17}))
+    assert len(logged.records) == 1
+    assert "slots" in logged.records[0].message
+
+
+@pytest.mark.parametrize("change", [{"configVersion": 10**400}])
+def test_a_configuration_value_without_an_upper_bound_is_used(change):
+    with pytest.raises(FindingsError):
+        ConfigurationDecoder().decode(row({**CONFIGURATION, **change}))
