Send a request to another target if an address cannot be encoded

Callers got 502 though nothing was sent: an address that cannot be encoded raises a ValueError, which neither the platform's daemon nor the native one expected. It is now a target that was not reached.

--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -100,7 +100,6 @@
     trace: AttemptTrace,
 ) -> AttemptResult:
     """Send a request to a target, and return the answer or why there is none."""
-    url = URL(f"http://{target.address}{attempt.path}", encoded=True)
     headers = attempt.headers.copy()
     headers[conventions.expected_target_header] = target.name
     response: aiohttp.ClientResponse | None = None
@@ -109,7 +108,7 @@
         async with asyncio.timeout(attempt.timeout_s):
             response = await session.request(
                 attempt.method,
-                url,
+                URL(f"http://{target.address}{attempt.path}", encoded=True),
                 headers=headers,
                 data=attempt.body or None,
                 allow_redirects=False,
@@ -126,7 +125,8 @@
         result = MayHaveRun("the caller's upload broke off", None)
     except NotWantedError:
         result = NotRunAtTarget("the target leaves", None, has_arrived=False)
-    except (aiohttp.ClientError, OSError) as error:
+    except (aiohttp.ClientError, OSError, ValueError) as error:
+        # A value error is that of an address that cannot be encoded.
         result = _after_error(trace, error)
     finally:
         # Closes the connection unless the complete answer has been read.
--- a/dogwoodhook/transport/exchange.py
+++ b/dogwoodhook/transport/exchange.py
@@ -75,12 +75,11 @@
 ) -> Result[TargetAnswer, AttemptFailure]:
     """Send a request and wait for the head of its answer."""
     trace = AttemptTrace()
-    url = URL(f"http://{target.address}{request.path}", encoded=True)
     try:
         async with asyncio.timeout(request.timeout_s):
             response = await session.request(
                 request.method,
-                url,
+                URL(f"http://{target.address}{request.path}", encoded=True),
                 headers=request.headers,
                 data=request.body or None,
                 allow_redirects=False,
@@ -91,7 +90,8 @@
         return Error(_timeout_failure(trace))
     except CallerBodyError:
         return Error(_caller_failure(trace))
-    except (aiohttp.ClientError, OSError) as error:
+    except (aiohttp.ClientError, OSError, ValueError) as error:
+        # A value error is that of an address that cannot be encoded.
         if isinstance(error.__cause__, CallerBodyError):
             return Error(_caller_failure(trace))
         return Error(_connection_failure(trace))
