Join the fleet although a row of the daemons' table cannot be decoded

One odd row in that table, from any writer, kept every daemon that started from joining: no key, no reports, no notices from the others. Such a row is now logged and passed over, as is a key of another length.

--- a/dogwoodhook/fleet_joining.py
+++ b/dogwoodhook/fleet_joining.py
@@ -15,9 +15,9 @@
 
 from dogwoodhook.coordination.fleet_messages import DaemonHello
 from dogwoodhook.coordination.store import RowExists, Store, StoreRow, Table
-from dogwoodhook.events import FLEET_JOINED, log
+from dogwoodhook.events import DAEMON_ROW_REFUSED, FLEET_JOINED, log
 from dogwoodhook.transport.datagrams import DatagramPeers, Peer
-from dogwoodhook.vm_settings import Address, VmSettings
+from dogwoodhook.vm_settings import MAX_PORT, Address, VmSettings, is_host
 
 KEY_ROW = "fleet-key"
 _DAEMON_ROW_PREFIX = "daemon/"
@@ -33,6 +33,9 @@
 """Number of hellos of which one goes to all data centres: one every 21 s, three within
 the silence after which a daemon of another data centre counts as gone."""
 
+PROBLEM_LENGTH = 200
+"""Characters of a problem that are logged."""
+
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 4.0
 """Minimum and maximum pause between attempts while the store does not answer."""
@@ -84,6 +87,10 @@
         key = rows[KEY_ROW].value if KEY_ROW in rows else await self._create_key()
         if key is None:
             return False
+        if len(key) != KEY_BYTES:
+            problem = f"a key of {len(key)} bytes, needed are {KEY_BYTES}"
+            log(DAEMON_ROW_REFUSED, row=KEY_ROW, problem=problem)
+            return False
         for each in rows.values():
             self._add_peer(each)
         self._peers.key = key
@@ -112,11 +119,20 @@
     def _add_peer(self, row: StoreRow) -> None:
         if not row.key.startswith(_DAEMON_ROW_PREFIX) or row.value is None:
             return
-        place = json.loads(row.value)
-        self._peers.add(
-            Peer(
-                row.key.removeprefix(_DAEMON_ROW_PREFIX),
-                place["data_centre"],
-                Address(place["host"], place["port"]),
-            )
-        )
+        try:
+            peer = _decode_peer(row.key, row.value)
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
+            # Another program may have written it; the other daemons are still found.
+            log(DAEMON_ROW_REFUSED, row=row.key, problem=repr(error)[:PROBLEM_LENGTH])
+            return
+        self._peers.add(peer)
+
+
+def _decode_peer(key: str, value: bytes) -> Peer:
+    place = json.loads(value)
+    data_centre, host, port = place["data_centre"], place["host"], place["port"]
+    if not isinstance(data_centre, str) or not is_host(host):
+        raise TypeError("a data centre and a host are needed")
+    if type(port) is not int or not 1 <= port <= MAX_PORT:
+        raise ValueError(f"a port of 1..{MAX_PORT} is needed")
+    return Peer(key.removeprefix(_DAEMON_ROW_PREFIX), data_centre, Address(host, port))
--- a/tests/test_fleet_joining.py
+++ b/tests/test_fleet_joining.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import pytest
 from expression import Error, Ok
 
 from dogwoodhook import fleet_joining
@@ -134,3 +135,24 @@
     assert 3 * interval_s <= NEIGHBOUR_SILENCE_S
     remote_s = interval_s * fleet_joining.REMOTE_HELLO_EVERY
     assert 3 * remote_s <= REMOTE_SILENCE_S
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"no json",
+        b"[" * 100_000,
+        b"{}",
+        b'{"data_centre": "oulu-1", "host": "127.0.0.1", "port": 70000}',
+        b'{"data_centre": "oulu-1", "host": "127.0.0.1", "port": "7"}',
+        b'{"data_centre": "oulu-1", "host": "a\\ud800", "port": 7}',
+        b'{"data_centre": 7, "host": "127.0.0.1", "port": 7}',
+    ],
+)
+async def test_an_odd_row_keeps_a_daemon_from_joining(value):
+    store = MemoryStore()
+    store.rows["daemon/odd"] = value
+    await join(*make_joining(store, "vm-1"))
+    joining, peers = make_joining(store, "vm-2")
+    await join(joining, peers)
+    assert peers.neighbours() == ["vm-1"]
