Discard suspects that no longer count

A daemon kept the suspects of every end of a target until it knew 4,096 of them, and as long as it knew any it computed the fingerprints of each request and sent states to two others a second. They are discarded now when their time is over: two minutes after the last end, an hour after a quarantine. The new test failed before.

--- a/dogwoodhook/coordination/fleet_quarantine.py
+++ b/dogwoodhook/coordination/fleet_quarantine.py
@@ -215,6 +215,7 @@
 
     def exchange(self) -> None:
         """Decide on suspects, and send some of the known states to some daemons."""
+        self._quarantine.discard_expired(self._clock.now_s())
         self._share_decisions()
         now_s = self._clock.now_s()
         changed = self._quarantine.changed_fingerprints(now_s, within_s=RECENT_S)
--- a/dogwoodhook/state/quarantine.py
+++ b/dogwoodhook/state/quarantine.py
@@ -426,6 +426,15 @@
         ]
         return suspects + cleared
 
+    def discard_expired(self, now_s: float) -> None:
+        """Discard the suspects and successes that no longer count."""
+        for fingerprint, suspect in tuple(self._suspects.items()):
+            if self._is_expired(suspect, now_s):
+                del self._suspects[fingerprint]
+        for fingerprint, cleared_s in tuple(self._cleared_s.items()):
+            if now_s - cleared_s > SUSPICION_S:
+                del self._cleared_s[fingerprint]
+
     def merge(self, states: Iterable[SuspectState], now_s: float) -> None:
         """Add what another daemon knows; idempotent, in any order."""
         for state in states:
--- a/tests/test_fleet_quarantine.py
+++ b/tests/test_fleet_quarantine.py
@@ -22,6 +22,7 @@
 )
 from dogwoodhook.state.quarantine import (
     ENDED_PROCESSES_POLICY,
+    SUSPICION_S,
     Admit,
     Quarantine,
     Refuse,
@@ -260,6 +261,15 @@
     assert check_all(fleet, RequestIdentity("7", "7 of any caller")) == [Admit] * 3
 
 
+def test_suspects_are_kept_for_ever():
+    fleet = Fleet(3)
+    end_targets(fleet, 2)
+    fleet.wait(SUSPICION_S + 1.0)
+    assert [len(daemon) for daemon in fleet.daemons.values()] == [0, 0, 0]
+    fleet.deliver = pytest.fail
+    fleet.wait(2.0)
+
+
 def test_nothing_is_sent_while_nothing_is_suspected():
     fleet = Fleet(2)
     fleet.deliver = pytest.fail
