--- a/dogwoodhook/coordination/fleet_quarantine.py
+++ b/dogwoodhook/coordination/fleet_quarantine.py
@@ -33,6 +33,7 @@
     Admission,
     Admit,
     Quarantine,
+    Quarantined,
     Refuse,
     RunAlone,
 )
@@ -115,17 +116,17 @@
         """Decide how a request may run; called before each attempt."""
         now_s = self._clock.now_s()
         admissions = [self._quarantine.check(each, now_s) for each in identity]
-        self._share_decisions()
+        self._share_decisions(self._quarantine.take_decided())
         refusals = [each.until_s for each in admissions if isinstance(each, Refuse)]
         if refusals:
             return Refuse(max(refusals))
         alone = [each.avoid for each in admissions if isinstance(each, RunAlone)]
         return RunAlone(frozenset().union(*alone)) if alone else Admit()
 
-    def begin_alone(self, identity: RequestIdentity, target: str) -> None:
+    def begin_alone(self, identity: RequestIdentity) -> None:
         """Record that a suspect is sent to a target; other daemons do not run it."""
         for fingerprint in identity:
-            self._quarantine.begin_alone(fingerprint, target)
+            self._quarantine.begin_alone(fingerprint, self._daemon)
         self._share(identity)
 
     def end_alone(self, identity: RequestIdentity) -> None:
@@ -144,7 +145,7 @@
             service, of_any_caller, target, now_s, daemon=self._daemon, caller=own
         )
         self._share(identity)
-        self._share_decisions()
+        self._share_decisions(self._quarantine.take_decided())
 
     def record_success(self, identity: RequestIdentity) -> None:
         """Clear a suspect that a target answered."""
@@ -215,18 +216,17 @@
 
     def exchange(self) -> None:
         """Decide on suspects, and send some of the known states to some daemons."""
-        self._quarantine.discard_expired(self._clock.now_s())
-        self._share_decisions()
         now_s = self._clock.now_s()
+        self._quarantine.discard_expired(now_s)
+        self._share_decisions(self._quarantine.take_unpublished(now_s))
         changed = self._quarantine.changed_fingerprints(now_s, within_s=RECENT_S)
         if not changed:
             return
         chosen = self._rng.sample(changed, min(EXCHANGED_STATES, len(changed)))
         self._links.notify_some(self._message(chosen), EXCHANGE_PEERS)
 
-    def _share_decisions(self) -> None:
+    def _share_decisions(self, decided: tuple[Quarantined, ...]) -> None:
         now_s = self._clock.now_s()
-        decided = self._quarantine.take_unpublished(now_s)
         for each in decided:
             log(
                 REQUEST_QUARANTINED,
--- a/dogwoodhook/state/quarantine.py
+++ b/dogwoodhook/state/quarantine.py
@@ -162,6 +162,15 @@
 Admission = Admit | RunAlone | Refuse
 
 
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """A target that crashed with the request in flight, as a daemon saw it."""
+
+    target: str
+    daemon: str
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Quarantined:
     """A fingerprint in quarantine until a moment of the elapsed clock.
@@ -173,16 +182,7 @@
     fingerprint: str
     until_s: float
     crashes: int
-    evidence: tuple["Crash", ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Crash:
-    """A target that crashed with the request in flight, as a daemon saw it."""
-
-    target: str
-    daemon: str
-    age_s: float
+    evidence: tuple[Crash, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -225,6 +225,9 @@
     def targets(self) -> frozenset[str]:
         return frozenset(self.crashed)
 
+    def add_callers(self, callers: Iterable[str]) -> None:
+        self.callers = set(sorted(self.callers.union(callers))[:MAX_CALLERS_KEPT])
+
     @property
     def is_eligible(self) -> bool:
         return not self.is_of_any_caller or len(self.callers) >= MIN_CALLERS
@@ -284,7 +287,7 @@
             return
         if caller is not None:
             suspect.is_of_any_caller = True
-            suspect.callers.add(caller)
+            suspect.add_callers((caller,))
         self._add_crash(suspect, self._name(suspect, target, now_s), now_s, daemon)
         if suspect.was_quarantined:
             self._quarantine(fingerprint, suspect, now_s)
@@ -367,6 +370,10 @@
         for fingerprint, suspect in tuple(self._suspects.items()):
             if self._is_decision_needed(suspect):
                 self.check(fingerprint, now_s)
+        return self.take_decided()
+
+    def take_decided(self) -> tuple[Quarantined, ...]:
+        """Return the quarantines decided since the last call, and decide on none."""
         taken = tuple(self._unpublished)
         self._unpublished.clear()
         return taken
@@ -474,7 +481,7 @@
                 continue
             suspect = self._get_or_add_suspect(state.service, state.fingerprint, now_s)
             suspect.is_of_any_caller |= state.is_of_any_caller
-            suspect.callers |= set(state.callers[:MAX_CALLERS_KEPT])
+            suspect.add_callers(state.callers)
             if crash.target not in suspect.crashed:
                 self._add_crash(suspect, crash.target, crashed_s, crash.daemon)
         held = self._suspects.get(state.fingerprint)
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -356,7 +356,7 @@
                 return until_s
             case RunAlone():
                 routed.runs_alone = True
-                self._fleet.quarantine.begin_alone(routed.identity, routed.request_id)
+                self._fleet.quarantine.begin_alone(routed.identity)
             case Admit():
                 pass
         return None
--- a/tests/test_fleet_quarantine.py
+++ b/tests/test_fleet_quarantine.py
@@ -141,7 +141,7 @@
     end_targets(fleet, 2)
     first, second = fleet.daemons.values()
     assert isinstance(first.check(HARMFUL), RunAlone)
-    first.begin_alone(HARMFUL, "request")
+    first.begin_alone(HARMFUL)
     assert isinstance(second.check(HARMFUL), Refuse)
 
 
@@ -181,7 +181,7 @@
     end_targets(fleet, 3)
     fleet.wait(2.0)
     daemon = fleet.daemons["vm-0"]
-    daemon.begin_alone(HARMFUL, "request")
+    daemon.begin_alone(HARMFUL)
     daemon.record_crash("payouts", HARMFUL, "t9/1")
     daemon.end_alone(HARMFUL)
     await daemon.store_decisions()
@@ -294,7 +294,7 @@
         if isinstance(admission, Refuse):
             continue
         if isinstance(admission, RunAlone):
-            daemon.begin_alone(HARMFUL, "request")
+            daemon.begin_alone(HARMFUL)
             daemon.end_alone(HARMFUL)
         arrived_s.append(fleet.clock.now_s())
         daemon.record_crash("payouts", HARMFUL, f"t{len(arrived_s) % 6}/1")
