Give a path with bytes that are not UTF-8 a fingerprint

Its fingerprint raised an error that would have ended the request in the daemon itself. Callers cannot reach it with the library's parser in use here, which denies such a path; a parser that decodes the bytes to surrogates would pass it on. The new test failed before.

--- a/dogwoodhook/state/quarantine.py
+++ b/dogwoodhook/state/quarantine.py
@@ -128,7 +128,8 @@
     """
     hasher = hashlib.blake2b(digest_size=_DIGEST_BYTES)
     for part in (service, workspace, method, path):
-        encoded = part.encode()
+        # A path may contain bytes that are not UTF-8, which are decoded to surrogates.
+        encoded = part.encode(errors="surrogatepass")
         hasher.update(len(encoded).to_bytes(4, "big"))
         hasher.update(encoded)
     hasher.update(digest)
--- a/tests/test_request_identity.py
+++ b/tests/test_request_identity.py
@@ -5,6 +5,7 @@
 import pytest
 
 from dogwoodhook.state.model import Parameters
+from dogwoodhook.state.quarantine import fingerprint
 from dogwoodhook.transport.calls import read_call
 
 BUFFER_BYTES = 64 * 1024
@@ -62,3 +63,12 @@
     whole = await fingerprint_of(BODY, piece_bytes=1460, length=len(BODY))
     shorter = await fingerprint_of(BODY[:-1], piece_bytes=1460, length=len(BODY) - 1)
     assert whole != shorter
+
+
+def test_a_path_with_other_bytes_than_utf_8_has_no_fingerprint():
+    path = b"/payouts/\xff".decode("utf-8", "surrogateescape")
+    first, second = (
+        fingerprint(service="s", workspace="w", method="GET", path=each, digest=b"")
+        for each in (path, "/payouts/")
+    )
+    assert first != second
