Report to all native daemons that a suspect request succeeded

Callers of a sound request got 503 for 30 s: it had been in flight at one crash, had then been answered through one daemon, and was in flight at another crash at a second daemon, which still counted the first.

A success that clears a suspect is now sent to the peers like a crash.

--- a/dogwoodhook/control.py
+++ b/dogwoodhook/control.py
@@ -26,6 +26,7 @@
     Heartbeat,
     Message,
     QuarantineUpdate,
+    SuspectCleared,
 )
 from dogwoodhook.coordination.platform import Platform, Unavailable, new_token
 from dogwoodhook.coordination.quarantine import QuarantineManager
@@ -237,7 +238,7 @@
                     self._components.hub.send(peer, answer)
             case EvidenceReport():
                 self._receive_evidence(message)
-            case QuarantineUpdate() | CrashReport():
+            case QuarantineUpdate() | CrashReport() | SuspectCleared():
                 self._components.quarantine.receive(message)
 
     def _receive_snapshot(self, peer: str, part: ConfigurationSnapshot) -> None:
--- a/dogwoodhook/coordination/messages.py
+++ b/dogwoodhook/coordination/messages.py
@@ -100,6 +100,14 @@
     kind: Literal["crash-news"] = "crash-news"
 
 
+@dataclass(frozen=True, slots=True)
+class SuspectCleared:
+    """A request that was suspected after a crash was answered by a target."""
+
+    fingerprint: str
+    kind: Literal["suspect-cleared"] = "suspect-cleared"
+
+
 Message = (
     Heartbeat
     | ConfigurationUpdate
@@ -108,4 +116,5 @@
     | EvidenceReport
     | QuarantineUpdate
     | CrashReport
+    | SuspectCleared
 )
--- a/dogwoodhook/coordination/quarantine.py
+++ b/dogwoodhook/coordination/quarantine.py
@@ -13,7 +13,11 @@
 
 from dogwoodhook.clock import WALL_CLOCK_ERROR_S, Clock
 from dogwoodhook.coordination.group_commit import ConditionalWrite, GroupCommitter
-from dogwoodhook.coordination.messages import CrashReport, QuarantineUpdate
+from dogwoodhook.coordination.messages import (
+    CrashReport,
+    QuarantineUpdate,
+    SuspectCleared,
+)
 from dogwoodhook.coordination.platform import ABSENT_VERSION, Platform, StoredRow
 from dogwoodhook.coordination.quarantine_row import (
     QuarantineRow,
@@ -28,7 +32,9 @@
     Quarantine,
 )
 
-Broadcast = Callable[[CrashReport | QuarantineUpdate], None]
+QuarantineMessage = CrashReport | QuarantineUpdate | SuspectCleared
+
+Broadcast = Callable[[QuarantineMessage], None]
 
 
 class QuarantineManager:
@@ -60,13 +66,20 @@
         self._broadcast(CrashReport(service, fingerprint, target))
         self.evaluate_suspects()
 
-    def receive(self, message: CrashReport | QuarantineUpdate) -> None:
+    def record_success(self, fingerprint: str) -> None:
+        """Clear a suspect that a target answered, at this daemon and its peers."""
+        if self.quarantine.record_success(fingerprint, self._clock.now_s()):
+            self._broadcast(SuspectCleared(fingerprint))
+
+    def receive(self, message: QuarantineMessage) -> None:
         """Record a peer's report, which may be a duplicate, late or out of order."""
         match message:
             case CrashReport(service, fingerprint, target):
                 self.quarantine.record_peer_crash(
                     service, fingerprint, target, self._clock.now_s()
                 )
+            case SuspectCleared(fingerprint):
+                self.quarantine.record_success(fingerprint, self._clock.now_s())
             case QuarantineUpdate(entries):
                 for row in entries:
                     self._adopt(row)
--- a/dogwoodhook/transport/forwarder.py
+++ b/dogwoodhook/transport/forwarder.py
@@ -205,7 +205,7 @@
                 self._record_crash(call, target)
             log(ANSWER_CUT, service=call.runtime.service.name, target=target)
         else:
-            self._quarantine.record_success(call.fingerprint, self._clock.now_s())
+            self._quarantine_manager.record_success(call.fingerprint)
         return Reply(answer, outcome)
 
     def _fail(
--- a/properties/test_quarantine.py
+++ b/properties/test_quarantine.py
@@ -129,10 +129,10 @@
             self.crash(run.target)
             return
         self.running.remove(run)
-        quarantine = self.managers[run.daemon].quarantine
+        manager = self.managers[run.daemon]
         if run.is_alone:
-            quarantine.end_alone(run.request)
-        quarantine.record_success(run.request, self.clock.now_s())
+            manager.quarantine.end_alone(run.request)
+        manager.record_success(run.request)
 
     def crash(self, target):
         self.crashes.append((self.clock.now_s(), target))
@@ -218,5 +218,19 @@
     assert len(fleet.crashes) <= SECOND_CRASH + quarantines
 
 
+def test_a_success_at_one_daemon_is_not_known_at_the_others():
+    fleet = Fleet(2, [0.0])
+    first, second = fleet.managers
+    first.record_crash("payouts", "a", TARGETS[0])
+    fleet.play([])
+    first.record_success("a")
+    fleet.play([])
+    second.record_crash("payouts", "a", TARGETS[1])
+    fleet.clock.elapsed_s += DECISION_DELAY_S
+    now_s = fleet.clock.now_s()
+    for manager in fleet.managers:
+        assert not isinstance(manager.quarantine.check("a", now_s), Refuse)
+
+
 def test_the_decision_delay_exceeds_the_message_delay():
     assert DECISION_DELAY_S > MAX_DELAY_S
