--- a/dogwoodhook/state/quarantine.py
+++ b/dogwoodhook/state/quarantine.py
@@ -596,10 +596,17 @@
         # A crash whose cause is known does not count against other requests.
         for other in self._suspects.values():
             if other is not cause and other.service == cause.service:
-                for target in cause.crashed:
-                    other.crashed.pop(target, None)
+                self._remove_explained(other, cause)
         cause.crashed.clear()
 
+    def _remove_explained(self, other: _Suspect, cause: _Suspect) -> None:
+        for target, (crashed_s, _) in cause.crashed.items():
+            if target not in other.crashed:
+                continue
+            apart_s = abs(other.crashed[target][0] - crashed_s)
+            if apart_s < self._policy.repeated_crash_s:
+                del other.crashed[target]
+
 
 def _decision_at_s(suspect: _Suspect) -> float:
     return suspect.crashed_at_s + DECISION_DELAY_S
--- a/tests/test_fleet_quarantine.py
+++ b/tests/test_fleet_quarantine.py
@@ -253,6 +253,17 @@
     assert check_all(fleet) == [Refuse] * 2
 
 
+def test_a_later_end_of_the_same_target_is_explained_by_another_request():
+    fleet = Fleet(2)
+    daemon = fleet.daemons["vm-0"]
+    for identity in (HARMFUL, OTHER):
+        for number in range(3):
+            daemon.record_crash("payouts", identity, f"t{number}/1")
+            fleet.wait(0.4)
+    fleet.wait(1.0)
+    assert check_all(fleet, OTHER) == [Refuse] * 2
+
+
 def test_suspects_of_a_mass_failure_are_not_refused():
     fleet = Fleet(3)
     for number in range(300):
