Avoid a target that ended until it has started again

With a hold of 1 s, which came with the quarantine, callers of targets that crash and stay away were sent there again each second by each daemon. An ended target is avoided like one that reset a connection now, and no longer once the store shows another start of it, unless it has ended or failed repeatedly.

--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -115,7 +115,7 @@
         self._stop_timeouts = StopTimeouts(self._stop, clock)
         self._has_been_ready = asyncio.Event()
         self._suspicion = Suspicion(daemon=settings.vm_name, rng=rng)
-        self._directory = TargetDirectory()
+        self._directory = TargetDirectory(on_restart=self._suspicion.record_restart)
         self._load = FleetLoad()
         self._connections = TargetConnections(clock)
         self.peers = DatagramPeers(
--- a/dogwoodhook/state/suspicion.py
+++ b/dogwoodhook/state/suspicion.py
@@ -38,10 +38,6 @@
 """Holding time after a failure for requests that are not idempotent. Gray episodes
 last some ten seconds, and every request sent to the target before the end may fail."""
 
-ENDED_HOLD_S = 1.0
-"""Holding time after a target's process ended for the first time: it is unreachable at
-first, and as good as any other when it is back."""
-
 IDEMPOTENT_HOLD_S = 2.0
 """Holding time after a failure for idempotent requests."""
 
@@ -229,6 +225,19 @@
         """Record a success at a suspect that another daemon reported."""
         self._subtract_failure(self._suspect(target))
 
+    def record_restart(self, target: str) -> None:
+        """Record that a target's process was started again.
+
+        A target that has ended once is no longer avoided; one that has failed in other
+        ways, or has ended several times, is.
+        """
+        suspect = self._suspects.get(target)
+        if suspect is None or suspect.failures > 1 or not suspect.reports:
+            return
+        _, report = suspect.reports[-1]
+        if report.symptom is Symptom.ENDED:
+            self._subtract_failure(suspect)
+
     def record_failure(self, target: str, symptom: Symptom, *, now_s: float) -> None:
         """Record a failure of a request of this daemon."""
         report = FailureReport(target, symptom, self._daemon)
@@ -313,11 +322,6 @@
     def _avoid_after_failure(
         self, suspect: _Suspect, symptom: Symptom, now_s: float
     ) -> None:
-        if symptom is Symptom.ENDED and not self._has_failed(suspect, now_s):
-            self._add_failures(suspect, 1, now_s)
-            until_s = now_s + ENDED_HOLD_S
-            suspect.avoid(until_s=until_s, idempotent_avoided_until_s=until_s)
-            return
         if symptom is Symptom.IDLE_RESET:
             suspect.idle_reuse_paused_until_s = now_s + IDLE_REUSE_PAUSE_S
         if symptom is not Symptom.IDLE_RESET or not suspect.failures:
@@ -328,10 +332,6 @@
             idempotent_avoided_until_s=now_s + IDEMPOTENT_HOLD_S + spread_s,
         )
 
-    def _has_failed(self, suspect: _Suspect, now_s: float) -> bool:
-        is_recent = now_s - suspect.failed_s <= FAILURE_RETENTION_S
-        return is_recent and suspect.failures > 0
-
     def _mark_busy(self, target: str, now_s: float) -> None:
         suspect = self._suspect(target)
         suspect.slow_until_s = max(suspect.slow_until_s, now_s + BUSY_HOLD_S)
--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -7,7 +7,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 EXPIRY_HOLD_S = 2.2
@@ -55,9 +55,15 @@
 
 
 class TargetDirectory:
-    """The known targets; ``version`` is the store version that they reflect."""
+    """The known targets; ``version`` is the store version that they reflect.
 
-    def __init__(self) -> None:
+    ``on_restart`` is called with the name of a target that has a new incarnation.
+    """
+
+    def __init__(
+        self, *, on_restart: Callable[[str], None] = lambda name: None
+    ) -> None:
+        self._on_restart = on_restart
         self.version = 0
         self._entries: dict[str, TargetEntry] = {}
         self._versions: dict[str, int] = {}
@@ -162,6 +168,8 @@
                 return False
             self._removal_due_s[change.name] = removal_s
             return True
+        if known is not None and known.incarnation != change.entry.incarnation:
+            self._on_restart(change.name)
         was_pending_removal = self._removal_due_s.pop(change.name, None) is not None
         self._entries[change.name] = change.entry
         return (
--- a/tests/test_target_directory.py
+++ b/tests/test_target_directory.py
@@ -116,3 +116,13 @@
     assert directory.changes_after(9) == (removal,)
     assert names(directory, now_s=2.0) == ["t2"]
     assert directory.changes_after(9) == (removal,)
+
+
+def test_a_restart_of_a_target_is_not_noticed():
+    restarted = []
+    directory = TargetDirectory(on_restart=restarted.append)
+    for version, incarnation in enumerate([17, 17, 18], start=1):
+        entry = replace(T1, incarnation=incarnation)
+        change = TargetChange("t1", version, entry)
+        directory.apply([change], version=version, now_s=0.0)
+    assert restarted == ["t1"]
