Take back a narrower check of the soak that no trace supports

 let large answers count as broken off by their target if it ended within a second after them. That this was the cause of the two findings was a suspicion. The check is as strict as before; a run only records when its target ended, so that a further finding shows whether it was that.

--- a/tests/platform_adapter/soak/records.py
+++ b/tests/platform_adapter/soak/records.py
@@ -139,7 +139,8 @@
     ``broke_off`` true if the target sent only a part of a large answer. ``padding`` is
     the number of bytes after the text of the answer, ``work_s`` the time that the run
     takes, and ``request_content`` what the target received. ``timeout_s`` is the time
-    that the daemon gave the target, which stops working after it.
+    that the daemon gave the target, which stops working after it. ``target_ended_s`` is
+    when the target ended, if that was during the run or soon after it.
     """
 
     request_id: str
@@ -153,6 +154,7 @@
     work_s: float = 0.0
     request_content: str = ""
     timeout_s: float = math.inf
+    target_ended_s: float | None = None
 
     @property
     def was_cut_at_work(self) -> bool:
--- a/tests/platform_adapter/soak/world.py
+++ b/tests/platform_adapter/soak/world.py
@@ -64,7 +64,7 @@
 
 HARMFUL_WORK_S = 0.02
 DELIVERY_S = 1.0
-"""Time after a run in which a large answer may still be on its way to the daemon."""
+"""Time after a run for which the next end of its target is recorded with it."""
 
 MAX_DOWN_S = 2.0
 """Longest time from a target's end until it accepts connections again."""
@@ -210,9 +210,8 @@
         arrival.ended_s = time.monotonic()
         self.link_fault_until_s = float("inf")
         for run in self.runs:
-            # Its connections take with them what they still had to deliver.
-            if run.padding and arrival.ended_s - run.ended_s < DELIVERY_S:
-                run.broke_off = True
+            if arrival.ended_s - run.ended_s < DELIVERY_S:
+                run.target_ended_s = arrival.ended_s
         self.relay.close_port()
         # Drawn from the id, so that the faults of a seed stay the same.
         down_s = random.Random(received.request_id).uniform(0.3, MAX_DOWN_S)
