Put the model of lost reports back to the losses and the time that it failed at

With 0.6 and 900 s it passes on this code.

In the tests of harmful requests, a bound on wall-clock time is replaced by the request's own deadline of the same length, which the daemon enforces; a fixed wait is the time that the rule gives the fleet; the number of targets that may end has a name and a reason.

--- a/tests/platform_adapter/test_harmful_requests.py
+++ b/tests/platform_adapter/test_harmful_requests.py
@@ -18,6 +18,9 @@
 MAX_LATER_ARRIVALS = 3
 """Arrivals allowed later than ``CONTACT_S`` after the third target ended."""
 
+MAX_ENDS = 4
+"""Targets that may end: the three that the rule allows, and one in the first trial."""
+
 PLAY_S = 9.0
 INTERVAL_S = 0.4
 CALLER_HOST = "127.0.0.21"
@@ -169,7 +172,7 @@
         await Caller(platform, f"127.0.0.{30 + number}").send("/post/bad", body=BODY)
         await asyncio.sleep(INTERVAL_S)
     assert count_later_arrivals(targets) == 0
-    assert len(end_times_s(targets)) <= 4
+    assert len(end_times_s(targets)) <= MAX_ENDS
 
 
 async def test_a_daemon_that_starts_later_sends_a_harmful_request_again(platform):
@@ -180,7 +183,7 @@
         await asyncio.sleep(INTERVAL_S)
     ended = len(end_times_s(targets))
     started = await platform.start_gateway("vm-new")
-    await asyncio.sleep(3.0)
+    await asyncio.sleep(CONTACT_S)
     statuses = [
         (await caller.send("/post/bad", body=BODY, gateway=started))[0]
         for _ in range(4)
@@ -195,7 +198,7 @@
     await Caller(platform, CALLER_HOST).repeat(
         lambda: "/post/bad", seconds=6.0, interval_s=INTERVAL_S, body=BODY
     )
-    assert len(end_times_s(targets)) <= 4
+    assert len(end_times_s(targets)) <= MAX_ENDS
     assert count_later_arrivals(targets) <= MAX_LATER_ARRIVALS
 
 
@@ -219,19 +222,17 @@
     targets = await start(platform, work_s=0.1)
     caller = Caller(platform, CALLER_HOST)
     path, body = ("/read/sound", None) if is_safe else ("/post/sound", BODY)
-    loop = asyncio.get_running_loop()
     for ended in range(1, 5):
         sending = asyncio.create_task(caller.send(path, body=body))
-        while not any(target.load for target in targets):
-            await asyncio.sleep(0.005)
+        await until(lambda: any(target.load for target in targets))
         next(target for target in targets if target.load).end()
         await sending
         assert len(end_times_s(targets)) == ended
         status, _ = await caller.send(path, body=body)
         assert status == 200
-    ended_s = loop.time()
-    assert (await caller.send(path, body=body))[0] == 200
-    assert loop.time() - ended_s < 1.0
+    # The daemon itself answers 504 at the deadline, so a held request fails.
+    status, _ = await caller.send(path, body=body, **{"Deadline-Ms": "1000"})
+    assert status == 200
 
 
 @pytest.mark.parametrize("other_path", [True, False])
@@ -246,7 +247,7 @@
         await harmful.send("/read/same", harmful="1")
         assert (await neighbour.send(path))[0] == 200
         await asyncio.sleep(0.2)
-    assert len(end_times_s(targets)) <= 4
+    assert len(end_times_s(targets)) <= MAX_ENDS
 
 
 async def test_a_fleet_that_starts_again_sends_a_harmful_request_again(platform):
--- a/tests/test_fleet_quarantine.py
+++ b/tests/test_fleet_quarantine.py
@@ -69,7 +69,8 @@
 class Fleet:
     """Daemons whose messages arrive at once, unless they are lost."""
 
-    def __init__(self, daemons, *, loss=0.0, seed=1):
+    def __init__(self, daemons, *, loss=0.0, seed=1, is_encoded=True):
+        self.is_encoded = is_encoded
         self.rng = random.Random(seed)
         self.loss = loss
         self.clock = ManualClock()
@@ -95,10 +96,11 @@
         return [each for name, each in self.daemons.items() if name != daemon]
 
     def deliver(self, message, receivers):
-        datagram = encode_datagram(message, key=KEY)
+        if self.is_encoded:
+            message = decode_datagram(encode_datagram(message, key=KEY), key=KEY).ok
         for receiver in receivers:
             if self.rng.random() >= self.loss:
-                receiver.receive(decode_datagram(datagram, key=KEY).ok)
+                receiver.receive(message)
 
     def wait(self, seconds):
         """Let time pass, with the exchanges that daemons make in it."""
@@ -289,16 +291,16 @@
 
 @given(
     daemons=st.integers(1, 12),
-    loss=st.sampled_from((0.0, 0.1, 0.3)),
+    loss=st.sampled_from((0.0, 0.3, 0.6)),
     seed=st.integers(0, 2**32),
     interval_s=st.sampled_from((0.1, 0.4, 1.7)),
 )
 def test_a_harmful_request_reaches_targets_at_most_three_times_later(
     daemons, loss, seed, interval_s
 ):
-    fleet = Fleet(daemons, loss=loss, seed=seed)
+    fleet = Fleet(daemons, loss=loss, seed=seed, is_encoded=False)
     arrived_s = []
-    while fleet.clock.now_s() < 200:
+    while fleet.clock.now_s() < 900:
         fleet.wait(interval_s)
         daemon = fleet.rng.choice(list(fleet.daemons.values()))
         admission = daemon.check(HARMFUL)
