Say crash for a target whose process ended, as the quarantine does

One thing had two names: a target "ended" where a request was forwarded and "crashed" where it was judged. The event 323, the symptom, the counter, the module of the check and the policies say crash now. The number of a request's quarantines no longer has the name of its crashes, and joining the fleet no longer knows the rows of quarantines: it passes on each row that is not its own. No outcome changes.

--- a/dogwoodhook/coordination/fleet_quarantine.py
+++ b/dogwoodhook/coordination/fleet_quarantine.py
@@ -19,6 +19,8 @@
 from dataclasses import dataclass
 from zlib import crc32
 
+from expression import Result
+
 from dogwoodhook.clock import Clock
 from dogwoodhook.coordination.fleet_links import FleetLinks
 from dogwoodhook.coordination.fleet_messages import SuspectStates
@@ -27,8 +29,13 @@
     to_quarantined,
     to_row,
 )
-from dogwoodhook.coordination.store import Store, Table
-from dogwoodhook.events import REQUEST_CLEARED, REQUEST_QUARANTINED, log
+from dogwoodhook.coordination.store import Store, StoreRow, Table
+from dogwoodhook.events import (
+    DAEMON_ROW_REFUSED,
+    REQUEST_CLEARED,
+    REQUEST_QUARANTINED,
+    log,
+)
 from dogwoodhook.state.quarantine import (
     Admission,
     Admit,
@@ -61,6 +68,9 @@
 STORED_FROM = 2
 """Number of a request's quarantine from which it is stored: the first one is short."""
 
+PROBLEM_LENGTH = 200
+"""Characters of a row's problem that are logged."""
+
 RECENT_S = 10.0
 """Time for which a first crash and a success are sent again."""
 
@@ -79,7 +89,7 @@
         """Return the fingerprints as log fields."""
         return {
             "fingerprint": self.fingerprint,
-            "of_any_caller": self.any_caller_fingerprint,
+            "any_caller_fingerprint": self.any_caller_fingerprint,
         }
 
 
@@ -96,7 +106,9 @@
         rng: random.Random,
         store: Store,
         encode_row: Callable[[QuarantineRow], bytes],
+        decode_row: Callable[[bytes], Result[QuarantineRow, str]],
     ) -> None:
+        self._decode_row = decode_row
         self._store = store
         self._encode_row = encode_row
         self._unstored: dict[str, QuarantineRow] = {}
@@ -139,10 +151,10 @@
     ) -> None:
         """Record that a target ended with the request in flight."""
         now_s = self._clock.now_s()
-        own, of_any_caller = identity
+        own, any_caller = identity
         self._quarantine.record_crash(service, own, target, now_s, daemon=self._daemon)
         self._quarantine.record_crash(
-            service, of_any_caller, target, now_s, daemon=self._daemon, caller=own
+            service, any_caller, target, now_s, daemon=self._daemon, caller=own
         )
         self._share(identity)
         self._share_decisions(self._quarantine.take_decided())
@@ -168,9 +180,16 @@
         """Add what another daemon knows."""
         self._quarantine.merge(message.states, self._clock.now_s())
 
-    def adopt_row(self, row: QuarantineRow) -> None:
+    def adopt_row(self, row: StoreRow) -> None:
         """Adopt a quarantine from the store, unless it has ended."""
-        self._quarantine.adopt(to_quarantined(row, self._clock), self._clock.now_s())
+        if not row.key.startswith(QUARANTINE_ROW_PREFIX) or row.value is None:
+            return
+        match self._decode_row(row.value):
+            case Result(tag="ok", ok=decoded):
+                quarantined = to_quarantined(decoded, self._clock)
+                self._quarantine.adopt(quarantined, self._clock.now_s())
+            case Result(error=problem):
+                log(DAEMON_ROW_REFUSED, row=row.key, problem=problem[:PROBLEM_LENGTH])
 
     async def run(self) -> None:
         """Send states again, and some of them to some daemons, until cancelled."""
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -244,9 +244,9 @@
     Level.WARNING,
     "An entry in the store's table of targets is not used; `problem` says why.",
 )
-TARGET_ENDED = _event(
+TARGET_CRASHED = _event(
     323,
-    "target-ended",
+    "target-crashed",
     Level.WARNING,
     "A request's connection to a target broke and the target's port was closed.",
 )
--- a/dogwoodhook/fleet_joining.py
+++ b/dogwoodhook/fleet_joining.py
@@ -15,11 +15,8 @@
 from expression import Result
 
 from dogwoodhook.coordination.fleet_messages import DaemonHello
-from dogwoodhook.coordination.fleet_quarantine import QUARANTINE_ROW_PREFIX
-from dogwoodhook.coordination.quarantine_row import QuarantineRow
 from dogwoodhook.coordination.store import RowExists, Store, StoreRow, Table
 from dogwoodhook.events import DAEMON_ROW_REFUSED, FLEET_JOINED, log
-from dogwoodhook.protocol.quarantine_rows import decode_quarantine_row
 from dogwoodhook.transport.datagrams import DatagramPeers, Peer
 from dogwoodhook.vm_settings import MAX_PORT, Address, VmSettings, is_host
 
@@ -46,7 +43,11 @@
 
 
 class FleetJoining:
-    """Joins the fleet as soon as the store answers, and sends periodic hellos."""
+    """Joins the fleet as soon as the store answers, and sends periodic hellos.
+
+    ``on_other_row`` is called with each row of the daemons' table that is neither a
+    daemon nor the fleet's key.
+    """
 
     def __init__(
         self,
@@ -54,9 +55,9 @@
         peers: DatagramPeers,
         settings: VmSettings,
         *,
-        on_quarantine: Callable[[QuarantineRow], None] = lambda row: None,
+        on_other_row: Callable[[StoreRow], None] = lambda row: None,
     ) -> None:
-        self._on_quarantine = on_quarantine
+        self._on_other_row = on_other_row
         self._store = store
         self._peers = peers
         self._settings = settings
@@ -101,8 +102,10 @@
             _log_refused(KEY_ROW, f"{len(key)} bytes, needed are {KEY_BYTES}")
             return False
         for each in rows.values():
-            self._add_peer(each)
-            self._adopt_quarantine(each)
+            if each.key.startswith(_DAEMON_ROW_PREFIX):
+                self._add_peer(each)
+            elif each.key != KEY_ROW:
+                self._on_other_row(each)
         self._peers.key = key
         self._send_hello(all_data_centres=True)
         return True
@@ -126,17 +129,8 @@
             case _:
                 return None
 
-    def _adopt_quarantine(self, row: StoreRow) -> None:
-        if not row.key.startswith(QUARANTINE_ROW_PREFIX) or row.value is None:
-            return
-        match decode_quarantine_row(row.value):
-            case Result(tag="ok", ok=quarantine):
-                self._on_quarantine(quarantine)
-            case Result(error=problem):
-                _log_refused(row.key, problem)
-
     def _add_peer(self, row: StoreRow) -> None:
-        if not row.key.startswith(_DAEMON_ROW_PREFIX) or row.value is None:
+        if row.value is None:
             return
         try:
             peer = _decode_peer(row.key, row.value)
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -41,21 +41,24 @@
 from dogwoodhook.fleet_joining import FleetJoining
 from dogwoodhook.metrics import Metrics
 from dogwoodhook.protocol.http_conventions import HttpConventions
-from dogwoodhook.protocol.quarantine_rows import encode_quarantine_row
+from dogwoodhook.protocol.quarantine_rows import (
+    decode_quarantine_row,
+    encode_quarantine_row,
+)
 from dogwoodhook.readiness import Readiness
 from dogwoodhook.state.configuration_freshness import ConfigurationFreshness
 from dogwoodhook.state.daemon_stop import DaemonStop
 from dogwoodhook.state.fleet_budget import FleetBudget
 from dogwoodhook.state.fleet_load import FleetLoad
 from dogwoodhook.state.placement import Placement
-from dogwoodhook.state.quarantine import ENDED_PROCESSES_POLICY, Quarantine
+from dogwoodhook.state.quarantine import CONFIRMED_CRASHES_POLICY, Quarantine
 from dogwoodhook.state.route_policy import CallerLimits
 from dogwoodhook.state.suspicion import FailureReport, Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
 from dogwoodhook.transport.configuration_exchange import ConfigurationExchange
+from dogwoodhook.transport.crash_checks import CrashChecks
 from dogwoodhook.transport.datagrams import DatagramPeers
 from dogwoodhook.transport.detached_tasks import DetachedTasks
-from dogwoodhook.transport.end_checks import EndChecks
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.gateway_listener import CallerListener, OperatorListener
 from dogwoodhook.transport.route_forwarder import RouteForwarder
@@ -146,19 +149,20 @@
             bound_s=settings.bounds.drain_s,
         )
         self._quarantine = FleetQuarantine(
-            Quarantine(policy=ENDED_PROCESSES_POLICY),
+            Quarantine(policy=CONFIRMED_CRASHES_POLICY),
             self.peers,
             clock,
             daemon=settings.vm_name,
             rng=rng,
             store=platform.store,
             encode_row=encode_quarantine_row,
+            decode_row=decode_quarantine_row,
         )
         self._joining = FleetJoining(
             platform.store,
             self.peers,
             settings,
-            on_quarantine=self._quarantine.adopt_row,
+            on_other_row=self._quarantine.adopt_row,
         )
         bounds = settings.bounds
         self._budget = FleetBudget(
@@ -185,7 +189,7 @@
             ),
             budget=self._budget,
             connections=self._connections,
-            end_checks=EndChecks(clock),
+            crash_checks=CrashChecks(clock),
             quarantine=self._quarantine,
             is_ready=self._has_been_ready,
             notify_fleet=self.peers.broadcast,
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -147,7 +147,7 @@
         self._requests: Counter[_RequestSeries] = Counter()
         self._retries: Counter[_RetrySeries] = Counter()
         self._unanswered: Counter[_ClosingSeries] = Counter()
-        self._target_ends = 0
+        self._target_crashes = 0
         self._quarantine_refusals = 0
         meter.create_observable_counter(
             "dogwoodhook_requests",
@@ -166,8 +166,8 @@
         )
 
         meter.create_observable_counter(
-            "dogwoodhook_target_ends",
-            callbacks=[lambda options: [Observation(self._target_ends)]],
+            "dogwoodhook_target_crashes",
+            callbacks=[lambda options: [Observation(self._target_crashes)]],
             description="requests in flight at targets whose processes ended",
         )
         meter.create_observable_counter(
@@ -218,9 +218,9 @@
         """Record how late the event loop ran a timer."""
         self._loop_delay.record(delay_ms)
 
-    def record_target_end(self) -> None:
+    def record_target_crash(self) -> None:
         """Record a request that was in flight at a target when its process ended."""
-        self._target_ends += 1
+        self._target_crashes += 1
 
     def record_quarantine_refusal(self) -> None:
         """Record a request that was refused because of its quarantine."""
--- a/dogwoodhook/state/quarantine.py
+++ b/dogwoodhook/state/quarantine.py
@@ -86,7 +86,7 @@
         return self.durations_s[min(earlier, len(self.durations_s) - 1)]
 
 
-LOST_CONNECTIONS_POLICY = QuarantinePolicy(
+UNCONFIRMED_CRASHES_POLICY = QuarantinePolicy(
     crashes_until_alone=1,
     crashes_until_quarantine=CRASHES_UNTIL_QUARANTINE,
     crashes_when_ambiguous=CRASHES_WHEN_AMBIGUOUS,
@@ -97,7 +97,7 @@
 )
 """Every lost connection counts as a crash, so a network fault looks like many."""
 
-ENDED_PROCESSES_POLICY = QuarantinePolicy(
+CONFIRMED_CRASHES_POLICY = QuarantinePolicy(
     crashes_until_alone=2,
     crashes_until_quarantine=3,
     crashes_when_ambiguous=3,
@@ -219,7 +219,7 @@
     decided_s: float = _NEVER_S
     quarantined_until_s: float = 0.0
     held_until_s: float = 0.0
-    crashes: int = 0
+    quarantines: int = 0
     was_quarantined: bool = False
 
     @property
@@ -251,7 +251,7 @@
     def __init__(
         self,
         *,
-        policy: QuarantinePolicy = LOST_CONNECTIONS_POLICY,
+        policy: QuarantinePolicy = UNCONFIRMED_CRASHES_POLICY,
         max_fingerprints: int = MAX_FINGERPRINTS,
     ) -> None:
         self._policy = policy
@@ -317,7 +317,7 @@
         suspect = self._get_or_add_suspect(
             quarantined.service, quarantined.fingerprint, now_s
         )
-        suspect.crashes = max(suspect.crashes, quarantined.crashes)
+        suspect.quarantines = max(suspect.quarantines, quarantined.crashes)
         suspect.crashed_at_s = now_s
         suspect.decided_s = now_s
         suspect.was_quarantined = True
@@ -396,8 +396,8 @@
             ),
             is_of_any_caller=suspect.is_of_any_caller,
             callers=tuple(sorted(suspect.callers)),
-            quarantines=suspect.crashes,
-            decided_age_s=now_s - suspect.decided_s if suspect.crashes else 0.0,
+            quarantines=suspect.quarantines,
+            decided_age_s=now_s - suspect.decided_s if suspect.quarantines else 0.0,
             refused_for_s=max(0.0, suspect.quarantined_until_s - now_s),
             held_for_s=RUNNING_RETRY_S if fingerprint in self._running else 0.0,
             cleared_age_s=None if cleared_s is None else now_s - cleared_s,
@@ -460,7 +460,7 @@
             return
         suspect = self._get_or_add_suspect(state.service, state.fingerprint, now_s)
         suspect.is_of_any_caller |= state.is_of_any_caller
-        suspect.crashes = max(suspect.crashes, state.quarantines)
+        suspect.quarantines = max(suspect.quarantines, state.quarantines)
         suspect.was_quarantined = True
         suspect.decided_s = max(suspect.decided_s, decided_s)
         suspect.crashed_at_s = max(suspect.crashed_at_s, decided_s)
@@ -572,8 +572,8 @@
         return recent > self._policy.max_candidates
 
     def _quarantine(self, fingerprint: str, suspect: _Suspect, now_s: float) -> None:
-        duration_s = self._policy.duration_s(suspect.crashes)
-        suspect.crashes += 1
+        duration_s = self._policy.duration_s(suspect.quarantines)
+        suspect.quarantines += 1
         suspect.decided_s = now_s
         suspect.was_quarantined = True
         suspect.quarantined_until_s = now_s + duration_s
@@ -587,7 +587,7 @@
                 suspect.service,
                 fingerprint,
                 suspect.quarantined_until_s,
-                suspect.crashes,
+                suspect.quarantines,
                 crashed,
             )
         )
--- a/dogwoodhook/state/suspicion.py
+++ b/dogwoodhook/state/suspicion.py
@@ -101,7 +101,7 @@
     answered with a server error. ``OVERDUE``: it did not answer within the time in
     which nearly all answers arrive. ``SILENT``: it did not answer before the deadline.
     ``UNREACHABLE``: no connection could be opened. ``BUSY``: it refused the request.
-    ``ENDED``: its process ended with the request in flight.
+    ``CRASHED``: its process ended with the request in flight.
     """
 
     RESET = "reset"
@@ -111,7 +111,7 @@
     SILENT = "silent"
     UNREACHABLE = "unreachable"
     BUSY = "busy"
-    ENDED = "ended"
+    CRASHED = "crashed"
 
 
 # These may come from the network path between daemon and target, not from the target.
@@ -235,7 +235,7 @@
         if suspect is None or suspect.failures > 1 or not suspect.reports:
             return
         _, report = suspect.reports[-1]
-        if report.symptom is Symptom.ENDED:
+        if report.symptom is Symptom.CRASHED:
             self._subtract_failure(suspect)
 
     def record_failure(self, target: str, symptom: Symptom, *, now_s: float) -> None:
@@ -279,7 +279,7 @@
         self, suspect: _Suspect, report: FailureReport, now_s: float
     ) -> bool:
         match report.symptom:
-            case Symptom.RESET | Symptom.IDLE_RESET | Symptom.ENDED:
+            case Symptom.RESET | Symptom.IDLE_RESET | Symptom.CRASHED:
                 return True
             case Symptom.ERROR:
                 return self._errors(suspect, now_s) >= ERRORS_TO_SUSPECT
--- a/dogwoodhook/transport/end_checks.py
+++ b/dogwoodhook/transport/crash_checks.py
@@ -29,7 +29,7 @@
     SILENT = "silent"
 
 
-class EndChecks:
+class CrashChecks:
     """Checks targets' ports; requests that fail at the same time share a check."""
 
     def __init__(self, clock: Clock) -> None:
--- a/dogwoodhook/transport/fleet_view.py
+++ b/dogwoodhook/transport/fleet_view.py
@@ -12,7 +12,7 @@
 from dogwoodhook.state.route_policy import RoutingConfiguration
 from dogwoodhook.state.suspicion import Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory
-from dogwoodhook.transport.end_checks import EndChecks
+from dogwoodhook.transport.crash_checks import CrashChecks
 from dogwoodhook.transport.target_connections import TargetConnections
 
 
@@ -34,7 +34,7 @@
     placement: Placement
     budget: FleetBudget
     connections: TargetConnections
-    end_checks: EndChecks
+    crash_checks: CrashChecks
     quarantine: FleetQuarantine
     is_ready: asyncio.Event
     notify_fleet: Callable[[TargetFailure | TargetSuccess], None]
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -21,7 +21,7 @@
     REQUEST_CUT,
     REQUEST_REFUSED,
     REQUEST_UNANSWERED,
-    TARGET_ENDED,
+    TARGET_CRASHED,
     log,
 )
 from dogwoodhook.metrics import Metrics
@@ -55,8 +55,8 @@
     HEAD_TOO_LARGE_STATUS,
     head_bytes,
 )
+from dogwoodhook.transport.crash_checks import PortState
 from dogwoodhook.transport.detached_tasks import DetachedTasks
-from dogwoodhook.transport.end_checks import PortState
 from dogwoodhook.transport.fleet_reports import FleetReports
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.own_answers import UNAVAILABLE_STATUS, OwnAnswers
@@ -366,7 +366,7 @@
     ) -> web.StreamResponse:
         self._metrics.record_quarantine_refusal()
         for_s = max(0.0, until_s - self._clock.now_s())
-        detail = "targets ended under this request"
+        detail = "targets crashed under this request"
         log(
             REQUEST_REFUSED,
             **self._log_fields(routed),
@@ -597,8 +597,8 @@
             case CompleteAnswer():
                 self._record_survival(routed)
             case MayHaveRun(has_lost_connection=True):
-                if await self._has_ended(routed, target):
-                    return replace(result, symptom=Symptom.ENDED)
+                if await self._has_crashed(routed, target):
+                    return replace(result, symptom=Symptom.CRASHED)
             case _:
                 pass
         return result
@@ -607,17 +607,17 @@
         if len(self._fleet.quarantine):
             self._fleet.quarantine.record_success(routed.identity)
 
-    async def _has_ended(self, routed: RoutedRequest, target: TargetEntry) -> bool:
+    async def _has_crashed(self, routed: RoutedRequest, target: TargetEntry) -> bool:
         """Return whether the target of a broken connection ended; record it if so."""
-        port = await self._fleet.end_checks.check(target)
+        port = await self._fleet.crash_checks.check(target)
         if port is not PortState.CLOSED:
             return False
         self._fleet.quarantine.record_crash(
             routed.service, routed.identity, f"{target.name}/{target.incarnation}"
         )
-        self._metrics.record_target_end()
+        self._metrics.record_target_crash()
         log(
-            TARGET_ENDED,
+            TARGET_CRASHED,
             request=routed.request_id,
             **routed.identity.log_fields(),
             caller=routed.caller,
@@ -699,7 +699,7 @@
             fields = self._log_fields(routed)
             log(REQUEST_UNANSWERED, **fields, detail=f"the answer broke off: {error!r}")
             if isinstance(error, ClientError):
-                await self._has_ended(routed, target)
+                await self._has_crashed(routed, target)
             return answer
         finally:
             opened.response.close()
--- a/tests/test_fleet_quarantine.py
+++ b/tests/test_fleet_quarantine.py
@@ -14,14 +14,14 @@
     FleetQuarantine,
     RequestIdentity,
 )
-from dogwoodhook.coordination.store import StoreUnavailable
+from dogwoodhook.coordination.store import StoreRow, StoreUnavailable
 from dogwoodhook.protocol.fleet_codec import decode_datagram, encode_datagram
 from dogwoodhook.protocol.quarantine_rows import (
     decode_quarantine_row,
     encode_quarantine_row,
 )
 from dogwoodhook.state.quarantine import (
-    ENDED_PROCESSES_POLICY,
+    CONFIRMED_CRASHES_POLICY,
     SUSPICION_S,
     Admit,
     Quarantine,
@@ -82,13 +82,14 @@
 
     def start(self, name):
         self.daemons[name] = FleetQuarantine(
-            Quarantine(policy=ENDED_PROCESSES_POLICY),
+            Quarantine(policy=CONFIRMED_CRASHES_POLICY),
             Links(self, name),
             self.clock,
             daemon=name,
             rng=self.rng,
             store=self.store,
             encode_row=encode_quarantine_row,
+            decode_row=decode_quarantine_row,
         )
         return self.daemons[name]
 
@@ -193,8 +194,8 @@
     """Start a daemon that hears no other one, and reads the store."""
     fleet.daemons.clear()
     daemon = fleet.start("vm-again")
-    for value in fleet.store.rows.values():
-        daemon.adopt_row(decode_quarantine_row(value).ok)
+    for key, value in fleet.store.rows.items():
+        daemon.adopt_row(StoreRow(key, value, 1))
     return daemon
 
 
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -205,13 +205,13 @@
 
 
 def test_a_target_that_ended_under_a_request_is_avoided_after_its_restart(suspicion):
-    suspicion.record_failure("t1", Symptom.ENDED, now_s=0.0)
+    suspicion.record_failure("t1", Symptom.CRASHED, now_s=0.0)
     assert is_avoided(suspicion, now_s=1.0)
     suspicion.record_restart("t1")
     assert not is_avoided(suspicion, now_s=1.0)
 
 
-@pytest.mark.parametrize("symptoms", [["reset"], ["reset", "ended"], ["ended"] * 2])
+@pytest.mark.parametrize("symptoms", [["reset"], ["reset", "crashed"], ["crashed"] * 2])
 def test_a_restart_clears_a_target_that_has_failed_otherwise(suspicion, symptoms):
     for now_s, symptom in enumerate(symptoms):
         suspicion.record_failure("t1", Symptom(symptom), now_s=float(now_s))
