--- a/dogwoodhook/coordination/fleet_quarantine.py
+++ b/dogwoodhook/coordination/fleet_quarantine.py
@@ -34,9 +34,11 @@
     DAEMON_ROW_REFUSED,
     REQUEST_CLEARED,
     REQUEST_QUARANTINED,
+    REQUEST_RUNS_ALONE,
     log,
 )
 from dogwoodhook.state.quarantine import (
+    RUNNING_RETRY_S,
     Admission,
     Admit,
     Quarantine,
@@ -139,6 +141,7 @@
         """Record that a suspect is sent to a target; other daemons do not run it."""
         for fingerprint in identity:
             self._quarantine.begin_alone(fingerprint, self._daemon)
+        log(REQUEST_RUNS_ALONE, **identity.log_fields(), for_s=RUNNING_RETRY_S)
         self._share(identity)
 
     def end_alone(self, identity: RequestIdentity) -> None:
@@ -159,8 +162,10 @@
         self._share(identity)
         self._share_decisions(self._quarantine.take_decided())
 
-    def record_success(self, identity: RequestIdentity) -> None:
-        """Clear a suspect that a target answered."""
+    def record_success(
+        self, identity: RequestIdentity, *, target: str = "", status: int = 0
+    ) -> None:
+        """Clear a suspect that a target answered; target and status are logged."""
         now_s = self._clock.now_s()
         before = [self._quarantine.state(each, now_s) for each in identity]
         cleared = [
@@ -169,7 +174,12 @@
         for state in before:
             if state is None or state.fingerprint not in cleared:
                 continue
-            log(REQUEST_CLEARED, fingerprint=state.fingerprint)
+            log(
+                REQUEST_CLEARED,
+                fingerprint=state.fingerprint,
+                target=target,
+                status=status,
+            )
             if state.quarantines >= STORED_FROM:
                 ended = QuarantineRow(state.fingerprint, state.service, 0.0, 0)
                 self._unstored[_row_key(state.fingerprint)] = ended
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -251,6 +251,14 @@
     "A request's connection to a target broke and the target's port was closed.",
 )
 
+TARGET_LIVES = _event(
+    324,
+    "target-lives",
+    Level.INFO,
+    "A request's connection to a target broke, and nothing shows that the target ended;"
+    " `port` is the state of its port.",
+)
+
 # 700: quarantine
 REQUEST_QUARANTINED = _event(
     701,
@@ -263,7 +271,15 @@
     702,
     "request-cleared",
     Level.INFO,
-    "A request under which targets had ended was answered, and is no longer suspected.",
+    "A request under which targets had ended was answered by `target` with `status`,"
+    " and is no longer suspected.",
+)
+REQUEST_RUNS_ALONE = _event(
+    703,
+    "request-runs-alone",
+    Level.INFO,
+    "A suspect is sent to a target, alone; `for_s` is the time for which the other"
+    " daemons do not run it.",
 )
 
 # 800: peers
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -22,6 +22,7 @@
     REQUEST_REFUSED,
     REQUEST_UNANSWERED,
     TARGET_CRASHED,
+    TARGET_LIVES,
     log,
 )
 from dogwoodhook.metrics import Metrics
@@ -594,8 +595,8 @@
     ) -> AttemptResult:
         """Record whether the target's process lived on or ended under a request."""
         match result:
-            case CompleteAnswer():
-                self._record_survival(routed)
+            case CompleteAnswer(status=status):
+                self._record_survival(routed, target, status)
             case MayHaveRun(has_lost_connection=True):
                 if await self._has_crashed(routed, target):
                     return replace(result, symptom=Symptom.CRASHED)
@@ -603,14 +604,26 @@
                 pass
         return result
 
-    def _record_survival(self, routed: RoutedRequest) -> None:
+    def _record_survival(
+        self, routed: RoutedRequest, target: TargetEntry, status: int
+    ) -> None:
         if len(self._fleet.quarantine):
-            self._fleet.quarantine.record_success(routed.identity)
+            self._fleet.quarantine.record_success(
+                routed.identity, target=target.name, status=status
+            )
 
     async def _has_crashed(self, routed: RoutedRequest, target: TargetEntry) -> bool:
         """Return whether the target of a broken connection ended; record it if so."""
         port = await self._fleet.crash_checks.check(target)
         if port is not PortState.CLOSED:
+            log(
+                TARGET_LIVES,
+                request=routed.request_id,
+                **routed.identity.log_fields(),
+                target=target.name,
+                incarnation=target.incarnation,
+                port=port,
+            )
             return False
         self._fleet.quarantine.record_crash(
             routed.service, routed.identity, f"{target.name}/{target.incarnation}"
@@ -703,7 +716,7 @@
             return answer
         finally:
             opened.response.close()
-        self._record_survival(routed)
+        self._record_survival(routed, target, opened.status)
         self._log_answered(routed, target.name, opened.status)
         return answer
 
