Do not take a server error for proof that a request is harmless

Callers saw more targets end, and neighbours fail, after targets had ended under a request and its quarantine had begun: any answer cleared it, also a 500 or 504 of a gray target, which may not have begun to run it. Now only an answer below 500 clears a request: a harmful one never gets one.

A sound request that only gets errors after targets ended under it by themselves stays suspected, for two minutes at most; one success at any daemon ends that.

--- a/dogwoodhook/transport/forwarder.py
+++ b/dogwoodhook/transport/forwarder.py
@@ -204,7 +204,7 @@
             if outcome.reason is not UnknownReason.DEADLINE:
                 self._record_crash(call, target)
             log(ANSWER_CUT, service=call.runtime.service.name, target=target)
-        else:
+        elif response.status < SERVER_ERROR_STATUS:
             self._quarantine_manager.record_success(call.fingerprint)
         return Reply(answer, outcome)
 
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -607,7 +607,8 @@
     def _record_survival(
         self, routed: RoutedRequest, target: TargetEntry, status: int
     ) -> None:
-        if len(self._fleet.quarantine):
+        # A gray target may answer with an error before it runs the request.
+        if status < SERVER_ERROR_STATUS and len(self._fleet.quarantine):
             self._fleet.quarantine.record_success(
                 routed.identity, target=target.name, status=status
             )
--- a/tests/platform_adapter/test_harmful_requests.py
+++ b/tests/platform_adapter/test_harmful_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 
 import pytest
 
@@ -197,3 +198,19 @@
     statuses = [(await caller.send("/post/bad", body=BODY))[0] for _ in range(3)]
     assert statuses == [503] * 3
     assert len(end_times_s(targets)) == ended
+
+
+async def test_a_server_error_clears_a_request_that_ends_targets(platform):
+    targets = await start(platform, rng=random.Random(1))
+    caller, gateway = Caller(platform, CALLER_HOST), platform.gateways[0]
+    await caller.send("/read/bad", gateway=gateway)
+    for target in targets:
+        target.error_share = 1.0
+    status, _ = await caller.send("/read/bad", gateway=gateway)
+    assert status == 500
+    for target in targets:
+        target.error_share = 0.0
+    await caller.send("/read/bad", gateway=gateway)
+    assert len(end_times_s(targets)) == 3
+    status, _ = await caller.send("/read/bad", gateway=gateway)
+    assert status == 503
--- a/tests/test_gray_failures.py
+++ b/tests/test_gray_failures.py
@@ -7,6 +7,7 @@
 from local_services import PARAMETERS, read_runs, running_fleet, send_request
 
 from dogwoodhook.state.model import KeyedRequestPolicy
+from dogwoodhook.state.quarantine import DECISION_DELAY_S
 from dogwoodhook.testing.fleet import HOST, wait_for_answer
 
 SHORT_DEADLINE = replace(PARAMETERS, deadline_ms=2_000)
@@ -83,6 +84,28 @@
         assert len([run for run in runs if run.path == "/payouts/poison"]) <= 2
 
 
+async def test_a_server_error_clears_a_request_that_crashed_a_target():
+    async with running_fleet(targets=6) as (fleet, ports, session):
+        daemon = fleet.daemons[0]
+        outcomes = []
+        for faults in (
+            {"crash_paths": ["/payouts/poison"]},
+            {"failing_share": 1.0},
+            {"crash_paths": ["/payouts/poison"]},
+        ):
+            for port in ports:
+                await wait_for_answer(f"http://{HOST}:{port}/healthz")
+                await fleet.put_target_faults(port, **faults)
+            answer = await send_request(
+                session, daemon, "/payouts/poison", method="POST"
+            )
+            outcomes.append(answer.outcome)
+        await asyncio.sleep(DECISION_DELAY_S)
+        answer = await send_request(session, daemon, "/payouts/poison", method="POST")
+        assert outcomes[1] == "answered"
+        assert answer.outcome == "not-run; reason=quarantined"
+
+
 async def test_one_key_sent_through_two_daemons_at_once_runs_once():
     async with running_fleet() as (fleet, ports, session):
         for number in range(10):
