Count the end of a target that becomes known after the attempt there

Callers saw neighbours of a harmful request fail, as it kept ending targets: an end was counted only by a daemon whose attempt still waited when the connection broke, and only if a new connection was refused at that moment. Three things were no ends: an attempt that was cancelled because its caller had left, though the target ran the request; a port that another process had opened again; a check that another request had begun before the end.

Attempts without an answer are now kept for 15 s, and an end is a fact of its own, from a closed port, a new incarnation or target at the same address in the store, an entry that goes while nothing accepts connections, or another daemon's report. It counts for the requests that were at that incarnation, at the time of their loss, so late evidence adds nothing to what a success or a quarantine has settled. A check is no longer shared with requests that fail later.

Weighed: counting each broken connection (a gray target's resets would put sound requests in quarantine); a check after each caller that leaves (a connection for each, where few targets end).

--- a/dogwoodhook/coordination/fleet_messages.py
+++ b/dogwoodhook/coordination/fleet_messages.py
@@ -107,7 +107,22 @@
     kind: Literal["suspects"] = "suspects"
 
 
-BroadcastMessage = TargetFailure | TargetSuccess | ConfigurationNotice | SuspectStates
+@dataclass(frozen=True, slots=True)
+class TargetEnded:
+    """An incarnation of a target is known to have ended, ``age_s`` before the sending
+    or earlier.
+    """
+
+    daemon: str
+    target: str
+    incarnation: int
+    age_s: float
+    kind: Literal["ended"] = "ended"
+
+
+BroadcastMessage = (
+    TargetFailure | TargetSuccess | ConfigurationNotice | SuspectStates | TargetEnded
+)
 """Messages that are sent to the daemons of all data centres."""
 
 
@@ -134,5 +149,6 @@
     | ConfigurationNotice
     | LoadReport
     | SuspectStates
+    | TargetEnded
     | Relayed
 )
--- a/dogwoodhook/coordination/fleet_quarantine.py
+++ b/dogwoodhook/coordination/fleet_quarantine.py
@@ -15,8 +15,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
 from zlib import crc32
 
 from expression import Result
@@ -44,6 +43,7 @@
     Quarantine,
     Quarantined,
     Refuse,
+    RequestIdentity,
     RunAlone,
 )
 
@@ -77,24 +77,6 @@
 """Time for which a first crash and a success are sent again."""
 
 
-@dataclass(frozen=True, slots=True)
-class RequestIdentity:
-    """The fingerprints of a request: with its caller, and that of any caller."""
-
-    fingerprint: str
-    any_caller_fingerprint: str
-
-    def __iter__(self) -> Iterator[str]:
-        return iter((self.fingerprint, self.any_caller_fingerprint))
-
-    def log_fields(self) -> dict[str, str]:
-        """Return the fingerprints as log fields."""
-        return {
-            "fingerprint": self.fingerprint,
-            "any_caller_fingerprint": self.any_caller_fingerprint,
-        }
-
-
 class FleetQuarantine:
     """Shares one daemon's quarantine with the other daemons."""
 
@@ -150,15 +132,26 @@
             self._quarantine.end_alone(fingerprint)
 
     def record_crash(
-        self, service: str, identity: RequestIdentity, target: str
+        self,
+        service: str,
+        identity: RequestIdentity,
+        target: str,
+        *,
+        crashed_s: float | None = None,
     ) -> None:
-        """Record that a target ended with the request in flight."""
+        """Record that a target ended with the request in flight, now or earlier."""
         now_s = self._clock.now_s()
         own, any_caller = identity
-        self._quarantine.record_crash(service, own, target, now_s, daemon=self._daemon)
-        self._quarantine.record_crash(
-            service, any_caller, target, now_s, daemon=self._daemon, caller=own
-        )
+        for fingerprint, caller in ((own, None), (any_caller, own)):
+            self._quarantine.record_crash(
+                service,
+                fingerprint,
+                target,
+                now_s,
+                daemon=self._daemon,
+                caller=caller,
+                crashed_s=crashed_s,
+            )
         self._share(identity)
         self._share_decisions(self._quarantine.take_decided())
 
--- /dev/null
+++ b/dogwoodhook/coordination/target_ends.py
@@ -0,0 +1,118 @@
+"""Ends of targets, attributed to the requests that were at them.
+
+A daemon learns that a target's process ended from any of these: its port is closed, the
+store lists another incarnation or another target at its address, its entry has gone and
+nothing accepts connections there, or another daemon says so. What a daemon finds at the
+target itself it reports to all, since any of them may have sent the request under which
+the target ended.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from enum import StrEnum
+
+from dogwoodhook.clock import Clock
+from dogwoodhook.coordination.fleet_links import FleetLinks
+from dogwoodhook.coordination.fleet_messages import TargetEnded
+from dogwoodhook.coordination.fleet_quarantine import FleetQuarantine
+from dogwoodhook.events import TARGET_CRASHED, log
+from dogwoodhook.state.unanswered_runs import UnansweredRun, UnansweredRuns
+
+MAX_ENDS = 1024
+"""Ends remembered; the oldest one is discarded first."""
+
+SAME_END_S = 1.0
+"""Time after an end for which further evidence belongs to it. A target may end again
+before the store lists its new incarnation."""
+
+
+class EndEvidence(StrEnum):
+    """What shows that a target's process ended."""
+
+    CLOSED_PORT = "closed-port"
+    NEW_INCARNATION = "new-incarnation"
+    REMOVED_ENTRY = "removed-entry"
+    REPORT = "report"
+
+
+class TargetEnds:
+    """Records ends of targets, and which of this daemon's requests were at them.
+
+    ``on_crash`` is called for each such request.
+    """
+
+    def __init__(
+        self,
+        quarantine: FleetQuarantine,
+        links: FleetLinks,
+        clock: Clock,
+        *,
+        daemon: str,
+        on_crash: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._quarantine = quarantine
+        self._links = links
+        self._clock = clock
+        self._daemon = daemon
+        self._on_crash = on_crash
+        self._runs = UnansweredRuns()
+        self._known: OrderedDict[tuple[str, int], float] = OrderedDict()
+
+    def record_unanswered(self, run: UnansweredRun) -> None:
+        """Keep a request that got no answer from its target."""
+        ended_s = self._known.get((run.target, run.incarnation), float("-inf"))
+        if run.has_lost_connection and run.at_s - ended_s < SAME_END_S:
+            self._attribute(run, EndEvidence.REPORT, ended_s)
+            return
+        self._runs.add(run)
+
+    def has_unanswered_at(self, target: str) -> bool:
+        """Return whether requests got no answer from a target a short time ago."""
+        return self._runs.has_any_at(target, now_s=self._clock.now_s())
+
+    def record_end(
+        self, target: str, incarnation: int, evidence: EndEvidence, age_s: float = 0.0
+    ) -> None:
+        """Record that a target ended, ``age_s`` ago or earlier."""
+        now_s = self._clock.now_s()
+        for run in self._runs.take(target, incarnation, now_s=now_s):
+            self._attribute(run, evidence, now_s - age_s)
+        key = target, incarnation
+        is_known = now_s - self._known.get(key, float("-inf")) < SAME_END_S
+        if is_known:
+            return
+        self._known[key] = now_s - age_s
+        self._known.move_to_end(key)
+        if len(self._known) > MAX_ENDS:
+            self._known.popitem(last=False)
+        # Every daemon learns of a new incarnation from the store, and of reports.
+        if evidence in (EndEvidence.CLOSED_PORT, EndEvidence.REMOVED_ENTRY):
+            self._links.broadcast(TargetEnded(self._daemon, target, incarnation, age_s))
+
+    def receive(self, message: TargetEnded) -> None:
+        """Record an end that another daemon reports."""
+        self.record_end(
+            message.target, message.incarnation, EndEvidence.REPORT, message.age_s
+        )
+
+    def _attribute(
+        self, run: UnansweredRun, evidence: EndEvidence, ended_s: float
+    ) -> None:
+        self._on_crash()
+        log(
+            TARGET_CRASHED,
+            request=run.request_id,
+            **run.identity.log_fields(),
+            caller=run.caller,
+            service=run.service,
+            target=run.target,
+            incarnation=run.incarnation,
+            evidence=evidence,
+            unanswered_ms=round((self._clock.now_s() - run.at_s) * 1000),
+        )
+        self._quarantine.record_crash(
+            run.service,
+            run.identity,
+            f"{run.target}/{run.incarnation}",
+            crashed_s=run.at_s if run.has_lost_connection else max(run.at_s, ended_s),
+        )
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -248,7 +248,8 @@
     323,
     "target-crashed",
     Level.WARNING,
-    "A request's connection to a target broke and the target's port was closed.",
+    "A target ended with a request at it, as `evidence` shows. `unanswered_ms` is the"
+    " time since its connection broke or it was given up.",
 )
 
 TARGET_LIVES = _event(
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -19,6 +19,7 @@
     LoadReport,
     StoreUpdate,
     SuspectStates,
+    TargetEnded,
     TargetFailure,
     TargetSuccess,
 )
@@ -26,6 +27,7 @@
 from dogwoodhook.coordination.load_sharing import LoadSharing
 from dogwoodhook.coordination.store import Store
 from dogwoodhook.coordination.store_reading import RowDecoder
+from dogwoodhook.coordination.target_ends import EndEvidence, TargetEnds
 from dogwoodhook.coordination.target_following import TargetFollower
 from dogwoodhook.events import (
     DAEMON_STARTED,
@@ -118,7 +120,11 @@
         self._stop_timeouts = StopTimeouts(self._stop, clock)
         self._has_been_ready = asyncio.Event()
         self._suspicion = Suspicion(daemon=settings.vm_name, rng=rng)
-        self._directory = TargetDirectory(on_restart=self._suspicion.record_restart)
+        self._directory = TargetDirectory(
+            on_restart=self._suspicion.record_restart,
+            on_end=self._handle_replacement,
+            on_removal=self._handle_removal,
+        )
         self._load = FleetLoad()
         self._connections = TargetConnections(clock)
         self.peers = DatagramPeers(
@@ -158,6 +164,17 @@
             encode_row=encode_quarantine_row,
             decode_row=decode_quarantine_row,
         )
+        self._metrics = Metrics(
+            daemon=settings.vm_name, max_workspace_series=MAX_ROUTE_SERIES
+        )
+        self._target_ends = TargetEnds(
+            self._quarantine,
+            self.peers,
+            clock,
+            daemon=settings.vm_name,
+            on_crash=self._metrics.record_target_crash,
+        )
+        self._crash_checks = CrashChecks(self._target_ends)
         self._joining = FleetJoining(
             platform.store,
             self.peers,
@@ -189,8 +206,9 @@
             ),
             budget=self._budget,
             connections=self._connections,
-            crash_checks=CrashChecks(clock),
+            crash_checks=self._crash_checks,
             quarantine=self._quarantine,
+            target_ends=self._target_ends,
             is_ready=self._has_been_ready,
             notify_fleet=self.peers.broadcast,
             notify_neighbours=self.peers.notify_neighbours,
@@ -198,9 +216,6 @@
             receive_pending=self.peers.receive_pending,
             count_daemons=lambda: len(self.peers) + 1,
         )
-        self._metrics = Metrics(
-            daemon=settings.vm_name, max_workspace_series=MAX_ROUTE_SERIES
-        )
         self._metrics.watch_peer_bytes(lambda: self.peers.sent_bytes)
         self._metrics.watch_configuration(
             version=lambda: self.configuration_version,
@@ -378,6 +393,14 @@
             target.name, now_s=now_s
         )
 
+    def _handle_replacement(self, target: TargetEntry) -> None:
+        self._target_ends.record_end(
+            target.name, target.incarnation, EndEvidence.NEW_INCARNATION
+        )
+
+    def _handle_removal(self, target: TargetEntry) -> None:
+        self._crash_checks.check_removed_entry(target)
+
     def _receive(self, message: FleetMessage) -> None:
         match message:
             case TargetFailure():
@@ -392,6 +415,8 @@
                 self._configuration.receive(message)
             case SuspectStates():
                 self._quarantine.receive(message)
+            case TargetEnded():
+                self._target_ends.receive(message)
             case _:
                 return
 
--- a/dogwoodhook/state/quarantine.py
+++ b/dogwoodhook/state/quarantine.py
@@ -17,7 +17,7 @@
 
 import hashlib
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 CRASHES_UNTIL_QUARANTINE = 2
@@ -136,6 +136,24 @@
     return hasher.hexdigest()
 
 
+@dataclass(frozen=True, slots=True)
+class RequestIdentity:
+    """The fingerprints of a request: with its caller, and that of any caller."""
+
+    fingerprint: str
+    any_caller_fingerprint: str
+
+    def __iter__(self) -> Iterator[str]:
+        return iter((self.fingerprint, self.any_caller_fingerprint))
+
+    def log_fields(self) -> dict[str, str]:
+        """Return the fingerprints as log fields."""
+        return {
+            "fingerprint": self.fingerprint,
+            "any_caller_fingerprint": self.any_caller_fingerprint,
+        }
+
+
 @dataclass(frozen=True, slots=True)
 class Admit:
     """The request runs like any other."""
@@ -277,19 +295,25 @@
         *,
         daemon: str = "",
         caller: str | None = None,
+        crashed_s: float | None = None,
     ) -> None:
         """Record that a target crashed with the request in flight.
 
         ``daemon`` saw the crash. ``caller`` is given for a fingerprint that leaves the
-        caller out.
+        caller out. ``crashed_s`` is the time of the crash if it became known later.
         """
+        if crashed_s is None:
+            crashed_s = now_s
+        elif self._is_settled(fingerprint, crashed_s):
+            return
         suspect = self._get_or_add_suspect(service, fingerprint, now_s)
         if suspect.quarantined_until_s > now_s and fingerprint not in self._trials:
             return
         if caller is not None:
             suspect.is_of_any_caller = True
             suspect.add_callers((caller,))
-        self._add_crash(suspect, self._name(suspect, target, now_s), now_s, daemon)
+        name = self._name(suspect, target, crashed_s)
+        self._add_crash(suspect, name, crashed_s, daemon)
         if suspect.was_quarantined:
             self._quarantine(fingerprint, suspect, now_s)
 
@@ -489,12 +513,18 @@
         if held is not None:
             held.held_until_s = max(held.held_until_s, now_s + state.held_for_s)
 
+    def _is_settled(self, fingerprint: str, crashed_s: float) -> bool:
+        """Return whether a later success or quarantine has accounted for a crash."""
+        suspect = self._suspects.get(fingerprint)
+        decided_s = _NEVER_S if suspect is None else suspect.decided_s
+        return crashed_s <= max(decided_s, self._cleared_s.get(fingerprint, _NEVER_S))
+
     def _name(self, suspect: _Suspect, target: str, now_s: float) -> str:
         """Return a name for a target's crash that differs from its earlier ones."""
         for number in range(1, MAX_CRASHES_KEPT):
             name = target if number == 1 else f"{target}#{number}"
             crashed_s, _ = suspect.crashed.get(name, (now_s, ""))
-            if now_s - crashed_s < self._policy.repeated_crash_s:
+            if abs(now_s - crashed_s) < self._policy.repeated_crash_s:
                 return name
         return target
 
--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -58,12 +58,22 @@
     """The known targets; ``version`` is the store version that they reflect.
 
     ``on_restart`` is called with the name of a target that has a new incarnation.
+    ``on_end`` is called with the entry of a target that had not announced its end, and
+    that another process has replaced, under its name or at its address. ``on_removal``
+    is called with such an entry if it was only removed: the target may still serve.
     """
 
     def __init__(
-        self, *, on_restart: Callable[[str], None] = lambda name: None
+        self,
+        *,
+        on_restart: Callable[[str], None] = lambda name: None,
+        on_end: Callable[[TargetEntry], None] = lambda entry: None,
+        on_removal: Callable[[TargetEntry], None] = lambda entry: None,
     ) -> None:
         self._on_restart = on_restart
+        self._on_end = on_end
+        self._on_removal = on_removal
+        self._names: dict[str, str] = {}
         self.version = 0
         self._entries: dict[str, TargetEntry] = {}
         self._versions: dict[str, int] = {}
@@ -170,6 +180,7 @@
             return True
         if known is not None and known.incarnation != change.entry.incarnation:
             self._on_restart(change.name)
+        self._report_replaced(change.entry)
         was_pending_removal = self._removal_due_s.pop(change.name, None) is not None
         self._entries[change.name] = change.entry
         return (
@@ -178,11 +189,30 @@
             or _is_relevant_change(known, change.entry)
         )
 
+    def _report_replaced(self, entry: TargetEntry) -> None:
+        """Report the ends of the targets that a new entry replaces."""
+        if self._entries.get(entry.name) == entry:
+            return
+        for name in {entry.name, self._names.get(entry.address, entry.name)}:
+            known = self._entries.get(name)
+            if known is None or known.is_draining:
+                continue
+            has_new_process = known.incarnation != entry.incarnation
+            if has_new_process or known.name != entry.name:
+                self._on_end(known)
+        self._names[entry.address] = entry.name
+
     def _remove_due(self, now_s: float) -> None:
         due = [name for name, due_s in self._removal_due_s.items() if due_s <= now_s]
         for name in due:
             del self._removal_due_s[name]
-            self._entries.pop(name, None)
+            removed = self._entries.pop(name, None)
+            if removed is None:
+                continue
+            if self._names.get(removed.address) == name:
+                del self._names[removed.address]
+            if not removed.is_draining:
+                self._on_removal(removed)
             self._joined_s.pop(name, None)
         if due:
             self._index()
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -67,13 +67,14 @@
 
     Either there was no connection, or the target answered that it did not run it.
     ``has_arrived`` is set in the second case. ``has_timed_out`` is set where there was
-    no connection in time, as opposed to one that was refused.
+    no connection in time, ``is_port_closed`` where nothing listens at the port.
     """
 
     detail: str
     symptom: Symptom | None
     has_arrived: bool
     has_timed_out: bool = False
+    is_port_closed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -239,7 +240,12 @@
     connection = "used" if trace.is_reused else "new"
     detail = f"{type(error).__name__} on a {connection} connection: {error}"
     if not trace.is_connected:
-        return NotRunAtTarget(detail, Symptom.UNREACHABLE, has_arrived=False)
+        return NotRunAtTarget(
+            detail,
+            Symptom.UNREACHABLE,
+            has_arrived=False,
+            is_port_closed=isinstance(error.__cause__, ConnectionRefusedError),
+        )
     has_answered = isinstance(
         error, (aiohttp.ClientPayloadError, aiohttp.ClientResponseError)
     )
--- a/dogwoodhook/transport/fleet_view.py
+++ b/dogwoodhook/transport/fleet_view.py
@@ -7,6 +7,7 @@
 from dogwoodhook.coordination.fleet_messages import TargetFailure, TargetSuccess
 from dogwoodhook.coordination.fleet_quarantine import FleetQuarantine
 from dogwoodhook.coordination.load_sharing import LoadSharing
+from dogwoodhook.coordination.target_ends import TargetEnds
 from dogwoodhook.state.fleet_budget import FleetBudget
 from dogwoodhook.state.placement import Placement
 from dogwoodhook.state.route_policy import RoutingConfiguration
@@ -36,6 +37,7 @@
     connections: TargetConnections
     crash_checks: CrashChecks
     quarantine: FleetQuarantine
+    target_ends: TargetEnds
     is_ready: asyncio.Event
     notify_fleet: Callable[[TargetFailure | TargetSuccess], None]
     notify_neighbours: Callable[[TargetFailure], None]
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -14,6 +14,7 @@
 from aiohttp import ClientError, web
 
 from dogwoodhook.clock import Clock
+from dogwoodhook.coordination.target_ends import EndEvidence
 from dogwoodhook.events import (
     ATTEMPT_FAILED,
     CALLER_LEFT,
@@ -21,7 +22,6 @@
     REQUEST_CUT,
     REQUEST_REFUSED,
     REQUEST_UNANSWERED,
-    TARGET_CRASHED,
     TARGET_LIVES,
     log,
 )
@@ -41,6 +41,7 @@
 from dogwoodhook.state.suspicion import Standing, Symptom
 from dogwoodhook.state.target_directory import TargetEntry
 from dogwoodhook.state.typical_latency import TypicalLatency
+from dogwoodhook.state.unanswered_runs import UnansweredRun
 from dogwoodhook.transport.attempts import (
     Attempt,
     AttemptResult,
@@ -281,6 +282,7 @@
         pending: dict[asyncio.Task[AttemptResult], TargetEntry] = {}
         try:
             answer = await self._send_until_answered(routed, pending)
+            routed.has_succeeded = answer.status < SERVER_ERROR_STATUS
         finally:
             for task in pending:
                 _discard_attempt(task)
@@ -575,6 +577,10 @@
                 self._conventions,
                 trace,
             )
+        except asyncio.CancelledError:
+            if trace.is_connected and not routed.has_succeeded:
+                self._record_unanswered(routed, target, has_lost_connection=False)
+            raise
         finally:
             routed.target_s += self._clock.now_s() - now_s
             fleet.placement.finish(target)
@@ -600,6 +606,12 @@
             case MayHaveRun(has_lost_connection=True):
                 if await self._has_crashed(routed, target):
                     return replace(result, symptom=Symptom.CRASHED)
+            case MayHaveRun(symptom=Symptom.SILENT):
+                self._record_unanswered(routed, target, has_lost_connection=False)
+            case NotRunAtTarget(is_port_closed=True):
+                self._fleet.target_ends.record_end(
+                    target.name, target.incarnation, EndEvidence.CLOSED_PORT
+                )
             case _:
                 pass
         return result
@@ -614,33 +626,36 @@
             )
 
     async def _has_crashed(self, routed: RoutedRequest, target: TargetEntry) -> bool:
-        """Return whether the target of a broken connection ended; record it if so."""
-        port = await self._fleet.crash_checks.check(target)
-        if port is not PortState.CLOSED:
-            log(
-                TARGET_LIVES,
-                request=routed.request_id,
-                **routed.identity.log_fields(),
-                target=target.name,
-                incarnation=target.incarnation,
-                port=port,
-            )
-            return False
-        self._fleet.quarantine.record_crash(
-            routed.service, routed.identity, f"{target.name}/{target.incarnation}"
-        )
-        self._metrics.record_target_crash()
+        """Return whether the target of a broken connection is known to have ended."""
+        self._record_unanswered(routed, target, has_lost_connection=True)
+        port = await self._fleet.crash_checks.check_lost_connection(target)
+        if port is PortState.CLOSED:
+            return True
         log(
-            TARGET_CRASHED,
+            TARGET_LIVES,
             request=routed.request_id,
             **routed.identity.log_fields(),
-            caller=routed.caller,
-            service=routed.service,
             target=target.name,
             incarnation=target.incarnation,
-            after_ms=round((self._clock.now_s() - routed.arrived_s) * 1000),
+            port=port,
+        )
+        return False
+
+    def _record_unanswered(
+        self, routed: RoutedRequest, target: TargetEntry, *, has_lost_connection: bool
+    ) -> None:
+        self._fleet.target_ends.record_unanswered(
+            UnansweredRun(
+                target=target.name,
+                incarnation=target.incarnation,
+                service=routed.service,
+                identity=routed.identity,
+                request_id=routed.request_id,
+                caller=routed.caller,
+                at_s=self._clock.now_s(),
+                has_lost_connection=has_lost_connection,
+            )
         )
-        return True
 
     def _report_overdue(self, routed: RoutedRequest, target: TargetEntry) -> None:
         self._reports.report_failure(routed, target.name, Symptom.OVERDUE)
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -5,8 +5,11 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from dogwoodhook.coordination.fleet_quarantine import RequestIdentity
-from dogwoodhook.state.quarantine import body_digest, fingerprint
+from dogwoodhook.state.quarantine import (
+    RequestIdentity,
+    body_digest,
+    fingerprint,
+)
 from dogwoodhook.state.route_policy import RoutePolicy
 from dogwoodhook.state.suspicion import Standing
 from dogwoodhook.transport.attempts import CompleteAnswer
@@ -23,7 +26,8 @@
     latter that got no connection in time. ``arrivals`` counts the attempts that
     reached a target. ``has_answer_started`` is set once the start of a target's answer
     has been read. ``is_hedge_considered`` is set once the request was overdue and a
-    hedge was considered, even if none was sent. ``failure`` is the error answer of
+    hedge was considered, even if none was sent. ``has_succeeded`` is set once a target
+    has answered without an error. ``failure`` is the error answer of
     ``failed_target``, kept in case no other target answers successfully.
     """
 
@@ -52,6 +56,7 @@
     directory_version: int = 0
     directory_age_s: float = 0.0
     last_standing: Standing = Standing.SOUND
+    has_succeeded: bool = False
     runs_alone: bool = False
     _identity: RequestIdentity | None = None
 
--- a/tests/test_fleet_quarantine.py
+++ b/tests/test_fleet_quarantine.py
@@ -12,7 +12,6 @@
     EXCHANGE_INTERVAL_S,
     REPEAT_INTERVAL_S,
     FleetQuarantine,
-    RequestIdentity,
 )
 from dogwoodhook.coordination.store import StoreRow, StoreUnavailable
 from dogwoodhook.protocol.fleet_codec import decode_datagram, encode_datagram
@@ -26,6 +25,7 @@
     Admit,
     Quarantine,
     Refuse,
+    RequestIdentity,
     RunAlone,
 )
 
--- a/tests/test_target_directory.py
+++ b/tests/test_target_directory.py
@@ -126,3 +126,43 @@
         change = TargetChange("t1", version, entry)
         directory.apply([change], version=version, now_s=0.0)
     assert restarted == ["t1"]
+
+
+def directory_with(entry, **callbacks):
+    directory = TargetDirectory(**callbacks)
+    directory.replace_all([TargetChange(entry.name, 4, entry)], version=9, now_s=0.0)
+    return directory
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [replace(T1, incarnation=18), replace(T1, name="t9", incarnation=18)],
+    ids=["same-name", "same-address"],
+)
+@pytest.mark.parametrize("is_draining", [True, False])
+def test_a_target_that_another_process_replaces_counts_as_alive(entry, is_draining):
+    ended = []
+    known = replace(T1, is_draining=is_draining)
+    directory = directory_with(known, on_end=ended.append)
+    directory.apply([TargetChange(entry.name, 12, entry)], version=12, now_s=1.0)
+    directory.apply([TargetChange(entry.name, 13, entry)], version=13, now_s=2.0)
+    assert ended == ([] if is_draining else [known])
+
+
+def test_a_heartbeat_counts_as_an_end():
+    ended = []
+    directory = directory_with(replace(T1, warmup_s=2.0), on_end=ended.append)
+    directory.apply([TargetChange("t1", 12, T1)], version=12, now_s=1.0)
+    assert ended == []
+
+
+@pytest.mark.parametrize("is_draining", [True, False])
+def test_the_removal_of_a_target_that_announced_nothing_is_unknown(is_draining):
+    removed = []
+    known = replace(T1, is_draining=is_draining)
+    directory = directory_with(known, on_removal=removed.append)
+    removal = [TargetChange("t1", 12, None)]
+    directory.apply(removal, version=12, now_s=1.0, removal_hold_s=2.0)
+    assert removed == []
+    directory.serving("payouts", now_s=3.5)
+    assert removed == ([] if is_draining else [known])
