Recognise a target that ended and whose port was open again at once

Callers saw a harmful request end targets without limit where another process took over the port at once and the store, which shows the new incarnation, was away or late: after a broken connection only a closed port was an end.

A process that ends takes all its connections with it, a gray target that resets one does not. So a request of which a connection broke without proof of an end is watched, at all daemons: its next runs have a second connection open at the target. If both break within 0.3 s, and none to another target did, the process ended. A sound request that four of six targets reset each time is still never refused.

Weighed: a second connection for every request (connections are priced), the idle connections of the pool (often there are none), counting every broken connection. A fault that resets all connections of a VM is not counted, nor is an end beside another loss within 0.6 s, which the next run shows.

--- a/dogwoodhook/coordination/fleet_quarantine.py
+++ b/dogwoodhook/coordination/fleet_quarantine.py
@@ -105,7 +105,7 @@
         self._has_repeats = asyncio.Event()
 
     def __len__(self) -> int:
-        """Return the number of fingerprints that are suspected or in quarantine."""
+        """Return the number of fingerprints that are watched, suspected or refused."""
         return len(self._quarantine)
 
     def check(self, identity: RequestIdentity) -> Admission:
@@ -131,6 +131,17 @@
         for fingerprint in identity:
             self._quarantine.end_alone(fingerprint)
 
+    def watch(self, identity: RequestIdentity) -> None:
+        """Watch the runs of a request, at all daemons."""
+        for fingerprint in identity:
+            self._quarantine.watch(fingerprint, self._clock.now_s())
+        self._links.broadcast(self._message(identity))
+
+    def is_watched(self, identity: RequestIdentity) -> bool:
+        """Return whether the runs of a request are watched."""
+        now_s = self._clock.now_s()
+        return any(self._quarantine.is_watched(each, now_s) for each in identity)
+
     def record_crash(
         self,
         service: str,
--- a/dogwoodhook/coordination/target_ends.py
+++ b/dogwoodhook/coordination/target_ends.py
@@ -1,10 +1,11 @@
 """Ends of targets, attributed to the requests that were at them.
 
-A daemon learns that a target's process ended from any of these: its port is closed, the
-store lists another incarnation or another target at its address, its entry has gone and
-nothing accepts connections there, or another daemon says so. What a daemon finds at the
-target itself it reports to all, since any of them may have sent the request under which
-the target ended.
+A daemon learns that a target's process ended from any of these: its port is closed, two
+connections to it broke at the same time and none to another target, the store lists
+another incarnation or another target at its address, its entry has gone and nothing
+accepts connections there, or another daemon says so. What a daemon finds at the target
+itself it reports to all, since any of them may have sent the request under which the
+target ended.
 """
 
 from collections import OrderedDict
@@ -21,6 +22,10 @@
 MAX_ENDS = 1024
 """Ends remembered; the oldest one is discarded first."""
 
+SAME_LOSS_S = 0.6
+"""Time within which losses at several targets show a fault of the VM or its network:
+twice the time that the break of a second connection is waited for."""
+
 SAME_END_S = 1.0
 """Time after an end for which further evidence belongs to it. A target may end again
 before the store lists its new incarnation."""
@@ -30,6 +35,7 @@
     """What shows that a target's process ended."""
 
     CLOSED_PORT = "closed-port"
+    BROKEN_TOGETHER = "broken-together"
     NEW_INCARNATION = "new-incarnation"
     REMOVED_ENTRY = "removed-entry"
     REPORT = "report"
@@ -70,6 +76,11 @@
         """Return whether requests got no answer from a target a short time ago."""
         return self._runs.has_any_at(target, now_s=self._clock.now_s())
 
+    def is_only_loss(self, target: str) -> bool:
+        """Return whether no connection to another target broke at the same time."""
+        since_s = self._clock.now_s() - SAME_LOSS_S
+        return self._runs.lost_targets(since_s=since_s) <= {target}
+
     def record_end(
         self, target: str, incarnation: int, evidence: EndEvidence, age_s: float = 0.0
     ) -> None:
@@ -85,8 +96,8 @@
         self._known.move_to_end(key)
         if len(self._known) > MAX_ENDS:
             self._known.popitem(last=False)
-        # Every daemon learns of a new incarnation from the store, and of reports.
-        if evidence in (EndEvidence.CLOSED_PORT, EndEvidence.REMOVED_ENTRY):
+        # Every daemon learns of these itself.
+        if evidence not in (EndEvidence.NEW_INCARNATION, EndEvidence.REPORT):
             self._links.broadcast(TargetEnded(self._daemon, target, incarnation, age_s))
 
     def receive(self, message: TargetEnded) -> None:
--- a/dogwoodhook/state/quarantine.py
+++ b/dogwoodhook/state/quarantine.py
@@ -212,7 +212,7 @@
     are then those under which targets crashed. ``quarantines`` counts the quarantines
     so far, the last of which was decided ``decided_age_s`` ago. ``held_for_s`` is the
     time for which only the sender runs the request. ``cleared_age_s`` is the time since
-    the request succeeded.
+    the request succeeded. ``watched_for_s`` is the time for which its runs are watched.
     """
 
     service: str
@@ -225,6 +225,7 @@
     refused_for_s: float = 0.0
     held_for_s: float = 0.0
     cleared_age_s: float | None = None
+    watched_for_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -277,14 +278,30 @@
         self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
         # The time of the last success of fingerprints that are no longer suspects.
         self._cleared_s: OrderedDict[str, float] = OrderedDict()
+        # Until when a fingerprint is watched, in the order of these times.
+        self._watched_until_s: OrderedDict[str, float] = OrderedDict()
         self._running: dict[str, str] = {}
         # The fingerprints among them whose quarantine had ended before.
         self._trials: set[str] = set()
         self._unpublished: list[Quarantined] = []
 
     def __len__(self) -> int:
-        """Return the number of suspects and quarantined fingerprints."""
-        return len(self._suspects)
+        """Return the number of suspects, quarantined and watched fingerprints."""
+        return len(self._suspects) + len(self._watched_until_s)
+
+    def watch(self, fingerprint: str, now_s: float) -> None:
+        """Watch the runs of a request of which a connection to a target broke.
+
+        Nothing shows that the target ended, so the request is no suspect; but its next
+        runs are prepared for finding out.
+        """
+        self._watch_until(fingerprint, now_s + SUSPICION_S)
+
+    def is_watched(self, fingerprint: str, now_s: float) -> bool:
+        """Return whether the runs of a request are watched; those of suspects are."""
+        if fingerprint in self._suspects:
+            return True
+        return self._watched_until_s.get(fingerprint, _NEVER_S) > now_s
 
     def record_crash(
         self,
@@ -328,6 +345,7 @@
 
     def record_success(self, fingerprint: str, now_s: float) -> bool:
         """Clear a suspect that a target answered; return whether it was one."""
+        self._watched_until_s.pop(fingerprint, None)
         suspect = self._suspects.get(fingerprint)
         if suspect is None or suspect.quarantined_until_s > now_s:
             return False
@@ -407,10 +425,18 @@
         """Return what is known of a fingerprint, for other daemons."""
         suspect = self._suspects.get(fingerprint)
         cleared_s = self._cleared_s.get(fingerprint)
+        cleared_age_s = None if cleared_s is None else now_s - cleared_s
+        watched_until_s = self._watched_until_s.get(fingerprint, now_s)
+        watched_for_s = max(0.0, watched_until_s - now_s)
         if suspect is None:
-            if cleared_s is None:
+            if cleared_age_s is None and not watched_for_s:
                 return None
-            return SuspectState("", fingerprint, cleared_age_s=now_s - cleared_s)
+            return SuspectState(
+                "",
+                fingerprint,
+                cleared_age_s=cleared_age_s,
+                watched_for_s=watched_for_s,
+            )
         return SuspectState(
             service=suspect.service,
             fingerprint=fingerprint,
@@ -424,7 +450,8 @@
             decided_age_s=now_s - suspect.decided_s if suspect.quarantines else 0.0,
             refused_for_s=max(0.0, suspect.quarantined_until_s - now_s),
             held_for_s=RUNNING_RETRY_S if fingerprint in self._running else 0.0,
-            cleared_age_s=None if cleared_s is None else now_s - cleared_s,
+            cleared_age_s=cleared_age_s,
+            watched_for_s=watched_for_s,
         )
 
     def is_critical(self, fingerprint: str) -> bool:
@@ -466,12 +493,17 @@
         for fingerprint, cleared_s in tuple(self._cleared_s.items()):
             if now_s - cleared_s > SUSPICION_S:
                 del self._cleared_s[fingerprint]
+        for fingerprint, until_s in tuple(self._watched_until_s.items()):
+            if until_s <= now_s:
+                del self._watched_until_s[fingerprint]
 
     def merge(self, states: Iterable[SuspectState], now_s: float) -> None:
         """Add what another daemon knows; idempotent, in any order."""
         for state in states:
             if state.cleared_age_s is not None:
                 self._clear(state.fingerprint, now_s - state.cleared_age_s)
+            if state.watched_for_s:
+                self._watch_until(state.fingerprint, now_s + state.watched_for_s)
             settled_s = self._cleared_s.get(state.fingerprint, _NEVER_S)
             self._merge_quarantine(state, settled_s, now_s)
             self._merge_crashes(state, settled_s, now_s)
@@ -513,6 +545,12 @@
         if held is not None:
             held.held_until_s = max(held.held_until_s, now_s + state.held_for_s)
 
+    def _watch_until(self, fingerprint: str, until_s: float) -> None:
+        self._watched_until_s[fingerprint] = until_s
+        self._watched_until_s.move_to_end(fingerprint)
+        while len(self._watched_until_s) > self._max_fingerprints:
+            self._watched_until_s.popitem(last=False)
+
     def _is_settled(self, fingerprint: str, crashed_s: float) -> bool:
         """Return whether a later success or quarantine has accounted for a crash."""
         suspect = self._suspects.get(fingerprint)
--- a/dogwoodhook/state/unanswered_runs.py
+++ b/dogwoodhook/state/unanswered_runs.py
@@ -59,6 +59,14 @@
             run.target == target and now_s - run.at_s <= KEPT_S for run in self._runs
         )
 
+    def lost_targets(self, *, since_s: float) -> frozenset[str]:
+        """Return the targets to which connections broke since then."""
+        return frozenset(
+            run.target
+            for run in self._runs
+            if run.has_lost_connection and run.at_s >= since_s
+        )
+
     def take(
         self, target: str, incarnation: int, *, now_s: float
     ) -> tuple[UnansweredRun, ...]:
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -57,7 +57,7 @@
     HEAD_TOO_LARGE_STATUS,
     head_bytes,
 )
-from dogwoodhook.transport.crash_checks import PortState
+from dogwoodhook.transport.crash_checks import Witness
 from dogwoodhook.transport.detached_tasks import DetachedTasks
 from dogwoodhook.transport.fleet_reports import FleetReports
 from dogwoodhook.transport.fleet_view import FleetView
@@ -544,6 +544,22 @@
         return asyncio.ensure_future(self._send(routed, target))
 
     async def _send(self, routed: RoutedRequest, target: TargetEntry) -> AttemptResult:
+        quarantine = self._fleet.quarantine
+        if not len(quarantine) or not quarantine.is_watched(routed.identity):
+            result = await self._exchange(routed, target)
+            return await self._check_survival(routed, target, result)
+        witness = Witness(target)
+        try:
+            await witness.open()
+            result = await self._exchange(routed, target)
+            return await self._check_survival(routed, target, result, witness)
+        finally:
+            witness.close()
+
+    async def _exchange(
+        self, routed: RoutedRequest, target: TargetEntry
+    ) -> AttemptResult:
+        """Send the request to a target, and account for it there."""
         fleet = self._fleet
         now_s = self._clock.now_s()
         remaining_s = routed.deadline_s - now_s
@@ -594,17 +610,21 @@
             is_late = latency_s >= overdue_s
             if result.status < SERVER_ERROR_STATUS and not is_late:
                 self._reports.report_success(target.name, sent_s=now_s)
-        return await self._check_survival(routed, target, result)
+        return result
 
     async def _check_survival(
-        self, routed: RoutedRequest, target: TargetEntry, result: AttemptResult
+        self,
+        routed: RoutedRequest,
+        target: TargetEntry,
+        result: AttemptResult,
+        witness: Witness | None = None,
     ) -> AttemptResult:
         """Record whether the target's process lived on or ended under a request."""
         match result:
             case CompleteAnswer(status=status):
                 self._record_survival(routed, target, status)
             case MayHaveRun(has_lost_connection=True):
-                if await self._has_crashed(routed, target):
+                if await self._has_crashed(routed, target, witness):
                     return replace(result, symptom=Symptom.CRASHED)
             case MayHaveRun(symptom=Symptom.SILENT):
                 self._record_unanswered(routed, target, has_lost_connection=False)
@@ -625,19 +645,26 @@
                 routed.identity, target=target.name, status=status
             )
 
-    async def _has_crashed(self, routed: RoutedRequest, target: TargetEntry) -> bool:
+    async def _has_crashed(
+        self,
+        routed: RoutedRequest,
+        target: TargetEntry,
+        witness: Witness | None = None,
+    ) -> bool:
         """Return whether the target of a broken connection is known to have ended."""
         self._record_unanswered(routed, target, has_lost_connection=True)
-        port = await self._fleet.crash_checks.check_lost_connection(target)
-        if port is PortState.CLOSED:
+        found = await self._fleet.crash_checks.check_lost_connection(target, witness)
+        if found.evidence is not None:
             return True
+        self._fleet.quarantine.watch(routed.identity)
         log(
             TARGET_LIVES,
             request=routed.request_id,
             **routed.identity.log_fields(),
             target=target.name,
             incarnation=target.incarnation,
-            port=port,
+            port=found.port,
+            is_watched=witness is not None,
         )
         return False
 
--- a/tests/platform_adapter/test_harmful_requests.py
+++ b/tests/platform_adapter/test_harmful_requests.py
@@ -8,6 +8,7 @@
 
 from dogwoodhook.testing.fleet import free_port
 from tests.exchanges import until
+from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.conftest import make_route
 from tests.platform_adapter.ending_target import EndingTarget
 from tests.platform_adapter.harmful_callers import (
@@ -214,3 +215,16 @@
     assert len(end_times_s(targets)) == 3
     status, _ = await caller.send("/read/bad", gateway=gateway)
     assert status == 503
+
+
+async def test_a_sound_request_that_gray_targets_reset_is_refused(platform):
+    for number in range(6):
+        behaviour = behave.reset if number < 4 else behave.answer
+        await platform.start_target(f"t{number}", behaviour)
+    await platform.configure(read=make_route("/read/", kind="safe", attempts=3))
+    for number in range(DAEMONS):
+        await platform.start_gateway(f"vm-{number}")
+    caller = Caller(platform, CALLER_HOST)
+    statuses = [(await caller.send("/read/sound"))[0] for _ in range(20)]
+    assert 503 not in statuses
+    assert statuses[-1] == 200
--- a/tests/test_fleet_quarantine.py
+++ b/tests/test_fleet_quarantine.py
@@ -284,6 +284,17 @@
     fleet.wait(2.0)
 
 
+def test_a_request_is_watched_at_one_daemon_only():
+    fleet = Fleet(3)
+    daemons = list(fleet.daemons.values())
+    daemons[0].watch(HARMFUL)
+    assert [each.is_watched(HARMFUL) for each in daemons] == [True] * 3
+    assert [each.is_watched(OTHER) for each in daemons] == [False] * 3
+    assert check_all(fleet) == [Admit] * 3
+    fleet.wait(SUSPICION_S + 1.0)
+    assert [len(each) for each in daemons] == [0] * 3
+
+
 def test_nothing_is_sent_while_nothing_is_suspected():
     fleet = Fleet(2)
     fleet.deliver = pytest.fail
