Keep attempts of a mass failure, in which no request is refused

Where very many requests have three ends, the cause is the network or the service, and none is refused; their attempts were given up all the same. Found while reading the code again; the new test fails before.

--- a/dogwoodhook/state/quarantine.py
+++ b/dogwoodhook/state/quarantine.py
@@ -504,7 +504,9 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return False
-        return suspect.quarantined_until_s > now_s or self._is_decision_needed(suspect)
+        return suspect.quarantined_until_s > now_s or self._is_confirmed_cause(
+            suspect, now_s
+        )
 
     def changed_fingerprints(self, now_s: float, *, within_s: float) -> list[str]:
         """Return the fingerprints that other daemons need to know.
--- a/tests/test_fleet_quarantine.py
+++ b/tests/test_fleet_quarantine.py
@@ -369,6 +369,21 @@
     assert check_all(fleet, RequestIdentity("7", "7 of any caller")) == [Admit] * 3
 
 
+def test_attempts_are_given_up_in_a_mass_failure():
+    fleet = Fleet(2)
+    stopped = []
+    fleet.daemons["vm-1"].on_stopped = stopped.append
+    end_targets(fleet, 3, gap_s=0.0)
+    assert set(stopped) == {HARMFUL.fingerprint}
+    stopped.clear()
+    daemon = fleet.daemons["vm-0"]
+    for target in range(3):
+        for number in range(100):
+            identity = RequestIdentity(f"{number}", f"{number} of any caller")
+            daemon.record_crash("ledger", identity, f"t{target}/1")
+    assert "99" not in stopped
+
+
 def test_suspects_are_kept_for_ever():
     fleet = Fleet(3)
     end_targets(fleet, 2)
