--- a/dogwoodhook/coordination/fleet_quarantine.py
+++ b/dogwoodhook/coordination/fleet_quarantine.py
@@ -30,6 +30,7 @@
     to_row,
 )
 from dogwoodhook.coordination.run_claims import (
+    MAX_CLAIM_S,
     Claim,
     ClaimHeld,
     RunClaims,
@@ -201,15 +202,27 @@
 
     async def _release(self, run: AloneRun) -> None:
         for claim in run.claims:
-            await self._claims.release(claim)
+            known = self._quarantine.state(claim.fingerprint, self._clock.now_s())
+            await self._claims.release(
+                claim,
+                refused_for_s=min(known.refused_for_s, MAX_CLAIM_S) if known else 0.0,
+                quarantines=known.quarantines if known else 0,
+            )
         self._share(run.suspects)
 
     async def _claim(self, run: AloneRun, *, for_s: float) -> str:
-        """Claim a run; return the daemon that runs it already, if there is one."""
+        """Claim a run; return the daemon that keeps it from running, if there is one.
+
+        That is this one if it has heard meanwhile that the request is refused.
+        """
         # Fingerprints of one request may share a row.
         rows = {claim_key(each): each for each in run.suspects}
         for fingerprint in rows.values():
-            match await self._claims.claim(fingerprint, for_s=for_s):
+            known = self._quarantine.state(fingerprint, self._clock.now_s())
+            claimed = await self._claims.claim(
+                fingerprint, for_s=for_s, quarantines=known.quarantines if known else 0
+            )
+            match claimed:
                 case Claim() as claim:
                     run.claims.append(claim)
                 case ClaimHeld(holder):
@@ -218,6 +231,9 @@
                     holder = await self._settle(fingerprint)
                     if holder:
                         return holder
+        now_s = self._clock.now_s()
+        if any(self._quarantine.is_stopped(each, now_s) for each in run.suspects):
+            return self._daemon
         run.is_claimed = True
         return ""
 
--- a/dogwoodhook/coordination/run_claims.py
+++ b/dogwoodhook/coordination/run_claims.py
@@ -27,6 +27,9 @@
 MAX_ROWS = 64
 """Rows in the store; requests that share one run one after the other."""
 
+MAX_CLAIM_S = 600.0
+"""Longest time for which a row may claim a run; longer than any route's timeout."""
+
 MAX_WRITES = 3
 """Writes of one claim: a row may change between them."""
 
@@ -36,11 +39,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimRow:
-    """A request that a daemon runs for ``for_s`` at most; 0 if the run ended."""
+    """A request that a daemon runs for ``for_s`` at most.
+
+    Once ``is_over``, others may be run, and for a daemon that knows of fewer than
+    ``quarantines`` of this request, it is refused for ``for_s``.
+    """
 
     fingerprint: str
     daemon: str
     for_s: float
+    is_over: bool = False
+    quarantines: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,11 +58,12 @@
 
     key: str
     version: int
+    fingerprint: str
 
 
 @dataclass(frozen=True, slots=True)
 class ClaimHeld:
-    """Another run is claimed until ``until_s`` of the elapsed clock at most."""
+    """The request may not run until ``until_s`` of the elapsed clock."""
 
     holder: str
     until_s: float
@@ -81,60 +91,78 @@
         self._daemon = daemon
         self._encode_row = encode_row
         self._decode_row = decode_row
-        # For each row the latest version known, and since when.
+        # The version of each row that was seen last, and since when.
         self._seen: dict[str, tuple[int, float]] = {}
 
     async def claim(
-        self, fingerprint: str, *, for_s: float
+        self, fingerprint: str, *, for_s: float, quarantines: int
     ) -> Claim | ClaimHeld | StoreUnavailable:
-        """Claim a run that takes ``for_s`` at most."""
+        """Claim a run that takes ``for_s`` at most, after so many quarantines."""
         key = claim_key(fingerprint)
-        row = ClaimRow(fingerprint, self._daemon, for_s)
-        held = ClaimHeld("", self._clock.now_s())
+        row = ClaimRow(fingerprint, self._daemon, for_s, quarantines=quarantines)
+        version = 0
         for _ in range(MAX_WRITES):
-            match await self._write(key, row):
-                case Claim() as claim:
-                    return claim
-                case StoreUnavailable() as unavailable:
-                    return unavailable
-                case StoreRow() as current:
-                    held = self._holder(current)
+            written = await self._write(key, row, version=version)
+            if not isinstance(written, StoreRow):
+                return written
+            held = self._holder(written, row)
             if held.until_s > self._clock.now_s():
                 return held
+            version = written.version
         return held
 
-    async def release(self, claim: Claim) -> None:
-        """End a claim; one that the store does not take ends by itself."""
-        version, _ = self._seen.get(claim.key, (0, 0.0))
-        if version == claim.version:
-            await self._write(claim.key, ClaimRow("", self._daemon, 0.0))
+    async def release(
+        self, claim: Claim, *, refused_for_s: float, quarantines: int
+    ) -> None:
+        """End a claim, and tell the next daemon how long the request is refused.
+
+        A claim that the store does not take back ends by itself.
+        """
+        row = ClaimRow(
+            claim.fingerprint,
+            self._daemon,
+            refused_for_s,
+            is_over=True,
+            quarantines=quarantines,
+        )
+        await self._write(claim.key, row, version=claim.version)
 
     async def _write(
-        self, key: str, row: ClaimRow
+        self, key: str, row: ClaimRow, *, version: int
     ) -> Claim | StoreRow | StoreUnavailable:
-        version, _ = self._seen.get(key, (0, 0.0))
+        """Write a row that still has a version; return the current one if it differs.
+
+        Version 0 writes only a row that does not exist, and reads any other.
+        """
+        value = self._encode_row(row)
         written = await self._store.replace_row(
-            Table.DAEMONS, key, self._encode_row(row), version=version
+            Table.DAEMONS, key, value, version=version
         )
         if written.is_ok():
-            self._see(key, written.ok)
-            return Claim(key, written.ok)
+            self._see(StoreRow(key, value, written.ok))
+            return Claim(key, written.ok, row.fingerprint)
         if isinstance(written.error, RowConflict):
-            self._see(key, written.error.row.version)
+            self._see(written.error.row)
             return written.error.row
         return written.error
 
-    def _see(self, key: str, version: int) -> None:
-        known, _ = self._seen.get(key, (0, 0.0))
-        if version != known:
-            self._seen[key] = version, self._clock.now_s()
+    def _see(self, row: StoreRow) -> None:
+        version, _ = self._seen.get(row.key, (None, 0.0))
+        if version != row.version:
+            self._seen[row.key] = row.version, self._clock.now_s()
 
-    def _holder(self, current: StoreRow) -> ClaimHeld:
-        _, since_s = self._seen.get(current.key, (0, self._clock.now_s()))
+    def _holder(self, current: StoreRow, wanted: ClaimRow) -> ClaimHeld:
+        _, since_s = self._seen[current.key]
         if current.value is None:
             return ClaimHeld("", since_s)
         match self._decode_row(current.value):
             case Result(tag="ok", ok=row):
+                is_news = (
+                    row.fingerprint == wanted.fingerprint
+                    and row.quarantines > wanted.quarantines
+                )
+                if row.is_over and not is_news:
+                    return ClaimHeld("", since_s)
                 return ClaimHeld(row.daemon, since_s + row.for_s)
             case Result(error=problem):
                 log(
--- a/dogwoodhook/protocol/quarantine_rows.py
+++ b/dogwoodhook/protocol/quarantine_rows.py
@@ -8,14 +8,11 @@
 from pydantic import TypeAdapter, ValidationError
 
 from dogwoodhook.coordination.quarantine_row import QuarantineRow
-from dogwoodhook.coordination.run_claims import ClaimRow
+from dogwoodhook.coordination.run_claims import MAX_CLAIM_S, ClaimRow
 
 _QUARANTINE_ADAPTER = TypeAdapter(QuarantineRow)
 _CLAIM_ADAPTER = TypeAdapter(ClaimRow)
 
-MAX_CLAIM_S = 600.0
-"""Longest time for which a row may claim a run; longer than any route's timeout."""
-
 T = TypeVar("T")
 
 
--- a/tests/test_fleet_quarantine.py
+++ b/tests/test_fleet_quarantine.py
@@ -213,7 +213,8 @@
     fleet.loss = 1.0
     await first.begin_alone(HARMFUL, for_s=RUN_S)
     del fleet.daemons["vm-0"]
-    assert isinstance(await second.begin_alone(HARMFUL, for_s=RUN_S), Refuse)
+    for _ in range(2):
+        assert isinstance(await second.begin_alone(HARMFUL, for_s=RUN_S), Refuse)
     fleet.wait(RUN_S + 0.1)
     assert isinstance(await second.begin_alone(HARMFUL, for_s=RUN_S), AloneRun)
 
@@ -232,6 +233,24 @@
     assert sum(isinstance(each, AloneRun) for each in begun) == 1
 
 
+async def test_a_daemon_that_missed_the_end_of_a_trial_begins_another():
+    fleet = Fleet(2)
+    end_targets(fleet, 3)
+    fleet.wait(2.0)
+    first, second = fleet.daemons.values()
+    assert check_all(fleet) == [RunAlone] * 2
+    fleet.loss = 1.0
+    run = await first.begin_alone(HARMFUL, for_s=RUN_S)
+    first.record_crash("payouts", HARMFUL, "t9/1")
+    await end_run(first, run)
+    assert isinstance(second.check(HARMFUL), RunAlone)
+    assert isinstance(await second.begin_alone(HARMFUL, for_s=RUN_S), Refuse)
+    assert isinstance(await second.begin_alone(OTHER, for_s=RUN_S), AloneRun)
+    fleet.loss = 0.0
+    fleet.wait(62.0)
+    assert isinstance(await second.begin_alone(HARMFUL, for_s=RUN_S), AloneRun)
+
+
 async def test_a_claim_that_cannot_be_read_keeps_a_request_from_running():
     fleet = Fleet(1)
     end_targets(fleet, 2)
