Name the second connection to a target as what it is, and share a test's quarantine

Read as a newcomer: no change of behaviour, but for an attempt that is given up only once something of the request was sent, so that one that waits for its claim is refused as not run. The model's second copy of the quarantine's construction is gone.

--- a/dogwoodhook/coordination/fleet_quarantine.py
+++ b/dogwoodhook/coordination/fleet_quarantine.py
@@ -8,6 +8,9 @@
 All daemons may be restarted at once, so long quarantines are also written to the store,
 each to one of a fixed number of rows, and read when a daemon joins the fleet.
 
+A suspect runs at one daemon at a time, which claims the run in the store. While the
+store is away, the daemons tell each other.
+
 A request has two fingerprints, with its caller and without. The first distinguishes it
 from the same request of another caller, the second recognises it if its caller's
 address changes.
--- a/dogwoodhook/state/unanswered_runs.py
+++ b/dogwoodhook/state/unanswered_runs.py
@@ -43,10 +43,6 @@
     def __init__(self) -> None:
         self._runs: deque[UnansweredRun] = deque(maxlen=MAX_RUNS)
 
-    def __len__(self) -> int:
-        """Return the number of runs that are kept."""
-        return len(self._runs)
-
     def add(self, run: UnansweredRun) -> None:
         """Keep a run, and discard those that are too old."""
         while self._runs and run.at_s - self._runs[0].at_s > KEPT_S:
--- a/dogwoodhook/transport/crash_checks.py
+++ b/dogwoodhook/transport/crash_checks.py
@@ -36,7 +36,7 @@
     port: PortState | None = None
 
 
-class Witness:
+class SecondConnection:
     """A second connection to a target, open while a request is there.
 
     A target closes connections that are idle for long, so a broken one is replaced.
@@ -97,12 +97,12 @@
         self._tasks: set[asyncio.Task[LossCheck]] = set()
 
     async def check_lost_connection(
-        self, target: TargetEntry, witness: Witness | None = None
+        self, target: TargetEntry, second: SecondConnection | None = None
     ) -> LossCheck:
         """Check a target after a connection to it broke."""
         # The departure of the caller does not cancel the check.
         return await asyncio.shield(
-            self._start(target, {PortState.CLOSED}, witness=witness)
+            self._start(target, {PortState.CLOSED}, second=second)
         )
 
     def check_removed_entry(self, target: TargetEntry) -> None:
@@ -115,17 +115,20 @@
         target: TargetEntry,
         ended: set[PortState],
         *,
-        witness: Witness | None = None,
+        second: SecondConnection | None = None,
     ) -> asyncio.Task[LossCheck]:
-        task = asyncio.create_task(self._check(target, ended, witness))
+        task = asyncio.create_task(self._check(target, ended, second))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
 
     async def _check(
-        self, target: TargetEntry, ended: set[PortState], witness: Witness | None
+        self,
+        target: TargetEntry,
+        ended: set[PortState],
+        second: SecondConnection | None,
     ) -> LossCheck:
-        found = await self._find(target, ended, witness)
+        found = await self._find(target, ended, second)
         if found.evidence is not None:
             self._target_ends.record_end(
                 target.name, target.incarnation, found.evidence
@@ -133,14 +136,17 @@
         return found
 
     async def _find(
-        self, target: TargetEntry, ended: set[PortState], witness: Witness | None
+        self,
+        target: TargetEntry,
+        ended: set[PortState],
+        second: SecondConnection | None,
     ) -> LossCheck:
         opened = await _open_connection(target)
         if not isinstance(opened, PortState):
             opened[1].close()
             if (
-                witness is not None
-                and await witness.has_broken()
+                second is not None
+                and await second.has_broken()
                 and self._target_ends.is_only_loss(target.name)
             ):
                 return LossCheck(EndEvidence.BROKEN_TOGETHER, PortState.OPEN)
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -58,7 +58,7 @@
     HEAD_TOO_LARGE_STATUS,
     head_bytes,
 )
-from dogwoodhook.transport.crash_checks import Witness
+from dogwoodhook.transport.crash_checks import SecondConnection
 from dogwoodhook.transport.detached_tasks import DetachedTasks
 from dogwoodhook.transport.fleet_reports import FleetReports
 from dogwoodhook.transport.fleet_view import FleetView
@@ -314,6 +314,7 @@
         for routed in self._running:
             if (
                 routed.route.is_idempotent
+                and routed.tried
                 and routed.alone_run is None
                 and routed.identity.fingerprint == fingerprint
                 and not routed.recalled.done()
@@ -589,13 +590,13 @@
         if not len(quarantine) or not quarantine.is_watched(routed.identity):
             result = await self._exchange(routed, target)
             return await self._check_survival(routed, target, result)
-        witness = Witness(target)
+        second = SecondConnection(target)
         try:
-            await witness.open()
+            await second.open()
             result = await self._exchange(routed, target)
-            return await self._check_survival(routed, target, result, witness)
+            return await self._check_survival(routed, target, result, second)
         finally:
-            witness.close()
+            second.close()
 
     async def _exchange(
         self, routed: RoutedRequest, target: TargetEntry
@@ -658,14 +659,14 @@
         routed: RoutedRequest,
         target: TargetEntry,
         result: AttemptResult,
-        witness: Witness | None = None,
+        second: SecondConnection | None = None,
     ) -> AttemptResult:
         """Record whether the target's process lived on or ended under a request."""
         match result:
             case CompleteAnswer(status=status):
                 self._record_survival(routed, target, status)
             case MayHaveRun(has_lost_connection=True):
-                if await self._has_crashed(routed, target, witness):
+                if await self._has_crashed(routed, target, second):
                     return replace(result, symptom=Symptom.CRASHED)
             case MayHaveRun(symptom=Symptom.SILENT):
                 self._record_unanswered(routed, target, has_lost_connection=False)
@@ -690,11 +691,11 @@
         self,
         routed: RoutedRequest,
         target: TargetEntry,
-        witness: Witness | None = None,
+        second: SecondConnection | None = None,
     ) -> bool:
         """Return whether the target of a broken connection is known to have ended."""
         self._record_unanswered(routed, target, has_lost_connection=True)
-        found = await self._fleet.crash_checks.check_lost_connection(target, witness)
+        found = await self._fleet.crash_checks.check_lost_connection(target, second)
         if found.evidence is not None:
             return True
         self._fleet.quarantine.watch(routed.identity)
@@ -705,7 +706,7 @@
             target=target.name,
             incarnation=target.incarnation,
             port=found.port,
-            is_watched=witness is not None,
+            is_watched=second is not None,
         )
         return False
 
--- a/tests/test_crash_checks.py
+++ b/tests/test_crash_checks.py
@@ -13,7 +13,7 @@
     CrashChecks,
     LossCheck,
     PortState,
-    Witness,
+    SecondConnection,
 )
 from tests.exchanges import until
 from tests.platform_adapter.target_server import HOST, reset_connection
@@ -66,14 +66,14 @@
 
 
 @asynccontextmanager
-async def open_witness(listener):
-    witness = Witness(listener.entry)
-    await witness.open()
+async def open_second(listener):
+    second = SecondConnection(listener.entry)
+    await second.open()
     await until(lambda: len(listener.writers) == 1)
     try:
-        yield witness
+        yield second
     finally:
-        witness.close()
+        second.close()
 
 
 @pytest.fixture
@@ -96,34 +96,34 @@
 
 @pytest.mark.parametrize("is_reset", [True, False])
 async def test_a_process_that_another_one_replaces_at_once_shows_no_end(ends, is_reset):
-    async with running_listener() as listener, open_witness(listener) as witness:
+    async with running_listener() as listener, open_second(listener) as second:
         writer = listener.writers[0]
         reset_connection(writer) if is_reset else writer.close()
-        found = await CrashChecks(ends).check_lost_connection(listener.entry, witness)
+        found = await CrashChecks(ends).check_lost_connection(listener.entry, second)
     assert found == LossCheck(EndEvidence.BROKEN_TOGETHER, PortState.OPEN)
     assert ends.ends == [("t1", 7, EndEvidence.BROKEN_TOGETHER)]
 
 
 async def test_a_target_that_resets_one_connection_shows_an_end(ends):
-    async with running_listener() as listener, open_witness(listener) as witness:
-        found = await CrashChecks(ends).check_lost_connection(listener.entry, witness)
+    async with running_listener() as listener, open_second(listener) as second:
+        found = await CrashChecks(ends).check_lost_connection(listener.entry, second)
     assert found == LossCheck(None, PortState.OPEN)
 
 
 async def test_a_reset_of_all_connections_of_a_vm_shows_an_end(ends):
     ends.other_losses = True
-    async with running_listener() as listener, open_witness(listener) as witness:
+    async with running_listener() as listener, open_second(listener) as second:
         reset_connection(listener.writers[0])
-        found = await CrashChecks(ends).check_lost_connection(listener.entry, witness)
+        found = await CrashChecks(ends).check_lost_connection(listener.entry, second)
     assert found == LossCheck(None, PortState.OPEN)
 
 
 async def test_a_second_connection_that_the_target_closed_when_idle_shows_an_end(ends):
-    async with running_listener() as listener, open_witness(listener) as witness:
+    async with running_listener() as listener, open_second(listener) as second:
         listener.writers[0].close()
         await asyncio.sleep(CHECK_TIMEOUT_S)
         await until(lambda: len(listener.writers) == 2)
-        found = await CrashChecks(ends).check_lost_connection(listener.entry, witness)
+        found = await CrashChecks(ends).check_lost_connection(listener.entry, second)
     assert found == LossCheck(None, PortState.OPEN)
 
 
--- a/tests/test_fleet_quarantine.py
+++ b/tests/test_fleet_quarantine.py
@@ -43,6 +43,27 @@
 RUN_S = 6.0
 
 
+def make_fleet_quarantine(name, links, clock, rng, store):
+    """Return the quarantine of one daemon on the platform."""
+    return FleetQuarantine(
+        Quarantine(policy=CONFIRMED_CRASHES_POLICY),
+        links,
+        clock,
+        daemon=name,
+        rng=rng,
+        store=store,
+        encode_row=encode_quarantine_row,
+        decode_row=decode_quarantine_row,
+        claims=RunClaims(
+            store,
+            clock,
+            daemon=name,
+            encode_row=encode_claim_row,
+            decode_row=decode_claim_row,
+        ),
+    )
+
+
 class Links:
     """Delivers a daemon's messages, losing some."""
 
@@ -100,22 +121,8 @@
             self.start(f"vm-{number}")
 
     def start(self, name):
-        self.daemons[name] = FleetQuarantine(
-            Quarantine(policy=CONFIRMED_CRASHES_POLICY),
-            Links(self, name),
-            self.clock,
-            daemon=name,
-            rng=self.rng,
-            store=self.store,
-            encode_row=encode_quarantine_row,
-            decode_row=decode_quarantine_row,
-            claims=RunClaims(
-                self.store,
-                self.clock,
-                daemon=name,
-                encode_row=encode_claim_row,
-                decode_row=decode_claim_row,
-            ),
+        self.daemons[name] = make_fleet_quarantine(
+            name, Links(self, name), self.clock, self.rng, self.store
         )
         return self.daemons[name]
 
--- a/tests/test_fleet_quarantine_over_time.py
+++ b/tests/test_fleet_quarantine_over_time.py
@@ -12,23 +12,9 @@
 from hypothesis import strategies as st
 
 from dogwoodhook.clock import ManualClock
-from dogwoodhook.coordination.fleet_quarantine import FleetQuarantine
-from dogwoodhook.coordination.run_claims import RunClaims
 from dogwoodhook.coordination.store import StoreRow
-from dogwoodhook.protocol.quarantine_rows import (
-    decode_claim_row,
-    decode_quarantine_row,
-    encode_claim_row,
-    encode_quarantine_row,
-)
-from dogwoodhook.state.quarantine import (
-    CONFIRMED_CRASHES_POLICY,
-    Quarantine,
-    Refuse,
-    RequestIdentity,
-    RunAlone,
-)
-from tests.test_fleet_quarantine import MemoryStore
+from dogwoodhook.state.quarantine import Refuse, RequestIdentity, RunAlone
+from tests.test_fleet_quarantine import MemoryStore, make_fleet_quarantine
 
 CONTACT_S = 3.0
 MAX_LATER_ARRIVALS = 3
@@ -88,22 +74,8 @@
         self.fleet = fleet
         self.name = name
         self.started_s = fleet.loop.time()
-        self.quarantine = FleetQuarantine(
-            Quarantine(policy=CONFIRMED_CRASHES_POLICY),
-            self,
-            LoopClock(),
-            daemon=name,
-            rng=fleet.rng,
-            store=fleet.store,
-            encode_row=encode_quarantine_row,
-            decode_row=decode_quarantine_row,
-            claims=RunClaims(
-                fleet.store,
-                LoopClock(),
-                daemon=name,
-                encode_row=encode_claim_row,
-                decode_row=decode_claim_row,
-            ),
+        self.quarantine = make_fleet_quarantine(
+            name, self, LoopClock(), fleet.rng, fleet.store
         )
         for key, value in fleet.store.rows.items():
             self.quarantine.adopt_row(StoreRow(key, value, 1))
--- a/tests/test_target_ends.py
+++ b/tests/test_target_ends.py
@@ -6,20 +6,10 @@
 
 from dogwoodhook.clock import ManualClock
 from dogwoodhook.coordination.fleet_messages import TargetEnded
-from dogwoodhook.coordination.fleet_quarantine import FleetQuarantine
 from dogwoodhook.coordination.target_ends import EndEvidence, TargetEnds
-from dogwoodhook.protocol.quarantine_rows import (
-    decode_quarantine_row,
-    encode_quarantine_row,
-)
-from dogwoodhook.state.quarantine import (
-    CONFIRMED_CRASHES_POLICY,
-    Admit,
-    Quarantine,
-    Refuse,
-    RequestIdentity,
-)
+from dogwoodhook.state.quarantine import Admit, Refuse, RequestIdentity
 from dogwoodhook.state.unanswered_runs import KEPT_S, UnansweredRun
+from tests.test_fleet_quarantine import make_fleet_quarantine
 
 IDENTITY = RequestIdentity("harmful", "harmful of any caller")
 
@@ -41,16 +31,8 @@
         self.clock = ManualClock()
         self.links = RecordingLinks()
         self.crashes = 0
-        self.quarantine = FleetQuarantine(
-            Quarantine(policy=CONFIRMED_CRASHES_POLICY),
-            self.links,
-            self.clock,
-            daemon="vm-1",
-            rng=random.Random(1),
-            store=None,
-            encode_row=encode_quarantine_row,
-            decode_row=decode_quarantine_row,
-            claims=None,
+        self.quarantine = make_fleet_quarantine(
+            "vm-1", self.links, self.clock, random.Random(1), None
         )
         self.ends = TargetEnds(
             self.quarantine,
