Ask of the plays of harmful requests that all sound ones are served

The bound was committed as 0.98 after a play on the unmended code had measured 0.983; it must come from the target, which is that neighbours are served.

--- a/tests/platform_adapter/test_harmful_plays.py
+++ b/tests/platform_adapter/test_harmful_plays.py
@@ -30,9 +30,6 @@
 MAX_ENDS = 6
 """Three ends, one in a trial, and two whose connections break as the third does."""
 
-MIN_SERVED = 0.98
-"""Share of the sound requests of the last 4 s that is served at least."""
-
 
 @dataclass(frozen=True)
 class Play:
@@ -183,10 +180,10 @@
 async def test_a_harmful_request_keeps_reaching_targets(platform, play):
     outcome = await run_play(platform, play)
     assert outcome.later <= MAX_LATER_ARRIVALS
-    assert outcome.served >= MIN_SERVED
+    assert outcome.served == 1.0
 
 
 async def test_copies_of_a_harmful_request_that_wait_at_targets_end_them(platform):
     outcome = await run_play(platform, Play(wait_s=2.0, seconds=8.0))
     assert outcome.ended <= MAX_ENDS
-    assert outcome.served >= MIN_SERVED
+    assert outcome.served == 1.0
