--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -487,8 +487,9 @@
 @pytest.mark.parametrize(
     "seed",
     [
-        # Nothing counted the ends of targets under a request.
         1000,
+        # Nothing counted the ends of targets under a request.
+        1001,
         # A server error cleared a request under which targets had ended.
         2005,
     ],
