--- a/review/standins.py
+++ b/review/standins.py
@@ -135,11 +135,12 @@
         await self._take_line(b"\r\n")
         return body
 
-    def send(self, status, body=b"", **headers):
-        """Send an answer."""
+    def send(self, status, body=b"", *, share=1.0, **headers):
+        """Send an answer, or only a share of its body."""
         lines = [f"HTTP/1.1 {status} {REASONS[status]}", f"Content-Length: {len(body)}"]
         lines += [f"{name.replace('_', '-')}: {each}" for name, each in headers.items()]
-        self.writer.write("\r\n".join(lines).encode() + HEAD_END + body)
+        self.writer.write("\r\n".join(lines).encode() + HEAD_END)
+        self.writer.write(body[: int(len(body) * share)])
 
     def abort(self):
         """Close the connection at once."""
@@ -310,8 +311,9 @@
     """A server of a service, with slots, a queue, and an entry in the store.
 
     ``on_run`` is called with the server and a request when work on it begins, and may
-    return a text: ``lose`` for an answer that is lost, ``crash`` for the end of the
-    server. ``arrivals`` and ``runs`` hold the time and the message of each request that
+    return a text: ``lose`` for an answer that is lost, ``break`` for one that breaks
+    off, ``crash`` for the end of the server. ``make_body`` returns the body of an
+    answer. ``arrivals`` and ``runs`` hold the time and the message of each request that
     arrived or ran.
     """
 
@@ -323,6 +325,7 @@
     queue: int = 12
     down_s: float = 3.0
     on_run: object = lambda server, request: ""
+    make_body: object = lambda server, request: f"{server.name} ran it".encode()
     name: str = ""
     port: int = 0
     arrivals: list = field(default_factory=list)
@@ -459,8 +462,13 @@
             record.write(f"answer lost server={name} id={request.request_id}")
             connection.abort()
         else:
-            text = f"{name} ran {request.first_line}".encode()
-            connection.send(200, text, Server_Signature=name, **echo)
+            body = self.make_body(self, request)
+            share = 0.9 if fate == "break" else 1.0
+            connection.send(200, body, share=share, Server_Signature=name, **echo)
+            await connection.writer.drain()
+            if fate == "break":
+                record.write(f"answer broken off server={name} id={request.request_id}")
+                connection.writer.close()
 
 
 @dataclass(eq=False)
