--- a/dogwoodhook/coordination/target_following.py
+++ b/dogwoodhook/coordination/target_following.py
@@ -14,6 +14,7 @@
 from dogwoodhook.clock import Clock
 from dogwoodhook.coordination.fleet_links import FleetLinks
 from dogwoodhook.coordination.fleet_messages import StoreUpdate
+from dogwoodhook.coordination.fleet_snapshot import TargetTable
 from dogwoodhook.coordination.store import Store, Table, TableRows
 from dogwoodhook.coordination.store_availability import StoreAvailability
 from dogwoodhook.coordination.store_reading import RowDecoder, read_newer, wait_for
@@ -107,10 +108,7 @@
             self._must_read.set()
         elif self._parts.record(update) and update.store_version >= self._store_version:
             # An older update was delayed by a relay and is older than it says.
-            self._store_version = update.store_version
-            self._peer_as_of_s = max(self._peer_as_of_s, now_s - update.age_s)
-            excess_s = excess_age_s(update.age_s, bound_s=self.bound_s)
-            self._silent_since_s = max(self._silent_since_s, now_s - excess_s)
+            self._record_peer_read(update.store_version, update.age_s, now_s)
         else:
             version = self._directory.version
         applied = self._directory.apply(
@@ -119,27 +117,35 @@
             now_s=now_s,
             removal_hold_s=update.removal_hold_s,
         )
-        if self._directory.version >= self._missed_version:
-            self._must_read.clear()
-        _log_changes(
-            applied,
-            source=update.daemon,
-            version=update.version,
-            age_s=update.age_s,
+        self._record_received(update, applied)
+
+    def adopt(self, table: TargetTable) -> None:
+        """Apply all targets that another daemon knows; others are removed.
+
+        This daemon may have read the store itself, before or after the other one.
+        """
+        now_s = self._clock.now_s()
+        if table.store_version >= self._store_version:
+            self._record_peer_read(table.store_version, table.age_s, now_s)
+        applied = self._directory.replace_all(
+            table.targets,
+            version=table.version,
+            now_s=now_s,
+            removal_hold_s=table.removal_hold_s,
         )
+        self._record_received(table, applied)
 
-    def snapshot(self) -> StoreUpdate | None:
-        """Return all targets as an update, ``None`` while they are not up to date."""
+    def snapshot(self) -> TargetTable | None:
+        """Return all targets, ``None`` while they are not up to date."""
         if not self._directory.version or self.age_s > MAX_CATCH_UP_S:
             return None
-        return StoreUpdate(
+        return TargetTable(
             daemon=self._daemon,
-            after_version=0,
             version=self._directory.version,
-            removal_hold_s=0.0,
-            age_s=self.age_s,
-            changes=self._directory.listed(),
             store_version=self._store_version,
+            age_s=self.age_s,
+            removal_hold_s=self._directory.removal_hold_s(now_s=self._clock.now_s()),
+            targets=self._directory.listed(),
         )
 
     @property
@@ -149,6 +155,25 @@
             self._started_s, self._read_s, self._peer_as_of_s
         )
 
+    def _record_peer_read(self, store_version: int, age_s: float, now_s: float) -> None:
+        """Record that the targets are known as of another daemon's read."""
+        self._store_version = store_version
+        self._peer_as_of_s = max(self._peer_as_of_s, now_s - age_s)
+        excess_s = excess_age_s(age_s, bound_s=self.bound_s)
+        self._silent_since_s = max(self._silent_since_s, now_s - excess_s)
+
+    def _record_received(
+        self, source: StoreUpdate | TargetTable, applied: tuple[TargetChange, ...]
+    ) -> None:
+        if self._directory.version >= self._missed_version:
+            self._must_read.clear()
+        _log_changes(
+            applied,
+            source=source.daemon,
+            version=source.version,
+            age_s=source.age_s,
+        )
+
     def _rank(self) -> int:
         links = self._links
         return rank_of(self._daemon, links.data_centre, links.live_daemons())
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -442,7 +442,7 @@
         )
 
     def _adopt_snapshot(self, snapshot: FleetSnapshot) -> None:
-        self._targets.receive(snapshot.targets)
+        self._targets.adopt(snapshot.targets)
         self._configuration.adopt(snapshot.configuration, snapshot.configuration_row)
         self._quarantine.receive(snapshot.suspects)
         self._update_readiness()
--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -132,6 +132,10 @@
         self._trim()
         return tuple(applied)
 
+    def removal_hold_s(self, *, now_s: float) -> float:
+        """Return the time until the last delayed removal, 0 if there is none."""
+        return max((0.0, *(due - now_s for due in self._removal_due_s.values())))
+
     def listed(self) -> tuple[TargetChange, ...]:
         """Return all entries but those whose removal is delayed."""
         return tuple(
--- a/tests/test_fleet_joining.py
+++ b/tests/test_fleet_joining.py
@@ -12,10 +12,9 @@
 from dogwoodhook.coordination.fleet_messages import (
     ConfigurationNotice,
     DaemonHello,
-    StoreUpdate,
     SuspectStates,
 )
-from dogwoodhook.coordination.fleet_snapshot import FleetSnapshot
+from dogwoodhook.coordination.fleet_snapshot import FleetSnapshot, TargetTable
 from dogwoodhook.coordination.store import (
     RowConflict,
     StoreRow,
@@ -79,7 +78,7 @@
     """Return a snapshot of a fleet without targets and configuration."""
     return FleetSnapshot(
         hellos,
-        StoreUpdate("vm-1", 0, 7, 0.0, 0.0),
+        TargetTable("vm-1", 7, 7, 0.0, 0.0, ()),
         ConfigurationNotice("vm-1", 0, 0.0),
         None,
         SuspectStates("vm-1", ()),
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -9,10 +9,9 @@
 from dogwoodhook.coordination.fleet_messages import (
     ConfigurationNotice,
     DaemonHello,
-    StoreUpdate,
     SuspectStates,
 )
-from dogwoodhook.coordination.fleet_snapshot import FleetSnapshot
+from dogwoodhook.coordination.fleet_snapshot import FleetSnapshot, TargetTable
 from dogwoodhook.coordination.store import StoreRow
 from dogwoodhook.protocol import fleet_codec
 from dogwoodhook.state.quarantine import SuspectState
@@ -26,7 +25,7 @@
 ENTRY = TargetEntry("t1", "payouts", "10.0.0.1", 80, "oulu-1", 3, False, 0.5, 9)
 SNAPSHOT = FleetSnapshot(
     HELLOS,
-    StoreUpdate("vm-1", 0, 7, 0.0, 0.5, (TargetChange("t1", 3, ENTRY),)),
+    TargetTable("vm-1", 7, 7, 0.5, 0.0, (TargetChange("t1", 3, ENTRY),)),
     ConfigurationNotice("vm-1", 7, 0.25, 9),
     ROW,
     SuspectStates("vm-1", (SuspectState("payouts", "a"),)),
@@ -95,7 +94,7 @@
     late_s = snapshot.targets.age_s - SNAPSHOT.targets.age_s
     assert 0 < late_s < 0.5
     assert snapshot.configuration.age_s > SNAPSHOT.configuration.age_s
-    assert snapshot.targets.changes == SNAPSHOT.targets.changes
+    assert snapshot.targets.targets == SNAPSHOT.targets.targets
     assert snapshot.configuration_row == ROW
     assert snapshot.suspects == SNAPSHOT.suspects
     assert snapshot.daemons == HELLOS
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -8,6 +8,7 @@
 
 from dogwoodhook.clock import SystemClock
 from dogwoodhook.coordination.fleet_messages import StoreUpdate
+from dogwoodhook.coordination.fleet_snapshot import TargetTable
 from dogwoodhook.coordination.store import StoreRow, StoreUnavailable, TableRows
 from dogwoodhook.coordination.store_reading import RowDecoder
 from dogwoodhook.coordination.target_following import (
@@ -231,6 +232,47 @@
         assert follower.age_s < 0.1
 
 
+def table_of(*names, version, removal_hold_s=0.0):
+    rows = [StoreRow(name, b"{}", 1) for name in names]
+    targets = tuple(TargetChange(row.key, row.version, decode(row)) for row in rows)
+    return TargetTable("vm-9", version, version, 0.0, removal_hold_s, targets)
+
+
+async def test_a_target_removed_between_a_read_and_a_snapshot_stays_in_use():
+    """The snapshot's version then includes the removal, so no later read repeats it."""
+    async with following("vm-1", targets=2) as (store, _, directory, follower):
+        store.is_down = True
+        with logbook.TestHandler().applicationbound() as handler:
+            follower.adopt(table_of("t2", version=7))
+        assert directory.version == 7
+        assert not directory.is_serving("t1")
+        assert directory.is_serving("t2")
+        [line] = [str(each.message) for each in handler.records]
+        assert "target=t1" in line
+        assert "state=removed" in line
+
+
+async def test_a_snapshot_removes_a_target_whose_removal_its_sender_delays():
+    async with following("vm-1", targets=2) as (store, _, directory, follower):
+        store.is_down = True
+        follower.adopt(table_of("t2", version=7, removal_hold_s=0.3))
+        assert directory.is_serving("t1")
+        await until(
+            lambda: len(directory.serving("payouts", now_s=SystemClock().now_s())) == 1
+        )
+        assert not directory.is_serving("t1")
+
+
+async def test_a_snapshot_does_not_tell_how_long_its_sender_delays_removals():
+    async with following("vm-1", targets=2) as (store, _, _directory, follower):
+        store.is_down = True
+        removal = TargetChange("t1", 7, None)
+        follower.receive(StoreUpdate("vm-9", 2, 7, 1.5, 0.0, (removal,)))
+        snapshot = follower.snapshot()
+        assert [each.name for each in snapshot.targets] == ["t2"]
+        assert 1.0 < snapshot.removal_hold_s <= 1.5
+
+
 async def test_a_daemon_without_the_store_for_long_reads_the_complete_table(
     monkeypatch,
 ):
