--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -75,6 +75,8 @@
         self._on_removal = on_removal
         self._names: dict[str, str] = {}
         self.version = 0
+        # The version of the newest complete read.
+        self._complete_version = 0
         self._entries: dict[str, TargetEntry] = {}
         self._versions: dict[str, int] = {}
         # For each target, the version of its last change that is relevant to placement.
@@ -112,25 +114,17 @@
     ) -> tuple[TargetChange, ...]:
         """Apply rows read up to a version; return those relevant to placement.
 
-        Removals take effect after ``removal_hold_s``, unless the entry returns.
+        Removals take effect after ``removal_hold_s``, unless the entry returns. An
+        entry that the newest complete read lacked and that is not newer was removed
+        before that read.
         """
-        applied = []
-        for change in changes:
-            if change.version <= self._versions.get(change.name, 0):
-                continue
-            self._versions[change.name] = change.version
-            is_new = change.entry is not None and change.name not in self._entries
-            if is_new and self.version:
-                self._joined_s[change.name] = now_s
-            if self._apply_one(change, now_s + removal_hold_s):
-                self._relevant_versions[change.name] = change.version
-                applied.append(change)
-        self.version = max(self.version, version)
-        if applied:
-            self._index()
-        self._remove_due(now_s)
-        self._trim()
-        return tuple(applied)
+        return self._apply(
+            changes,
+            version=version,
+            now_s=now_s,
+            removal_hold_s=removal_hold_s,
+            unlisted_version=self._complete_version,
+        )
 
     def removal_hold_s(self, *, now_s: float) -> float:
         """Return the time until the last delayed removal, 0 if there is none."""
@@ -173,12 +167,43 @@
             for name in self._entries
             if name not in names and self._versions[name] <= version
         )
-        return self.apply(
+        is_outdated = version < self._complete_version
+        applied = self._apply(
             listed + removed,
             version=version,
             now_s=now_s,
             removal_hold_s=removal_hold_s,
+            unlisted_version=self._complete_version if is_outdated else 0,
         )
+        self._complete_version = max(self._complete_version, version)
+        return applied
+
+    def _apply(
+        self,
+        changes: Iterable[TargetChange],
+        *,
+        version: int,
+        now_s: float,
+        removal_hold_s: float,
+        unlisted_version: int,
+    ) -> tuple[TargetChange, ...]:
+        applied = []
+        for change in changes:
+            if change.version <= self._versions.get(change.name, unlisted_version):
+                continue
+            self._versions[change.name] = change.version
+            is_new = change.entry is not None and change.name not in self._entries
+            if is_new and self.version:
+                self._joined_s[change.name] = now_s
+            if self._apply_one(change, now_s + removal_hold_s):
+                self._relevant_versions[change.name] = change.version
+                applied.append(change)
+        self.version = max(self.version, version)
+        if applied:
+            self._index()
+        self._remove_due(now_s)
+        self._trim()
+        return tuple(applied)
 
     def _listed(self, name: str) -> TargetEntry | None:
         return None if name in self._removal_due_s else self._entries.get(name)
--- a/tests/test_target_directory.py
+++ b/tests/test_target_directory.py
@@ -54,6 +54,33 @@
     assert names(directory) == ["t2"]
 
 
+def test_a_late_update_restores_a_target_that_was_removed_before_a_complete_read():
+    """A relay may be paused for longer than the daemon has been running."""
+    directory = TargetDirectory()
+    directory.replace_all([TargetChange("t2", 5, T2)], version=9, now_s=0.0)
+    directory.apply([TargetChange("t1", 4, T1)], version=9, now_s=0.1)
+    assert names(directory) == ["t2"]
+    directory.apply([TargetChange("t1", 10, T1)], version=10, now_s=0.2)
+    assert names(directory) == ["t1", "t2"]
+
+
+def test_an_older_complete_read_restores_a_target_that_a_newer_one_lacked():
+    directory = TargetDirectory()
+    directory.replace_all([TargetChange("t2", 5, T2)], version=9, now_s=0.0)
+    older = [TargetChange("t1", 4, T1), TargetChange("t2", 5, T2)]
+    directory.replace_all(older, version=7, now_s=0.1)
+    assert names(directory) == ["t2"]
+    assert directory.version == 9
+
+
+def test_a_newer_complete_read_lists_a_target_that_an_older_one_lacked():
+    directory = TargetDirectory()
+    directory.replace_all([TargetChange("t2", 5, T2)], version=9, now_s=0.0)
+    newer = [TargetChange("t1", 4, T1), TargetChange("t2", 5, T2)]
+    directory.replace_all(newer, version=10, now_s=0.1)
+    assert names(directory) == ["t1", "t2"]
+
+
 def test_an_expired_entry_keeps_serving_until_the_hold_ends(directory):
     directory.apply(
         [TargetChange("t1", 10, None)],
