Route and identify requests by the path that the caller sent

Cause: routes were matched by the decoded path, in which %2F is a slash. The request was taken for one of the idempotent route /till/stock/, and sent again.

The URI of the request line is now read in one place (transport/request_uris.py) and parsed by the grammar of RFC 9112. Routing, idempotence, the quarantine's identity and the logs of both daemons read it from there. A URI in absolute form names the host itself. What HTTP does not allow, such as a # or a byte over 0x7f, gets 400 and reaches no target; the parser of the library let these through.

--- a/dogwoodhook/transport/bounded_requests.py
+++ b/dogwoodhook/transport/bounded_requests.py
@@ -202,4 +202,4 @@
 def head_bytes(request: web.BaseRequest) -> int:
     """Return the size of a request's head, without its version and line ends."""
     names = sum(len(name) + len(value) for name, value in request.raw_headers)
-    return len(request.method) + len(request.path_qs) + names
+    return len(request.method) + len(request.raw_path) + names
--- a/dogwoodhook/transport/calls.py
+++ b/dogwoodhook/transport/calls.py
@@ -11,12 +11,13 @@
     IDEMPOTENCY_KEY_HEADER,
     TIMEOUT_HEADER,
     WORKSPACE_HEADER,
-    end_to_end_headers,
 )
+from dogwoodhook.protocol.request_uri import RequestUri
 from dogwoodhook.state.outcomes import NotRun, NotRunReason, Unknown
 from dogwoodhook.state.quarantine import body_digest, fingerprint
 from dogwoodhook.transport.answers import AnswerCapture
 from dogwoodhook.transport.bodies import RequestBody, read_prelude
+from dogwoodhook.transport.request_uris import headers_to_target, uri_of
 from dogwoodhook.transport.services import ServiceRegistry, ServiceRuntime
 
 MAX_TIMEOUT_DIGITS = 12
@@ -42,6 +43,7 @@
     """
 
     request: web.BaseRequest
+    uri: RequestUri
     runtime: ServiceRuntime
     workspace: str
     headers: CIMultiDict[str]
@@ -76,9 +78,10 @@
     request: web.BaseRequest, registry: ServiceRegistry, *, now_s: float
 ) -> Result[Call, NotRun]:
     """Match a request to its service and read the first part of its body."""
-    if not request.path_qs.startswith("/"):
+    uri = uri_of(request)
+    if uri is None:
         return Error(NotRun(NotRunReason.BAD_REQUEST))
-    match = registry.routes.match(request.host, request.path)
+    match = registry.routes.match(uri.authority or request.host, uri.path)
     runtime = registry.get(match.service) if match else None
     if match is None or runtime is None:
         return Error(NotRun(NotRunReason.NO_ROUTE))
@@ -88,22 +91,22 @@
         return Error(NotRun(NotRunReason.BAD_REQUEST))
     body = await read_prelude(request, buffer_bytes=parameters.replay_buffer_bytes)
     workspace = request.headers.get(WORKSPACE_HEADER) or match.workspace
-    headers = end_to_end_headers(request.headers)
-    headers.popall("Expect", None)
+    headers = headers_to_target(request, uri)
     headers[WORKSPACE_HEADER] = workspace
     return Ok(
         Call(
             request=request,
+            uri=uri,
             runtime=runtime,
             workspace=workspace,
             headers=headers,
             body=body,
-            is_idempotent=parameters.is_idempotent(request.method, request.path),
+            is_idempotent=parameters.is_idempotent(request.method, uri.path),
             fingerprint=fingerprint(
                 service=runtime.service.name,
                 workspace=workspace,
                 method=request.method,
-                path=request.path_qs,
+                path=uri.text,
                 digest=body_digest(body.identifying_bytes),
             ),
             idempotency_key=request.headers.get(IDEMPOTENCY_KEY_HEADER),
--- a/dogwoodhook/transport/own_answers.py
+++ b/dogwoodhook/transport/own_answers.py
@@ -11,6 +11,7 @@
     RefusalCause,
     retry_after_s,
 )
+from dogwoodhook.transport.request_uris import logged_path
 
 UNAVAILABLE_STATUS = 503
 """Status by which an answer promises that the request has not run and will not run."""
@@ -86,7 +87,7 @@
         log(
             REQUEST_REFUSED,
             request=request.headers.get(self._conventions.request_id_header, ""),
-            path=request.path,
+            path=logged_path(request),
             status=status,
             detail=detail,
         )
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -29,6 +29,7 @@
 from dogwoodhook.metrics import Metrics
 from dogwoodhook.protocol.headers import SERVER_ERROR_STATUS, end_to_end_headers
 from dogwoodhook.protocol.http_conventions import HttpConventions
+from dogwoodhook.protocol.request_uri import RequestUri
 from dogwoodhook.state.daemon_stop import DaemonStop
 from dogwoodhook.state.placement import Candidate
 from dogwoodhook.state.quarantine import Admission, Admit, Refuse, RunAlone
@@ -55,6 +56,7 @@
 )
 from dogwoodhook.transport.bodies import RequestBody, read_prelude
 from dogwoodhook.transport.bounded_requests import (
+    BAD_REQUEST_STATUS,
     HEAD_TOO_LARGE_STATUS,
     head_bytes,
 )
@@ -71,6 +73,11 @@
     start_streaming,
     waited_s,
 )
+from dogwoodhook.transport.request_uris import (
+    headers_to_target,
+    logged_path,
+    uri_of,
+)
 from dogwoodhook.transport.resend_guard import AttemptTrace
 from dogwoodhook.transport.routed_request import RoutedRequest
 from dogwoodhook.transport.stop_timeouts import StopTimeouts
@@ -166,7 +173,12 @@
         configuration = await self._first_configuration()
         if configuration is None:
             return self._own_answers.no_configuration(request)
-        route = configuration.match(request.host, request.path)
+        uri = uri_of(request)
+        if uri is None:
+            return self._own_answers.denial(
+                request, BAD_REQUEST_STATUS, "a URI that HTTP does not allow"
+            )
+        route = _route_of(configuration, request, uri)
         if route is None:
             return self._own_answers.denial(
                 request, 404, f"no route in version {configuration.version}"
@@ -190,6 +202,7 @@
             return self._refuse_late_body(request, deadline_s=deadline_s)
         routed = self._make_routed_request(
             request,
+            uri,
             route,
             service,
             body,
@@ -232,7 +245,7 @@
         log(
             CALLER_LEFT if reason is ClosingReason.CALLER else REQUEST_CUT,
             request=request.headers.get(self._conventions.request_id_header, ""),
-            path=request.path,
+            path=logged_path(request),
             closed_by=reason,
             **self._stop.log_fields(now_s=self._clock.now_s()),
         )
@@ -249,9 +262,10 @@
     def is_route_idempotent(self, request: web.BaseRequest) -> bool:
         """Return whether a request's route is idempotent."""
         configuration = self._fleet.configuration()
-        if configuration is None:
+        uri = uri_of(request)
+        if configuration is None or uri is None:
             return False
-        route = configuration.match(request.host, request.path)
+        route = _route_of(configuration, request, uri)
         return route is not None and route.is_idempotent
 
     def _time_limit_s(self, request: web.BaseRequest, route: RoutePolicy) -> float:
@@ -270,6 +284,7 @@
     def _make_routed_request(
         self,
         request: web.BaseRequest,
+        uri: RequestUri,
         route: RoutePolicy,
         service: str,
         body: RequestBody,
@@ -277,14 +292,13 @@
         arrived_s: float,
         deadline_s: float,
     ) -> RoutedRequest:
-        headers = end_to_end_headers(request.headers)
-        headers.popall("Expect", None)
         return RoutedRequest(
             request=request,
+            uri=uri,
             request_id=request.headers.get(self._conventions.request_id_header, ""),
             route=route,
             service=service,
-            headers=headers,
+            headers=headers_to_target(request, uri),
             body=body,
             arrived_s=arrived_s,
             deadline_s=deadline_s,
@@ -865,6 +879,12 @@
         )
 
 
+def _route_of(
+    configuration: RoutingConfiguration, request: web.BaseRequest, uri: RequestUri
+) -> RoutePolicy | None:
+    return configuration.match(uri.authority or request.host, uri.path)
+
+
 def _discard_attempt(task: asyncio.Task[AttemptResult]) -> None:
     """Cancel an attempt whose answer is no longer needed, or close its answer."""
     if not task.cancel() and not task.cancelled() and task.exception() is None:
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -7,6 +7,7 @@
 from multidict import CIMultiDict
 
 from dogwoodhook.coordination.fleet_quarantine import AloneRun
+from dogwoodhook.protocol.request_uri import RequestUri
 from dogwoodhook.state.quarantine import (
     RequestIdentity,
     body_digest,
@@ -36,6 +37,7 @@
     """
 
     request: web.BaseRequest
+    uri: RequestUri
     request_id: str
     route: RoutePolicy
     service: str
@@ -80,7 +82,7 @@
                     service=self.service,
                     workspace=caller,
                     method=self.request.method,
-                    path=self.request.path_qs,
+                    path=self.uri.text,
                     digest=digest,
                 )
                 for caller in (self.caller, "")
--- a/tests/test_request_identity.py
+++ b/tests/test_request_identity.py
@@ -38,10 +38,17 @@
         return self.runtime
 
 
+class FakeRequest(dict):
+    """A request whose attributes are given."""
+
+    def __init__(self, **attributes):
+        super().__init__()
+        self.__dict__.update(attributes)
+
+
 async def fingerprint_of(body, *, piece_bytes, length):
-    request = SimpleNamespace(
-        path_qs="/payouts/1",
-        path="/payouts/1",
+    request = FakeRequest(
+        raw_path="/payouts/1",
         host="payouts.example",
         method="POST",
         headers={},
