Send a request's path and query to targets as the caller sent them

Cause: the URI was sent as the URL library puts it together from its parts. It writes two more slashes before a path with an empty first segment, and drops an empty query.

The URI as received is now the path of the URL that is passed to the client library, which sends it as it is. The native daemon sends it in the same way.

--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -12,12 +12,13 @@
 
 import aiohttp
 from multidict import CIMultiDict, CIMultiDictProxy
-from yarl import URL
 
 from dogwoodhook.protocol.http_conventions import HttpConventions
+from dogwoodhook.protocol.request_uri import RequestUri
 from dogwoodhook.state.suspicion import Symptom
 from dogwoodhook.state.target_directory import TargetEntry
 from dogwoodhook.transport.bodies import CallerBodyError
+from dogwoodhook.transport.request_uris import target_url
 from dogwoodhook.transport.resend_guard import AttemptTrace, NotWantedError
 
 BUFFERED_ANSWER_BYTES = 256 * 1024
@@ -32,7 +33,7 @@
     """A request as it is sent to a target."""
 
     method: str
-    path: str
+    uri: RequestUri
     headers: CIMultiDict[str]
     body: bytes | AsyncIterator[bytes]
     request_id: str
@@ -109,7 +110,7 @@
         async with asyncio.timeout(attempt.timeout_s):
             response = await session.request(
                 attempt.method,
-                URL(f"http://{target.address}{attempt.path}", encoded=True),
+                target_url(target.address, attempt.uri),
                 headers=headers,
                 data=attempt.body or None,
                 allow_redirects=False,
--- a/dogwoodhook/transport/exchange.py
+++ b/dogwoodhook/transport/exchange.py
@@ -14,13 +14,13 @@
 import aiohttp
 from expression import Error, Ok, Result
 from multidict import CIMultiDict
-from yarl import URL
 
 from dogwoodhook.protocol.headers import (
     TARGET_DRAINING,
     TARGET_HEADER,
     TARGET_SHED,
 )
+from dogwoodhook.protocol.request_uri import RequestUri
 from dogwoodhook.state.model import Target
 from dogwoodhook.state.outcomes import (
     FailureKind,
@@ -30,6 +30,7 @@
     UnknownReason,
 )
 from dogwoodhook.transport.bodies import CallerBodyError
+from dogwoodhook.transport.request_uris import target_url
 from dogwoodhook.transport.resend_guard import AttemptTrace
 
 SHED_STATUS = 503
@@ -40,7 +41,7 @@
     """A request to a target; it can be resent if its ``body`` is bytes."""
 
     method: str
-    path: str
+    uri: RequestUri
     headers: CIMultiDict[str]
     body: bytes | AsyncIterator[bytes]
     timeout_s: float
@@ -79,7 +80,7 @@
         async with asyncio.timeout(request.timeout_s):
             response = await session.request(
                 request.method,
-                URL(f"http://{target.address}{request.path}", encoded=True),
+                target_url(target.address, request.uri),
                 headers=request.headers,
                 data=request.body or None,
                 allow_redirects=False,
--- a/dogwoodhook/transport/forwarder.py
+++ b/dogwoodhook/transport/forwarder.py
@@ -312,7 +312,7 @@
     headers[TIMEOUT_HEADER] = str(max(1, int(timeout_s * 1000)))
     return AttemptRequest(
         method=call.request.method,
-        path=call.request.path_qs,
+        uri=call.uri,
         headers=headers,
         body=call.body.content(),
         timeout_s=timeout_s,
--- a/dogwoodhook/transport/request_uris.py
+++ b/dogwoodhook/transport/request_uris.py
@@ -1,10 +1,13 @@
-"""The URI of a request: read from the request line once.
+"""The URI of a request: read from the request line once, and sent to targets as it is.
 
-Everything that routes, identifies or logs a request reads its URI from here.
+Everything that routes, identifies, logs or sends a request reads its URI from here.
 """
 
+from functools import lru_cache
+
 from aiohttp import web
 from multidict import CIMultiDict
+from yarl import URL
 
 from dogwoodhook.protocol.headers import end_to_end_headers
 from dogwoodhook.protocol.request_uri import RequestUri, parse_request_uri
@@ -36,3 +39,16 @@
         # It replaces the Host header (RFC 9112, section 3.2.2).
         headers["Host"] = uri.authority
     return headers
+
+
+def target_url(address: str, uri: RequestUri) -> URL:
+    """Return the URL by which the client library sends the URI as it is.
+
+    The query is passed as a part of the path, since the library drops an empty query.
+    """
+    return _base_url(address).with_path(uri.text, encoded=True)
+
+
+@lru_cache(maxsize=4096)
+def _base_url(address: str) -> URL:
+    return URL(f"http://{address}", encoded=True)
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -631,7 +631,7 @@
         headers[self._conventions.remaining_ms_header] = str(int(remaining_s * 1000))
         attempt = Attempt(
             method=routed.request.method,
-            path=routed.request.path_qs,
+            uri=routed.uri,
             headers=headers,
             body=routed.body.content(),
             request_id=routed.request_id,
--- a/properties/test_any_request_uri.py
+++ b/properties/test_any_request_uri.py
@@ -1,10 +1,15 @@
 """Checks that requests are routed and sent by their URIs as the callers sent them."""
 
-from hypothesis import given
+from contextlib import AsyncExitStack
+
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from dogwoodhook.protocol.request_uri import parse_request_uri
 from dogwoodhook.state.route_policy import RoutingConfiguration
+from tests.platform_adapter.conftest import Platform, make_route
+from tests.platform_adapter.raw_caller import raw_caller
+from tests.platform_adapter.store_server import running_store
 
 PREFIXES = ("/", "/a/", "/a/b/", "/a/b/c/", "//", "/%2F/", "/a%2Fb/", "/../")
 
@@ -49,3 +54,20 @@
 ):
     place %= len(uri) + 1
     assert parse_request_uri(uri[:place] + character + uri[place:]) is None
+
+
+@settings(max_examples=10)
+@given(st.lists(URIS, min_size=1, max_size=30))
+async def test_a_request_arrives_with_the_uri_that_was_sent(uris):
+    async with AsyncExitStack() as stack:
+        store = await stack.enter_async_context(running_store())
+        platform = Platform(store, stack)
+        await platform.configure(all=make_route("/"))
+        target = await platform.start_target("t1")
+        gateway = await platform.start_gateway()
+        async with raw_caller(gateway) as caller:
+            for number, uri in enumerate(uris):
+                head = f"Host: 127.0.0.1\r\nRequest-Id: {number}\r\n\r\n"
+                caller.writer.write(f"POST {uri} HTTP/1.1\r\n{head}".encode())
+                assert (await caller.answer()).status == 200
+        assert [each.path for each in target.received] == uris
--- a/tests/platform_adapter/test_request_uris.py
+++ b/tests/platform_adapter/test_request_uris.py
@@ -35,6 +35,44 @@
     assert sum(len(target.received) for target in targets) == 1
 
 
+@pytest.mark.parametrize(
+    "uri",
+    [
+        b"//payout/7",
+        b"///",
+        b"/payout/7?",
+        b"/payout/7??a?b=/",
+        b"/?",
+        b"/a//b/?x=%2f&y=%2F",
+        b"/a/./b/../c",
+        b"/a;b=c,d:e@f/!$&'()*+~",
+        b"/%C3%A9%00%23",
+    ],
+)
+async def test_a_request_reaches_a_target_with_another_path_or_query(platform, uri):
+    targets = await start(platform)
+    answer = await send_raw(platform, uri, method="POST")
+    assert answer.status == 200
+    [received] = [each for target in targets for each in target.received]
+    assert received.path == uri.decode()
+
+
+@pytest.mark.parametrize(
+    ("uri", "path"),
+    [
+        (b"http://127.0.0.1/read//1?", "/read//1?"),
+        (b"HTTP://127.0.0.1:80?a", "/?a"),
+    ],
+)
+async def test_a_uri_in_absolute_form_is_routed_by_the_host_header(platform, uri, path):
+    targets = await start(platform)
+    answer = await send_raw(platform, uri, method="POST", host="other.example")
+    assert answer.status == 200
+    [received] = [each for target in targets for each in target.received]
+    assert received.path == path
+    assert received.headers["host"] in ("127.0.0.1", "127.0.0.1:80")
+
+
 @pytest.mark.parametrize(
     "uri",
     [b"/a#b", b"/\xc3\xa9", b"/a?\xff", b"/%", b"/%4", b"/%zz", b"/a|b", b'/"', b"a/b"],
--- a/tests/test_unusable_addresses.py
+++ b/tests/test_unusable_addresses.py
@@ -4,6 +4,7 @@
 from multidict import CIMultiDict
 
 from dogwoodhook.platform.headers import PLATFORM_CONVENTIONS
+from dogwoodhook.protocol.request_uri import RequestUri
 from dogwoodhook.state.model import Target
 from dogwoodhook.state.outcomes import NotRun, NotRunReason
 from dogwoodhook.state.target_directory import TargetEntry
@@ -29,7 +30,7 @@
     target = TargetEntry("t1", "payouts", host, 9, "oulu-1", 3, False, 0.0, 1)
     attempt = Attempt(
         method="GET",
-        path="/",
+        uri=RequestUri("/"),
         headers=CIMultiDict(),
         body=b"",
         request_id="a",
@@ -46,7 +47,7 @@
 async def test_a_native_request_at_an_address_that_cannot_be_encoded_may_have_run(
     session, host
 ):
-    request = AttemptRequest("GET", "/", CIMultiDict(), b"", 5.0)
+    request = AttemptRequest("GET", RequestUri("/"), CIMultiDict(), b"", 5.0)
     target = Target("t1", "kigali-1", host, 9)
     result = await open_answer(session, target, request)
     assert result.error.outcome == NotRun(NotRunReason.CONNECT_FAILED)
