Send a target nothing new once its answer says that it leaves

The daemon ignored the header and sent requests there until the store told of the target.

It is asked when a target is chosen, again before the first byte of each attempt, and before connections that carry no request. Only answers to this very request count. The header is not passed on to callers: it concerns the connection between daemon and target.

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -260,6 +260,20 @@
     " `port` is the state of its port.",
 )
 
+TARGET_LEAVING = _event(
+    325,
+    "target-leaving",
+    Level.INFO,
+    "A target said in its answer to a request that it leaves; this daemon sends it"
+    " nothing new until another process replaces it.",
+)
+TARGET_NOTICE_IGNORED = _event(
+    327,
+    "target-notice-ignored",
+    Level.WARNING,
+    "A header of a target's answer has a value that is not defined; it is ignored.",
+)
+
 # 700: quarantine
 REQUEST_QUARANTINED = _event(
     701,
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -191,7 +191,9 @@
             daemon=settings.vm_name,
             on_crash=self._metrics.record_target_crash,
         )
-        self._crash_checks = CrashChecks(self._target_ends)
+        self._crash_checks = CrashChecks(
+            self._target_ends, may_connect=self._directory.may_be_probed
+        )
         self._joining = FleetJoining(
             platform.store,
             self.peers,
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -52,6 +52,13 @@
         return {"closed_by": self.closed_by}
 
 
+class _NoticeSeries(NamedTuple):
+    kind: str
+
+    def attributes(self) -> dict[str, str]:
+        return {"kind": self.kind}
+
+
 class _RequestSeries(NamedTuple):
     service: str
     request_class: str
@@ -149,6 +156,7 @@
         self._unanswered: Counter[_ClosingSeries] = Counter()
         self._target_crashes = 0
         self._quarantine_refusals = 0
+        self._target_notices: Counter[_NoticeSeries] = Counter()
         meter.create_observable_counter(
             "dogwoodhook_requests",
             callbacks=[lambda options: _observations(self._requests)],
@@ -175,6 +183,11 @@
             callbacks=[lambda options: [Observation(self._quarantine_refusals)]],
             description="requests refused because targets ended under them before",
         )
+        meter.create_observable_counter(
+            "dogwoodhook_target_notices",
+            callbacks=[lambda options: _observations(self._target_notices)],
+            description="changes that targets announced in their answers, by kind",
+        )
 
     def watch_peer_bytes(self, read_total: Callable[[], int]) -> None:
         """Expose the bytes sent to peers; the total is read at each exposition."""
@@ -226,6 +239,10 @@
         """Record a request that was refused because of its quarantine."""
         self._quarantine_refusals += 1
 
+    def record_target_notice(self, kind: str) -> None:
+        """Record that a target announced something in an answer."""
+        self._target_notices[_NoticeSeries(kind)] += 1
+
     def record_unanswered(self, closed_by: str) -> None:
         """Record a request whose connection closed before its answer was complete."""
         self._unanswered[_ClosingSeries(closed_by)] += 1
@@ -271,6 +288,9 @@
 
 
 def _observations(
-    counts: Counter[_RequestSeries] | Counter[_RetrySeries] | Counter[_ClosingSeries],
+    counts: Counter[_RequestSeries]
+    | Counter[_RetrySeries]
+    | Counter[_ClosingSeries]
+    | Counter[_NoticeSeries],
 ) -> list[Observation]:
     return [Observation(count, series.attributes()) for series, count in counts.items()]
--- a/dogwoodhook/platform/headers.py
+++ b/dogwoodhook/platform/headers.py
@@ -9,4 +9,5 @@
     signature_header="Server-Signature",
     not_run_header="Not-Executed",
     not_run_statuses=frozenset({421}),
+    leaving_header="Server-Leaving",
 )
--- a/dogwoodhook/protocol/http_conventions.py
+++ b/dogwoodhook/protocol/http_conventions.py
@@ -19,7 +19,8 @@
     the target that a request is meant for; any other target refuses the request.
     ``signature_header`` is on every answer that a target produced itself. A target
     that did not run the request sets ``not_run_header`` on its answer, or answers
-    with one of ``not_run_statuses``.
+    with one of ``not_run_statuses``. A target that leaves sets ``leaving_header`` on
+    all its answers.
     """
 
     request_id_header: str
@@ -28,6 +29,7 @@
     signature_header: str
     not_run_header: str
     not_run_statuses: frozenset[int]
+    leaving_header: str
 
     def declares_not_run(self, status: int, headers: Mapping[str, str]) -> bool:
         """Return whether an answer declares that the request was not run."""
--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -6,10 +6,18 @@
 could not renew it; such removals take effect later.
 """
 
-from collections import defaultdict
+from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
+from dogwoodhook.state.target_availability import (
+    Availability,
+    Available,
+    Draining,
+    Leaving,
+    Unlisted,
+)
+
 EXPIRY_HOLD_S = 2.2
 """Time after the store's return within which expired entries are renewed: the
 platform's two seconds plus a margin."""
@@ -17,6 +25,9 @@
 RECENTLY_JOINED_S = 10.0
 """Time after a target was first listed for which it counts as recently joined."""
 
+MAX_ANNOUNCEMENTS = 4096
+"""Targets of which this daemon remembers what they said of themselves in answers."""
+
 MAX_TOMBSTONES = 4096
 """Removed entries whose versions are remembered."""
 
@@ -84,26 +95,69 @@
         self._removal_due_s: dict[str, float] = {}
         self._joined_s: dict[str, float] = {}
         self._serving: dict[str, tuple[TargetEntry, ...]] = {}
+        # What targets said in answers. It stays when an entry is removed and returns.
+        self._leaving: OrderedDict[str, Leaving] = OrderedDict()
 
     def get(self, name: str) -> TargetEntry | None:
         """Return a target's entry, draining ones included."""
         return self._entries.get(name)
 
     def is_serving(self, name: str) -> bool:
-        """Return whether a target accepts new work."""
+        """Return whether a target accepts new work, according to the store."""
         entry = self._entries.get(name)
         return entry is not None and not entry.is_draining
 
+    def availability(self, target: TargetEntry) -> Availability:
+        """Return whether a target may get a request now.
+
+        What the target said itself goes before what the store says.
+        """
+        known = self._entries.get(target.name)
+        incarnation = (known or target).incarnation
+        leaving = self._leaving.get(target.name)
+        if leaving is not None and leaving.incarnation == incarnation:
+            return leaving
+        if known is None:
+            return Unlisted()
+        return Draining() if known.is_draining else Available()
+
+    def may_be_probed(self, target: TargetEntry) -> bool:
+        """Return whether a connection that carries no request may be opened."""
+        match self.availability(target):
+            case Leaving():
+                return False
+            case Available() | Draining() | Unlisted():
+                return True
+
+    def record_leaving(self, target: TargetEntry) -> bool:
+        """Record that a target said that it leaves; return whether that is new."""
+        leaving = Leaving(target.incarnation)
+        is_new = self._leaving.get(target.name) != leaving
+        self._leaving[target.name] = leaving
+        self._leaving.move_to_end(target.name)
+        if len(self._leaving) > MAX_ANNOUNCEMENTS:
+            self._leaving.popitem(last=False)
+        return is_new
+
     def has_joined_recently(self, name: str, *, now_s: float) -> bool:
         """Return whether a target joined recently, after this daemon's first read."""
         return now_s - self._joined_s.get(name, float("-inf")) < RECENTLY_JOINED_S
 
     def serving(self, service: str, *, now_s: float) -> tuple[TargetEntry, ...]:
-        """Return the targets of a service that accept new work."""
+        """Return the targets of a service that accept new work, by the store's list."""
         if self._removal_due_s:
             self._remove_due(now_s)
         return self._serving.get(service, ())
 
+    def available(self, service: str, *, now_s: float) -> tuple[TargetEntry, ...]:
+        """Return the targets of a service that may get a request now."""
+        listed = self.serving(service, now_s=now_s)
+        if not self._leaving:
+            return listed
+        return tuple(
+            each for each in listed if isinstance(self.availability(each), Available)
+        )
+
     def apply(
         self,
         changes: Iterable[TargetChange],
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, replace
 
 import aiohttp
@@ -15,6 +15,7 @@
 
 from dogwoodhook.protocol.http_conventions import HttpConventions
 from dogwoodhook.protocol.request_uri import RequestUri
+from dogwoodhook.protocol.target_notices import TargetNotice, read_notices
 from dogwoodhook.state.suspicion import Symptom
 from dogwoodhook.state.target_directory import TargetEntry
 from dogwoodhook.transport.bodies import CallerBodyError
@@ -30,7 +31,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """A request as it is sent to a target."""
+    """A request as it is sent to a target.
+
+    ``on_notice`` is called with what the target says of itself in its answer.
+    """
 
     method: str
     uri: RequestUri
@@ -39,6 +43,7 @@
     request_id: str
     timeout_s: float
     connect_timeout_s: float
+    on_notice: Callable[[TargetNotice], None] = lambda notice: None
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,8 +130,8 @@
         result = _after_timeout(trace)
     except CallerBodyError:
         result = MayHaveRun("the caller's upload broke off", None)
-    except NotWantedError:
-        result = NotRunAtTarget("the target leaves", None, has_arrived=False)
+    except NotWantedError as error:
+        result = NotRunAtTarget(str(error), None, has_arrived=False)
     except (aiohttp.ClientError, OSError, ValueError) as error:
         # A value error is that of an address that cannot be encoded.
         result = _after_error(trace, error)
@@ -144,6 +149,9 @@
     trace: AttemptTrace,
 ) -> AttemptResult:
     headers = response.headers
+    if _is_own_answer(response, attempt, conventions, trace):
+        for notice in read_notices(headers, conventions):
+            attempt.on_notice(notice)
     problem = _answer_problem(response, attempt, conventions, trace)
     if problem is not None:
         return MayHaveRun(problem, Symptom.RESET)
@@ -197,6 +205,25 @@
     return response.content.at_eof()
 
 
+def _is_own_answer(
+    response: aiohttp.ClientResponse,
+    attempt: Attempt,
+    conventions: HttpConventions,
+    trace: AttemptTrace,
+) -> bool:
+    """Return whether an answer is the target's own to this request.
+
+    Another target at the address answers with one of the ``not_run_statuses``.
+    """
+    if response.status in conventions.not_run_statuses:
+        return False
+    echoed = set(response.headers.getall(conventions.request_id_header, []))
+    if echoed:
+        return echoed == {attempt.request_id}
+    declares_not_run = conventions.declares_not_run(response.status, response.headers)
+    return declares_not_run and not trace.is_reused
+
+
 def _answer_problem(
     response: aiohttp.ClientResponse,
     attempt: Attempt,
--- a/dogwoodhook/transport/crash_checks.py
+++ b/dogwoodhook/transport/crash_checks.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
@@ -23,12 +24,17 @@
 one. The target has sent the break before that answer; packets may be reordered."""
 
 
+MayConnect = Callable[[TargetEntry], bool]
+"""Returns whether a connection to a target may be opened now."""
+
+
 class PortState(StrEnum):
-    """What became of a new connection: opened, refused, or neither in time."""
+    """What became of a new connection; ``UNCHECKED`` if none was to be opened."""
 
     OPEN = "open"
     CLOSED = "closed"
     SILENT = "silent"
+    UNCHECKED = "unchecked"
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,8 +51,9 @@
     A target closes connections that are idle for long, so a broken one is replaced.
     """
 
-    def __init__(self, target: TargetEntry) -> None:
+    def __init__(self, target: TargetEntry, *, may_connect: MayConnect) -> None:
         self._target = target
+        self._may_connect = may_connect
         self._has_broken = asyncio.Event()
         self._writer: asyncio.StreamWriter | None = None
         self._watching: asyncio.Task[None] | None = None
@@ -85,7 +92,7 @@
         if self._writer is not None:
             self._writer.close()
             self._writer = None
-        opened = await _open_connection(self._target)
+        opened = await _open_connection(self._target, self._may_connect)
         if isinstance(opened, PortState):
             return None
         reader, self._writer = opened
@@ -93,12 +100,22 @@
 
 
 class CrashChecks:
-    """Finds out which targets have ended, and records it."""
+    """Finds out which targets have ended, and records it.
 
-    def __init__(self, target_ends: TargetEnds) -> None:
+    No connection is opened to a target for which ``may_connect`` returns false.
+    """
+
+    def __init__(
+        self, target_ends: TargetEnds, *, may_connect: MayConnect = lambda target: True
+    ) -> None:
         self._target_ends = target_ends
+        self._may_connect = may_connect
         self._tasks: set[asyncio.Task[LossCheck]] = set()
 
+    def second_connection(self, target: TargetEntry) -> SecondConnection:
+        """Return a second connection to a target; it is not open yet."""
+        return SecondConnection(target, may_connect=self._may_connect)
+
     async def check_lost_connection(
         self, target: TargetEntry, second: SecondConnection | None = None
     ) -> LossCheck:
@@ -110,7 +127,7 @@
 
     async def accepts_connections(self, target: TargetEntry) -> bool:
         """Return whether a new connection to a target is opened in time."""
-        opened = await _open_connection(target)
+        opened = await _open_connection(target, self._may_connect)
         if isinstance(opened, PortState):
             return False
         opened[1].close()
@@ -152,7 +169,7 @@
         ended: set[PortState],
         second: SecondConnection | None,
     ) -> LossCheck:
-        opened = await _open_connection(target)
+        opened = await _open_connection(target, self._may_connect)
         if not isinstance(opened, PortState):
             opened[1].close()
             if (
@@ -170,8 +187,10 @@
 
 
 async def _open_connection(
-    target: TargetEntry,
+    target: TargetEntry, may_connect: MayConnect
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | PortState:
+    if not may_connect(target):
+        return PortState.UNCHECKED
     try:
         async with asyncio.timeout(CHECK_TIMEOUT_S):
             return await asyncio.open_connection(target.host, target.port)
--- a/dogwoodhook/transport/resend_guard.py
+++ b/dogwoodhook/transport/resend_guard.py
@@ -23,7 +23,10 @@
 
 
 class NotWantedError(aiohttp.ClientError):
-    """The request was no longer to be sent when its attempt got a connection."""
+    """The request was no longer to be sent when its attempt got a connection.
+
+    Its text says why.
+    """
 
 
 class ResendBlockedError(aiohttp.ClientError):
@@ -39,11 +42,11 @@
 
     ``is_connected`` is true once the attempt holds a connection: from then on bytes of
     the request may have been sent. ``is_reused`` is true for a pooled connection.
-    ``is_wanted`` is called immediately before the first byte is sent, and returns
-    whether the request is still to be sent.
+    ``find_obstacle`` is called immediately before the first byte is sent, and returns
+    why the request is no longer to be sent, or ``None``.
     """
 
-    is_wanted: Callable[[], bool] = lambda: True
+    find_obstacle: Callable[[], str | None] = lambda: None
     sends: int = 0
     connections: int = 0
     is_connected: bool = False
@@ -72,9 +75,10 @@
 
     def check_wanted(self) -> None:
         """Raise ``NotWantedError`` if the request is no longer to be sent."""
-        if not self.is_wanted():
+        obstacle = self.find_obstacle()
+        if obstacle is not None:
             self.is_connected = False
-            raise NotWantedError
+            raise NotWantedError(obstacle)
 
     def discard_connection(self) -> None:
         """Stop counting a connection that was closed before anything was sent on it."""
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -8,11 +8,13 @@
 import asyncio
 import random
 from collections import defaultdict
+from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import replace
 from typing import Any
 
 from aiohttp import ClientError, web
+from multidict import CIMultiDict
 
 from dogwoodhook.clock import Clock
 from dogwoodhook.coordination.target_ends import EndEvidence
@@ -23,13 +25,20 @@
     REQUEST_CUT,
     REQUEST_REFUSED,
     REQUEST_UNANSWERED,
+    TARGET_LEAVING,
     TARGET_LIVES,
+    TARGET_NOTICE_IGNORED,
     log,
 )
 from dogwoodhook.metrics import Metrics
 from dogwoodhook.protocol.headers import SERVER_ERROR_STATUS, end_to_end_headers
 from dogwoodhook.protocol.http_conventions import HttpConventions
 from dogwoodhook.protocol.request_uri import RequestUri
+from dogwoodhook.protocol.target_notices import (
+    LeavingNotice,
+    TargetNotice,
+    UnreadableNotice,
+)
 from dogwoodhook.state.daemon_stop import DaemonStop
 from dogwoodhook.state.placement import Candidate
 from dogwoodhook.state.quarantine import Admission, Admit, Refuse, RunAlone
@@ -41,6 +50,7 @@
 )
 from dogwoodhook.state.route_policy import RoutePolicy, RoutingConfiguration
 from dogwoodhook.state.suspicion import Standing, Symptom
+from dogwoodhook.state.target_availability import Available, describe
 from dogwoodhook.state.target_directory import TargetEntry
 from dogwoodhook.state.typical_latency import TypicalLatency
 from dogwoodhook.state.unanswered_runs import UnansweredRun
@@ -502,7 +512,7 @@
         routed.directory_version = self._fleet.directory.version
         routed.directory_age_s = self._fleet.targets_age_s()
         return self._fleet.placement.choose(
-            self._fleet.directory.serving(routed.service, now_s=now_s),
+            self._fleet.directory.available(routed.service, now_s=now_s),
             tried=frozenset(routed.tried),
             is_idempotent=routed.route.is_idempotent,
             now_s=now_s,
@@ -608,7 +618,7 @@
         if not len(quarantine) or not quarantine.is_watched(routed.identity):
             result = await self._exchange(routed, target)
             return await self._check_survival(routed, target, result)
-        second = SecondConnection(target)
+        second = self._fleet.crash_checks.second_connection(target)
         try:
             await second.open()
             result = await self._exchange(routed, target)
@@ -637,9 +647,10 @@
             request_id=routed.request_id,
             timeout_s=remaining_s,
             connect_timeout_s=CONNECT_TIMEOUT_S * 2**routed.unreachable,
+            on_notice=lambda notice: self._record_notice(routed, target, notice),
         )
         may_use_idle = fleet.suspicion.may_use_idle(target.name, now_s=now_s)
-        trace = AttemptTrace(is_wanted=lambda: fleet.directory.is_serving(target.name))
+        trace = AttemptTrace(lambda: self._obstacle_at(target))
         overdue = asyncio.create_task(
             self._report_overdue(routed, target, trace, due_s=now_s + overdue_s)
         )
@@ -673,6 +684,28 @@
                 self._reports.report_success(target.name, sent_s=now_s)
         return result
 
+    def _obstacle_at(self, target: TargetEntry) -> str | None:
+        """Return why a request is not to be sent to a target now, if so."""
+        match self._fleet.directory.availability(target):
+            case Available():
+                return None
+            case obstacle:
+                return describe(obstacle)
+
+    def _record_notice(
+        self, routed: RoutedRequest, target: TargetEntry, notice: TargetNotice
+    ) -> None:
+        """Act on what a target said of itself in its answer to a request."""
+        fields = {"request": routed.request_id, "target": target.name}
+        match notice:
+            case LeavingNotice():
+                if self._fleet.directory.record_leaving(target):
+                    self._metrics.record_target_notice("leaving")
+                    log(TARGET_LEAVING, **fields, incarnation=target.incarnation)
+            case UnreadableNotice(header, value):
+                self._metrics.record_target_notice("unreadable")
+                log(TARGET_NOTICE_IGNORED, **fields, header=header, value=value)
+
     async def _check_survival(
         self,
         routed: RoutedRequest,
@@ -807,7 +840,7 @@
         self, routed: RoutedRequest, target: str, answer: CompleteAnswer
     ) -> web.Response:
         self._log_answered(routed, target, answer.status)
-        headers = end_to_end_headers(answer.headers)
+        headers = self._headers_to_caller(answer.headers)
         headers.popall("Content-Length", None)
         return web.Response(
             status=answer.status,
@@ -816,6 +849,12 @@
             body=answer.body,
         )
 
+    def _headers_to_caller(self, headers: Mapping[str, str]) -> CIMultiDict[str]:
+        """Return an answer's headers without what concerns only this daemon."""
+        kept = end_to_end_headers(headers)
+        kept.popall(self._conventions.leaving_header, None)
+        return kept
+
     async def _stream(
         self, routed: RoutedRequest, target: TargetEntry, opened: OpenAnswer
     ) -> web.StreamResponse:
@@ -823,7 +862,7 @@
         answer = web.StreamResponse(
             status=opened.status,
             reason=opened.reason,
-            headers=end_to_end_headers(opened.headers),
+            headers=self._headers_to_caller(opened.headers),
         )
         try:
             async with asyncio.timeout(routed.deadline_s - self._clock.now_s()):
@@ -871,7 +910,9 @@
         if not routed.arrivals:
             return NoTargetKnown()
         now_s = self._clock.now_s()
-        targets = self._fleet.directory.serving(routed.service, now_s=now_s)
+        targets = self._fleet.directory.available(routed.service, now_s=now_s)
+        if not targets:
+            return NoTargetKnown()
         if self._fleet.placement.has_free_slots(targets, now_s=now_s):
             return TargetsShed()
         return TargetsRefused(
--- a/tests/platform_adapter/target_server.py
+++ b/tests/platform_adapter/target_server.py
@@ -70,6 +70,30 @@
     writer.write(head("503 Busy", received, length=0, Server_Signature=server.name))
 
 
+def leaving(status="200 OK", *, value="1", **more):
+    """Return a behaviour that answers with a status and says that the target leaves."""
+
+    async def answer_leaving(server, received, writer):
+        headers = {"Server_Signature": server.name, "Server_Leaving": value, **more}
+        body = server.name.encode()
+        writer.write(head(status, received, length=len(body), **headers) + body)
+
+    return answer_leaving
+
+
+async def foreign_leaving(server, received, writer):
+    """Send only the answer to another request, which says that the target leaves."""
+    other = ReceivedRequest("GET", "/", {"request-id": "another"}, b"", 0)
+    await leaving()(server, other, writer)
+
+
+async def misdirected_leaving(server, received, writer):
+    """Refuse as another target at the address would that leaves."""
+    writer.write(
+        head("421 Misdirected Request", received, length=0, Server_Leaving="1")
+    )
+
+
 async def server_error(server, received, writer):
     """Fail after running the request."""
     writer.write(head("500 Error", received, length=0, Server_Signature=server.name))
--- a/tests/test_crash_checks.py
+++ b/tests/test_crash_checks.py
@@ -67,7 +67,7 @@
 
 @asynccontextmanager
 async def open_second(listener):
-    second = SecondConnection(listener.entry)
+    second = SecondConnection(listener.entry, may_connect=lambda target: True)
     await second.open()
     await until(lambda: len(listener.writers) == 1)
     try:
--- a/tests/test_target_directory.py
+++ b/tests/test_target_directory.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dogwoodhook.state.target_availability import Available, Draining, Leaving
 from dogwoodhook.state.target_directory import (
     EXPIRY_HOLD_S,
     RECENTLY_JOINED_S,
@@ -155,6 +156,47 @@
     assert restarted == ["t1"]
 
 
+@pytest.mark.parametrize("is_complete", [True, False])
+def test_a_target_that_said_it_leaves_is_available_again_after_a_read(
+    directory, is_complete
+):
+    assert directory.record_leaving(T1)
+    assert not directory.record_leaving(T1)
+    apply = directory.replace_all if is_complete else directory.apply
+    apply([TargetChange("t1", 12, T1)], version=12, now_s=0.0)
+    assert directory.availability(T1) == Leaving(T1.incarnation)
+    assert "t1" in names(directory)
+    assert T1 not in directory.available("payouts", now_s=0.0)
+
+
+def test_a_target_that_said_it_leaves_is_available_when_its_entry_returns(directory):
+    directory.record_leaving(T1)
+    directory.apply([TargetChange("t1", 12, None)], version=12, now_s=0.0)
+    assert directory.availability(T1) == Leaving(T1.incarnation)
+    directory.apply([TargetChange("t1", 13, T1)], version=13, now_s=0.0)
+    assert directory.available("payouts", now_s=0.0) == (T2,)
+
+
+def test_a_new_incarnation_of_a_target_that_said_it_leaves_gets_nothing(directory):
+    directory.record_leaving(T1)
+    restarted = replace(T1, incarnation=18)
+    directory.apply([TargetChange("t1", 12, restarted)], version=12, now_s=0.0)
+    assert directory.availability(restarted) == Available()
+    # A late answer of the process that has been replaced.
+    directory.record_leaving(T1)
+    assert directory.availability(restarted) == Available()
+
+
+def test_a_target_that_drains_and_said_it_leaves_is_probed(directory):
+    draining = replace(T1, is_draining=True)
+    directory.apply([TargetChange("t1", 12, draining)], version=12, now_s=0.0)
+    assert directory.availability(T1) == Draining()
+    assert directory.may_be_probed(T1)
+    directory.record_leaving(T1)
+    assert directory.availability(T1) == Leaving(T1.incarnation)
+    assert not directory.may_be_probed(T1)
+
+
 def directory_with(entry, **callbacks):
     directory = TargetDirectory(**callbacks)
     directory.replace_all([TargetChange(entry.name, 4, entry)], version=9, now_s=0.0)
