Send a target nothing while it asks for a pause

The daemon ignored Retry-After, took the refusal for a busy target, and sent the next request there.

A pause is a variant of Availability, on the elapsed clock; the latest end holds, and nothing else ends it. It is asked for when a target is chosen, right before the first byte of each attempt, and before connections that carry no request, so requests that wait for a connection do not arrive either. It is no failure of the target. While all targets are paused, requests are refused at once with a Retry-After no shorter than the first return, spread over as long again. Afterwards requests return in turns, urgent and idempotent ones first, each daemon at a point of its own.

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -267,6 +267,13 @@
     "A target said in its answer to a request that it leaves; this daemon sends it"
     " nothing new until another process replaces it.",
 )
+TARGET_PAUSED = _event(
+    326,
+    "target-paused",
+    Level.INFO,
+    "A target turned a request away and asked for a pause of `value_s`; this daemon"
+    " sends it nothing for `until_ms` from now.",
+)
 TARGET_NOTICE_IGNORED = _event(
     327,
     "target-notice-ignored",
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -192,7 +192,10 @@
             on_crash=self._metrics.record_target_crash,
         )
         self._crash_checks = CrashChecks(
-            self._target_ends, may_connect=self._directory.may_be_probed
+            self._target_ends,
+            may_connect=lambda target: self._directory.may_be_probed(
+                target, now_s=clock.now_s()
+            ),
         )
         self._joining = FleetJoining(
             platform.store,
--- a/dogwoodhook/protocol/target_notices.py
+++ b/dogwoodhook/protocol/target_notices.py
@@ -1,5 +1,6 @@
 """What a target says of itself in the head of an answer."""
 
+import re
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
@@ -11,6 +12,9 @@
 """Characters of a value that are logged."""
 
 _LEAVING_VALUE = "1"
+_RETRY_AFTER_HEADER = "Retry-After"
+_UNAVAILABLE_STATUS = 503
+_SECONDS = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +22,13 @@
     """The target accepts no new requests until another process replaces it."""
 
 
+@dataclass(frozen=True, slots=True)
+class PauseNotice:
+    """The target asks to be sent nothing for ``for_s``."""
+
+    for_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class UnreadableNotice:
     """A header has a value that is not defined; it is ignored."""
@@ -26,13 +37,15 @@
     value: str
 
 
-TargetNotice = LeavingNotice | UnreadableNotice
+TargetNotice = LeavingNotice | PauseNotice | UnreadableNotice
 
 
 def read_notices(
-    headers: CIMultiDictProxy[str], conventions: HttpConventions
+    status: int, headers: CIMultiDictProxy[str], conventions: HttpConventions
 ) -> Iterator[TargetNotice]:
     """Return what an answer says of its target."""
+    if status == _UNAVAILABLE_STATUS:
+        yield from _pause_notices(headers.getall(_RETRY_AFTER_HEADER, []))
     yield from _leaving_notices(
         conventions.leaving_header, headers.getall(conventions.leaving_header, [])
     )
@@ -44,3 +57,12 @@
             yield LeavingNotice()
         else:
             yield UnreadableNotice(header, value[:MAX_VALUE_LENGTH])
+
+
+def _pause_notices(values: Iterable[str]) -> Iterator[TargetNotice]:
+    for value in values:
+        text = value.strip()
+        if not _SECONDS.fullmatch(text):
+            yield UnreadableNotice(_RETRY_AFTER_HEADER, value[:MAX_VALUE_LENGTH])
+        elif (for_s := float(text)) > 0:
+            yield PauseNotice(for_s)
--- a/dogwoodhook/state/retry_after.py
+++ b/dogwoodhook/state/retry_after.py
@@ -4,7 +4,8 @@
 for a moment. Callers that all retry after the same time would be refused again, so
 their retries are spread over the time in which the budget becomes available again. If
 targets shed part of their requests although they have free slots, there is nothing to
-wait for, and a caller that retries at once is still answered in time. A caller's own
+wait for, and a caller that retries at once is still answered in time. If all targets
+asked for a pause, no caller is to return before the first one ends. A caller's own
 retry is a new request and needs no share of the retry budget.
 """
 
@@ -31,6 +32,13 @@
     """No configuration or no target is known."""
 
 
+@dataclass(frozen=True, slots=True)
+class TargetsPaused:
+    """All targets asked for a pause; the first of them ends in ``returns_in_s``."""
+
+    returns_in_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class TargetsRefused:
     """Targets refused the request; the budget allows retries in ``available_in_s``."""
@@ -43,7 +51,7 @@
     """Targets refused the request although they have free slots."""
 
 
-RefusalCause = NoTargetKnown | TargetsRefused | TargetsShed
+RefusalCause = NoTargetKnown | TargetsPaused | TargetsRefused | TargetsShed
 
 
 def retry_after_s(cause: RefusalCause, *, rng: random.Random) -> float:
@@ -55,6 +63,9 @@
     match cause:
         case NoTargetKnown():
             return rng.uniform(NO_TARGET_RETRY_AFTER_S, 2 * NO_TARGET_RETRY_AFTER_S)
+        case TargetsPaused(returns_in_s):
+            spread_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, returns_in_s))
+            return returns_in_s + rng.uniform(0, spread_s)
         case TargetsRefused(available_in_s):
             latest_s = min(
                 MAX_RETRY_AFTER_S, max(2 * MIN_RETRY_AFTER_S, available_in_s)
--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -15,6 +15,8 @@
     Available,
     Draining,
     Leaving,
+    Paused,
+    Turn,
     Unlisted,
 )
 
@@ -97,6 +99,7 @@
         self._serving: dict[str, tuple[TargetEntry, ...]] = {}
         # What targets said in answers. It stays when an entry is removed and returns.
         self._leaving: OrderedDict[str, Leaving] = OrderedDict()
+        self._paused: OrderedDict[str, Paused] = OrderedDict()
 
     def get(self, name: str) -> TargetEntry | None:
         """Return a target's entry, draining ones included."""
@@ -107,7 +110,9 @@
         entry = self._entries.get(name)
         return entry is not None and not entry.is_draining
 
-    def availability(self, target: TargetEntry) -> Availability:
+    def availability(
+        self, target: TargetEntry, *, turn: Turn, now_s: float
+    ) -> Availability:
         """Return whether a target may get a request now.
 
         What the target said itself goes before what the store says.
@@ -117,27 +122,44 @@
         leaving = self._leaving.get(target.name)
         if leaving is not None and leaving.incarnation == incarnation:
             return leaving
+        paused = self._paused.get(target.name)
+        if paused is not None and now_s < paused.returns_s(turn):
+            return paused
         if known is None:
             return Unlisted()
         return Draining() if known.is_draining else Available()
 
-    def may_be_probed(self, target: TargetEntry) -> bool:
+    def may_be_probed(self, target: TargetEntry, *, now_s: float) -> bool:
         """Return whether a connection that carries no request may be opened."""
-        match self.availability(target):
-            case Leaving():
+        match self.availability(target, turn=Turn.OTHER, now_s=now_s):
+            case Leaving() | Paused():
                 return False
             case Available() | Draining() | Unlisted():
                 return True
 
     def record_leaving(self, target: TargetEntry) -> bool:
         """Record that a target said that it leaves; return whether that is new."""
-        leaving = Leaving(target.incarnation)
-        is_new = self._leaving.get(target.name) != leaving
-        self._leaving[target.name] = leaving
+        known = self._entries.get(target.name, target)
+        recorded = self._leaving.get(target.name)
+        if recorded is not None and recorded.incarnation == known.incarnation:
+            # This may be a late answer of a process that has been replaced.
+            return False
+        self._leaving[target.name] = Leaving(target.incarnation)
         self._leaving.move_to_end(target.name)
         if len(self._leaving) > MAX_ANNOUNCEMENTS:
             self._leaving.popitem(last=False)
-        return is_new
+        return True
+
+    def record_pause(self, target: TargetEntry, pause: Paused) -> bool:
+        """Record a pause that a target asked for; return whether it ends last."""
+        recorded = self._paused.get(target.name)
+        if recorded is not None and pause.until_s <= recorded.until_s:
+            return False
+        self._paused[target.name] = pause
+        self._paused.move_to_end(target.name)
+        if len(self._paused) > MAX_ANNOUNCEMENTS:
+            self._paused.popitem(last=False)
+        return True
 
     def has_joined_recently(self, name: str, *, now_s: float) -> bool:
         """Return whether a target joined recently, after this daemon's first read."""
@@ -149,15 +171,35 @@
             self._remove_due(now_s)
         return self._serving.get(service, ())
 
-    def available(self, service: str, *, now_s: float) -> tuple[TargetEntry, ...]:
+    def available(
+        self, service: str, *, turn: Turn, now_s: float
+    ) -> tuple[TargetEntry, ...]:
         """Return the targets of a service that may get a request now."""
         listed = self.serving(service, now_s=now_s)
-        if not self._leaving:
+        if not self._leaving and not self._paused:
             return listed
         return tuple(
-            each for each in listed if isinstance(self.availability(each), Available)
+            each
+            for each in listed
+            if isinstance(self.availability(each, turn=turn, now_s=now_s), Available)
         )
 
+    def pauses(self, service: str, *, turn: Turn, now_s: float) -> tuple[Paused, ...]:
+        """Return the pauses of a service's targets that have not ended."""
+        states = (
+            self.availability(each, turn=turn, now_s=now_s)
+            for each in self.serving(service, now_s=now_s)
+        )
+        return tuple(state for state in states if isinstance(state, Paused))
+
+    def count_leaving(self, service: str, *, now_s: float) -> int:
+        """Return how many targets of a service said that they leave."""
+        states = (
+            self.availability(each, turn=Turn.OTHER, now_s=now_s)
+            for each in self.serving(service, now_s=now_s)
+        )
+        return sum(isinstance(state, Leaving) for state in states)
+
     def apply(
         self,
         changes: Iterable[TargetChange],
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -15,7 +15,7 @@
 
 from dogwoodhook.protocol.http_conventions import HttpConventions
 from dogwoodhook.protocol.request_uri import RequestUri
-from dogwoodhook.protocol.target_notices import TargetNotice, read_notices
+from dogwoodhook.protocol.target_notices import PauseNotice, TargetNotice, read_notices
 from dogwoodhook.state.suspicion import Symptom
 from dogwoodhook.state.target_directory import TargetEntry
 from dogwoodhook.transport.bodies import CallerBodyError
@@ -149,17 +149,15 @@
     trace: AttemptTrace,
 ) -> AttemptResult:
     headers = response.headers
-    if _is_own_answer(response, attempt, conventions, trace):
-        for notice in read_notices(headers, conventions):
-            attempt.on_notice(notice)
+    has_paused = _report_notices(response, attempt, conventions, trace)
     problem = _answer_problem(response, attempt, conventions, trace)
     if problem is not None:
-        return MayHaveRun(problem, Symptom.RESET)
+        return MayHaveRun(problem, None if has_paused else Symptom.RESET)
     body = bytearray()
     is_complete = await _read_up_to(response, body, BUFFERED_ANSWER_BYTES)
     if conventions.declares_not_run(response.status, headers):
         is_busy = response.status not in conventions.not_run_statuses
-        symptom = Symptom.BUSY if is_busy else None
+        symptom = Symptom.BUSY if is_busy and not has_paused else None
         detail = f"status {response.status}"
         if conventions.request_id_header not in headers:
             detail += " without a request id"
@@ -205,6 +203,21 @@
     return response.content.at_eof()
 
 
+def _report_notices(
+    response: aiohttp.ClientResponse,
+    attempt: Attempt,
+    conventions: HttpConventions,
+    trace: AttemptTrace,
+) -> bool:
+    """Report what the target says of itself; return whether it asks for a pause."""
+    if not _is_own_answer(response, attempt, conventions, trace):
+        return False
+    notices = list(read_notices(response.status, response.headers, conventions))
+    for notice in notices:
+        attempt.on_notice(notice)
+    return any(isinstance(notice, PauseNotice) for notice in notices)
+
+
 def _is_own_answer(
     response: aiohttp.ClientResponse,
     attempt: Attempt,
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -28,6 +28,7 @@
     TARGET_LEAVING,
     TARGET_LIVES,
     TARGET_NOTICE_IGNORED,
+    TARGET_PAUSED,
     log,
 )
 from dogwoodhook.metrics import Metrics
@@ -36,6 +37,7 @@
 from dogwoodhook.protocol.request_uri import RequestUri
 from dogwoodhook.protocol.target_notices import (
     LeavingNotice,
+    PauseNotice,
     TargetNotice,
     UnreadableNotice,
 )
@@ -45,12 +47,13 @@
 from dogwoodhook.state.retry_after import (
     NoTargetKnown,
     RefusalCause,
+    TargetsPaused,
     TargetsRefused,
     TargetsShed,
 )
 from dogwoodhook.state.route_policy import RoutePolicy, RoutingConfiguration
 from dogwoodhook.state.suspicion import Standing, Symptom
-from dogwoodhook.state.target_availability import Available, describe
+from dogwoodhook.state.target_availability import Available, describe, pause_for
 from dogwoodhook.state.target_directory import TargetEntry
 from dogwoodhook.state.typical_latency import TypicalLatency
 from dogwoodhook.state.unanswered_runs import UnansweredRun
@@ -512,7 +515,9 @@
         routed.directory_version = self._fleet.directory.version
         routed.directory_age_s = self._fleet.targets_age_s()
         return self._fleet.placement.choose(
-            self._fleet.directory.available(routed.service, now_s=now_s),
+            self._fleet.directory.available(
+                routed.service, turn=routed.turn, now_s=now_s
+            ),
             tried=frozenset(routed.tried),
             is_idempotent=routed.route.is_idempotent,
             now_s=now_s,
@@ -650,7 +655,7 @@
             on_notice=lambda notice: self._record_notice(routed, target, notice),
         )
         may_use_idle = fleet.suspicion.may_use_idle(target.name, now_s=now_s)
-        trace = AttemptTrace(lambda: self._obstacle_at(target))
+        trace = AttemptTrace(lambda: self._obstacle_at(routed, target))
         overdue = asyncio.create_task(
             self._report_overdue(routed, target, trace, due_s=now_s + overdue_s)
         )
@@ -684,9 +689,11 @@
                 self._reports.report_success(target.name, sent_s=now_s)
         return result
 
-    def _obstacle_at(self, target: TargetEntry) -> str | None:
+    def _obstacle_at(self, routed: RoutedRequest, target: TargetEntry) -> str | None:
         """Return why a request is not to be sent to a target now, if so."""
-        match self._fleet.directory.availability(target):
+        match self._fleet.directory.availability(
+            target, turn=routed.turn, now_s=self._clock.now_s()
+        ):
             case Available():
                 return None
             case obstacle:
@@ -702,10 +709,28 @@
                 if self._fleet.directory.record_leaving(target):
                     self._metrics.record_target_notice("leaving")
                     log(TARGET_LEAVING, **fields, incarnation=target.incarnation)
+            case PauseNotice(for_s):
+                self._record_pause(routed, target, for_s)
             case UnreadableNotice(header, value):
                 self._metrics.record_target_notice("unreadable")
                 log(TARGET_NOTICE_IGNORED, **fields, header=header, value=value)
 
+    def _record_pause(
+        self, routed: RoutedRequest, target: TargetEntry, for_s: float
+    ) -> None:
+        now_s = self._clock.now_s()
+        pause = pause_for(for_s, place=self._rng.random(), now_s=now_s)
+        if not self._fleet.directory.record_pause(target, pause):
+            return
+        self._metrics.record_target_notice("pause")
+        log(
+            TARGET_PAUSED,
+            request=routed.request_id,
+            target=target.name,
+            value_s=for_s,
+            until_ms=round((pause.until_s - now_s) * 1000),
+        )
+
     async def _check_survival(
         self,
         routed: RoutedRequest,
@@ -898,7 +923,13 @@
             return self._own_answers.stopping(routed.request)
         fields = self._log_fields(routed)
         if not routed.may_have_run:
-            log(REQUEST_REFUSED, **fields, status=UNAVAILABLE_STATUS, detail=detail)
+            log(
+                REQUEST_REFUSED,
+                **fields,
+                **self._unavailable_fields(routed),
+                status=UNAVAILABLE_STATUS,
+                detail=detail,
+            )
             cause = self._refusal_cause(routed)
             return self._own_answers.unavailable(routed.request, detail, cause)
         left_s = routed.deadline_s - self._clock.now_s()
@@ -906,12 +937,27 @@
         log(REQUEST_UNANSWERED, **fields, status=status, detail=detail)
         return self._own_answers.failure(routed.request, status, detail)
 
+    def _unavailable_fields(self, routed: RoutedRequest) -> dict[str, object]:
+        """Return the log fields that tell how many targets are not to be used."""
+        directory, now_s = self._fleet.directory, self._clock.now_s()
+        pauses = directory.pauses(routed.service, turn=routed.turn, now_s=now_s)
+        return {
+            "targets_listed": len(directory.serving(routed.service, now_s=now_s)),
+            "targets_paused": len(pauses),
+            "targets_leaving": directory.count_leaving(routed.service, now_s=now_s),
+        }
+
     def _refusal_cause(self, routed: RoutedRequest) -> RefusalCause:
-        if not routed.arrivals:
-            return NoTargetKnown()
         now_s = self._clock.now_s()
-        targets = self._fleet.directory.available(routed.service, now_s=now_s)
+        directory, turn = self._fleet.directory, routed.turn
+        targets = directory.available(routed.service, turn=turn, now_s=now_s)
         if not targets:
+            pauses = directory.pauses(routed.service, turn=turn, now_s=now_s)
+            if not pauses:
+                return NoTargetKnown()
+            first_s = min(pause.returns_s(turn) for pause in pauses)
+            return TargetsPaused(first_s - now_s)
+        if not routed.arrivals:
             return NoTargetKnown()
         if self._fleet.placement.has_free_slots(targets, now_s=now_s):
             return TargetsShed()
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -15,6 +15,7 @@
 )
 from dogwoodhook.state.route_policy import RoutePolicy
 from dogwoodhook.state.suspicion import Standing
+from dogwoodhook.state.target_availability import Turn, turn_of
 from dogwoodhook.transport.attempts import CompleteAnswer
 from dogwoodhook.transport.bodies import RequestBody
 
@@ -67,6 +68,13 @@
     recalled: asyncio.Future[None] = field(default_factory=asyncio.Future)
     _identity: RequestIdentity | None = None
 
+    @property
+    def turn(self) -> Turn:
+        """Return when the request returns to a target after a pause."""
+        return turn_of(
+            priority=self.route.priority, is_idempotent=self.route.is_idempotent
+        )
+
     @property
     def may_have_run(self) -> bool:
         """Return whether the request may have run."""
--- a/tests/platform_adapter/target_server.py
+++ b/tests/platform_adapter/target_server.py
@@ -81,6 +81,16 @@
     return answer_leaving
 
 
+def pausing(value, *, status="503 Busy", **more):
+    """Return a behaviour that turns a request away and asks for a pause."""
+
+    async def answer_pausing(server, received, writer):
+        headers = {"Not_Executed": "1", "Retry_After": value, **more}
+        writer.write(head(status, received, length=0, **headers))
+
+    return answer_pausing
+
+
 async def foreign_leaving(server, received, writer):
     """Send only the answer to another request, which says that the target leaves."""
     other = ReceivedRequest("GET", "/", {"request-id": "another"}, b"", 0)
--- a/tests/platform_adapter/test_target_notices.py
+++ b/tests/platform_adapter/test_target_notices.py
@@ -1,10 +1,12 @@
 """What targets announce in their answers, and what they are sent afterwards."""
 
 import asyncio
+import time
 
 import logbook
 import pytest
 
+from dogwoodhook.transport import target_connections
 from tests.exchanges import until
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.raw_caller import raw_caller
@@ -110,3 +112,70 @@
         answers = [await caller.answer() for _ in range(3)]
     assert {answer.status for answer in answers} == {503}
     assert len(target.received) == 1
+
+
+async def test_a_target_gets_a_request_during_the_pause_that_it_asked_for(platform):
+    target = await start(platform, behave.pausing("0.8"), behave.answer)
+    began_s = time.monotonic()
+    first = await platform.send("/post/0", data=b"x")
+    assert first.status == 503
+    assert float(first.headers["Retry-After"]) >= 0.7
+    while (reply := await platform.send("/read/1")).status == 503:
+        left_s = 0.8 - (time.monotonic() - began_s)
+        assert float(reply.headers["Retry-After"]) >= left_s - 0.05
+        assert len(target.received) == 1
+        await asyncio.sleep(0.02)
+    assert time.monotonic() - began_s >= 0.8
+    assert reply.status == 200
+
+
+async def test_a_paused_target_counts_as_failing(platform):
+    await start(platform, behave.pausing("0.3"), behave.answer)
+    await platform.send("/post/0", data=b"x")
+    await start_other(platform)
+    with logbook.TestHandler().applicationbound() as handler:
+        replies = [await platform.send(f"/post/{n}", data=b"x") for n in range(5)]
+        await asyncio.sleep(0.6)
+        replies += [await platform.send(f"/post/{n}", data=b"x") for n in range(40)]
+    assert {reply.status for reply in replies} == {200}
+    lines = [str(record.message) for record in handler.records]
+    assert not any("target-suspected" in line for line in lines)
+    answered = [line for line in lines if "request-answered" in line]
+    assert len(answered) == len(replies)
+    assert all("standing=sound" in line for line in answered)
+
+
+async def test_requests_that_wait_for_a_connection_reach_a_paused_target(
+    platform, monkeypatch
+):
+    monkeypatch.setattr(target_connections, "MAX_CONNECTIONS_PER_TARGET", 2)
+    pausing = behave.after(0.1, behave.pausing("1.5"))
+    target = await start(platform, pausing)
+    began_s = time.monotonic()
+    replies = await asyncio.gather(
+        *(platform.send(f"/post/{number}", data=b"x") for number in range(30))
+    )
+    assert {reply.status for reply in replies} == {503}
+    assert time.monotonic() - began_s < 1.0
+    assert len(target.received) <= 4
+
+
+@pytest.mark.parametrize(
+    "value",
+    ["Sun, 06 Dec 2026 08:49:37 GMT", "-1", "inf", "1e9", "nan", "9" * 400, "x", ""],
+)
+async def test_an_unreadable_pause_takes_a_target_away(platform, value):
+    target = await start(platform, behave.pausing(value), behave.answer)
+    with logbook.TestHandler().applicationbound() as handler:
+        assert (await platform.send("/post/0", data=b"x")).status == 503
+        assert (await platform.send("/post/1", data=b"x")).status == 200
+    assert len(target.received) == 2
+    assert any("target-notice-ignored" in each.message for each in handler.records)
+
+
+async def test_retry_after_of_another_answer_than_a_503_pauses_a_target(platform):
+    pausing = behave.pausing("5", status="429 Too Many Requests")
+    target = await start(platform, pausing, behave.answer)
+    await platform.send("/post/0", data=b"x")
+    assert (await platform.send("/post/1", data=b"x")).status == 200
+    assert len(target.received) == 2
--- a/tests/test_crash_checks.py
+++ b/tests/test_crash_checks.py
@@ -81,6 +81,19 @@
     return RecordedEnds()
 
 
+async def test_a_target_that_is_not_to_be_probed_gets_a_connection():
+    ends = RecordedEnds()
+    async with running_listener() as listener:
+        checks = CrashChecks(ends, may_connect=lambda target: False)
+        second = checks.second_connection(listener.entry)
+        await second.open()
+        assert not await checks.accepts_connections(listener.entry)
+        found = await checks.check_lost_connection(listener.entry, second)
+        second.close()
+    assert found == LossCheck(None, PortState.UNCHECKED)
+    assert (listener.writers, ends.ends) == ([], [])
+
+
 async def test_a_closed_port_shows_no_end(ends):
     found = await CrashChecks(ends).check_lost_connection(Listener().entry)
     assert found == LossCheck(EndEvidence.CLOSED_PORT, PortState.CLOSED)
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -2,10 +2,13 @@
 
 import random
 
+import pytest
+
 from dogwoodhook.state.retry_after import (
     MAX_RETRY_AFTER_S,
     MIN_RETRY_AFTER_S,
     NoTargetKnown,
+    TargetsPaused,
     TargetsRefused,
     TargetsShed,
     retry_after_s,
@@ -32,6 +35,16 @@
     assert retry_times_s(NoTargetKnown())[-1] <= MAX_RETRY_AFTER_S
 
 
+@pytest.mark.parametrize("returns_in_s", [0.1, 1.0, 30.0])
+def test_callers_return_together_or_before_the_first_pause_ends(returns_in_s):
+    times_s = retry_times_s(TargetsPaused(returns_in_s))
+    assert times_s[0] >= returns_in_s
+    spread_s = times_s[-1] - times_s[0]
+    assert spread_s >= MIN_RETRY_AFTER_S * 0.9
+    middle = times_s[0] + spread_s / 2
+    assert 450 < sum(each < middle for each in times_s) < 550
+
+
 SHED_SHARE = 0.55
 """Share of the requests that the targets shed, as in the platform's own scenarios."""
 
--- a/tests/test_target_directory.py
+++ b/tests/test_target_directory.py
@@ -1,10 +1,19 @@
 """The directory of the targets that the store lists, with changes in any order."""
 
+import random
 from dataclasses import replace
 
 import pytest
 
-from dogwoodhook.state.target_availability import Available, Draining, Leaving
+from dogwoodhook.state.target_availability import (
+    MAX_RETURN_S,
+    Available,
+    Draining,
+    Leaving,
+    Turn,
+    pause_for,
+    turn_of,
+)
 from dogwoodhook.state.target_directory import (
     EXPIRY_HOLD_S,
     RECENTLY_JOINED_S,
@@ -30,6 +39,10 @@
     return sorted(each.name for each in directory.serving(service, now_s=now_s))
 
 
+def availability(directory, target, *, now_s=0.0, turn=Turn.OTHER):
+    return directory.availability(target, turn=turn, now_s=now_s)
+
+
 def test_a_draining_target_gets_no_new_requests(directory):
     draining = replace(T1, is_draining=True)
     directory.apply([TargetChange("t1", 10, draining)], version=10, now_s=0.0)
@@ -164,37 +177,78 @@
     assert not directory.record_leaving(T1)
     apply = directory.replace_all if is_complete else directory.apply
     apply([TargetChange("t1", 12, T1)], version=12, now_s=0.0)
-    assert directory.availability(T1) == Leaving(T1.incarnation)
+    assert availability(directory, T1) == Leaving(T1.incarnation)
     assert "t1" in names(directory)
-    assert T1 not in directory.available("payouts", now_s=0.0)
+    assert T1 not in directory.available("payouts", turn=Turn.OTHER, now_s=0.0)
 
 
 def test_a_target_that_said_it_leaves_is_available_when_its_entry_returns(directory):
     directory.record_leaving(T1)
     directory.apply([TargetChange("t1", 12, None)], version=12, now_s=0.0)
-    assert directory.availability(T1) == Leaving(T1.incarnation)
+    assert availability(directory, T1) == Leaving(T1.incarnation)
     directory.apply([TargetChange("t1", 13, T1)], version=13, now_s=0.0)
-    assert directory.available("payouts", now_s=0.0) == (T2,)
+    assert directory.available("payouts", turn=Turn.OTHER, now_s=0.0) == (T2,)
 
 
 def test_a_new_incarnation_of_a_target_that_said_it_leaves_gets_nothing(directory):
     directory.record_leaving(T1)
     restarted = replace(T1, incarnation=18)
     directory.apply([TargetChange("t1", 12, restarted)], version=12, now_s=0.0)
-    assert directory.availability(restarted) == Available()
+    assert availability(directory, restarted) == Available()
     # A late answer of the process that has been replaced.
     directory.record_leaving(T1)
-    assert directory.availability(restarted) == Available()
+    assert availability(directory, restarted) == Available()
 
 
 def test_a_target_that_drains_and_said_it_leaves_is_probed(directory):
     draining = replace(T1, is_draining=True)
     directory.apply([TargetChange("t1", 12, draining)], version=12, now_s=0.0)
-    assert directory.availability(T1) == Draining()
-    assert directory.may_be_probed(T1)
+    assert availability(directory, T1) == Draining()
+    assert directory.may_be_probed(T1, now_s=0.0)
     directory.record_leaving(T1)
-    assert directory.availability(T1) == Leaving(T1.incarnation)
-    assert not directory.may_be_probed(T1)
+    assert availability(directory, T1) == Leaving(T1.incarnation)
+    assert not directory.may_be_probed(T1, now_s=0.0)
+
+
+def test_a_paused_target_gets_requests_before_the_latest_end(directory):
+    long, short = (
+        pause_for(for_s, place=0.0, now_s=now_s) for for_s, now_s in [(3, 1), (1, 2)]
+    )
+    assert directory.record_pause(T1, long)
+    assert not directory.record_pause(T1, short)
+    urgent = Turn.URGENT_IDEMPOTENT
+    assert availability(directory, T1, now_s=3.9, turn=urgent) == long
+    assert availability(directory, T1, now_s=4.0, turn=urgent) == Available()
+    assert availability(directory, T1, now_s=4.0) == long
+    assert directory.available("payouts", turn=urgent, now_s=3.9) == (T2,)
+    assert directory.pauses("payouts", turn=urgent, now_s=3.9) == (long,)
+    assert not directory.may_be_probed(T1, now_s=3.9)
+    assert directory.may_be_probed(T1, now_s=5.0)
+
+
+def test_a_pause_ends_with_a_restart_or_a_read(directory):
+    pause = pause_for(3.0, place=0.0, now_s=0.0)
+    directory.record_pause(T1, pause)
+    restarted = replace(T1, incarnation=18)
+    directory.replace_all([TargetChange("t1", 12, restarted)], version=12, now_s=1.0)
+    assert availability(directory, restarted, now_s=2.0) == pause
+
+
+def test_the_requests_of_many_daemons_return_at_the_same_moment():
+    rng = random.Random(7)
+    pauses = [pause_for(2.0, place=rng.random(), now_s=0.0) for _ in range(100)]
+    for turn in Turn:
+        returns_s = sorted(pause.returns_s(turn) for pause in pauses)
+        assert returns_s[0] >= 2.0
+        most = max(
+            sum(0 <= at_s - each < 0.01 for at_s in returns_s) for each in returns_s
+        )
+        assert most <= 10
+    assert [turn_of(priority=p, is_idempotent=i) for p in (0, 1) for i in (1, 0)] == [
+        *Turn
+    ]
+    first, last = pauses[0].returns_s(Turn(0)), pauses[0].returns_s(Turn(3))
+    assert first < last <= 2.0 + MAX_RETURN_S
 
 
 def directory_with(entry, **callbacks):
