Let targets leave and pause in the soak, and check that they get nothing

Additional targets say in their answers that they leave, with or without a report to the store, and stay listed for seconds; others ask for overlapping pauses, beside all other faults. Both rules are checked from what targets and callers saw.

--- a/tests/platform_adapter/soak/records.py
+++ b/tests/platform_adapter/soak/records.py
@@ -163,6 +163,25 @@
         return self.was_cut and self.ended_s < until_s
 
 
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """A target's answer that it leaves or wants a pause until ``until_s``.
+
+    ``is_sound`` is false if the target's link was disturbed.
+    """
+
+    target: str
+    request_id: str
+    answered_s: float
+    until_s: float
+    is_sound: bool
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the target leaves for good."""
+        return math.isinf(self.until_s)
+
+
 @dataclass(frozen=True, slots=True)
 class Kill:
     """A daemon was killed together with the requests that it held."""
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -11,6 +11,10 @@
 import aiohttp
 
 from dogwoodhook.transport.target_sessions import make_session
+from tests.platform_adapter.soak.announcements import (
+    Announcer,
+    find_ignored_announcements,
+)
 from tests.platform_adapter.soak.callers import Callers
 from tests.platform_adapter.soak.faults import run_series
 from tests.platform_adapter.soak.harmful import HarmfulCaller, find_unstopped_requests
@@ -95,9 +99,10 @@
     caller_tasks = callers.start(size.callers)
     harmful = HarmfulCaller(world, seed=seed)
     harmful_task = asyncio.create_task(harmful.run())
+    announcer_task = asyncio.create_task(Announcer(world, seed=seed).run())
     series = [asyncio.create_task(run_series(world, injected)) for _ in range(SERIES)]
     await asyncio.sleep(seconds)
-    violations += await _cancel_series([*series, harmful_task])
+    violations += await _cancel_series([*series, harmful_task, announcer_task])
     await _end_faults(world)
     violations += await _wait_until_serving(world, callers, RECOVERY_TIMEOUT_S)
     callers.end()
@@ -120,6 +125,9 @@
         each for target in world.all_targets for each in target.harmful_arrivals
     ]
     checks += find_unstopped_requests(arrivals, harmful.calls, disturbances)
+    checks += find_ignored_announcements(
+        world.all_targets, [*calls, *harmful.calls], disturbances
+    )
     violations += checks.broken
     endings = Counter(str(each.status or each.ending) for each in calls)
     return Report(
--- a/tests/platform_adapter/soak/world.py
+++ b/tests/platform_adapter/soak/world.py
@@ -18,6 +18,7 @@
 from tests.platform_adapter.conftest import make_configuration, make_route
 from tests.platform_adapter.soak.records import (
     CONFIGURATION_BOUND_S,
+    Announcement,
     Change,
     Disturbance,
     Kill,
@@ -141,9 +142,11 @@
 async def _write_padded(server, received, writer, *, share):
     padding = _parse_path(received)[1]
     body = f"{server.name} ran {received.path}".encode() + PADDING * padding
-    head = behave.head(
-        "200 OK", received, length=len(body), Server_Signature=server.name
-    )
+    more = {"Server_Signature": server.name}
+    if server.is_leaving:
+        server.announce(received, until_s=float("inf"))
+        more["Server_Leaving"] = "1"
+    head = behave.head("200 OK", received, length=len(body), **more)
     writer.write(head + body[: int(len(body) * share)])
     await writer.drain()
 
@@ -198,6 +201,10 @@
     harmful_arrivals: list[HarmfulArrival] = field(default_factory=list)
     endings: set[asyncio.Task] = field(default_factory=set)
     incarnation: int = 0
+    paused_until_s: float = 0.0
+    is_leaving: bool = False
+    arrivals: list[tuple[str, float]] = field(default_factory=list)
+    announcements: list[Announcement] = field(default_factory=list)
     data_centre: str = "dc-1"
     register_again: Callable[["SoakTarget"], Awaitable[None]] | None = None
 
@@ -205,9 +212,16 @@
         self.behaviours = [self._behave]
 
     async def _behave(self, server, received, writer):
+        now_s = time.monotonic()
+        self.arrivals.append((received.request_id, now_s))
         if received.headers.get("expected-instance") != self.name:
             await behave.misdirected(server, received, writer)
             return
+        if now_s < self.paused_until_s:
+            self.announce(received, until_s=self.paused_until_s)
+            pause = behave.pausing(f"{self.paused_until_s - now_s:.3f}")
+            await pause(server, received, writer)
+            return
         if received.path.split("/")[2] == HARMFUL:
             await self._run_harmful(received, writer)
             return
@@ -238,6 +252,14 @@
             run.ended_s = time.monotonic()
             run.is_sound = is_sound_answer and self.link_fault_until_s < run.started_s
 
+    def announce(self, received, *, until_s):
+        """Record that an answer says that the target leaves or wants a pause."""
+        now_s = time.monotonic()
+        is_sound = self.link_fault_until_s < now_s - DELIVERY_S
+        self.announcements.append(
+            Announcement(self.name, received.request_id, now_s, until_s, is_sound)
+        )
+
     async def _run_harmful(self, received, writer):
         """Wait, then end, or answer with an error in place of it."""
         arrival = HarmfulArrival(
@@ -465,8 +487,11 @@
         finally:
             self.interruptions[index] = replace(fault, until_s=time.monotonic())
 
-    async def add_target(self, data_centre, *, port=None):
-        """Start a target and register it; with ``port``, it takes over that address."""
+    async def add_target(self, data_centre, *, port=None, is_extra=False):
+        """Start a target and register it; with ``port``, it takes over that address.
+
+        No other fault affects it if ``is_extra`` is set.
+        """
         name = f"i-{len(self.all_targets):04x}"
         target = SoakTarget(
             name,
@@ -478,21 +503,24 @@
         server = await asyncio.start_server(target.serve, "127.0.0.1", target.port)
         self._stack.callback(server.close)
         target.relay = await self._stack.enter_async_context(Relay(port=target.port))
-        self.targets[name] = target
+        if not is_extra:
+            self.targets[name] = target
         self.all_targets.append(target)
-        await self._register(target)
+        await self.register(target)
+        return target
 
     async def drain_target(self, name):
         """Announce that a target leaves, then remove it; it finishes its requests."""
-        await self._register(self.targets.pop(name), state="draining")
+        await self.register(self.targets.pop(name), state="draining")
         await asyncio.sleep(3.0)
         await self.store.remove("servers", name)
 
     async def _register_again(self, target):
         if self.targets.get(target.name) is target:
-            await self._register(target)
+            await self.register(target)
 
-    async def _register(self, target, *, state="ready"):
+    async def register(self, target, *, state="ready"):
+        """Write a target's entry to the store."""
         entry = target.entry(
             zone=target.data_centre,
             state=state,
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from tests.platform_adapter.soak.announcements import find_ignored_announcements
 from tests.platform_adapter.soak.harmful import HarmfulCall, find_unstopped_requests
 from tests.platform_adapter.soak.records import (
+    Announcement,
     CallRecord,
     Change,
     Disturbance,
@@ -21,7 +23,7 @@
     find_violations,
 )
 from tests.platform_adapter.soak.run import soak
-from tests.platform_adapter.soak.world import HarmfulArrival
+from tests.platform_adapter.soak.world import HarmfulArrival, SoakTarget
 
 CALL = CallRecord(
     request_id="a",
@@ -478,6 +480,34 @@
     assert not find_unstopped([1.0, 2.0, 3.0, 6.1, 6.2, 6.3, 6.4], disturbances=[kill])
 
 
+def ignored_announcements(arrived_s, *, until_s, daemon="vm-1", disturbances=()):
+    """Return the broken rules of one announcement at 1 s and later arrivals."""
+    target = SoakTarget("t1", 80)
+    target.announcements = [Announcement("t1", "a", 1.0, until_s, is_sound=True)]
+    target.arrivals = [(f"{at_s}", at_s) for at_s in arrived_s]
+    calls = [CALL, *(HarmfulCall(f"{at_s}", daemon, at_s) for at_s in arrived_s)]
+    found = find_ignored_announcements([target], calls, disturbances)
+    return [each.rule for each in found.broken]
+
+
+def test_a_request_at_a_target_that_leaves_is_found():
+    forever = float("inf")
+    rule = ["sent to a leaving target"]
+    assert ignored_announcements([1.4], until_s=forever) == []
+    assert ignored_announcements([1.6], until_s=forever) == rule
+    assert ignored_announcements([1.6], until_s=forever, daemon="vm-2") == []
+    kill = Disturbance("vm-1", 1.2, 1.3)
+    assert ignored_announcements([1.6], until_s=forever, disturbances=[kill]) == []
+    of_store = replace(kill, is_of_store=True)
+    found = ignored_announcements([1.6], until_s=forever, disturbances=[of_store])
+    assert found == rule
+
+
+def test_a_third_request_in_a_pause_is_found():
+    assert ignored_announcements([1.4, 1.6, 2.9, 3.1], until_s=3.0) == []
+    assert ignored_announcements([1.6, 2.0, 2.9], until_s=3.0) == ["sent in a pause"]
+
+
 @pytest.mark.parametrize("seed", [1, *FAILED_SEEDS])
 async def test_a_short_soak_finds_no_violation(seed):
     report = await soak(seed=seed, seconds=6.0)
@@ -498,3 +528,11 @@
     report = await soak(seed=seed, seconds=14.0)
     assert not report.violations, report
     assert report.checked["ends targets without limit"]
+
+
+@pytest.mark.parametrize("seed", [9001, 9002])
+async def test_a_soak_in_which_targets_leave_and_pause_finds_no_violation(seed):
+    report = await soak(seed=seed, seconds=8.0)
+    assert not report.violations, report
+    assert report.checked["sent to a leaving target"]
+    assert report.checked["sent in a pause"]
