Recognise a harmful request at every service of its route

Cause: the fingerprint contained the service, which is drawn for each sending and changes with versions of the configuration. Each service counted the ends anew.

The fingerprint now holds what the caller sent: host, method, path and query, body, and the caller's address. Crashes that a quarantine explains are removed from the other suspects of all services.

Evidence: the new test of two services failed before (two fingerprints for one request).

--- a/dogwoodhook/state/quarantine.py
+++ b/dogwoodhook/state/quarantine.py
@@ -116,18 +116,21 @@
 
 
 def fingerprint(
-    *, service: str, workspace: str, method: str, path: str, digest: bytes
+    *, scope: str, workspace: str, method: str, path: str, digest: bytes
 ) -> str:
     """Return an identifier of a request that is the same for each resend.
 
+    ``scope`` distinguishes requests that agree otherwise: the host, or the service of a
+    daemon whose requests always go to the same one.
+
     >>> first = fingerprint(
-    ...     service="payouts", workspace="oulu", method="POST", path="/x", digest=b""
+    ...     scope="payouts", workspace="oulu", method="POST", path="/x", digest=b""
     ... )
     >>> len(first)
     32
     """
     hasher = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    for part in (service, workspace, method, path):
+    for part in (scope, workspace, method, path):
         # A path may contain bytes that are not UTF-8, which are decoded to surrogates.
         encoded = part.encode(errors="surrogatepass")
         hasher.update(len(encoded).to_bytes(4, "big"))
@@ -706,7 +709,7 @@
     def _clear_explained_crashes(self, cause: _Suspect) -> None:
         # A crash whose cause is known does not count against other requests.
         for other in self._suspects.values():
-            if other is not cause and other.service == cause.service:
+            if other is not cause:
                 self._remove_explained(other, cause)
         cause.crashed.clear()
 
--- a/dogwoodhook/state/route_policy.py
+++ b/dogwoodhook/state/route_policy.py
@@ -9,6 +9,15 @@
 from dataclasses import dataclass, field
 
 
+def host_name(host: str) -> str:
+    """Return the name in a Host header: in lower case and without the port.
+
+    >>> host_name("Tills.Example:8080")
+    'tills.example'
+    """
+    return host.lower().rsplit(":", 1)[0]
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceShare:
     """A service and its weight among the services of a route."""
@@ -88,7 +97,7 @@
         The look-up costs one dictionary access for each path segment, independent of
         the number of routes.
         """
-        name = host.lower().rsplit(":", 1)[0]
+        name = host_name(host)
         end = path.rfind("/")
         while end >= 0:
             route = self.routes.get((name, path[: end + 1]))
--- a/dogwoodhook/transport/calls.py
+++ b/dogwoodhook/transport/calls.py
@@ -17,7 +17,7 @@
 from dogwoodhook.state.quarantine import body_digest, fingerprint
 from dogwoodhook.transport.answers import AnswerCapture
 from dogwoodhook.transport.bodies import RequestBody, read_prelude
-from dogwoodhook.transport.request_uris import headers_to_target, uri_of
+from dogwoodhook.transport.request_uris import headers_to_target, host_of, uri_of
 from dogwoodhook.transport.services import ServiceRegistry, ServiceRuntime
 
 MAX_TIMEOUT_DIGITS = 12
@@ -81,7 +81,7 @@
     uri = uri_of(request)
     if uri is None:
         return Error(NotRun(NotRunReason.BAD_REQUEST))
-    match = registry.routes.match(uri.authority or request.host, uri.path)
+    match = registry.routes.match(host_of(request, uri), uri.path)
     runtime = registry.get(match.service) if match else None
     if match is None or runtime is None:
         return Error(NotRun(NotRunReason.NO_ROUTE))
@@ -103,7 +103,7 @@
             body=body,
             is_idempotent=parameters.is_idempotent(request.method, uri.path),
             fingerprint=fingerprint(
-                service=runtime.service.name,
+                scope=runtime.service.name,
                 workspace=workspace,
                 method=request.method,
                 path=uri.text,
--- a/dogwoodhook/transport/request_uris.py
+++ b/dogwoodhook/transport/request_uris.py
@@ -31,6 +31,11 @@
     return request.raw_path.partition("?")[0]
 
 
+def host_of(request: web.BaseRequest, uri: RequestUri) -> str:
+    """Return the host that a request is for; an absolute URI tells it itself."""
+    return uri.authority or request.host
+
+
 def headers_to_target(request: web.BaseRequest, uri: RequestUri) -> CIMultiDict[str]:
     """Return the headers of a request that are sent to targets."""
     headers = end_to_end_headers(request.headers)
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -88,6 +88,7 @@
 )
 from dogwoodhook.transport.request_uris import (
     headers_to_target,
+    host_of,
     logged_path,
     uri_of,
 )
@@ -969,7 +970,7 @@
 def _route_of(
     configuration: RoutingConfiguration, request: web.BaseRequest, uri: RequestUri
 ) -> RoutePolicy | None:
-    return configuration.match(uri.authority or request.host, uri.path)
+    return configuration.match(host_of(request, uri), uri.path)
 
 
 def _discard_attempt(task: asyncio.Task[AttemptResult]) -> None:
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -13,11 +13,12 @@
     body_digest,
     fingerprint,
 )
-from dogwoodhook.state.route_policy import RoutePolicy
+from dogwoodhook.state.route_policy import RoutePolicy, host_name
 from dogwoodhook.state.suspicion import Standing
 from dogwoodhook.state.target_availability import Turn, turn_of
 from dogwoodhook.transport.attempts import CompleteAnswer
 from dogwoodhook.transport.bodies import RequestBody
+from dogwoodhook.transport.request_uris import host_of
 
 
 @dataclass(slots=True, eq=False)
@@ -82,12 +83,16 @@
 
     @property
     def identity(self) -> RequestIdentity:
-        """Return the fingerprints, which are the same for each sending."""
+        """Return the fingerprints, which are the same for each sending.
+
+        They tell what the caller sent, not where the request goes: a route may have
+        several services, and another version of the configuration another service.
+        """
         if self._identity is None:
             digest = body_digest(self.body.identifying_bytes)
             of_caller, of_any_caller = (
                 fingerprint(
-                    service=self.service,
+                    scope=host_name(host_of(self.request, self.uri)),
                     workspace=caller,
                     method=self.request.method,
                     path=self.uri.text,
--- a/tests/test_request_identity.py
+++ b/tests/test_request_identity.py
@@ -3,10 +3,14 @@
 from types import SimpleNamespace
 
 import pytest
+from multidict import CIMultiDict
 
+from dogwoodhook.protocol.request_uri import RequestUri
 from dogwoodhook.state.model import Parameters
 from dogwoodhook.state.quarantine import fingerprint
+from dogwoodhook.transport.bodies import RequestBody
 from dogwoodhook.transport.calls import read_call
+from dogwoodhook.transport.routed_request import RoutedRequest
 
 BUFFER_BYTES = 64 * 1024
 BODY = bytes(range(256)) * 1024
@@ -75,7 +79,52 @@
 def test_a_path_with_other_bytes_than_utf_8_has_no_fingerprint():
     path = b"/payouts/\xff".decode("utf-8", "surrogateescape")
     first, second = (
-        fingerprint(service="s", workspace="w", method="GET", path=each, digest=b"")
+        fingerprint(scope="s", workspace="w", method="GET", path=each, digest=b"")
         for each in (path, "/payouts/")
     )
     assert first != second
+
+
+def identity_of(**changes):
+    """Return the identity of a request, of which some properties are changed."""
+    sent = {"method": "POST", "host": "tills.example", "caller": "10.0.0.1"}
+    sent |= {"uri": "/ledger/5", "body": b"x", "service": "arkisto", **changes}
+    request = FakeRequest(method=sent["method"], host=sent["host"])
+    return RoutedRequest(
+        request=request,
+        uri=RequestUri(sent["uri"]),
+        request_id="a",
+        route=None,
+        service=sent["service"],
+        headers=CIMultiDict(),
+        body=RequestBody(sent["body"], True, sent["body"], request),
+        arrived_s=0.0,
+        deadline_s=1.0,
+        caller=sent["caller"],
+    ).identity
+
+
+async def test_a_request_is_another_one_at_each_service_of_its_route():
+    assert identity_of(service="varasto") == identity_of()
+    assert identity_of(host="Tills.Example:80") == identity_of()
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"method": "PUT"},
+        {"host": "other.example"},
+        {"uri": "/ledger/5?"},
+        {"uri": "/ledger%2F5"},
+        {"body": b"y"},
+    ],
+)
+async def test_requests_that_differ_are_one_request(changes):
+    for one, other in zip(identity_of(), identity_of(**changes), strict=True):
+        assert one != other
+
+
+async def test_a_request_of_another_caller_is_the_same_one_only_without_its_caller():
+    one, other = identity_of(), identity_of(caller="10.0.0.2")
+    assert one.fingerprint != other.fingerprint
+    assert one.any_caller_fingerprint == other.any_caller_fingerprint
