Remember a harmful request across a restart of all daemons after the third end

Cause: only a second quarantine was stored, since the first one lasts 1 s; and a daemon that starts ignored a stored one that had ended.

The first quarantine is now stored as soon as it is decided, 0.6 s after the third end, by the daemons that saw one of the ends, so a fleet makes three writes at most. A daemon that starts restores a quarantine that ended within the last hour: the next run is a trial.

Evidence: the new tests failed before (the request was admitted, no row was written).

--- a/dogwoodhook/coordination/fleet_quarantine.py
+++ b/dogwoodhook/coordination/fleet_quarantine.py
@@ -5,8 +5,10 @@
 restart, too, so every second each daemon also sends a few of the states that it knows
 to a few others, as long as there are any.
 
-All daemons may be restarted at once, so long quarantines are also written to the store,
-each to one of a fixed number of rows, and read when a daemon joins the fleet.
+All daemons may be restarted at once, so quarantines are also written to the store as
+soon as they are decided, each to one of a fixed number of rows, and read when a daemon
+joins the fleet. The first quarantine of a request is short, but a fleet that starts
+after its end still has to know that the request's next run is a trial.
 
 A suspect runs at one daemon at a time, which claims the run in the store. While the
 store is away, the daemons tell each other.
@@ -49,6 +51,7 @@
     log,
 )
 from dogwoodhook.state.quarantine import (
+    DECISION_DELAY_S,
     RUNNING_RETRY_S,
     Admission,
     Admit,
@@ -79,9 +82,6 @@
 MAX_ROWS = 64
 """Rows in the store; a later quarantine may replace another one's row."""
 
-STORED_FROM = 2
-"""Number of a request's quarantine from which it is stored: the first one is short."""
-
 SETTLE_S = 0.25
 """Time that a run of a suspect waits for those of other daemons if the store does not
 decide: enough for two repeats of a state."""
@@ -136,6 +136,7 @@
         self._rng = rng
         self._repeats: dict[str, int] = {}
         self._has_repeats = asyncio.Event()
+        self._has_stopped = asyncio.Event()
 
     def __len__(self) -> int:
         """Return the number of fingerprints that are watched, suspected or refused."""
@@ -304,7 +305,7 @@
                 target=target,
                 status=status,
             )
-            if state.quarantines >= STORED_FROM:
+            if state.quarantines:
                 ended = QuarantineRow(state.fingerprint, state.service, 0.0, 0)
                 self._unstored[_row_key(state.fingerprint)] = ended
         if cleared:
@@ -331,7 +332,7 @@
         match self._decode_row(row.value):
             case Result(tag="ok", ok=decoded):
                 quarantined = to_quarantined(decoded, self._clock)
-                self._quarantine.adopt(quarantined, self._clock.now_s())
+                self._quarantine.restore(quarantined, self._clock.now_s())
             case Result(error=problem):
                 log(DAEMON_ROW_REFUSED, row=row.key, problem=problem[:PROBLEM_LENGTH])
 
@@ -340,6 +341,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._repeat_forever())
             group.create_task(self._exchange_forever())
+            group.create_task(self._decide_forever())
 
     async def _exchange_forever(self) -> None:
         while True:
@@ -347,6 +349,16 @@
             self.exchange()
             await self.store_decisions()
 
+    async def _decide_forever(self) -> None:
+        """Decide on requests as soon as enough targets ended, and store that."""
+        while True:
+            await self._has_stopped.wait()
+            self._has_stopped.clear()
+            await asyncio.sleep(DECISION_DELAY_S + REPEAT_INTERVAL_S)
+            now_s = self._clock.now_s()
+            self._share_decisions(self._quarantine.take_unpublished(now_s))
+            await self.store_decisions()
+
     async def _repeat_forever(self) -> None:
         while True:
             await self._has_repeats.wait()
@@ -354,7 +366,7 @@
             self.repeat()
 
     async def store_decisions(self) -> None:
-        """Write long quarantines that the store lacks; those it refuses wait."""
+        """Write quarantines that the store lacks; those it refuses wait."""
         for key, row in tuple(self._unstored.items()):
             value = self._encode_row(row)
             written = await self._store.put_row(Table.DAEMONS, key, value)
@@ -406,12 +418,22 @@
                 quarantines=each.crashes,
                 for_s=round(each.until_s - now_s, 1),
             )
-            if each.crashes >= STORED_FROM:
+            if self._is_to_store(each):
                 row = to_row(each, self._clock)
                 self._unstored[_row_key(each.fingerprint)] = row
         if decided:
             self._share(each.fingerprint for each in decided)
 
+    def _is_to_store(self, quarantined: Quarantined) -> bool:
+        """Return whether this daemon stores a quarantine.
+
+        Every daemon decides on the first one by itself, so only those that saw one of
+        the targets end store it. The others follow a run, at the daemon that decides.
+        """
+        if quarantined.crashes > 1:
+            return True
+        return any(crash.daemon == self._daemon for crash in quarantined.evidence)
+
     def _share(self, fingerprints: Iterable[str]) -> None:
         """Send states to all daemons, and again later if they can refuse a request."""
         shared = tuple(fingerprints)
@@ -425,6 +447,7 @@
         now_s = self._clock.now_s()
         for fingerprint in fingerprints:
             if self._quarantine.is_stopped(fingerprint, now_s):
+                self._has_stopped.set()
                 self.on_stopped(fingerprint)
 
     def _message(self, fingerprints: Iterable[str]) -> SuspectStates:
--- a/dogwoodhook/fleet_joining.py
+++ b/dogwoodhook/fleet_joining.py
@@ -178,6 +178,7 @@
         rows = near if has_key else await self._read_page(KEY_ROW)
         if rows is None:
             return None
+        self._adopt_rows(rows)
         found = [each.value for each in rows if each.key == KEY_ROW]
         key = found[0] if found else await self._create_key()
         if key is None:
--- a/dogwoodhook/state/quarantine.py
+++ b/dogwoodhook/state/quarantine.py
@@ -373,6 +373,26 @@
         )
         self._clear_explained_crashes(suspect)
 
+    def restore(self, quarantined: Quarantined, now_s: float) -> None:
+        """Restore a quarantine after a start, also one that has ended.
+
+        The next run of a request whose quarantine has ended is a trial.
+        """
+        until_s = quarantined.until_s
+        if not quarantined.crashes or now_s > until_s + MAX_QUARANTINE_S:
+            return
+        decided_s = min(now_s, until_s)
+        if decided_s <= self._cleared_s.get(quarantined.fingerprint, _NEVER_S):
+            return
+        suspect = self._get_or_add_suspect(
+            quarantined.service, quarantined.fingerprint, now_s
+        )
+        suspect.was_quarantined = True
+        suspect.quarantines = max(suspect.quarantines, quarantined.crashes)
+        suspect.decided_s = max(suspect.decided_s, decided_s)
+        suspect.crashed_at_s = max(suspect.crashed_at_s, decided_s)
+        suspect.quarantined_until_s = max(suspect.quarantined_until_s, until_s)
+
     def check(self, fingerprint: str, now_s: float) -> Admission:
         """Decide how a request may run; called before each attempt."""
         suspect = self._suspects.get(fingerprint)
--- a/tests/test_fleet_quarantine.py
+++ b/tests/test_fleet_quarantine.py
@@ -325,6 +325,52 @@
     assert isinstance(start_again(fleet).check(HARMFUL), Refuse)
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 30.0, 1800.0])
+async def test_a_fleet_that_starts_after_the_third_end_forgets_the_request(pause_s):
+    fleet = Fleet(4)
+    end_targets(fleet, 3)
+    fleet.wait(1.0)
+    for daemon in fleet.daemons.values():
+        await daemon.store_decisions()
+    fleet.clock.elapsed_s += pause_s
+    daemon = start_again(fleet)
+    admission = daemon.check(HARMFUL)
+    if isinstance(admission, Refuse):
+        fleet.clock.elapsed_s = admission.until_s
+    assert isinstance(daemon.check(HARMFUL), RunAlone)
+    assert daemon.check(OTHER) == Admit()
+    run = await daemon.begin_alone(HARMFUL, for_s=RUN_S)
+    daemon.record_crash("payouts", HARMFUL, "t9/1")
+    await end_run(daemon, run)
+    now_s = fleet.clock.now_s()
+    assert daemon.check(HARMFUL).until_s >= now_s + 59.0
+
+
+async def test_every_daemon_stores_the_first_quarantine():
+    fleet = Fleet(40)
+    end_targets(fleet, 3)
+    fleet.wait(2.0)
+    for daemon in fleet.daemons.values():
+        daemon.check(HARMFUL)
+        await daemon.store_decisions()
+    assert 1 <= next(fleet.store.numbers) - 1 <= 3
+
+
+async def test_the_first_quarantine_is_stored_late_or_not_at_all():
+    """All daemons may be killed a second after the third end."""
+    fleet = Fleet(2)
+    daemon = fleet.daemons["vm-0"]
+    task = asyncio.create_task(daemon.run())
+    for number in range(3):
+        daemon.record_crash("payouts", HARMFUL, f"t{number}/1")
+    started_s = asyncio.get_running_loop().time()
+    while not fleet.store.rows:
+        await asyncio.sleep(0.01)
+        fleet.clock.elapsed_s += 0.01
+        assert asyncio.get_running_loop().time() < started_s + 0.9
+    task.cancel()
+
+
 async def test_a_quarantine_is_stored_when_the_store_is_back():
     fleet = Fleet(3)
     fleet.store.is_away = True
