Lose no request behind a long answer that breaks off

Cause: requests are started behind any other one, and only 4 MiB of an answer and five answers were held until complete. What did not fit was streamed; when that breaks off, the connection can only be closed.

Now nothing is started behind requests of a route that had a large answer in the last five minutes; these are streamed. Where the first one of a route has started requests behind it, it is held within a limit on the bytes of all, counted until the callers have them, and given up with 502 where it does not fit, rather than the requests behind it.

--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -269,6 +269,7 @@
             stop_timeouts=self._stop_timeouts,
             clock=clock,
             may_start=forwarder.is_route_idempotent,
+            may_be_large=forwarder.may_answer_be_large,
             on_unanswered=forwarder.report_unanswered,
             get_limits=self._caller_limits,
             detached_tasks=detached_tasks,
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -168,12 +168,22 @@
     return OpenAnswer(response.status, reason, headers, bytes(body), response)
 
 
-async def read_rest(opened: OpenAnswer, *, limit_bytes: int) -> AttemptResult:
-    """Read a large answer to its end, or until its body is larger than the limit."""
+async def read_rest(
+    opened: OpenAnswer, *, may_hold: Callable[[int], bool]
+) -> AttemptResult:
+    """Read a large answer to its end, or until no more of it may be held.
+
+    ``may_hold`` is asked for the number of each further bytes.
+    """
     body = bytearray(opened.body)
     result: AttemptResult | None = None
     try:
-        is_complete = await _read_up_to(opened.response, body, limit_bytes)
+        is_complete = True
+        async for chunk in opened.response.content.iter_any():
+            body += chunk
+            if not may_hold(len(chunk)):
+                is_complete = False
+                break
         if not is_complete:
             result = replace(opened, body=bytes(body))
         else:
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -16,6 +16,7 @@
 from dogwoodhook.transport.metrics_answer import metrics_answer
 from dogwoodhook.transport.pipelining import (
     Forward,
+    MayBeLarge,
     MayStart,
     OnUnanswered,
     PipelinedServer,
@@ -57,6 +58,7 @@
         stop_timeouts: StopTimeouts,
         clock: Clock,
         may_start: MayStart,
+        may_be_large: MayBeLarge,
         on_unanswered: OnUnanswered,
         get_limits: GetLimits,
         detached_tasks: DetachedTasks,
@@ -66,6 +68,7 @@
         self._stop_timeouts = stop_timeouts
         self._clock = clock
         self._may_start = may_start
+        self._may_be_large = may_be_large
         self._on_unanswered = on_unanswered
         self._get_limits = get_limits
         self._detached_tasks = detached_tasks
@@ -129,6 +132,7 @@
         self._server = PipelinedServer(
             forward,
             may_start=self._may_start,
+            may_be_large=self._may_be_large,
             is_stopping=lambda: self._stop.has_begun,
             on_unanswered=self._on_unanswered,
             get_limits=self._get_limits,
--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -7,11 +7,11 @@
 
 A request that was started must be answered, so the connection is not closed after an
 earlier answer. Where this cannot be guaranteed, no request is started early: while the
-daemon stops, and while an answer is streamed to the caller, since it may break off.
+daemon stops, while an answer is streamed to the caller, since it may break off, and
+behind a request whose answer may be large, so that it would have to be streamed.
 """
 
 import asyncio
-import itertools
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
 from typing import Any
@@ -39,8 +39,12 @@
 _ARRIVED_S = web.RequestKey("arrived_s", float)
 """Key of the time at which a request's head was complete, on the event loop's clock."""
 
+_ON_ANSWERED: web.RequestKey[Callable[[], None]] = web.RequestKey("on_answered")
+"""Key of a function that is called once the request's answer has been written."""
+
 Forward = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 MayStart = Callable[[web.BaseRequest], bool]
+MayBeLarge = Callable[[web.BaseRequest], bool]
 IsStopping = Callable[[], bool]
 
 
@@ -89,6 +93,7 @@
         "_is_lingering",
         "_is_stopping",
         "_is_streaming",
+        "_may_be_large",
         "_may_start",
         "_on_unanswered",
         "_started",
@@ -107,6 +112,7 @@
         self._started: dict[int, PipelinedRequest] = {}
         self._forward = manager.forward
         self._may_start = manager.may_start
+        self._may_be_large = manager.may_be_large
         self._is_stopping = manager.is_stopping
         self._on_unanswered = manager.on_unanswered
         self._is_streaming = False
@@ -152,18 +158,26 @@
         self._record_arrivals()
         if self._is_streaming or self._is_stopping():
             return
-        # While no request is being answered, aiohttp handles the first message next.
-        skipped = 1 if self._current_request is None else 0
-        for message, payload in itertools.islice(self._messages, skipped, None):
+        front: web.BaseRequest | None = self._current_request
+        for index, (message, payload) in enumerate(self._messages):
+            if front is not None and self._may_be_large(front):
+                return
             if len(self._started) >= MAX_PIPELINED:
                 return
-            if id(message) not in self._started and payload is EMPTY_PAYLOAD:
-                self._start_request(message, payload)
-
-    def _start_request(self, message: Any, payload: StreamReader) -> None:
-        if not isinstance(message, RawRequestMessage):
-            return
-        request = PipelinedRequest(
+            if not isinstance(message, RawRequestMessage):
+                return
+            front = self._started.get(id(message))
+            if front is None:
+                front = self._make_request(message, payload)
+                # While no request is being answered, the first one is handled next.
+                is_next = index == 0 and self._current_request is None
+                if not is_next and payload is EMPTY_PAYLOAD:
+                    self._start_if_allowed(front, message)
+
+    def _make_request(
+        self, message: RawRequestMessage, payload: StreamReader
+    ) -> PipelinedRequest:
+        return PipelinedRequest(
             message,
             payload,
             self,
@@ -171,6 +185,10 @@
             self._task_handler,  # type: ignore[arg-type]
             self._loop,
         )
+
+    def _start_if_allowed(
+        self, request: PipelinedRequest, message: RawRequestMessage
+    ) -> None:
         if self._may_start(request):
             request[_ARRIVED_S] = self._arrived_s[id(message)]
             self.track_unanswered(request)
@@ -196,6 +214,7 @@
         if self._is_stopping() and not self._started and not resp.prepared:
             resp.force_close()
         finished, is_reset = await super().finish_response(request, resp, start_time)
+        _run_answered_callback(request)
         self._is_streaming = False
         is_open = self.transport is not None and not self.transport.is_closing()
         if is_open and not is_reset:
@@ -261,6 +280,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         self._is_lingering = False
         for request in self._unanswered.values():
+            _run_answered_callback(request)
             self._on_unanswered(request, self._closing_reason or ClosingReason.CALLER)
         self._unanswered.clear()
         for started in self._started.values():
@@ -279,8 +299,9 @@
 class PipelinedServer(GracefulServer):
     """A server that may forward several requests of a connection at the same time.
 
-    ``may_start`` returns whether a request may be forwarded before its turn, and
-    ``is_stopping`` whether connections are to be closed. ``on_unanswered`` is called
+    ``may_start`` returns whether a request may be forwarded before its turn,
+    ``may_be_large`` whether its answer may be large, and ``is_stopping`` whether
+    connections are to be closed. ``on_unanswered`` is called
     for each request whose connection was closed before its complete answer had been
     written. ``get_limits`` returns the limits for callers' requests now in force.
     """
@@ -290,6 +311,7 @@
         forward: Forward,
         *,
         may_start: MayStart,
+        may_be_large: MayBeLarge,
         is_stopping: IsStopping,
         on_unanswered: OnUnanswered,
         get_limits: GetLimits,
@@ -298,6 +320,7 @@
         super().__init__(self._handle, request_factory=self._request, **options)
         self.forward = forward
         self.may_start = may_start
+        self.may_be_large = may_be_large
         self.is_stopping = is_stopping
         self.on_unanswered = on_unanswered
         self.get_limits = get_limits
@@ -344,6 +367,18 @@
         return request
 
 
+def call_when_answered(request: web.BaseRequest, callback: Callable[[], None]) -> None:
+    """Call a function once the answer has been written or the connection has closed."""
+    request[_ON_ANSWERED] = callback
+
+
+def _run_answered_callback(request: web.BaseRequest) -> None:
+    callback = request.get(_ON_ANSWERED)
+    if callback is not None:
+        del request[_ON_ANSWERED]
+        callback()
+
+
 def has_started_behind(request: web.BaseRequest) -> bool:
     """Return whether requests behind this one, whose turn it is, have been started."""
     protocol = request.protocol
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -42,6 +42,7 @@
     UnreadableNotice,
 )
 from dogwoodhook.state.daemon_stop import DaemonStop
+from dogwoodhook.state.large_answers import HeldBytes, LargeAnswerRoutes
 from dogwoodhook.state.placement import Candidate
 from dogwoodhook.state.quarantine import Admission, Admit, Refuse, RunAlone
 from dogwoodhook.state.retry_after import (
@@ -82,6 +83,7 @@
     ClosingReason,
     PipelinedRequest,
     abort_caller_connection,
+    call_when_answered,
     has_started_behind,
     start_streaming,
     waited_s,
@@ -100,12 +102,12 @@
 """Bodies up to this size are buffered, so that they can be sent to another target."""
 
 LARGE_ANSWER_BUFFER_BYTES = 4 * 1024 * 1024
-"""Answers up to this size are buffered completely before they are passed on, where
-later requests of the same connection are already at targets."""
+"""Size of a large answer, of which ``MAX_LARGE_ANSWER_BUFFERS`` may be held."""
 
 MAX_LARGE_ANSWER_BUFFERS = 5
-"""Maximum number of answers that are buffered in this way at the same time. At
-``LARGE_ANSWER_BUFFER_BYTES`` each they take a tenth of a small VM's memory."""
+"""Number of answers of ``LARGE_ANSWER_BUFFER_BYTES`` whose bytes may be held before
+they are passed on, where later requests of the same connection are already at targets.
+Together they take a tenth of a small VM's memory."""
 
 ANSWER_MARGIN_S = 0.05
 """How long before the route's timeout the daemon gives its own answer."""
@@ -137,6 +139,8 @@
 """Number of unreachable targets after which the caller gets an error. Their connect
 timeouts add up to 4.5 s."""
 
+TOO_LARGE_DETAIL = "the answer is too large to be held for the requests behind it"
+
 CRASHED_DETAIL = "targets crashed under this request"
 
 CALLER_MARGIN_S = 0.1
@@ -174,7 +178,10 @@
         self._clock = clock
         self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
         self._rng = rng
-        self._large_answer_buffers = 0
+        self._held_bytes = HeldBytes(
+            MAX_LARGE_ANSWER_BUFFERS * LARGE_ANSWER_BUFFER_BYTES
+        )
+        self._large_answer_routes = LargeAnswerRoutes()
         self._running: set[RoutedRequest] = set()
         fleet.quarantine.on_stopped = self._recall
         self._typical_latencies: defaultdict[str, TypicalLatency] = defaultdict(
@@ -282,6 +289,17 @@
         route = _route_of(configuration, request, uri)
         return route is not None and route.is_idempotent
 
+    def may_answer_be_large(self, request: web.BaseRequest) -> bool:
+        """Return whether a request's route had a large answer a short time ago."""
+        configuration = self._fleet.configuration()
+        uri = uri_of(request)
+        if configuration is None or uri is None:
+            return False
+        route = _route_of(configuration, request, uri)
+        return route is not None and self._large_answer_routes.contains(
+            route.name, now_s=self._clock.now_s()
+        )
+
     def _time_limit_s(self, request: web.BaseRequest, route: RoutePolicy) -> float:
         """Return the time from a request's arrival within which it is answered."""
         allowed_s = route.timeout_s - ANSWER_MARGIN_S
@@ -559,7 +577,10 @@
                 routed.has_answer_started = True
                 buffered = await self._buffer_large_answer(routed, result)
                 if isinstance(buffered, OpenAnswer):
-                    return await self._stream(routed, target, buffered)
+                    if self._may_stream(routed):
+                        return await self._stream(routed, target, buffered)
+                    buffered.response.close()
+                    return self._refuse_or_fail(routed, TOO_LARGE_DETAIL)
                 buffered = await self._check_survival(routed, target, buffered)
                 return await self._handle_result(routed, target, buffered)
             case NotRunAtTarget(detail, symptom, has_arrived, has_timed_out):
@@ -574,31 +595,31 @@
                 self._record_failure(routed, target, symptom, detail)
                 return detail
 
+    def _may_stream(self, routed: RoutedRequest) -> bool:
+        """Return whether a large answer may be passed on before it is complete.
+
+        If it broke off then, the requests started behind it would be lost. Instead the
+        request itself is given up, unless it must not run again: its caller needs the
+        outcome.
+        """
+        return not has_started_behind(routed.request) or not routed.route.is_idempotent
+
     async def _buffer_large_answer(
         self, routed: RoutedRequest, opened: OpenAnswer
     ) -> AttemptResult:
         """Buffer a large answer completely if later requests have been started.
 
-        Otherwise return it as it is, and also if too many answers are being buffered.
-        If an answer breaks off after a part of it went to the caller, the connection
-        can only be closed, and the answers to the later requests are lost.
+        Otherwise return it as it is, and also if too many bytes would be held.
         """
+        self._large_answer_routes.record(routed.route.name, now_s=self._clock.now_s())
         try:
             async with asyncio.timeout(routed.deadline_s - self._clock.now_s()):
                 if isinstance(routed.request, PipelinedRequest):
                     await routed.request.wait_for_turn()
                 if not has_started_behind(routed.request):
                     return opened
-                if self._large_answer_buffers >= MAX_LARGE_ANSWER_BUFFERS:
-                    return opened
-                self._large_answer_buffers += 1
-                try:
-                    async with self._stop_timeouts.until_reading_ends():
-                        return await read_rest(
-                            opened, limit_bytes=LARGE_ANSWER_BUFFER_BYTES
-                        )
-                finally:
-                    self._large_answer_buffers -= 1
+                async with self._stop_timeouts.until_reading_ends():
+                    return await self._hold(routed, opened)
         except TimeoutError:
             opened.response.close()
             return MayHaveRun("no answer in time", None)
@@ -606,6 +627,28 @@
             opened.response.close()
             raise
 
+    async def _hold(self, routed: RoutedRequest, opened: OpenAnswer) -> AttemptResult:
+        """Read an answer to its end, or until too many bytes are held.
+
+        Its bytes count as held until the caller has got them.
+        """
+        held, taken = self._held_bytes, 0
+
+        def may_hold(count: int) -> bool:
+            nonlocal taken
+            if not held.try_take(count):
+                return False
+            taken += count
+            return True
+
+        call_when_answered(routed.request, lambda: held.give_back(taken))
+        length = opened.response.content_length
+        if not may_hold(len(opened.body) if length is None else length):
+            return opened
+        if length is None:
+            return await read_rest(opened, may_hold=may_hold)
+        return await read_rest(opened, may_hold=lambda count: True)
+
     def _conclude(self, routed: RoutedRequest, detail: str) -> web.StreamResponse:
         """Return the final answer to a request without a successful attempt."""
         if routed.failure is not None:
--- a/properties/test_target_answers.py
+++ b/properties/test_target_answers.py
@@ -30,7 +30,6 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 HUNG_TIMEOUT_S = 0.05
 SOUND_TIMEOUT_S = 5.0
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
 ENTRY = TargetEntry("t1", "s", HOST, 0, "oulu-1", 3, False, 0.0, 1)
 
 
@@ -75,7 +74,7 @@
                 session, entry, request, PLATFORM_CONVENTIONS, AttemptTrace()
             )
             if isinstance(result, OpenAnswer):
-                result = await read_rest(result, limit_bytes=MAX_ANSWER_BYTES)
+                result = await read_rest(result, may_hold=lambda count: True)
             return result
     except TimeoutError:
         return None
--- a/tests/platform_adapter/test_pipelined_closings.py
+++ b/tests/platform_adapter/test_pipelined_closings.py
@@ -1,9 +1,11 @@
 """Pipelined requests behind an answer after which the connection must be closed."""
 
 import asyncio
+from contextlib import AsyncExitStack
 
 import pytest
 
+from dogwoodhook.transport import route_forwarder
 from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES
 from dogwoodhook.transport.route_forwarder import (
     LARGE_ANSWER_BUFFER_BYTES,
@@ -225,6 +227,88 @@
     assert all(answers), "closed while a request was at a target"
 
 
+async def answer_large(server, received, writer):
+    """Send a large answer to each path that begins with /read/large; slowly."""
+    if not received.path.startswith("/read/large"):
+        await behave.answer(server, received, writer)
+        return
+    writer.write(behave.head("200 OK", received, length=SIZE, Server_Signature="s"))
+    for _ in range(4):
+        await asyncio.sleep(0.05)
+        writer.write(b"x" * (SIZE // 4))
+
+
+async def test_a_request_waits_at_a_target_behind_an_answer_known_to_be_large(platform):
+    target, gateway = await start(platform, answer_large)
+    await platform.send("/read/large-0")
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/large-1", "/read/b")
+        await asyncio.sleep(0.1)
+        assert [each.path for each in target.received[1:]] == ["/read/large-1"]
+        answers = [await caller.answer() for _ in range(2)]
+    assert [each.status for each in answers] == [200, 200]
+    assert len(answers[0].body) == SIZE
+
+
+async def test_large_answers_are_held_without_limit(platform, monkeypatch):
+    """Beyond it, only the answers in front are given up."""
+    monkeypatch.setattr(route_forwarder, "MAX_LARGE_ANSWER_BUFFERS", 1)
+    _, gateway = await start(platform, behave.after(0.2, answer_large))
+    count = LARGE_ANSWER_BUFFER_BYTES // SIZE + 3
+
+    async def call(number):
+        async with raw_caller(gateway) as caller:
+            caller.send(f"/read/large-{number}", f"/read/{number}")
+            return [await caller.answer() for _ in range(2)]
+
+    results = await asyncio.gather(*map(call, range(count)))
+    assert all(behind.status == 200 for _, behind in results)
+    assert (
+        sorted(front.status for front, _ in results) == [200] * (count - 3) + [502] * 3
+    )
+
+
+async def test_an_answer_counts_as_held_before_its_caller_has_read_it(
+    platform, monkeypatch
+):
+    monkeypatch.setattr(route_forwarder, "MAX_LARGE_ANSWER_BUFFERS", 1)
+    _, gateway = await start(platform, behave.after(0.2, answer_large))
+    count = LARGE_ANSWER_BUFFER_BYTES // SIZE
+
+    async with AsyncExitStack() as stack:
+        callers = [
+            await stack.enter_async_context(raw_caller(gateway, limit=1024))
+            for _ in range(2 * count)
+        ]
+        for number, caller in enumerate(callers):
+            caller.send(f"/read/large-{number}", f"/read/{number}")
+        await asyncio.sleep(1.5)
+        answers = [await caller.answer() for caller in callers]
+    statuses = sorted(answer.status for answer in answers)
+    assert statuses == [200] * count + [502] * count
+
+
+async def test_a_large_answer_that_must_not_be_lost_is_given_up(platform, monkeypatch):
+    monkeypatch.setattr(route_forwarder, "LARGE_ANSWER_BUFFER_BYTES", SIZE // 8)
+
+    async def behaviour(server, received, writer):
+        if received.path == "/post/a":
+            await asyncio.sleep(0.2)
+            writer.write(
+                behave.head("200 OK", received, length=SIZE, Server_Signature="s")
+            )
+            writer.write(b"x" * SIZE)
+            return
+        await behave.answer(server, received, writer)
+
+    _, gateway = await start(platform, behaviour)
+    async with raw_caller(gateway) as caller:
+        caller.send("/post/a", "/read/b")
+        answers = [await caller.answer() for _ in range(2)]
+    assert [each.status for each in answers] == [200, 200]
+    assert len(answers[0].body) == SIZE
+
+
 @pytest.mark.parametrize("path", ["/read/b", "/post/b"])
 async def test_the_deadline_of_a_request_runs_while_it_waits_for_its_turn(
     platform, path
