Read nothing behind a request for a protocol that is not supported

What callers saw: a request behind one with Upgrade: h2c, in the same segment, got no answer.

Cause: the library's parser drops the bytes that it was passed behind such a request.

The answer to it now closes the connection, and nothing behind it is read, which tells the caller that these requests were not read.

Evidence: the new tests failed before: the answer did not close, the request in a body was answered with 200.

--- a/dogwoodhook/transport/bounded_requests.py
+++ b/dogwoodhook/transport/bounded_requests.py
@@ -27,6 +27,9 @@
 """The parser's limit for the lines of a head; never reached, since a head may not have
 that many bytes."""
 
+KEPT_PROTOCOLS = frozenset({"websocket"})
+"""Protocols for whose upgrade requests the parser keeps the bytes behind them."""
+
 BAD_REQUEST_STATUS = 400
 HEAD_TOO_LARGE_STATUS = 431
 HEAD_LATE_STATUS = 408
@@ -44,6 +47,7 @@
         "_head_timer",
         "_is_refusing",
         "_last_body",
+        "_last_request_body",
         "_tail",
     )
 
@@ -69,11 +73,13 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._is_refusing = False
         self._last_body: StreamReader = EMPTY_PAYLOAD
+        # The body of the last request that is read from the connection, if it is known.
+        self._last_request_body: StreamReader | None = None
         self._tail = b""
 
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes, and refuse a head that exceeds the limits."""
-        if self._is_refusing:
+        if self._is_refusing or self._has_read_last_request:
             return
         self._tail = last_bytes(self._tail, data, count=len(HEAD_END))
         last = self._messages[-1] if self._messages else None
@@ -81,6 +87,7 @@
         first_new = len(self._messages)
         super().data_received(data)
         self._refuse_unreadable(first_new)
+        self._close_after_unsupported_upgrade(first_new)
         if self._messages and self._messages[-1] is not last:
             message, self._last_body = self._messages[-1]
             self._is_refusing = isinstance(message, _ErrInfo)
@@ -146,6 +153,24 @@
             self._refuse(BAD_REQUEST_STATUS, "a host that cannot be read")
             return
 
+    @property
+    def _has_read_last_request(self) -> bool:
+        body = self._last_request_body
+        return body is not None and body.is_eof()
+
+    def _close_after_unsupported_upgrade(self, first: int) -> None:
+        """Let the answer to a new request for another protocol close the connection.
+
+        The parser drops the bytes that it was passed behind such a request, so what
+        follows would be read from the middle of another request.
+        """
+        for index in range(first, len(self._messages)):
+            message, body = self._messages[index]
+            if isinstance(message, _ErrInfo) or not has_unsupported_upgrade(message):
+                continue
+            self._messages[index] = (message._replace(should_close=True), body)
+            self._last_request_body = body
+
     def _refuse_late(self) -> None:
         self._refuse(HEAD_LATE_STATUS, "the head did not come in time")
 
@@ -199,6 +224,12 @@
         return False
 
 
+def has_unsupported_upgrade(message: RawRequestMessage) -> bool:
+    """Return whether the parser drops what was read behind a request."""
+    protocol = message.headers.get("Upgrade", "")
+    return bool(message.upgrade) and protocol.lower() not in KEPT_PROTOCOLS
+
+
 def head_bytes(request: web.BaseRequest) -> int:
     """Return the size of a request's head, without its version and line ends."""
     names = sum(len(name) + len(value) for name, value in request.raw_headers)
--- a/tests/platform_adapter/test_caller_limits.py
+++ b/tests/platform_adapter/test_caller_limits.py
@@ -181,6 +181,51 @@
     assert target.received[1].body == b"x" * body_bytes
 
 
+UNSUPPORTED_UPGRADE = b"Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+
+
+@pytest.mark.parametrize("body", [None, b"x" * 100])
+async def test_a_request_behind_an_unsupported_upgrade_gets_no_answer(platform, body):
+    """The parser drops it, so the answer in front says that it was not read."""
+    target, _ = await start(platform)
+    path = "/read/1" if body is None else "/post/1"
+    head, _, _ = request_text(path, body=body).partition(LINE_END + LINE_END)
+    upgrade = head + LINE_END + UNSUPPORTED_UPGRADE + (body or b"")
+    async with raw_caller(platform.gateways[0]) as caller, asyncio.timeout(5):
+        caller.writer.write(upgrade + request_text("/post/2", body=b"x"))
+        answer = await caller.answer()
+        assert (answer.status, answer.closes) == (200, True)
+        assert await caller.answer() is None
+    assert [each.path for each in target.received] == [path]
+
+
+async def test_a_request_in_a_body_behind_an_unsupported_upgrade_is_run(platform):
+    target, _ = await start(platform)
+    upgrade = request_text("/read/1")[: -len(LINE_END)] + UNSUPPORTED_UPGRADE
+    body = request_text("/post/smuggled", body=b"x")
+    behind = request_text("/post/2", body=body)
+    async with raw_caller(platform.gateways[0]) as caller, asyncio.timeout(5):
+        caller.writer.write(upgrade + behind[: -len(body)])
+        await asyncio.sleep(0.1)
+        caller.writer.write(body)
+        answers = await caller.answers()
+    assert [(each.status, each.closes) for each in answers] == [(200, True)]
+    assert [each.path for each in target.received] == ["/read/1"]
+
+
+async def test_the_body_of_an_unsupported_upgrade_is_cut(platform):
+    target, _ = await start(platform)
+    body = b"x" * 100_000
+    text = request_text("/post/1", body=body)
+    head = text[: -len(body) - len(LINE_END)] + UNSUPPORTED_UPGRADE
+    async with raw_caller(platform.gateways[0]) as caller, asyncio.timeout(5):
+        caller.writer.write(head + body[:10])
+        await asyncio.sleep(0.1)
+        caller.writer.write(body[10:])
+        assert (await caller.answer()).status == 200
+    assert [each.body for each in target.received] == [body]
+
+
 async def test_a_request_behind_a_slow_upgrade_does_not_time_out(platform):
     target, gateway = await start(platform, behave.after(1.5 * HEADER_TIMEOUT_S))
     upgrade = request_text("/read/1")[: -len(LINE_END)]
