Read on after the last answer of every listener

What callers saw: a draining native daemon cut an answer that its caller was still reading, if further requests were behind it (a known fault, test_closing_answers.py).

Cause: only the platform's listener read on after an answer that closes the connection. The native one closed with unread bytes, which resets the connection and the answer.

The code that lingers is a class of its own now, and all listeners use it.

--- a/dogwoodhook/transport/bounded_requests.py
+++ b/dogwoodhook/transport/bounded_requests.py
@@ -14,11 +14,12 @@
 from aiohttp.http import HttpProcessingError, RawRequestMessage
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
-from aiohttp.web_protocol import RequestHandler, _ErrInfo
+from aiohttp.web_protocol import _ErrInfo
 
 from dogwoodhook.events import REQUEST_MALFORMED, log
 from dogwoodhook.state.route_policy import CallerLimits
 from dogwoodhook.transport.framing import HEAD_END, LINE_END, last_bytes
+from dogwoodhook.transport.lingering import LingeringHandler
 
 MAX_LINE_BYTES = 1024 * 1024
 """The parser's limit for a line, above the head limit of any configuration."""
@@ -38,7 +39,7 @@
 GetLimits = Callable[[], CallerLimits]
 
 
-class BoundedRequestHandler(RequestHandler):
+class BoundedRequestHandler(LingeringHandler):
     """The server side of a caller's connection; enforces the limits."""
 
     __slots__ = (
@@ -80,6 +81,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes, and refuse a head that exceeds the limits."""
         if self._is_refusing or self._has_read_last_request:
+            self._has_received = True
             return
         self._tail = last_bytes(self._tail, data, count=len(HEAD_END))
         last = self._messages[-1] if self._messages else None
--- a/dogwoodhook/transport/listening.py
+++ b/dogwoodhook/transport/listening.py
@@ -6,6 +6,8 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from dogwoodhook.transport.lingering import ClosingHandler
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 IDLE_TIMEOUT_S = 75.0
@@ -24,6 +26,10 @@
 class GracefulServer(web.Server):
     """A server that answers every request it has read before it closes."""
 
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        return ClosingHandler(self, loop=self._loop, **self._kwargs)
+
     def pre_shutdown(self) -> None:
         """Close connections without an unanswered request at once.
 
--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -28,14 +28,6 @@
 MAX_PIPELINED = 16
 """Maximum number of requests of one connection that are started before their turn."""
 
-LINGER_S = 1.0
-"""How long a connection is still read after its last answer, and after any further
-bytes: several round trips, in which the caller reads the answer and closes."""
-
-MAX_LINGER_S = 10.0
-"""Time after the last answer at which the connection of a caller that keeps sending is
-closed."""
-
 _ARRIVED_S = web.RequestKey("arrived_s", float)
 """Key of the time at which a request's head was complete, on the event loop's clock."""
 
@@ -89,8 +81,6 @@
         "_arrived_s",
         "_closing_reason",
         "_forward",
-        "_has_received",
-        "_is_lingering",
         "_is_stopping",
         "_is_streaming",
         "_may_be_large",
@@ -116,8 +106,6 @@
         self._is_stopping = manager.is_stopping
         self._on_unanswered = manager.on_unanswered
         self._is_streaming = False
-        self._is_lingering = False
-        self._has_received = False
         self._unanswered: dict[int, web.BaseRequest] = {}
         self._closing_reason: ClosingReason | None = None
 
@@ -135,7 +123,7 @@
         """
         if self._is_lingering or self._unanswered or self._messages:
             return True
-        return self._has_unsent
+        return self.has_unsent
 
     def start_streaming(self) -> None:
         """Start no further requests until the current answer has been streamed."""
@@ -143,7 +131,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes, and start the requests that may start early."""
-        self._has_received = True
         super().data_received(data)
         self._start_waiting_requests()
 
@@ -216,57 +203,17 @@
         finished, is_reset = await super().finish_response(request, resp, start_time)
         _run_answered_callback(request)
         self._is_streaming = False
-        is_open = self.transport is not None and not self.transport.is_closing()
-        if is_open and not is_reset:
+        if self.is_open and not is_reset:
             self._unanswered.pop(id(request), None)
             if not finished.keep_alive:
                 self.record_closing_reason(ClosingReason.ANSWER)
-                await self._linger()
+                await self.linger()
         self._start_waiting_requests()
         return finished, is_reset
 
-    async def _linger(self) -> None:
-        """Close the sending side, and read until the caller closes the connection.
-
-        A connection that is closed with unread bytes is reset, and an answer that the
-        caller has not read yet is lost with it.
-        """
-        assert self.transport is not None
-        self._is_lingering = self._has_received = True
-        # Makes the library discard the bytes received from now on.
-        self.close()
-        self._messages.clear()
-        self.transport.write_eof()
-        if self._reading_paused:
-            # Reading was paused for a body that no handler reads any more.
-            self.resume_reading(resume_parser=False)
-        if self._buffer_paused:
-            self._resume_reading_for_buffer()
-        until_s = self._loop.time() + MAX_LINGER_S
-        while self._is_active and self._loop.time() < until_s:
-            self._has_received = False
-            await asyncio.sleep(LINGER_S)
-        self._is_lingering = False
-        self.force_close()
-
-    @property
-    def _is_active(self) -> bool:
-        """Return whether bytes are still being received or waiting to be written."""
-        return self._has_received or self._has_unsent
-
-    @property
-    def _has_unsent(self) -> bool:
-        if self.transport is None:
-            return False
-        return self.transport.get_write_buffer_size() > 0
-
     async def shutdown(self, timeout: float | None = 15.0) -> None:
         """Close the connection because the daemon stops."""
         self.record_closing_reason(ClosingReason.STOP)
-        if self._is_lingering:
-            # The answer has been written; only the caller's closing is outstanding.
-            self.force_close()
-            return
         await super().shutdown(timeout)
 
     def take_arrival(self, message: RawRequestMessage) -> float:
@@ -278,7 +225,6 @@
         return self._started.pop(id(message), None)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        self._is_lingering = False
         for request in self._unanswered.values():
             _run_answered_callback(request)
             self._on_unanswered(request, self._closing_reason or ClosingReason.CALLER)
