Give targets all of the route's timeout

Cause: the daemon ended the wait 50 ms before the timeout.

The wait now ends at the timeout.

Evidence: the new test failed before (at most 1950 ms of 2000).

--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -109,9 +109,6 @@
 they are passed on, where later requests of the same connection are already at targets.
 Together they take a tenth of a small VM's memory."""
 
-ANSWER_MARGIN_S = 0.05
-"""How long before the route's timeout the daemon gives its own answer."""
-
 MIN_ATTEMPT_S = 0.05
 """Minimum time left before the deadline for a request to be sent to a target."""
 
@@ -301,8 +298,12 @@
         )
 
     def _time_limit_s(self, request: web.BaseRequest, route: RoutePolicy) -> float:
-        """Return the time from a request's arrival within which it is answered."""
-        allowed_s = route.timeout_s - ANSWER_MARGIN_S
+        """Return the time from a request's arrival within which targets may answer it.
+
+        Until the route's timeout a target may still do so; the caller's own deadline
+        has to leave time for the answer to arrive.
+        """
+        allowed_s = route.timeout_s
         remaining_ms = request.headers.get(self._conventions.remaining_ms_header, "")
         if remaining_ms.isascii() and remaining_ms.isdigit():
             allowed_s = min(allowed_s, int(remaining_ms) / 1000 - CALLER_MARGIN_S)
--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -174,6 +174,16 @@
         await platform.send("/read/1")
 
 
+async def test_targets_get_less_time_than_the_routes_timeout(platform):
+    target = await start(platform)
+    await platform.configure(2, post=make_route("/post/", timeout="2000ms"))
+    await until(lambda: platform.gateways[0].configuration_version == 2)
+    for number in range(10):
+        await platform.send(f"/post/{number}", data=b"x")
+    longest_ms = max(int(each.headers["deadline-ms"]) for each in target.received)
+    assert 1950 < longest_ms <= 2000
+
+
 async def test_a_request_without_an_answer_gets_504_at_the_routes_timeout(platform):
     target = await start(platform, behave.hang)
     await platform.configure(2, post=make_route("/post/", timeout="300ms"))
