--- a/dogwoodhook/transport/own_answers.py
+++ b/dogwoodhook/transport/own_answers.py
@@ -1,5 +1,6 @@
 """The daemon's own answers to callers, for requests on the operator's routes."""
 
+import math
 import random
 
 from aiohttp import web
@@ -43,7 +44,8 @@
         """Return an answer that promises that the request has not run."""
         answer = self.failure(request, UNAVAILABLE_STATUS, detail)
         retry_s = retry_after_s(cause, rng=self._rng)
-        answer.headers["Retry-After"] = f"{retry_s:.2f}"
+        # Rounded up, so that no caller returns before the first pause ends.
+        answer.headers["Retry-After"] = f"{math.ceil(retry_s * 100) / 100:.2f}"
         return answer
 
     def quarantined(
