--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -25,24 +25,14 @@
     REQUEST_CUT,
     REQUEST_REFUSED,
     REQUEST_UNANSWERED,
-    TARGET_LEAVING,
     TARGET_LIVES,
-    TARGET_NOTICE_IGNORED,
-    TARGET_PAUSED,
     log,
 )
 from dogwoodhook.metrics import Metrics
 from dogwoodhook.protocol.headers import SERVER_ERROR_STATUS, end_to_end_headers
 from dogwoodhook.protocol.http_conventions import HttpConventions
 from dogwoodhook.protocol.request_uri import RequestUri
-from dogwoodhook.protocol.target_notices import (
-    LeavingNotice,
-    PauseNotice,
-    TargetNotice,
-    UnreadableNotice,
-)
 from dogwoodhook.state.daemon_stop import DaemonStop
-from dogwoodhook.state.large_answers import HeldBytes, LargeAnswerRoutes
 from dogwoodhook.state.placement import Candidate
 from dogwoodhook.state.quarantine import Admission, Admit, Refuse, RunAlone
 from dogwoodhook.state.retry_after import (
@@ -54,7 +44,6 @@
 )
 from dogwoodhook.state.route_policy import RoutePolicy, RoutingConfiguration
 from dogwoodhook.state.suspicion import Standing, Symptom
-from dogwoodhook.state.target_availability import Available, describe, pause_for
 from dogwoodhook.state.target_directory import TargetEntry
 from dogwoodhook.state.typical_latency import TypicalLatency
 from dogwoodhook.state.unanswered_runs import UnansweredRun
@@ -65,7 +54,6 @@
     MayHaveRun,
     NotRunAtTarget,
     OpenAnswer,
-    read_rest,
     send_attempt,
 )
 from dogwoodhook.transport.bodies import RequestBody, read_prelude
@@ -78,13 +66,11 @@
 from dogwoodhook.transport.detached_tasks import DetachedTasks
 from dogwoodhook.transport.fleet_reports import FleetReports
 from dogwoodhook.transport.fleet_view import FleetView
+from dogwoodhook.transport.held_answers import HeldAnswers, may_stream
 from dogwoodhook.transport.own_answers import UNAVAILABLE_STATUS, OwnAnswers
 from dogwoodhook.transport.pipelining import (
     ClosingReason,
-    PipelinedRequest,
     abort_caller_connection,
-    call_when_answered,
-    has_started_behind,
     start_streaming,
     waited_s,
 )
@@ -97,6 +83,7 @@
 from dogwoodhook.transport.resend_guard import AttemptTrace
 from dogwoodhook.transport.routed_request import RoutedRequest
 from dogwoodhook.transport.stop_timeouts import StopTimeouts
+from dogwoodhook.transport.target_announcements import TargetAnnouncements
 
 REPLAY_BUFFER_BYTES = 512 * 1024
 """Bodies up to this size are buffered, so that they can be sent to another target."""
@@ -175,10 +162,12 @@
         self._clock = clock
         self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
         self._rng = rng
-        self._held_bytes = HeldBytes(
-            MAX_LARGE_ANSWER_BUFFERS * LARGE_ANSWER_BUFFER_BYTES
+        self._announcements = TargetAnnouncements(fleet.directory, clock, metrics, rng)
+        self._held_answers = HeldAnswers(
+            clock,
+            stop_timeouts,
+            limit_bytes=MAX_LARGE_ANSWER_BUFFERS * LARGE_ANSWER_BUFFER_BYTES,
         )
-        self._large_answer_routes = LargeAnswerRoutes()
         self._running: set[RoutedRequest] = set()
         fleet.quarantine.on_stopped = self._recall
         self._typical_latencies: defaultdict[str, TypicalLatency] = defaultdict(
@@ -293,9 +282,7 @@
         if configuration is None or uri is None:
             return False
         route = _route_of(configuration, request, uri)
-        return route is not None and self._large_answer_routes.contains(
-            route.name, now_s=self._clock.now_s()
-        )
+        return route is not None and self._held_answers.may_be_large(route)
 
     def _time_limit_s(self, request: web.BaseRequest, route: RoutePolicy) -> float:
         """Return the time from a request's arrival within which targets may answer it.
@@ -576,9 +563,9 @@
                 return self._deliver(routed, target.name, result)
             case OpenAnswer():
                 routed.has_answer_started = True
-                buffered = await self._buffer_large_answer(routed, result)
+                buffered = await self._held_answers.hold_if_needed(routed, result)
                 if isinstance(buffered, OpenAnswer):
-                    if self._may_stream(routed):
+                    if may_stream(routed):
                         return await self._stream(routed, target, buffered)
                     buffered.response.close()
                     return self._refuse_or_fail(routed, TOO_LARGE_DETAIL)
@@ -596,60 +583,6 @@
                 self._record_failure(routed, target, symptom, detail)
                 return detail
 
-    def _may_stream(self, routed: RoutedRequest) -> bool:
-        """Return whether a large answer may be passed on before it is complete.
-
-        If it broke off then, the requests started behind it would be lost. Instead the
-        request itself is given up, unless it must not run again: its caller needs the
-        outcome.
-        """
-        return not has_started_behind(routed.request) or not routed.route.is_idempotent
-
-    async def _buffer_large_answer(
-        self, routed: RoutedRequest, opened: OpenAnswer
-    ) -> AttemptResult:
-        """Buffer a large answer completely if later requests have been started.
-
-        Otherwise return it as it is, and also if too many bytes would be held.
-        """
-        self._large_answer_routes.record(routed.route.name, now_s=self._clock.now_s())
-        try:
-            async with asyncio.timeout(routed.deadline_s - self._clock.now_s()):
-                if isinstance(routed.request, PipelinedRequest):
-                    await routed.request.wait_for_turn()
-                if not has_started_behind(routed.request):
-                    return opened
-                async with self._stop_timeouts.until_reading_ends():
-                    return await self._hold(routed, opened)
-        except TimeoutError:
-            opened.response.close()
-            return MayHaveRun("no answer in time", None)
-        except asyncio.CancelledError:
-            opened.response.close()
-            raise
-
-    async def _hold(self, routed: RoutedRequest, opened: OpenAnswer) -> AttemptResult:
-        """Read an answer to its end, or until too many bytes are held.
-
-        Its bytes count as held until the caller has got them.
-        """
-        held, taken = self._held_bytes, 0
-
-        def may_hold(count: int) -> bool:
-            nonlocal taken
-            if not held.try_take(count):
-                return False
-            taken += count
-            return True
-
-        call_when_answered(routed.request, lambda: held.give_back(taken))
-        length = opened.response.content_length
-        if not may_hold(len(opened.body) if length is None else length):
-            return opened
-        if length is None:
-            return await read_rest(opened, may_hold=may_hold)
-        return await read_rest(opened, may_hold=lambda count: True)
-
     def _conclude(self, routed: RoutedRequest, detail: str) -> web.StreamResponse:
         """Return the final answer to a request without a successful attempt."""
         if routed.failure is not None:
@@ -697,10 +630,10 @@
             request_id=routed.request_id,
             timeout_s=remaining_s,
             connect_timeout_s=CONNECT_TIMEOUT_S * 2**routed.unreachable,
-            on_notice=lambda notice: self._record_notice(routed, target, notice),
+            on_notice=lambda notice: self._announcements.record(routed, target, notice),
         )
         may_use_idle = fleet.suspicion.may_use_idle(target.name, now_s=now_s)
-        trace = AttemptTrace(lambda: self._obstacle_at(routed, target))
+        trace = AttemptTrace(lambda: self._announcements.obstacle(routed, target))
         overdue = asyncio.create_task(
             self._report_overdue(routed, target, trace, due_s=now_s + overdue_s)
         )
@@ -734,48 +667,6 @@
                 self._reports.report_success(target.name, sent_s=now_s)
         return result
 
-    def _obstacle_at(self, routed: RoutedRequest, target: TargetEntry) -> str | None:
-        """Return why a request is not to be sent to a target now, if so."""
-        match self._fleet.directory.availability(
-            target, turn=routed.turn, now_s=self._clock.now_s()
-        ):
-            case Available():
-                return None
-            case obstacle:
-                return describe(obstacle)
-
-    def _record_notice(
-        self, routed: RoutedRequest, target: TargetEntry, notice: TargetNotice
-    ) -> None:
-        """Act on what a target said of itself in its answer to a request."""
-        fields = {"request": routed.request_id, "target": target.name}
-        match notice:
-            case LeavingNotice():
-                if self._fleet.directory.record_leaving(target):
-                    self._metrics.record_target_notice("leaving")
-                    log(TARGET_LEAVING, **fields, incarnation=target.incarnation)
-            case PauseNotice(for_s):
-                self._record_pause(routed, target, for_s)
-            case UnreadableNotice(header, value):
-                self._metrics.record_target_notice("unreadable")
-                log(TARGET_NOTICE_IGNORED, **fields, header=header, value=value)
-
-    def _record_pause(
-        self, routed: RoutedRequest, target: TargetEntry, for_s: float
-    ) -> None:
-        now_s = self._clock.now_s()
-        pause = pause_for(for_s, place=self._rng.random(), now_s=now_s)
-        if not self._fleet.directory.record_pause(target, pause):
-            return
-        self._metrics.record_target_notice("pause")
-        log(
-            TARGET_PAUSED,
-            request=routed.request_id,
-            target=target.name,
-            value_s=for_s,
-            until_ms=round((pause.until_s - now_s) * 1000),
-        )
-
     async def _check_survival(
         self,
         routed: RoutedRequest,
