Count an answer that broke off as held no longer

What callers would have seen: after some large answers had broken off and been retried, every later one with requests behind it got 502, since their bytes were never given back.

Cause: the bytes were given back with the request's final answer, and a second attempt replaced the first one's count.

Evidence: the new test failed before (502 after four answers) and passes.

--- a/dogwoodhook/transport/held_answers.py
+++ b/dogwoodhook/transport/held_answers.py
@@ -7,6 +7,7 @@
 from dogwoodhook.state.route_policy import RoutePolicy
 from dogwoodhook.transport.attempts import (
     AttemptResult,
+    CompleteAnswer,
     MayHaveRun,
     OpenAnswer,
     read_rest,
@@ -71,7 +72,7 @@
     async def _hold(self, routed: RoutedRequest, opened: OpenAnswer) -> AttemptResult:
         """Read an answer to its end, or until too many bytes are held.
 
-        Its bytes count as held until the caller has got them.
+        The bytes of a complete answer count as held until the caller has got them.
         """
         held, taken = self._held, 0
 
@@ -82,10 +83,18 @@
             taken += count
             return True
 
-        call_when_answered(routed.request, lambda: held.give_back(taken))
         length = opened.response.content_length
         if not may_hold(len(opened.body) if length is None else length):
             return opened
-        if length is None:
-            return await read_rest(opened, may_hold=may_hold)
-        return await read_rest(opened, may_hold=lambda count: True)
+        result: AttemptResult | None = None
+        try:
+            result = await read_rest(
+                opened,
+                may_hold=may_hold if length is None else lambda count: True,
+            )
+            return result
+        finally:
+            if isinstance(result, CompleteAnswer):
+                call_when_answered(routed.request, lambda: held.give_back(taken))
+            else:
+                held.give_back(taken)
--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -315,7 +315,10 @@
 
 def call_when_answered(request: web.BaseRequest, callback: Callable[[], None]) -> None:
     """Call a function once the answer has been written or the connection has closed."""
-    request[_ON_ANSWERED] = callback
+    if request.transport is None:
+        callback()
+    else:
+        request[_ON_ANSWERED] = callback
 
 
 def _run_answered_callback(request: web.BaseRequest) -> None:
--- a/tests/platform_adapter/test_pipelined_closings.py
+++ b/tests/platform_adapter/test_pipelined_closings.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from dogwoodhook.state import large_answers
 from dogwoodhook.transport import route_forwarder
 from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES
 from dogwoodhook.transport.route_forwarder import (
@@ -288,6 +289,34 @@
     assert statuses == [200] * count + [502] * count
 
 
+async def test_answers_that_broke_off_count_as_held_for_ever(platform, monkeypatch):
+    monkeypatch.setattr(route_forwarder, "MAX_LARGE_ANSWER_BUFFERS", 1)
+    monkeypatch.setattr(large_answers, "LARGE_ROUTE_S", 0.0)
+    rounds = 2 * LARGE_ANSWER_BUFFER_BYTES // SIZE
+    has_broken = set()
+
+    async def behaviour(server, received, writer):
+        if received.path in has_broken or not received.path.startswith("/read/large"):
+            await answer_large(server, received, writer)
+            return
+        has_broken.add(received.path)
+        writer.write(behave.head("200 OK", received, length=SIZE, Server_Signature="s"))
+        writer.write(b"x" * (SIZE - 1))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        behave.reset_connection(writer)
+
+    _, gateway = await start(platform, behave.after(0.1, behaviour))
+    await platform.start_target("t2", behave.after(0.1, behaviour))
+    await until(lambda: gateway.knows_target("t2"))
+    async with raw_caller(gateway) as caller:
+        for number in range(rounds):
+            caller.send(f"/read/large-{number}", f"/read/{number}")
+            answers = [await caller.answer() for _ in range(2)]
+            assert [each.status for each in answers] == [200, 200]
+    assert len(has_broken) == rounds
+
+
 async def test_a_large_answer_that_must_not_be_lost_is_given_up(platform, monkeypatch):
     monkeypatch.setattr(route_forwarder, "LARGE_ANSWER_BUFFER_BYTES", SIZE // 8)
 
