End a stopped daemon without the teardown of the interpreter

The process now ends as soon as the stop is done and the log is flushed.

Evidence: the new test failed before (handlers of the interpreter's exit ran).

--- a/dogwoodhook/platform/__main__.py
+++ b/dogwoodhook/platform/__main__.py
@@ -22,6 +22,9 @@
     gc.freeze()
     gc.enable()
     run()
+    # The teardown of the interpreter would outlast the grace period on a slow VM. The
+    # log has been flushed.
+    os._exit(os.EX_OK)
 
 
 if __name__ == "__main__":
--- a/dogwoodhook/platform/program.py
+++ b/dogwoodhook/platform/program.py
@@ -30,7 +30,7 @@
     close_timeout_s = CLOSE_TIMEOUT_S
     try:
         with handler.applicationbound():
-            # Half of the time left is kept for the interpreter to exit.
+            # Half of the time left is kept for the process to exit.
             close_timeout_s = min(close_timeout_s, asyncio.run(serve(platform)) / 2)
     finally:
         handler.close(timeout_s=close_timeout_s)
--- a/tests/platform_adapter/test_program.py
+++ b/tests/platform_adapter/test_program.py
@@ -71,6 +71,20 @@
     assert "daemon-stopped" in output
 
 
+def test_a_stopped_daemon_ends_only_after_the_teardown_of_the_interpreter():
+    code = """
+import atexit
+from dogwoodhook.platform import __main__, program
+atexit.register(print, "torn down", flush=True)
+program.run = lambda: print("stopped", flush=True)
+__main__.main()
+"""
+    finished = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True
+    )
+    assert (finished.returncode, finished.stdout) == (0, "stopped\n"), finished.stderr
+
+
 def evaluate_after_start(expression):
     """Return the value of an expression after the daemon's program has started."""
     code = f"""
