--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -526,13 +526,13 @@
 )
 async def test_a_soak_in_which_targets_end_without_limit_finds_no_violation(seed):
     report = await soak(seed=seed, seconds=14.0)
-    assert not report.violations, report
+    assert not report.violations, str(report)
     assert report.checked["ends targets without limit"]
 
 
 @pytest.mark.parametrize("seed", [9001, 9002])
 async def test_a_soak_in_which_targets_leave_and_pause_finds_no_violation(seed):
     report = await soak(seed=seed, seconds=8.0)
-    assert not report.violations, report
+    assert not report.violations, str(report)
     assert report.checked["sent to a leaving target"]
     assert report.checked["sent in a pause"]
