--- a/tests/platform_adapter/test_target_notices.py
+++ b/tests/platform_adapter/test_target_notices.py
@@ -11,6 +11,8 @@
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.raw_caller import raw_caller
 
+pytestmark = pytest.mark.xdist_group("timed")
+
 
 async def start(platform, *behaviours):
     """Start a target with behaviours, and a daemon."""
--- a/tests/test_fleet_quarantine.py
+++ b/tests/test_fleet_quarantine.py
@@ -34,6 +34,7 @@
     RequestIdentity,
     RunAlone,
 )
+from tests import virtual_time
 
 CONTACT_S = 3.0
 MAX_LATER_ARRIVALS = 3
@@ -108,12 +109,12 @@
 class Fleet:
     """Daemons whose messages arrive at once, unless they are lost."""
 
-    def __init__(self, daemons, *, loss=0.0, seed=1, is_encoded=True):
+    def __init__(self, daemons, *, loss=0.0, seed=1, is_encoded=True, clock=None):
         self.is_encoded = is_encoded
         self.rng = random.Random(seed)
         self.loss = loss
         self.delays_messages = False
-        self.clock = ManualClock()
+        self.clock = clock or ManualClock()
         self.ticks = 0
         self.store = MemoryStore()
         self.daemons = {}
@@ -356,19 +357,20 @@
     assert 1 <= next(fleet.store.numbers) - 1 <= 3
 
 
-async def test_the_first_quarantine_is_stored_late_or_not_at_all():
+def test_the_first_quarantine_is_stored_late_or_not_at_all():
     """All daemons may be killed a second after the third end."""
-    fleet = Fleet(2)
-    daemon = fleet.daemons["vm-0"]
-    task = asyncio.create_task(daemon.run())
-    for number in range(3):
-        daemon.record_crash("payouts", HARMFUL, f"t{number}/1")
-    started_s = asyncio.get_running_loop().time()
-    while not fleet.store.rows:
-        await asyncio.sleep(0.01)
-        fleet.clock.elapsed_s += 0.01
-        assert asyncio.get_running_loop().time() < started_s + 0.9
-    task.cancel()
+
+    async def store_after_three_ends():
+        fleet = Fleet(2, clock=virtual_time.LoopClock())
+        daemon = fleet.daemons["vm-0"]
+        task = asyncio.create_task(daemon.run())
+        for number in range(3):
+            daemon.record_crash("payouts", HARMFUL, f"t{number}/1")
+        await asyncio.sleep(0.9)
+        task.cancel()
+        return fleet.store.rows
+
+    assert virtual_time.run(store_after_three_ends)
 
 
 async def test_a_quarantine_is_stored_when_the_store_is_back():
