--- a/tests/platform_adapter/soak/announcements.py
+++ b/tests/platform_adapter/soak/announcements.py
@@ -39,17 +39,19 @@
         self._rng = random.Random(f"announcements {seed}")
 
     async def run(self) -> None:
-        """Let targets pause and leave; both may overlap."""
+        """Let all targets pause at once, then let some pause and leave, overlapping."""
+        for target in self._world.targets.values():
+            self._pause(target)
         async with asyncio.TaskGroup() as group:
+            group.create_task(self._add_and_leave())
             while True:
                 await asyncio.sleep(self._rng.uniform(0.2, MAX_INTERVAL_S))
                 if self._rng.random() < 0.6:
-                    self._pause_one()
+                    self._pause(self._rng.choice(list(self._world.targets.values())))
                 else:
                     group.create_task(self._add_and_leave())
 
-    def _pause_one(self) -> None:
-        target = self._rng.choice(list(self._world.targets.values()))
+    def _pause(self, target: SoakTarget) -> None:
         until_s = time.monotonic() + self._rng.uniform(*PAUSES_S)
         target.paused_until_s = max(target.paused_until_s, until_s)
 
