--- a/tests/platform_adapter/soak/records.py
+++ b/tests/platform_adapter/soak/records.py
@@ -156,6 +156,10 @@
     timeout_s: float = math.inf
     target_ended_s: float | None = None
 
+    def target_ended_by(self, at_s: float) -> bool:
+        """Return whether the target had ended, so that its answer may be cut."""
+        return self.target_ended_s is not None and self.target_ended_s <= at_s
+
     @property
     def was_cut_at_work(self) -> bool:
         """Return whether it was cut before the target's timeout."""
@@ -465,7 +469,10 @@
     A daemon reads all other answers completely before it forwards them, and sends a
     failure in place of an incomplete one.
     """
-    return call.has_begun and (call.is_overdue or any(run.broke_off for run in runs))
+    return call.has_begun and (
+        call.is_overdue
+        or any(run.broke_off or run.target_ended_by(call.ended_s) for run in runs)
+    )
 
 
 def _was_due(call: CallRecord) -> bool:
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -160,6 +160,9 @@
     [
         ({}, False),
         ({"broke_off": True}, True),
+        # The target ended 6 ms after it had written the answer.
+        ({"ended_s": 1.9, "target_ended_s": 1.906}, True),
+        ({"ended_s": 1.9, "target_ended_s": 2.1}, False),
     ],
 )
 def test_only_a_streamed_answer_may_break_off(changes, is_excused):
