--- a/tests/platform_adapter/test_target_notices.py
+++ b/tests/platform_adapter/test_target_notices.py
@@ -131,20 +131,16 @@
     assert reply.status == 200
 
 
-async def test_a_paused_target_counts_as_failing(platform):
-    await start(platform, behave.pausing("0.3"), behave.answer)
-    await platform.send("/post/0", data=b"x")
-    await start_other(platform)
+async def test_a_target_that_asked_for_a_pause_counts_as_busy_after_it(platform):
+    await start(platform, behave.pausing("0.05"), behave.answer)
     with logbook.TestHandler().applicationbound() as handler:
-        replies = [await platform.send(f"/post/{n}", data=b"x") for n in range(5)]
-        await asyncio.sleep(0.6)
-        replies += [await platform.send(f"/post/{n}", data=b"x") for n in range(40)]
-    assert {reply.status for reply in replies} == {200}
+        await platform.send("/post/0", data=b"x")
+        await asyncio.sleep(0.1)
+        assert (await platform.send("/post/1", data=b"x")).status == 200
     lines = [str(record.message) for record in handler.records]
     assert not any("target-suspected" in line for line in lines)
-    answered = [line for line in lines if "request-answered" in line]
-    assert len(answered) == len(replies)
-    assert all("standing=sound" in line for line in answered)
+    [answered] = [line for line in lines if "request-answered" in line]
+    assert "standing=sound" in answered
 
 
 async def test_requests_that_wait_for_a_connection_reach_a_paused_target(
@@ -159,7 +155,7 @@
     )
     assert {reply.status for reply in replies} == {503}
     assert time.monotonic() - began_s < 1.0
-    assert len(target.received) <= 4
+    assert len(target.received) <= 2
 
 
 @pytest.mark.parametrize(
