Hold a relay's port while it is closed

Cause: the relay before a target that has ended closed its port, which the system then gave to a relay of the other soak.

Ruled out: a fault of the daemons. Requests name the target that they expect, and on the platform no two targets have the same name.

The relay now keeps a bound socket that does not listen. The test fails before the change (the port could be bound by another socket).

--- a/dogwoodhook/testing/relay.py
+++ b/dogwoodhook/testing/relay.py
@@ -7,8 +7,8 @@
 drops packets. ``silence_open_connections`` does the same permanently to the connections
 that are open at that moment, while new ones work. ``reset_open_connections`` closes
 the open connections with a reset, and ``close_port`` the port too, as if the process
-behind it had ended. ``bytes_per_s`` limits the bandwidth, and ``delay_s`` delays each
-piece of data.
+behind it had ended; no other socket gets the port until the relay has ended.
+``bytes_per_s`` limits the bandwidth, and ``delay_s`` delays each piece of data.
 """
 
 import asyncio
@@ -34,9 +34,12 @@
         self._server_address = (host, port)
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self._port_holder: socket.socket | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> "Relay":
+        self._port_holder = _bind_any_port()
+        self.port = self._port_holder.getsockname()[1]
         await self.open_port()
         return self
 
@@ -46,9 +49,10 @@
         return self._server is not None and self._server.is_serving()
 
     async def open_port(self) -> None:
-        """Accept connections, at the same port as before if it was open already."""
-        self._server = await asyncio.start_server(self._accept, LOOPBACK, self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
+        """Accept connections; the port stays the same."""
+        self._server = await asyncio.start_server(
+            self._accept, LOOPBACK, self.port, reuse_address=True
+        )
 
     def close_port(self) -> None:
         """Close the port, and reset the connections that are open."""
@@ -64,6 +68,8 @@
     ) -> None:
         if self._server is not None:
             self._server.close()
+        if self._port_holder is not None:
+            self._port_holder.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -132,6 +138,17 @@
             sink.write_eof()
 
 
+def _bind_any_port() -> socket.socket:
+    """Return a socket that holds a free port without listening on it.
+
+    Only a listener with ``SO_REUSEADDR`` that names the port can have it as well.
+    """
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind((LOOPBACK, 0))
+    return holder
+
+
 def _reset_on_close(writer: asyncio.StreamWriter) -> None:
     connection = writer.get_extra_info("socket")
     if connection is not None and connection.fileno() >= 0:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,6 +1,7 @@
 """The TCP relay that simulates faults of a network."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -49,6 +50,19 @@
     server.close()
 
 
+async def test_a_closed_port_is_not_given_to_another_process():
+    # Requests for a target that had ended reached a target of another soak.
+    async with Relay(port=1) as relay:
+        relay.close_port()
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind(("127.0.0.1", relay.port))
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection("127.0.0.1", relay.port)
+        await relay.open_port()
+        _, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+        writer.close()
+
+
 async def test_each_chunk_is_delayed():
     server = await asyncio.start_server(_echo, "127.0.0.1", 0)
     async with Relay(port=server.sockets[0].getsockname()[1]) as relay:
