Let a stalled target get its requests before another one starts

Cause: the test's. An answer leaves an idle connection, which later requests prefer, so all four could go to the other target.

--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -447,7 +447,6 @@
 async def test_a_target_that_stalls_at_one_daemon_is_not_used_by_another(platform):
     await platform.configure()
     hanging = await platform.start_target("t1", behave.hang)
-    await platform.start_target("t2")
     first = await platform.start_gateway("vm-1")
     second = await platform.start_gateway("vm-2")
     await until(lambda: first.peers.neighbours() and second.peers.neighbours())
@@ -456,11 +455,14 @@
         for _ in range(4)
     ]
     await until(lambda: hanging.received)
+    # Started now, so that it can't serve the four requests.
+    await platform.start_target("t2", behave.after(0.2))
     await asyncio.sleep(TARGET_LATENCY_S)
     before = len(hanging.received)
-    for _ in range(8):
-        reply = await platform.send("/post/2", gateway=second, data=b"x")
-        assert reply.body == b"t2 ran /post/2"
+    replies = await asyncio.gather(
+        *(platform.send("/post/2", gateway=second, data=b"x") for _ in range(24))
+    )
+    assert {reply.body for reply in replies} == {b"t2 ran /post/2"}
     assert len(hanging.received) == before
     for each in stalled:
         each.cancel()
