--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -5,7 +5,8 @@
 import aiohttp
 import pytest
 
-from dogwoodhook.state.suspicion import Symptom
+from dogwoodhook.clock import SystemClock
+from dogwoodhook.state.suspicion import Standing, Symptom
 from dogwoodhook.transport import route_forwarder, target_connections
 from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES, NotRunAtTarget
 from dogwoodhook.transport.route_forwarder import REPLAY_BUFFER_BYTES
@@ -458,6 +459,10 @@
     # Started now, so that it can't serve the four requests.
     await platform.start_target("t2", behave.after(0.2))
     await asyncio.sleep(TARGET_LATENCY_S)
+    avoidance = second._suspicion.avoidance(
+        "t1", is_idempotent=False, now_s=SystemClock().now_s()
+    )
+    assert avoidance.standing is Standing.SLOW
     before = len(hanging.received)
     replies = await asyncio.gather(
         *(platform.send("/post/2", gateway=second, data=b"x") for _ in range(24))
