Give the tests of cut and broken answers time for connections

Neither failed in runs of its file alone.

Cause: an event loop that stands still for over 0.3 s while a connection is opened. The daemon then counts the connection as failed and refuses the request, which is right and not what the two tests are about.

Both now allow 3 s for a connection.

--- a/tests/platform_adapter/conftest.py
+++ b/tests/platform_adapter/conftest.py
@@ -14,6 +14,7 @@
 from dogwoodhook.platform.store_client import HttpStore
 from dogwoodhook.testing.fleet import free_port
 from dogwoodhook.testing.relay import Relay
+from dogwoodhook.transport import route_forwarder
 from dogwoodhook.vm_settings import Address, ServiceBounds, VmSettings
 from tests.exchanges import until
 from tests.platform_adapter.store_server import (
@@ -147,3 +148,9 @@
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_store())
         yield Platform(store, stack)
+
+
+@pytest.fixture
+def slow_connections(monkeypatch):
+    """Allow seconds for a connection to a target, for tests of what follows it."""
+    monkeypatch.setattr(route_forwarder, "CONNECT_TIMEOUT_S", 3.0)
--- a/tests/platform_adapter/test_cut_heads.py
+++ b/tests/platform_adapter/test_cut_heads.py
@@ -6,7 +6,10 @@
 
 from tests.platform_adapter import target_server as behave
 
-pytestmark = pytest.mark.xdist_group("timed")
+pytestmark = [
+    pytest.mark.xdist_group("timed"),
+    pytest.mark.usefixtures("slow_connections"),
+]
 
 BODY = b"whole"
 
--- a/tests/platform_adapter/test_pipelined_closings.py
+++ b/tests/platform_adapter/test_pipelined_closings.py
@@ -50,6 +50,7 @@
     return target, await platform.start_gateway()
 
 
+@pytest.mark.usefixtures("slow_connections")
 @pytest.mark.parametrize("large", ["a", "b"])
 async def test_requests_behind_an_answer_that_breaks_off_are_answered(platform, large):
     path = f"/read/{large}"
