Call what a target says of itself an announcement everywhere

It was a notice in protocol/ and an announcement in transport/ and the soak, while a notice is a daemon's report of its configuration row in the glossary. Log event 327 is now target-announcement-ignored, and the counter dogwoodhook_target_announcements.

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -274,9 +274,9 @@
     "A target turned a request away and asked for a pause of `value_s`; this daemon"
     " sends it nothing for `until_ms` from now.",
 )
-TARGET_NOTICE_IGNORED = _event(
+TARGET_ANNOUNCEMENT_IGNORED = _event(
     327,
-    "target-notice-ignored",
+    "target-announcement-ignored",
     Level.WARNING,
     "A header of a target's answer has a value that is not defined; it is ignored.",
 )
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -52,7 +52,7 @@
         return {"closed_by": self.closed_by}
 
 
-class _NoticeSeries(NamedTuple):
+class _AnnouncementSeries(NamedTuple):
     kind: str
 
     def attributes(self) -> dict[str, str]:
@@ -156,7 +156,7 @@
         self._unanswered: Counter[_ClosingSeries] = Counter()
         self._target_crashes = 0
         self._quarantine_refusals = 0
-        self._target_notices: Counter[_NoticeSeries] = Counter()
+        self._target_announcements: Counter[_AnnouncementSeries] = Counter()
         meter.create_observable_counter(
             "dogwoodhook_requests",
             callbacks=[lambda options: _observations(self._requests)],
@@ -184,8 +184,8 @@
             description="requests refused because targets ended under them before",
         )
         meter.create_observable_counter(
-            "dogwoodhook_target_notices",
-            callbacks=[lambda options: _observations(self._target_notices)],
+            "dogwoodhook_target_announcements",
+            callbacks=[lambda options: _observations(self._target_announcements)],
             description="changes that targets announced in their answers, by kind",
         )
 
@@ -239,9 +239,9 @@
         """Record a request that was refused because of its quarantine."""
         self._quarantine_refusals += 1
 
-    def record_target_notice(self, kind: str) -> None:
+    def record_target_announcement(self, kind: str) -> None:
         """Record that a target announced something in an answer."""
-        self._target_notices[_NoticeSeries(kind)] += 1
+        self._target_announcements[_AnnouncementSeries(kind)] += 1
 
     def record_unanswered(self, closed_by: str) -> None:
         """Record a request whose connection closed before its answer was complete."""
@@ -291,6 +291,6 @@
     counts: Counter[_RequestSeries]
     | Counter[_RetrySeries]
     | Counter[_ClosingSeries]
-    | Counter[_NoticeSeries],
+    | Counter[_AnnouncementSeries],
 ) -> list[Observation]:
     return [Observation(count, series.attributes()) for series, count in counts.items()]
--- a/dogwoodhook/protocol/target_notices.py
+++ b/dogwoodhook/protocol/target_announcements.py
@@ -18,51 +18,53 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LeavingNotice:
+class LeavingAnnouncement:
     """The target accepts no new requests until another process replaces it."""
 
 
 @dataclass(frozen=True, slots=True)
-class PauseNotice:
+class PauseAnnouncement:
     """The target asks to be sent nothing for ``for_s``."""
 
     for_s: float
 
 
 @dataclass(frozen=True, slots=True)
-class UnreadableNotice:
+class UnreadableAnnouncement:
     """A header has a value that is not defined; it is ignored."""
 
     header: str
     value: str
 
 
-TargetNotice = LeavingNotice | PauseNotice | UnreadableNotice
+TargetAnnouncement = LeavingAnnouncement | PauseAnnouncement | UnreadableAnnouncement
 
 
-def read_notices(
+def read_announcements(
     status: int, headers: CIMultiDictProxy[str], conventions: HttpConventions
-) -> Iterator[TargetNotice]:
+) -> Iterator[TargetAnnouncement]:
     """Return what an answer says of its target."""
     if status == _UNAVAILABLE_STATUS:
-        yield from _pause_notices(headers.getall(_RETRY_AFTER_HEADER, []))
-    yield from _leaving_notices(
+        yield from _pause_announcements(headers.getall(_RETRY_AFTER_HEADER, []))
+    yield from _leaving_announcements(
         conventions.leaving_header, headers.getall(conventions.leaving_header, [])
     )
 
 
-def _leaving_notices(header: str, values: Iterable[str]) -> Iterator[TargetNotice]:
+def _leaving_announcements(
+    header: str, values: Iterable[str]
+) -> Iterator[TargetAnnouncement]:
     for value in values:
         if value.strip() == _LEAVING_VALUE:
-            yield LeavingNotice()
+            yield LeavingAnnouncement()
         else:
-            yield UnreadableNotice(header, value[:MAX_VALUE_LENGTH])
+            yield UnreadableAnnouncement(header, value[:MAX_VALUE_LENGTH])
 
 
-def _pause_notices(values: Iterable[str]) -> Iterator[TargetNotice]:
+def _pause_announcements(values: Iterable[str]) -> Iterator[TargetAnnouncement]:
     for value in values:
         text = value.strip()
         if not _SECONDS.fullmatch(text):
-            yield UnreadableNotice(_RETRY_AFTER_HEADER, value[:MAX_VALUE_LENGTH])
+            yield UnreadableAnnouncement(_RETRY_AFTER_HEADER, value[:MAX_VALUE_LENGTH])
         elif (for_s := float(text)) > 0:
-            yield PauseNotice(for_s)
+            yield PauseAnnouncement(for_s)
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -15,7 +15,11 @@
 
 from dogwoodhook.protocol.http_conventions import HttpConventions
 from dogwoodhook.protocol.request_uri import RequestUri
-from dogwoodhook.protocol.target_notices import PauseNotice, TargetNotice, read_notices
+from dogwoodhook.protocol.target_announcements import (
+    PauseAnnouncement,
+    TargetAnnouncement,
+    read_announcements,
+)
 from dogwoodhook.state.suspicion import Symptom
 from dogwoodhook.state.target_directory import TargetEntry
 from dogwoodhook.transport.bodies import CallerBodyError
@@ -33,7 +37,7 @@
 class Attempt:
     """A request as it is sent to a target.
 
-    ``on_notice`` is called with what the target says of itself in its answer.
+    ``on_announcement`` is called with what the target says of itself in its answer.
     """
 
     method: str
@@ -43,7 +47,7 @@
     request_id: str
     timeout_s: float
     connect_timeout_s: float
-    on_notice: Callable[[TargetNotice], None] = lambda notice: None
+    on_announcement: Callable[[TargetAnnouncement], None] = lambda announcement: None
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,7 +153,7 @@
     trace: AttemptTrace,
 ) -> AttemptResult:
     headers = response.headers
-    has_paused = _report_notices(response, attempt, conventions, trace)
+    has_paused = _report_announcements(response, attempt, conventions, trace)
     problem = _answer_problem(response, attempt, conventions, trace)
     if problem is not None:
         return MayHaveRun(problem, None if has_paused else Symptom.RESET)
@@ -213,7 +217,7 @@
     return response.content.at_eof()
 
 
-def _report_notices(
+def _report_announcements(
     response: aiohttp.ClientResponse,
     attempt: Attempt,
     conventions: HttpConventions,
@@ -222,10 +226,14 @@
     """Report what the target says of itself; return whether it asks for a pause."""
     if not _is_own_answer(response, attempt, conventions, trace):
         return False
-    notices = list(read_notices(response.status, response.headers, conventions))
-    for notice in notices:
-        attempt.on_notice(notice)
-    return any(isinstance(notice, PauseNotice) for notice in notices)
+    announcements = list(
+        read_announcements(response.status, response.headers, conventions)
+    )
+    for announcement in announcements:
+        attempt.on_announcement(announcement)
+    return any(
+        isinstance(announcement, PauseAnnouncement) for announcement in announcements
+    )
 
 
 def _is_own_answer(
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -83,7 +83,7 @@
 from dogwoodhook.transport.resend_guard import AttemptTrace
 from dogwoodhook.transport.routed_request import RoutedRequest
 from dogwoodhook.transport.stop_timeouts import StopTimeouts
-from dogwoodhook.transport.target_announcements import TargetAnnouncements
+from dogwoodhook.transport.target_announcements import AnnouncementRecorder
 
 REPLAY_BUFFER_BYTES = 512 * 1024
 """Bodies up to this size are buffered, so that they can be sent to another target."""
@@ -162,7 +162,7 @@
         self._clock = clock
         self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
         self._rng = rng
-        self._announcements = TargetAnnouncements(fleet.directory, clock, metrics, rng)
+        self._announcements = AnnouncementRecorder(fleet.directory, clock, metrics, rng)
         self._held_answers = HeldAnswers(
             clock,
             stop_timeouts,
@@ -630,7 +630,9 @@
             request_id=routed.request_id,
             timeout_s=remaining_s,
             connect_timeout_s=CONNECT_TIMEOUT_S * 2**routed.unreachable,
-            on_notice=lambda notice: self._announcements.record(routed, target, notice),
+            on_announcement=lambda announcement: self._announcements.record(
+                routed, target, announcement
+            ),
         )
         may_use_idle = fleet.suspicion.may_use_idle(target.name, now_s=now_s)
         trace = AttemptTrace(lambda: self._announcements.obstacle(routed, target))
--- a/dogwoodhook/transport/target_announcements.py
+++ b/dogwoodhook/transport/target_announcements.py
@@ -4,24 +4,24 @@
 
 from dogwoodhook.clock import Clock
 from dogwoodhook.events import (
+    TARGET_ANNOUNCEMENT_IGNORED,
     TARGET_LEAVING,
-    TARGET_NOTICE_IGNORED,
     TARGET_PAUSED,
     log,
 )
 from dogwoodhook.metrics import Metrics
-from dogwoodhook.protocol.target_notices import (
-    LeavingNotice,
-    PauseNotice,
-    TargetNotice,
-    UnreadableNotice,
+from dogwoodhook.protocol.target_announcements import (
+    LeavingAnnouncement,
+    PauseAnnouncement,
+    TargetAnnouncement,
+    UnreadableAnnouncement,
 )
 from dogwoodhook.state.target_availability import Available, describe, pause_for
 from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
 from dogwoodhook.transport.routed_request import RoutedRequest
 
 
-class TargetAnnouncements:
+class AnnouncementRecorder:
     """Records that targets leave or want a pause, and keeps requests from them."""
 
     def __init__(
@@ -47,20 +47,23 @@
                 return describe(obstacle)
 
     def record(
-        self, routed: RoutedRequest, target: TargetEntry, notice: TargetNotice
+        self,
+        routed: RoutedRequest,
+        target: TargetEntry,
+        announcement: TargetAnnouncement,
     ) -> None:
         """Act on what a target said of itself in its answer to a request."""
         fields = {"request": routed.request_id, "target": target.name}
-        match notice:
-            case LeavingNotice():
+        match announcement:
+            case LeavingAnnouncement():
                 if self._directory.record_leaving(target):
-                    self._metrics.record_target_notice("leaving")
+                    self._metrics.record_target_announcement("leaving")
                     log(TARGET_LEAVING, **fields, incarnation=target.incarnation)
-            case PauseNotice(for_s):
+            case PauseAnnouncement(for_s):
                 self._record_pause(routed, target, for_s)
-            case UnreadableNotice(header, value):
-                self._metrics.record_target_notice("unreadable")
-                log(TARGET_NOTICE_IGNORED, **fields, header=header, value=value)
+            case UnreadableAnnouncement(header, value):
+                self._metrics.record_target_announcement("unreadable")
+                log(TARGET_ANNOUNCEMENT_IGNORED, **fields, header=header, value=value)
 
     def _record_pause(
         self, routed: RoutedRequest, target: TargetEntry, for_s: float
@@ -69,7 +72,7 @@
         pause = pause_for(for_s, place=self._rng.random(), now_s=now_s)
         if not self._directory.record_pause(target, pause):
             return
-        self._metrics.record_target_notice("pause")
+        self._metrics.record_target_announcement("pause")
         log(
             TARGET_PAUSED,
             request=routed.request_id,
--- a/properties/test_any_target_notice.py
+++ b/properties/test_any_target_announcement.py
@@ -7,11 +7,11 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from dogwoodhook.platform.headers import PLATFORM_CONVENTIONS
-from dogwoodhook.protocol.target_notices import (
-    LeavingNotice,
-    PauseNotice,
-    UnreadableNotice,
-    read_notices,
+from dogwoodhook.protocol.target_announcements import (
+    LeavingAnnouncement,
+    PauseAnnouncement,
+    UnreadableAnnouncement,
+    read_announcements,
 )
 from dogwoodhook.state.target_availability import MAX_PAUSE_S, Turn, pause_for
 
@@ -32,18 +32,18 @@
         [("Retry-After", value) for value in retry_after]
         + [("Server-Leaving", value) for value in leaving]
     )
-    notices = list(
-        read_notices(status, CIMultiDictProxy(headers), PLATFORM_CONVENTIONS)
+    announcements = list(
+        read_announcements(status, CIMultiDictProxy(headers), PLATFORM_CONVENTIONS)
     )
-    assert len(notices) <= len(headers)
-    for notice in notices:
-        match notice:
-            case LeavingNotice():
+    assert len(announcements) <= len(headers)
+    for announcement in announcements:
+        match announcement:
+            case LeavingAnnouncement():
                 assert "1" in [value.strip() for value in leaving]
-            case PauseNotice(for_s):
+            case PauseAnnouncement(for_s):
                 assert status == 503
                 pause = pause_for(for_s, place=0.5, now_s=7.0)
                 assert 7.0 < pause.returns_s(Turn.OTHER) <= 7.0 + MAX_PAUSE_S + 1.0
                 assert math.isfinite(for_s)
-            case UnreadableNotice(value=value):
+            case UnreadableAnnouncement(value=value):
                 assert any(value in each for each in [*retry_after, *leaving])
--- a/tests/platform_adapter/test_target_notices.py
+++ b/tests/platform_adapter/test_target_announcements.py
@@ -77,7 +77,9 @@
         for number in range(3):
             assert (await platform.send(f"/post/{number}", data=b"x")).status == 200
     assert len(target.received) == 3
-    ignored = [each for each in handler.records if " target-notice-ig" in each.message]
+    ignored = [
+        each for each in handler.records if " target-announcement-ig" in each.message
+    ]
     assert len(ignored) == 3
 
 
@@ -168,7 +170,9 @@
         assert (await platform.send("/post/0", data=b"x")).status == 503
         assert (await platform.send("/post/1", data=b"x")).status == 200
     assert len(target.received) == 2
-    assert any("target-notice-ignored" in each.message for each in handler.records)
+    assert any(
+        "target-announcement-ignored" in each.message for each in handler.records
+    )
 
 
 async def test_retry_after_of_another_answer_than_a_503_pauses_a_target(platform):
