Record the end of a target that cut a soak's request

Soaks on a machine with twice as many runnable processes as processors reported answers as cut, or given up in a stop, although their targets had ended.

Now the first end after a run counts. Now a run on a connection that is older than the last end has this end.

Both tests fail before. Nothing else is excused: a run on a connection opened after the end is judged as before.

--- a/tests/platform_adapter/soak/world.py
+++ b/tests/platform_adapter/soak/world.py
@@ -188,7 +188,8 @@
 
     If ``gray_behaviour`` is set, it fails ``gray_failure_share`` of the requests in
     this way. ``link_fault_until_s`` is the end of the last fault of its link, infinite
-    while one lasts.
+    while one lasts, ``ended_s`` when it last ended, and ``opened_s`` when each of its
+    connections was opened.
     """
 
     rng: random.Random = field(default_factory=random.Random)
@@ -207,10 +208,17 @@
     announcements: list[Announcement] = field(default_factory=list)
     data_centre: str = "dc-1"
     register_again: Callable[["SoakTarget"], Awaitable[None]] | None = None
+    ended_s: float = float("-inf")
+    opened_s: dict[int, float] = field(default_factory=dict)
 
     def __post_init__(self):
         self.behaviours = [self._behave]
 
+    async def serve(self, reader, writer):
+        """Serve one connection, and record when it was opened."""
+        self.opened_s[self.connections + 1] = time.monotonic()
+        await super().serve(reader, writer)
+
     async def _behave(self, server, received, writer):
         now_s = time.monotonic()
         self.arrivals.append((received.request_id, now_s))
@@ -236,6 +244,10 @@
         if work_s > run.timeout_s and behaviour is not duplicate_refusal:
             behaviour = _time_out
         run.request_content = f"{received.method} {received.path} {received.body}"
+        if self.opened_s[received.connection] <= self.ended_s:
+            # The relay has closed its connection, and the target has not seen it yet.
+            run.target_ended_s = self.ended_s
+        was_reset = run.target_ended_s is not None
         self.runs.append(run)
         if behaviour is _answer_completely:
             run.padding = padding
@@ -250,7 +262,8 @@
             raise
         finally:
             run.ended_s = time.monotonic()
-            run.is_sound = is_sound_answer and self.link_fault_until_s < run.started_s
+            is_link_sound = not was_reset and self.link_fault_until_s < run.started_s
+            run.is_sound = is_sound_answer and is_link_sound
 
     def announce(self, received, *, until_s):
         """Record that an answer says that the target leaves or wants a pause."""
@@ -289,11 +302,12 @@
         await asyncio.sleep(shape.wait_s)
         if not self.relay.is_listening or self.incarnation != incarnation:
             return
-        arrival.ended_s = time.monotonic()
+        arrival.ended_s = self.ended_s = time.monotonic()
         self.incarnation += 1
         for run in self.runs:
-            if arrival.ended_s - run.ended_s < DELIVERY_S:
-                run.target_ended_s = arrival.ended_s
+            has_ended_before = run.target_ended_s is not None
+            if not has_ended_before and self.ended_s - run.ended_s < DELIVERY_S:
+                run.target_ended_s = self.ended_s
         if shape.keeps_port:
             self.relay.reset_open_connections()
             down_s = 0.0
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -1,9 +1,14 @@
 """Tests of the soak's checks, and short soaks."""
 
+import asyncio
+import time
 from dataclasses import replace
 
 import pytest
 
+from dogwoodhook.testing.fleet import free_port
+from dogwoodhook.testing.relay import Relay
+from tests.exchanges import until
 from tests.platform_adapter.soak.announcements import find_ignored_announcements
 from tests.platform_adapter.soak.harmful import HarmfulCall, find_unstopped_requests
 from tests.platform_adapter.soak.records import (
@@ -23,7 +28,7 @@
     find_violations,
 )
 from tests.platform_adapter.soak.run import soak
-from tests.platform_adapter.soak.world import HarmfulArrival, SoakTarget
+from tests.platform_adapter.soak.world import HarmfulArrival, HarmfulShape, SoakTarget
 
 CALL = CallRecord(
     request_id="a",
@@ -511,6 +516,52 @@
     assert ignored_announcements([1.6, 2.0, 2.9], until_s=3.0) == ["sent in a pause"]
 
 
+async def _end_target(target):
+    shape = HarmfulShape(0.0, keeps_port=True, outlives_connection=True, error_share=0)
+    await target._end(HarmfulArrival("/", "b", "t1", 0.0), shape, down_s=0.0)
+    await asyncio.gather(*target.endings)
+
+
+@pytest.fixture
+async def soak_target():
+    async def register_again(target):
+        pass
+
+    target = SoakTarget("t1", free_port(), register_again=register_again)
+    server = await asyncio.start_server(target.serve, "127.0.0.1", target.port)
+    async with Relay(port=target.port) as target.relay:
+        yield target
+    server.close()
+
+
+async def test_a_later_end_of_a_target_hides_the_one_that_cut_an_answer(soak_target):
+    run = replace(RUN, ended_s=time.monotonic())
+    soak_target.runs.append(run)
+    await _end_target(soak_target)
+    first_s = run.target_ended_s
+    assert first_s is not None
+    await _end_target(soak_target)
+    assert run.target_ended_s == first_s
+
+
+async def test_a_request_that_arrives_as_its_target_ends_counts_as_given_up(
+    soak_target,
+):
+    # Past the relay, as bytes that it passed on just before it reset its connections.
+    _, writer = await asyncio.open_connection("127.0.0.1", soak_target.port)
+    await until(lambda: soak_target.opened_s)
+    await _end_target(soak_target)
+    writer.write(
+        b"GET /read/0.010-0/a HTTP/1.1\r\nRequest-Id: a\r\nExpected-Instance: t1\r\n"
+        b"Deadline-Ms: 3000\r\n\r\n"
+    )
+    await until(lambda: soak_target.runs and soak_target.runs[0].ended_s < float("inf"))
+    (run,) = soak_target.runs
+    assert run.target_ended_s == soak_target.ended_s
+    assert not run.is_sound
+    writer.close()
+
+
 @pytest.mark.parametrize("seed", [1, *FAILED_SEEDS])
 async def test_a_short_soak_finds_no_violation(seed):
     report = await soak(seed=seed, seconds=6.0)
