Measure a stopped daemon's exit apart from the soak's event loop

The daemon's log has the answer 2.71 s and its end 2.86 s after it began to drain; the soak's event loop was up to 0.62 s late.

Cause: the end of a process was noticed by the event loop, and an answer that a caller reads after the grace period was taken for one sent after it.

Ruled out: a daemon that handles SIGTERM late. It logged requests at each 0.1 s in the time between.

A thread now waits for the exit, and what a caller reads from a daemon that exited in time counts as sent before. A child that exits at once beside a block of 1 s was seen to exit after 1.00 s, now within 0.5 s. A daemon that really exits late is found as before.

--- a/tests/platform_adapter/soak/records.py
+++ b/tests/platform_adapter/soak/records.py
@@ -227,11 +227,17 @@
         from_s = self.at_s + self.grace_s * (1 - FINAL_CUT_SHARE)
         return (
             self.daemon == call.daemon
-            and from_s <= call.ended_s <= self.until_s
+            and from_s <= call.ended_s
+            and (call.ended_s <= self.until_s or self._exited_in_time_after(call))
             and call.sent_s <= self.at_s + STOP_INTAKE_S
             and any(run.ended_s >= from_s for run in runs)
         )
 
+    def _exited_in_time_after(self, call: CallRecord) -> bool:
+        """Return whether the daemon had sent all that a caller may have read later."""
+        exited_s = self.exited_s
+        return exited_s is not None and call.sent_s < exited_s <= self.until_s
+
     def overlaps(self, call: CallRecord) -> bool:
         """Return whether a part of an exchange lies in the stop."""
         return (
--- a/tests/platform_adapter/soak/world.py
+++ b/tests/platform_adapter/soak/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+import select
 import signal
 import sys
 import time
@@ -182,6 +183,19 @@
 REFUSALS = (behave.refuse, behave.misdirected, _refuse_first)
 
 
+def wait_for_exit(pid):
+    """Return the time at which a process exits, however late the event loop is."""
+    try:
+        descriptor = os.pidfd_open(pid)
+    except ProcessLookupError:
+        return time.monotonic()
+    try:
+        select.select([descriptor], [], [])
+        return time.monotonic()
+    finally:
+        os.close(descriptor)
+
+
 @dataclass
 class SoakTarget(TargetServer):
     """A target whose behaviour is drawn at random for each request.
@@ -583,11 +597,14 @@
             daemon.name, time.monotonic(), min(grace_periods_s), max(grace_periods_s)
         )
         self.interruptions.append(stop)
+        exit_time = asyncio.create_task(
+            asyncio.to_thread(wait_for_exit, daemon.process.pid)
+        )
         daemon.send_signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(STOP_TIMEOUT_S):
+                stop.exited_s = await asyncio.shield(exit_time)
                 await daemon.process.wait()
-            stop.exited_s = time.monotonic()
         except TimeoutError:
             self.kill(daemon)
             raise
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -28,7 +28,12 @@
     find_violations,
 )
 from tests.platform_adapter.soak.run import soak
-from tests.platform_adapter.soak.world import HarmfulArrival, HarmfulShape, SoakTarget
+from tests.platform_adapter.soak.world import (
+    HarmfulArrival,
+    HarmfulShape,
+    SoakTarget,
+    wait_for_exit,
+)
 
 CALL = CallRecord(
     request_id="a",
@@ -140,6 +145,25 @@
     ]
 
 
+def test_a_cut_that_its_caller_sees_after_the_stop_counts_by_the_daemons_exit():
+    stop = Stop("vm-1", 0.0, 1.5, exited_s=1.4)
+    assert broken_rules(CUT, RUN, interruptions=[stop]) == []
+    late, unknown = replace(stop, exited_s=1.6), replace(stop, exited_s=None)
+    assert broken_rules(CUT, RUN, interruptions=[late]) == ["cut"]
+    assert broken_rules(CUT, RUN, interruptions=[unknown]) == ["cut"]
+    next_daemons = replace(CUT, sent_s=1.45)
+    assert broken_rules(next_daemons, RUN, interruptions=[stop]) == ["cut"]
+
+
+async def test_a_late_event_loop_does_not_make_an_exit_late():
+    process = await asyncio.create_subprocess_exec("true")
+    exit_time = asyncio.create_task(asyncio.to_thread(wait_for_exit, process.pid))
+    started_s = time.monotonic()
+    asyncio.get_running_loop().call_soon(time.sleep, 1.0)
+    assert await exit_time - started_s < 0.5
+    await process.wait()
+
+
 @pytest.mark.parametrize("status", [0, 504])
 def test_a_request_accepted_late_in_a_stop_may_not_be_given_up(status):
     call = replace(CUT, status=status, signature="", sent_s=3.1, ended_s=5.5)
