Count a request that the soak's relay could not pass on as unsent

Cause, likely: the relay accepts a caller's connection before it knows whether the daemon does. While a daemon starts again, it closes the connection of a request that no daemon has read; if the soak notices this more than 0.2 s later, the request seems to have been due.

The relay now remembers the ports of clients that were refused, and the caller compares them with its own. Pipelining callers read the end of such a connection before they send. The test fails before (the call counted as broken off).

--- a/dogwoodhook/testing/relay.py
+++ b/dogwoodhook/testing/relay.py
@@ -9,6 +9,7 @@
 the open connections with a reset, and ``close_port`` the port too, as if the process
 behind it had ended; no other socket gets the port until the relay has ended.
 ``bytes_per_s`` limits the bandwidth, and ``delay_s`` delays each piece of data.
+``refused_ports`` are the ports of clients whose connections the server refused.
 """
 
 import asyncio
@@ -30,6 +31,7 @@
         self.is_cut_to_client = False
         self.bytes_per_s: float | None = None
         self.delay_s = 0.0
+        self.refused_ports: set[int] = set()
         self._silenced_tasks: set[asyncio.Task[None]] = set()
         self._server_address = (host, port)
         self._writers: set[asyncio.StreamWriter] = set()
@@ -92,11 +94,14 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             task.add_done_callback(self._silenced_tasks.discard)
+        client_port = writer.get_extra_info("peername")[1]
+        self.refused_ports.discard(client_port)
         try:
             server_reader, server_writer = await asyncio.open_connection(
                 *self._server_address
             )
         except OSError:
+            self.refused_ports.add(client_port)
             writer.close()
             return
         self._writers |= {writer, server_writer}
--- a/tests/platform_adapter/soak/callers.py
+++ b/tests/platform_adapter/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import socket
 import time
 from contextlib import suppress
 
@@ -67,6 +68,21 @@
 """Pauses of a pipelining caller before it reads each piece of an answer."""
 
 
+class _Connector(aiohttp.TCPConnector):
+    """Knows the local port of the connection that it opened last."""
+
+    def __init__(self) -> None:
+        super().__init__(limit=0, socket_factory=self._bind_socket)
+        self.local_port = 0
+
+    def _bind_socket(self, address):
+        family, kind, protocol, *_ = address
+        bound = socket.socket(family, kind, protocol)
+        bound.bind(("127.0.0.1", 0))
+        self.local_port = bound.getsockname()[1]
+        return bound
+
+
 class Callers:
     """Sends requests, one at a time or pipelined, and records the exchanges."""
 
@@ -98,7 +114,7 @@
         return self._stop_event.is_set()
 
     async def _run_sequential(self) -> None:
-        async with make_session(aiohttp.TCPConnector(limit=0)) as session:
+        async with make_session(_Connector()) as session:
             while not self._is_stopping:
                 daemon = self._rng.choice(self._world.daemons)
                 is_relayed = self._rng.random() < RELAYED_SHARE
@@ -225,7 +241,12 @@
         except TimeoutError:
             ending = Ending.LEFT if leave_after_s else Ending.TIMED_OUT
         except (aiohttp.ClientError, OSError):
-            ending = Ending.BROKEN if trace.is_connected else Ending.UNSENT
+            is_refused = (
+                request_fields["is_relayed"]
+                and session.connector.local_port in daemon.caller_relay.refused_ports
+            )
+            is_sent = trace.is_connected and not is_refused
+            ending = Ending.BROKEN if is_sent else Ending.UNSENT
         call = CallRecord(
             **request_fields,
             sent_s=sent_s,
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -3,13 +3,16 @@
 import asyncio
 import time
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 
 from dogwoodhook.testing.fleet import free_port
 from dogwoodhook.testing.relay import Relay
 from tests.exchanges import until
+from tests.platform_adapter.soak import callers
 from tests.platform_adapter.soak.announcements import find_ignored_announcements
+from tests.platform_adapter.soak.callers import Callers
 from tests.platform_adapter.soak.harmful import HarmfulCall, find_unstopped_requests
 from tests.platform_adapter.soak.records import (
     Announcement,
@@ -586,6 +589,25 @@
     writer.close()
 
 
+async def test_a_request_that_was_not_passed_on_counts_as_read_and_dropped(
+    monkeypatch,
+):
+    monkeypatch.setattr(callers, "RELAYED_SHARE", 1.0)
+    async with Relay(port=1) as relay:
+        daemon = SimpleNamespace(
+            name="vm-1",
+            start_count=1,
+            caller_relay=relay,
+            address=lambda *, is_relayed: ("127.0.0.1", relay.port),
+        )
+        world = SimpleNamespace(daemons=[daemon], changes=[Change(1, 0.0, True)])
+        soak_callers = Callers(world, seed=1)
+        running = asyncio.create_task(soak_callers._run_sequential())
+        await until(lambda: soak_callers.calls)
+        running.cancel()
+    assert {call.ending for call in soak_callers.calls} == {Ending.UNSENT}
+
+
 @pytest.mark.parametrize("seed", [1, *FAILED_SEEDS])
 async def test_a_short_soak_finds_no_violation(seed):
     report = await soak(seed=seed, seconds=6.0)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -63,6 +63,14 @@
         writer.close()
 
 
+async def test_a_client_that_the_server_refused_is_known_before_its_connection_ends():
+    async with Relay(port=1) as relay:
+        reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+        assert await reader.read() == b""
+        assert relay.refused_ports == {writer.get_extra_info("sockname")[1]}
+        writer.close()
+
+
 async def test_each_chunk_is_delayed():
     server = await asyncio.start_server(_echo, "127.0.0.1", 0)
     async with Relay(port=server.sockets[0].getsockname()[1]) as relay:
