--- a/dogwoodhook/testing/relay.py
+++ b/dogwoodhook/testing/relay.py
@@ -94,7 +94,12 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             task.add_done_callback(self._silenced_tasks.discard)
-        client_port = writer.get_extra_info("peername")[1]
+        client = writer.get_extra_info("peername")
+        if client is None:
+            # The client has reset the connection already.
+            writer.close()
+            return
+        client_port = client[1]
         self.refused_ports.discard(client_port)
         try:
             server_reader, server_writer = await asyncio.open_connection(
