Log whether a refusal was believed, and what its connection had carried

No line told whether two attempts of a request used one address, or one connection, or whether a refusal on a used connection was taken for the request's own. No decision changes.

--- /dev/null
+++ b/dogwoodhook/state/connection_history.py
@@ -0,0 +1,66 @@
+"""What a connection to a target has carried so far.
+
+A target may write an answer to an earlier request again. If that request is sent once
+more on the same connection, its id no longer tells the two answers apart.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionUse:
+    """What a connection had carried when a request was about to be sent on it.
+
+    ``requests`` counts the earlier requests, and ``refusals`` those of them that the
+    target declared not to have run. ``has_carried_id`` is set if one of the requests
+    had the same id.
+    """
+
+    requests: int = 0
+    refusals: int = 0
+    has_carried_id: bool = False
+
+    def log_fields(self) -> dict[str, object]:
+        """Return the log fields that describe the connection."""
+        return {
+            "connection_requests": self.requests,
+            "connection_refusals": self.refusals,
+            "connection_had_id": self.has_carried_id,
+        }
+
+
+NEW_CONNECTION = ConnectionUse()
+"""The use of a connection that has carried nothing."""
+
+
+class ConnectionHistory:
+    """The requests that one connection has carried.
+
+    >>> history = ConnectionHistory()
+    >>> history.record_request("a")
+    >>> history.record_refusal()
+    >>> history.use_for("a")
+    ConnectionUse(requests=1, refusals=1, has_carried_id=True)
+    """
+
+    def __init__(self) -> None:
+        # Ids have any length, their hashes one. Two ids with the same hash would only
+        # cost a connection.
+        self._id_hashes: set[int] = set()
+        self._requests = 0
+        self._refusals = 0
+
+    def use_for(self, request_id: str) -> ConnectionUse:
+        """Return what the connection has carried, for a request that is to be sent."""
+        return ConnectionUse(
+            self._requests, self._refusals, hash(request_id) in self._id_hashes
+        )
+
+    def record_request(self, request_id: str) -> None:
+        """Record that a request is about to be sent."""
+        self._id_hashes.add(hash(request_id))
+        self._requests += 1
+
+    def record_refusal(self) -> None:
+        """Record that the target declared that it did not run the last request."""
+        self._refusals += 1
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -20,6 +20,7 @@
     TargetAnnouncement,
     read_announcements,
 )
+from dogwoodhook.state.connection_history import NEW_CONNECTION, ConnectionUse
 from dogwoodhook.state.suspicion import Symptom
 from dogwoodhook.state.target_directory import TargetEntry
 from dogwoodhook.transport.bodies import CallerBodyError
@@ -78,6 +79,7 @@
     Either there was no connection, or the target answered that it did not run it.
     ``has_arrived`` is set in the second case. ``has_timed_out`` is set where there was
     no connection in time, ``is_port_closed`` where nothing listens at the port.
+    ``connection`` is what the connection had carried before.
     """
 
     detail: str
@@ -85,6 +87,7 @@
     has_arrived: bool
     has_timed_out: bool = False
     is_port_closed: bool = False
+    connection: ConnectionUse = NEW_CONNECTION
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,12 +95,16 @@
     """The request was sent, and no valid answer to it was received.
 
     ``has_lost_connection`` is set where the connection broke, as opposed to an answer
-    that was invalid or did not arrive in time.
+    that was invalid or did not arrive in time. ``has_refusal`` is set where the target
+    declared that the request was not run, and this is not certain. ``connection`` is
+    what the connection had carried before.
     """
 
     detail: str
     symptom: Symptom | None
     has_lost_connection: bool = False
+    has_refusal: bool = False
+    connection: ConnectionUse = NEW_CONNECTION
 
 
 AttemptResult = CompleteAnswer | OpenAnswer | NotRunAtTarget | MayHaveRun
@@ -113,6 +120,7 @@
     """Send a request to a target, and return the answer or why there is none."""
     headers = attempt.headers.copy()
     headers[conventions.expected_target_header] = target.name
+    trace.request_id = attempt.request_id
     response: aiohttp.ClientResponse | None = None
     result: AttemptResult | None = None
     try:
@@ -143,6 +151,8 @@
         # Closes the connection unless the complete answer has been read.
         if response is not None and not isinstance(result, OpenAnswer):
             response.close()
+    if isinstance(result, NotRunAtTarget | MayHaveRun):
+        result = replace(result, connection=trace.use)
     return result
 
 
@@ -155,11 +165,14 @@
     headers = response.headers
     has_paused = _report_announcements(response, attempt, conventions, trace)
     problem = _answer_problem(response, attempt, conventions, trace)
+    is_refusal = conventions.declares_not_run(response.status, headers)
     if problem is not None:
-        return MayHaveRun(problem, None if has_paused else Symptom.RESET)
+        symptom = None if has_paused else Symptom.RESET
+        return MayHaveRun(problem, symptom, has_refusal=is_refusal)
     body = bytearray()
     is_complete = await _read_up_to(response, body, BUFFERED_ANSWER_BYTES)
-    if conventions.declares_not_run(response.status, headers):
+    if is_refusal:
+        trace.record_refusal()
         is_busy = response.status not in conventions.not_run_statuses
         symptom = Symptom.BUSY if is_busy and not has_paused else None
         detail = f"status {response.status}"
--- a/dogwoodhook/transport/bounded_answers.py
+++ b/dogwoodhook/transport/bounded_answers.py
@@ -14,6 +14,7 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from dogwoodhook.state.connection_history import ConnectionHistory
 from dogwoodhook.transport.answer_heads import head_problem
 from dogwoodhook.transport.framing import HEAD_END, LAST_CHUNK, last_bytes
 
@@ -34,10 +35,14 @@
 
 
 class BoundedResponseHandler(ResponseHandler):
-    """The client's side of a connection; counts the bytes of the current answer."""
+    """The client's side of a connection; counts the bytes of the current answer.
+
+    ``history`` tells what the connection has carried.
+    """
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
+        self.history = ConnectionHistory()
         self._answer: StreamReader | None = None
         self._head_bytes = 0
         self._head_tail = b""
--- a/dogwoodhook/transport/clean_reuse_connector.py
+++ b/dogwoodhook/transport/clean_reuse_connector.py
@@ -10,7 +10,10 @@
 from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
 
-from dogwoodhook.transport.bounded_answers import BoundedConnector
+from dogwoodhook.transport.bounded_answers import (
+    BoundedConnector,
+    BoundedResponseHandler,
+)
 from dogwoodhook.transport.resend_guard import AttemptTrace
 
 
@@ -27,8 +30,11 @@
         """Return a pooled connection without unread bytes, or a new one."""
         while True:
             connection = await super().connect(req, traces, timeout)
+            trace = AttemptTrace.current()
             protocol = connection.protocol
             if protocol is None or not protocol.should_close:
+                if isinstance(protocol, BoundedResponseHandler):
+                    trace.use_connection(protocol.history)
                 return connection
             connection.close()
-            AttemptTrace.current().discard_connection()
+            trace.discard_connection()
--- a/dogwoodhook/transport/resend_guard.py
+++ b/dogwoodhook/transport/resend_guard.py
@@ -16,11 +16,17 @@
 
 from collections.abc import Callable
 from contextvars import ContextVar
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from types import SimpleNamespace
 
 import aiohttp
 
+from dogwoodhook.state.connection_history import (
+    NEW_CONNECTION,
+    ConnectionHistory,
+    ConnectionUse,
+)
+
 
 class NotWantedError(aiohttp.ClientError):
     """The request was no longer to be sent when its attempt got a connection.
@@ -43,7 +49,8 @@
     ``is_connected`` is true once the attempt holds a connection: from then on bytes of
     the request may have been sent. ``is_reused`` is true for a pooled connection.
     ``find_obstacle`` is called immediately before the first byte is sent, and returns
-    why the request is no longer to be sent, or ``None``.
+    why the request is no longer to be sent, or ``None``. ``use`` tells what the
+    connection had carried before ``request_id``.
     """
 
     find_obstacle: Callable[[], str | None] = lambda: None
@@ -51,6 +58,9 @@
     connections: int = 0
     is_connected: bool = False
     is_reused: bool = False
+    request_id: str = ""
+    use: ConnectionUse = NEW_CONNECTION
+    _history: ConnectionHistory = field(default_factory=ConnectionHistory)
 
     async def block_resend(
         self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
@@ -80,6 +90,16 @@
             self.is_connected = False
             raise NotWantedError(obstacle)
 
+    def use_connection(self, history: ConnectionHistory) -> None:
+        """Record the attempt's request in the history of its connection."""
+        self.use = history.use_for(self.request_id)
+        history.record_request(self.request_id)
+        self._history = history
+
+    def record_refusal(self) -> None:
+        """Record in the connection's history that the target refused the request."""
+        self._history.record_refusal()
+
     def discard_connection(self) -> None:
         """Stop counting a connection that was closed before anything was sent on it."""
         self.connections -= 1
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -575,12 +575,14 @@
                 routed.refusals += 1
                 routed.unreachable += has_timed_out
                 routed.arrivals += has_arrived
-                self._record_failure(routed, target, symptom, detail)
+                connection = _connection_fields(result)
+                self._record_failure(routed, target, symptom, detail, **connection)
                 return detail
             case MayHaveRun(detail, symptom):
                 routed.runs += 1
                 routed.arrivals += 1
-                self._record_failure(routed, target, symptom, detail)
+                connection = _connection_fields(result)
+                self._record_failure(routed, target, symptom, detail, **connection)
                 return detail
 
     def _conclude(self, routed: RoutedRequest, detail: str) -> web.StreamResponse:
@@ -771,6 +773,7 @@
         target: TargetEntry,
         symptom: Symptom | None,
         detail: str,
+        **connection: object,
     ) -> None:
         """Log a failed attempt, and report its symptom to the fleet."""
         if symptom is not None:
@@ -778,8 +781,10 @@
         fields = {
             **self._log_fields(routed),
             "target": target.name,
+            "address": target.address,
             "caller": routed.caller,
             "fingerprint": routed.identity.fingerprint,
+            **connection,
         }
         log(ATTEMPT_FAILED, **fields, detail=detail)
 
@@ -904,6 +909,18 @@
         )
 
 
+def _connection_fields(result: NotRunAtTarget | MayHaveRun) -> dict[str, object]:
+    """Return the log fields that tell whether a refusal was believed, and why."""
+    fields = result.connection.log_fields()
+    match result:
+        case NotRunAtTarget(has_arrived=True):
+            return {"refusal": "believed", **fields}
+        case MayHaveRun(has_refusal=True):
+            return {"refusal": "doubted", **fields}
+        case _:
+            return fields
+
+
 def _route_of(
     configuration: RoutingConfiguration, request: web.BaseRequest, uri: RequestUri
 ) -> RoutePolicy | None:
