--- /dev/null
+++ b/tests/platform_adapter/test_copied_refusals.py
@@ -0,0 +1,133 @@
+"""Targets that write a refusal again while the refused request is under way again."""
+
+import asyncio
+
+import logbook
+import pytest
+
+from tests.platform_adapter import target_server as behave
+from tests.platform_adapter.target_server import HEAD_END
+
+REQUESTS = 12
+WORK_S = 0.1
+LATE_S = 0.05
+
+REFUSALS = {
+    "421": "HTTP/1.1 421 Misdirected Request",
+    "429": "HTTP/1.1 429 Too Many\r\nNot-Executed: 1",
+    "503": "HTTP/1.1 503 Busy\r\nNot-Executed: 1",
+}
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
+class CopyingTarget:
+    """Refuses some requests, and writes a refusal again before a later answer.
+
+    This is the next answer on the connection to the refused request, or to any request
+    if ``copies_to_any`` is set. The copy is written after ``copy_after_s``. ``ran``
+    holds the ids of the requests that it ran.
+    """
+
+    def __init__(self, status, *, must_refuse, copy_after_s=0.0, copies_to_any=False):
+        self._status = status
+        self._must_refuse = must_refuse
+        self._copy_after_s = copy_after_s
+        self._copies_to_any = copies_to_any
+        self._refusals = {}
+        self.ran = []
+
+    async def behave(self, server, received, writer):
+        if self._must_refuse(self, received):
+            lines = [REFUSALS[self._status], f"Request-Id: {received.request_id}"]
+            head = "\r\n".join([*lines, "Content-Length: 0"]).encode() + HEAD_END
+            self._refusals[received.connection] = received.request_id, head
+            writer.write(head)
+            return
+        self.ran.append(received.request_id)
+        refused_id, copy = self._refusals.pop(received.connection, (None, b""))
+        if copy and (self._copies_to_any or refused_id == received.request_id):
+            await asyncio.sleep(self._copy_after_s)
+            writer.write(copy)
+        await asyncio.sleep(WORK_S)
+        await behave.answer(server, received, writer)
+
+
+def is_for_the_ended_target(target, received):
+    """Refuse what is meant for the target that had the address before."""
+    return received.headers["expected-instance"] == "old"
+
+
+def is_first_sending(target, received):
+    """Refuse the first sending of each request."""
+    seen = target.__dict__.setdefault("seen", set())
+    is_first = received.request_id not in seen
+    seen.add(received.request_id)
+    return is_first
+
+
+async def start_at_reused_address(platform, copying):
+    """Start a target whose address is also that of a target that has ended."""
+    await platform.configure()
+    target = await platform.start_target("new", copying.behave, born=1_790_000_009_000)
+    await platform.store.put("servers", "old", target.entry())
+    await platform.start_gateway()
+
+
+@pytest.mark.parametrize("status", REFUSALS)
+@pytest.mark.parametrize("copy_after_s", [0.0, LATE_S])
+async def test_a_copied_refusal_refuses_a_request_that_runs_at_the_next_target(
+    platform, status, copy_after_s
+):
+    copying = CopyingTarget(
+        status, must_refuse=is_for_the_ended_target, copy_after_s=copy_after_s
+    )
+    await start_at_reused_address(platform, copying)
+    refused = []
+    for number in range(REQUESTS):
+        reply = await platform.send("/post/1", headers={"Request-Id": f"id-{number}"})
+        if reply.status in NOT_RUN_STATUSES:
+            refused.append(f"id-{number}")
+    assert copying.ran
+    assert not set(refused) & set(copying.ran)
+
+
+@pytest.mark.parametrize("status", REFUSALS)
+@pytest.mark.parametrize("path", ["/read/1", "/post/1"])
+async def test_a_copied_refusal_refuses_a_later_request_of_the_same_id(
+    platform, status, path
+):
+    copying = CopyingTarget(status, must_refuse=is_first_sending)
+    await platform.configure()
+    await platform.start_target("t1", copying.behave)
+    await platform.start_gateway()
+    assert (await platform.send(path, headers={"Request-Id": "a"})).status == 503
+    reply = await platform.send(path, headers={"Request-Id": "a"})
+    assert copying.ran == ["a"]
+    assert reply.status not in NOT_RUN_STATUSES
+
+
+async def test_the_log_tells_a_believed_refusal_from_one_that_was_not(platform):
+    def is_first(target, received):
+        return received.request_id == "first"
+
+    copying = CopyingTarget("503", must_refuse=is_first, copies_to_any=True)
+    await platform.configure()
+    await platform.start_target("t1", copying.behave)
+    await platform.start_gateway()
+    with logbook.TestHandler().applicationbound() as handler:
+        for request_id in ("first", "second"):
+            await platform.send("/post/1", headers={"Request-Id": request_id})
+    lines = [each.message for each in handler.records]
+    believed, doubted = (each for each in lines if each.startswith("513 "))
+    assert "refusal=believed connection_requests=0 connection_refusals=0" in believed
+    assert "refusal=doubted connection_requests=1 connection_refusals=1" in doubted
+
+
+async def test_a_copied_refusal_sends_a_request_to_a_second_target(platform):
+    copying = CopyingTarget("503", must_refuse=is_for_the_ended_target)
+    await start_at_reused_address(platform, copying)
+    other = await platform.start_target("other", zone="oulu-2")
+    for number in range(REQUESTS):
+        await platform.send("/post/1", headers={"Request-Id": f"id-{number}"})
+    assert copying.ran
+    assert not {each.request_id for each in other.received} & set(copying.ran)
