Send a request only once on each connection to a target

Cause: connections are pooled by address, and a request goes to several names. Where two names have one address, as those of a target that ended and of its successor, a refusal for the first is followed by the same request on the same connection. A copy of the refusal then has the id of the request under way, and the check of ids believed it.

A connection now remembers the ids that it has carried, and a pooled one is closed in place of carrying one twice. So an id identifies one sending on a connection, whatever the target writes again, and however late. Ruled out: copies on idle connections and copies with the id of another request (tests stand), refusals on new connections.

--- a/dogwoodhook/state/connection_history.py
+++ b/dogwoodhook/state/connection_history.py
@@ -1,11 +1,16 @@
 """What a connection to a target has carried so far.
 
-A target may write an answer to an earlier request again. If that request is sent once
-more on the same connection, its id no longer tells the two answers apart.
+A target may write an answer to an earlier request again, and HTTP/1.1 identifies the
+request of an answer only by the order on the connection. The request's id in the answer
+tells the two apart, unless the same request is sent once more on the same connection.
+So a connection carries each id only once.
 """
 
 from dataclasses import dataclass
 
+MAX_REQUESTS = 512
+"""Requests that one connection may carry, so that their ids fit a few kilobytes."""
+
 
 @dataclass(frozen=True, slots=True)
 class ConnectionUse:
@@ -41,6 +46,8 @@
     >>> history.record_refusal()
     >>> history.use_for("a")
     ConnectionUse(requests=1, refusals=1, has_carried_id=True)
+    >>> history.may_carry("a"), history.may_carry("b")
+    (False, True)
     """
 
     def __init__(self) -> None:
@@ -50,17 +57,28 @@
         self._requests = 0
         self._refusals = 0
 
-    def use_for(self, request_id: str) -> ConnectionUse:
+    def may_carry(self, request_id: str | None) -> bool:
+        """Return whether a request may be sent on the connection.
+
+        Requests of the native daemon have no id, ``None``.
+        """
+        return self._requests < MAX_REQUESTS and not self._has_carried(request_id)
+
+    def use_for(self, request_id: str | None) -> ConnectionUse:
         """Return what the connection has carried, for a request that is to be sent."""
         return ConnectionUse(
-            self._requests, self._refusals, hash(request_id) in self._id_hashes
+            self._requests, self._refusals, self._has_carried(request_id)
         )
 
-    def record_request(self, request_id: str) -> None:
+    def record_request(self, request_id: str | None) -> None:
         """Record that a request is about to be sent."""
-        self._id_hashes.add(hash(request_id))
+        if request_id is not None:
+            self._id_hashes.add(hash(request_id))
         self._requests += 1
 
     def record_refusal(self) -> None:
         """Record that the target declared that it did not run the last request."""
         self._refusals += 1
+
+    def _has_carried(self, request_id: str | None) -> bool:
+        return request_id is not None and hash(request_id) in self._id_hashes
--- a/dogwoodhook/transport/clean_reuse_connector.py
+++ b/dogwoodhook/transport/clean_reuse_connector.py
@@ -1,8 +1,10 @@
-"""A connection pool that reuses only connections without unread bytes.
+"""A connection pool that reuses a connection only for requests it can be trusted with.
 
 HTTP/1.1 identifies the request that an answer belongs to only by the order on the
 connection. Bytes that a target sends after an answer would be taken for the answer to
-the next request, so a connection that received any while idle is not reused.
+the next request, so a connection that received any while idle is not reused. Bytes that
+come later are recognised by the request's id, so a connection that has carried a
+request is not reused for the same one.
 """
 
 import aiohttp
@@ -18,23 +20,20 @@
 
 
 class CleanReuseConnector(BoundedConnector):
-    """A connector that closes pooled connections with unread bytes before their reuse.
-
-    Bytes that arrive only after the next request was sent cannot be distinguished from
-    its answer. Only connections that are used for a single request avoid this.
-    """
+    """A connector that closes pooled connections which an attempt must not use."""
 
     async def connect(
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
     ) -> Connection:
-        """Return a pooled connection without unread bytes, or a new one."""
+        """Return a pooled connection that the attempt may use, or a new one."""
         while True:
             connection = await super().connect(req, traces, timeout)
             trace = AttemptTrace.current()
             protocol = connection.protocol
-            if protocol is None or not protocol.should_close:
-                if isinstance(protocol, BoundedResponseHandler):
-                    trace.use_connection(protocol.history)
+            assert isinstance(protocol, BoundedResponseHandler)
+            may_carry = protocol.history.may_carry(trace.request_id)
+            if may_carry and not protocol.should_close:
+                trace.use_connection(protocol.history)
                 return connection
             connection.close()
             trace.discard_connection()
--- a/dogwoodhook/transport/resend_guard.py
+++ b/dogwoodhook/transport/resend_guard.py
@@ -58,7 +58,7 @@
     connections: int = 0
     is_connected: bool = False
     is_reused: bool = False
-    request_id: str = ""
+    request_id: str | None = None
     use: ConnectionUse = NEW_CONNECTION
     _history: ConnectionHistory = field(default_factory=ConnectionHistory)
 
