Drop answers to earlier requests where the answer to a later one is due

The copy's id tells that it belongs to another request, and a connection carries each id only once, so the answer that is due can be awaited behind it. The connection is closed afterwards. Copies are counted as part of the head, which bounds them to 64 KiB; those without a length, and those before the answer to a HEAD request, still fail the request.

Line 328 counts what was dropped.

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -280,6 +280,13 @@
     Level.WARNING,
     "A header of a target's answer has a value that is not defined; it is ignored.",
 )
+EXTRA_ANSWER_DROPPED = _event(
+    328,
+    "extra-answer-dropped",
+    Level.INFO,
+    "A target wrote answers to earlier requests of a connection where the answer to"
+    " this one was due; `count` of them were dropped.",
+)
 
 # 700: quarantine
 REQUEST_QUARANTINED = _event(
--- a/dogwoodhook/state/connection_history.py
+++ b/dogwoodhook/state/connection_history.py
@@ -48,9 +48,14 @@
     ConnectionUse(requests=1, refusals=1, has_carried_id=True)
     >>> history.may_carry("a"), history.may_carry("b")
     (False, True)
+
+    ``extra_answers`` counts answers to earlier requests that came where the answer to
+    the last one was due.
     """
 
     def __init__(self) -> None:
+        self.extra_answers = 0
+        self._last_id: str | None = None
         # Ids have any length, their hashes one. Two ids with the same hash would only
         # cost a connection.
         self._id_hashes: set[int] = set()
@@ -74,11 +79,16 @@
         """Record that a request is about to be sent."""
         if request_id is not None:
             self._id_hashes.add(hash(request_id))
+        self._last_id = request_id
         self._requests += 1
 
     def record_refusal(self) -> None:
         """Record that the target declared that it did not run the last request."""
         self._refusals += 1
 
+    def is_of_earlier_request(self, request_id: str) -> bool:
+        """Return whether an id belongs to a request before the last one."""
+        return request_id != self._last_id and self._has_carried(request_id)
+
     def _has_carried(self, request_id: str | None) -> bool:
         return request_id is not None and hash(request_id) in self._id_hashes
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -121,6 +121,7 @@
     headers = attempt.headers.copy()
     headers[conventions.expected_target_header] = target.name
     trace.request_id = attempt.request_id
+    trace.request_id_header = conventions.request_id_header
     response: aiohttp.ClientResponse | None = None
     result: AttemptResult | None = None
     try:
--- a/dogwoodhook/transport/bounded_answers.py
+++ b/dogwoodhook/transport/bounded_answers.py
@@ -4,6 +4,9 @@
 or after a complete answer. The client library limits only the length of each line and
 the number of headers. A connection that exceeds the limits here, or whose head is not a
 plausible answer, is closed at once, even if its request has time left.
+
+A faulty target may also write an answer to an earlier request again. Its id tells, so
+it is dropped, and the answer that is due may follow it.
 """
 
 import functools
@@ -19,8 +22,8 @@
 from dogwoodhook.transport.framing import HEAD_END, LAST_CHUNK, last_bytes
 
 MAX_HEAD_BYTES = 64 * 1024
-"""Maximum number of bytes before a body, interim answers included: four times the usual
-limit of one head."""
+"""Maximum number of bytes before a body, including interim answers and dropped ones:
+four times the usual limit of one head."""
 
 MAX_FRAMING_BYTES = 64 * 1024
 """Maximum number of bytes of a body that are not its content, such as chunk sizes and
@@ -33,19 +36,24 @@
 
 FIRST_FINAL_STATUS = 200
 
+_BODILESS_STATUSES = frozenset({204, 304})
+
 
 class BoundedResponseHandler(ResponseHandler):
     """The client's side of a connection; counts the bytes of the current answer.
 
-    ``history`` tells what the connection has carried.
+    ``history`` tells what the connection has carried, and ``request_id_header`` names
+    the header in which a target repeats a request's id, if it does.
     """
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
         self.history = ConnectionHistory()
+        self.request_id_header: str | None = None
         self._answer: StreamReader | None = None
         self._head_bytes = 0
         self._head_tail = b""
+        self._extra_bytes = 0
         self._body_bytes = 0
         self._body_tail = b""
         self._is_chunked = False
@@ -53,7 +61,7 @@
     def set_response_params(self, **options: Any) -> None:
         """Reset the counters because a request is about to be sent."""
         self._answer = None
-        self._head_bytes = self._body_bytes = 0
+        self._head_bytes = self._body_bytes = self._extra_bytes = 0
         self._head_tail = self._body_tail = b""
         super().set_response_params(**options)
 
@@ -67,6 +75,13 @@
             self._abort(problem)
             return
         if message.code >= FIRST_FINAL_STATUS and self._answer is None:
+            extra_bytes = self._body_bytes_of_extra_answer(message)
+            if extra_bytes is not None:
+                self._extra_bytes = extra_bytes
+                self.history.extra_answers += 1
+                # More of them may come.
+                self.force_close()
+                return
             self._answer = body
             self._is_chunked = message.chunked
         super().feed_data(data, size)
@@ -79,7 +94,11 @@
         # Each head is passed to the parser separately: the parser drops a head that is
         # in the same piece as bytes that it cannot parse.
         while data and self._answer is None and not self._is_closing:
-            end = self._head_end(data)
+            if self._extra_bytes:
+                end = min(self._extra_bytes, len(data))
+                self._extra_bytes -= end
+            else:
+                end = self._head_end(data)
             piece, data = data[:end], data[end:]
             self._head_bytes += len(piece)
             if self._head_bytes > MAX_HEAD_BYTES:
@@ -125,6 +144,22 @@
             return self._body_tail != LAST_CHUNK
         return self._body_bytes > self._answer.total_bytes
 
+    def _body_bytes_of_extra_answer(self, message: RawResponseMessage) -> int | None:
+        """Return the length of the body of an answer to an earlier request.
+
+        Returns ``None`` for any other answer, and where the length is not known.
+        """
+        if self.request_id_header is None or self._skip_payload:
+            return None
+        ids = message.headers.getall(self.request_id_header, [])
+        if not ids or not all(map(self.history.is_of_earlier_request, ids)):
+            return None
+        length = message.headers.get("Content-Length", "")
+        has_length = length.isascii() and length.isdigit()
+        if message.code in _BODILESS_STATUSES or message.chunked or not has_length:
+            return None
+        return int(length)
+
     def _head_end(self, data: bytes) -> int:
         """Return the number of bytes up to the head's end, or all of them."""
         before = self._head_tail
--- a/dogwoodhook/transport/clean_reuse_connector.py
+++ b/dogwoodhook/transport/clean_reuse_connector.py
@@ -34,6 +34,7 @@
             may_carry = protocol.history.may_carry(trace.request_id)
             if may_carry and not protocol.should_close:
                 trace.use_connection(protocol.history)
+                protocol.request_id_header = trace.request_id_header
                 return connection
             connection.close()
             trace.discard_connection()
--- a/dogwoodhook/transport/resend_guard.py
+++ b/dogwoodhook/transport/resend_guard.py
@@ -50,7 +50,8 @@
     the request may have been sent. ``is_reused`` is true for a pooled connection.
     ``find_obstacle`` is called immediately before the first byte is sent, and returns
     why the request is no longer to be sent, or ``None``. ``use`` tells what the
-    connection had carried before ``request_id``.
+    connection had carried before ``request_id``, which a target repeats in
+    ``request_id_header``.
     """
 
     find_obstacle: Callable[[], str | None] = lambda: None
@@ -59,6 +60,7 @@
     is_connected: bool = False
     is_reused: bool = False
     request_id: str | None = None
+    request_id_header: str | None = None
     use: ConnectionUse = NEW_CONNECTION
     _history: ConnectionHistory = field(default_factory=ConnectionHistory)
 
@@ -96,6 +98,11 @@
         history.record_request(self.request_id)
         self._history = history
 
+    @property
+    def extra_answers(self) -> int:
+        """Return how many answers to earlier requests came before this one's."""
+        return self._history.extra_answers
+
     def record_refusal(self) -> None:
         """Record in the connection's history that the target refused the request."""
         self._history.record_refusal()
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -21,6 +21,7 @@
 from dogwoodhook.events import (
     ATTEMPT_FAILED,
     CALLER_LEFT,
+    EXTRA_ANSWER_DROPPED,
     REQUEST_ANSWERED,
     REQUEST_CUT,
     REQUEST_REFUSED,
@@ -661,6 +662,15 @@
             fleet.placement.finish(target)
             fleet.load_sharing.report_end()
             overdue.cancel()
+        if trace.extra_answers:
+            log(
+                EXTRA_ANSWER_DROPPED,
+                request=routed.request_id,
+                target=target.name,
+                address=target.address,
+                **trace.use.log_fields(),
+                count=trace.extra_answers,
+            )
         if isinstance(result, CompleteAnswer):
             if may_use_idle:
                 fleet.connections.record_idle(target)
--- a/tests/platform_adapter/test_copied_refusals.py
+++ b/tests/platform_adapter/test_copied_refusals.py
@@ -111,7 +111,89 @@
     assert reply.status not in NOT_RUN_STATUSES
 
 
+def once(copy):
+    return [copy]
+
+
+def twice(copy):
+    return [copy, copy]
+
+
+def in_pieces(copy):
+    return [copy[:9], copy[9:30], copy[30:]]
+
+
+def behind_an_interim_answer(copy):
+    return [b"HTTP/1.1 100 Continue\r\n\r\n" + copy]
+
+
+@pytest.mark.parametrize("pieces", [once, twice, in_pieces, behind_an_interim_answer])
+@pytest.mark.parametrize("body", [b"", b"HTTP/1.1 200 OK\r\n\r\n" * 9])
+@pytest.mark.parametrize("status", [*REFUSALS.values(), "HTTP/1.1 200 OK"])
+async def test_an_extra_answer_to_an_earlier_request_takes_the_place_of_the_answer(
+    platform, status, body, pieces
+):
+    written = []
+
+    async def answer_first(server, received, writer):
+        lines = [status, f"Request-Id: {received.request_id}", "Server-Signature: t1"]
+        lines.append(f"Content-Length: {len(body)}")
+        written.append("\r\n".join(lines).encode() + HEAD_END + body)
+        writer.write(written[0])
+
+    async def answer_again_and_answer(server, received, writer):
+        for piece in pieces(written[0]):
+            writer.write(piece)
+            await asyncio.sleep(0.02)
+        await behave.answer(server, received, writer)
+
+    await platform.configure()
+    target = await platform.start_target(
+        "t1", answer_first, answer_again_and_answer, behave.answer
+    )
+    await platform.start_gateway()
+    await platform.send("/post/1")
+    for path in ("/post/2", "/post/3"):
+        reply = await platform.send(path)
+        assert (reply.status, reply.body) == (200, f"t1 ran {path}".encode())
+    assert [each.connection for each in target.received] == [1, 1, 2]
+
+
+async def test_extra_answers_without_end_hold_a_request(platform):
+    async def answer_without_end(server, received, writer):
+        earlier = server.received[0]
+        while True:
+            writer.write(behave.head("200 OK", earlier, length=9) + b"nine more")
+            await writer.drain()
+
+    await platform.configure()
+    await platform.start_target("t1", behave.answer, answer_without_end)
+    await platform.start_gateway()
+    await platform.send("/post/1")
+    assert (await platform.send("/post/2")).status == 502
+
+
+async def refuse_without_id(server, received, writer):
+    """Refuse without the request's id."""
+    writer.write(
+        b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0" + HEAD_END
+    )
+
+
 async def test_the_log_tells_a_believed_refusal_from_one_that_was_not(platform):
+    await platform.configure()
+    await platform.start_target("t1", behave.refuse, refuse_without_id)
+    await platform.start_gateway()
+    with logbook.TestHandler().applicationbound() as handler:
+        for number in range(2):
+            await platform.send(f"/post/{number}")
+    lines = [each.message for each in handler.records]
+    believed, doubted = (each for each in lines if each.startswith("513 "))
+    assert "refusal=believed connection_requests=0 connection_refusals=0" in believed
+    assert "refusal=doubted connection_requests=1 connection_refusals=1" in doubted
+
+
+async def test_the_log_counts_extra_answers(platform):
     def is_first(target, received):
         return received.request_id == "first"
 
@@ -123,9 +205,10 @@
         for request_id in ("first", "second"):
             await platform.send("/post/1", headers={"Request-Id": request_id})
     lines = [each.message for each in handler.records]
-    believed, doubted = (each for each in lines if each.startswith("513 "))
-    assert "refusal=believed connection_requests=0 connection_refusals=0" in believed
-    assert "refusal=doubted connection_requests=1 connection_refusals=1" in doubted
+    dropped = [each for each in lines if "328 extra-answer-dropped" in each]
+    assert len(dropped) == 1
+    assert "request=second target=t1" in dropped[0]
+    assert "count=1" in dropped[0]
 
 
 async def test_a_copied_refusal_sends_a_request_to_a_second_target(platform):
