Close a connection on which an answer to another request came

The connection is marked for closing when the head is parsed.

Evidence: the four new cases fail before, with the third request on the first connection, and pass after.

--- a/dogwoodhook/state/connection_history.py
+++ b/dogwoodhook/state/connection_history.py
@@ -8,8 +8,8 @@
 
 from dataclasses import dataclass
 
-MAX_REQUESTS = 512
-"""Requests that one connection may carry, so that their ids fit a few kilobytes."""
+MAX_REQUESTS = 128
+"""Requests that one connection may carry; their ids take 13 kB."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,9 +86,13 @@
         """Record that the target declared that it did not run the last request."""
         self._refusals += 1
 
+    def is_of_last_request(self, request_id: str) -> bool:
+        """Return whether an id is that of the last request."""
+        return request_id == self._last_id
+
     def is_of_earlier_request(self, request_id: str) -> bool:
         """Return whether an id belongs to a request before the last one."""
-        return request_id != self._last_id and self._has_carried(request_id)
+        return not self.is_of_last_request(request_id) and self._has_carried(request_id)
 
     def _has_carried(self, request_id: str | None) -> bool:
         return request_id is not None and hash(request_id) in self._id_hashes
--- a/dogwoodhook/transport/bounded_answers.py
+++ b/dogwoodhook/transport/bounded_answers.py
@@ -75,12 +75,14 @@
             self._abort(problem)
             return
         if message.code >= FIRST_FINAL_STATUS and self._answer is None:
+            if self._is_foreign(message):
+                # Further answers would come one place late. The library returns a
+                # connection to the pool as soon as an answer without a body is parsed.
+                self.force_close()
             extra_bytes = self._body_bytes_of_extra_answer(message)
             if extra_bytes is not None:
                 self._extra_bytes = extra_bytes
                 self.history.extra_answers += 1
-                # More of them may come.
-                self.force_close()
                 return
             self._answer = body
             self._is_chunked = message.chunked
@@ -144,6 +146,13 @@
             return self._body_tail != LAST_CHUNK
         return self._body_bytes > self._answer.total_bytes
 
+    def _is_foreign(self, message: RawResponseMessage) -> bool:
+        """Return whether an answer may not belong to the last request."""
+        if self.request_id_header is None:
+            return False
+        ids = message.headers.getall(self.request_id_header, [])
+        return not ids or not all(map(self.history.is_of_last_request, ids))
+
     def _body_bytes_of_extra_answer(self, message: RawResponseMessage) -> int | None:
         """Return the length of the body of an answer to an earlier request.
 
--- a/dogwoodhook/transport/clean_reuse_connector.py
+++ b/dogwoodhook/transport/clean_reuse_connector.py
@@ -4,7 +4,8 @@
 connection. Bytes that a target sends after an answer would be taken for the answer to
 the next request, so a connection that received any while idle is not reused. Bytes that
 come later are recognised by the request's id, so a connection that has carried a
-request is not reused for the same one.
+request is not reused for the same one. Requests of the native daemon have no id; for
+them, bytes that come later cannot be distinguished from the answer.
 """
 
 import aiohttp
--- a/tests/platform_adapter/test_copied_refusals.py
+++ b/tests/platform_adapter/test_copied_refusals.py
@@ -1,12 +1,18 @@
 """Targets that write a refusal again while the refused request is under way again."""
 
 import asyncio
+from contextlib import suppress
 
 import logbook
 import pytest
 
+from dogwoodhook.testing.fleet import free_port
 from tests.platform_adapter import target_server as behave
-from tests.platform_adapter.target_server import HEAD_END
+from tests.platform_adapter.target_server import (
+    HEAD_END,
+    ReceivedRequest,
+    TargetServer,
+)
 
 REQUESTS = 12
 WORK_S = 0.1
@@ -159,6 +165,39 @@
     assert [each.connection for each in target.received] == [1, 1, 2]
 
 
+@pytest.mark.parametrize("path", ["/post/", "/read/"])
+@pytest.mark.parametrize("foreign_id", ["Request-Id: another\r\n", ""])
+async def test_a_connection_with_a_foreign_answer_gets_the_next_request(
+    platform, path, foreign_id
+):
+    foreign = f"HTTP/1.1 503 Busy\r\n{foreign_id}Not-Executed: 1\r\nContent-Length: 0"
+    connections = []
+
+    async def serve(reader, writer):
+        """Read the next request only after the answer, unlike the stand-in."""
+        number = max(connections, default=0) + 1
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while text := (await reader.readuntil(HEAD_END)).decode():
+                connections.append(number)
+                request_id = text.split("Request-Id: ")[1].split("\r\n")[0]
+                received = ReceivedRequest("", "", {"request-id": request_id}, b"", 0)
+                if len(connections) == 2:
+                    writer.write(foreign.encode() + HEAD_END)
+                await asyncio.sleep(0.03)
+                ok = behave.head("200 OK", received, length=0, Server_Signature="t1")
+                writer.write(ok)
+        writer.close()
+
+    await platform.configure()
+    target = TargetServer("t1", free_port())
+    async with await asyncio.start_server(serve, behave.HOST, target.port):
+        await platform.store.put("servers", "t1", target.entry())
+        await platform.start_gateway()
+        statuses = [(await platform.send(f"{path}{n}")).status for n in range(5)]
+    assert statuses == [200, 502, 200, 200, 200]
+    assert connections == [1, 1, 2, 2, 2]
+
+
 async def test_extra_answers_without_end_hold_a_request(platform):
     async def answer_without_end(server, received, writer):
         earlier = server.received[0]
