Send nothing to a target whose address another process has

Callers got 503 although a sound target listened: an entry stays listed after its target ended, and where a successor has the address, every request for the ended target is refused there with 421. That is no symptom, so the ended one was chosen again each time, and the second attempts spent the retry budget. The entry with the latest start holds the address; others there get nothing while it is listed. Entries with the same start are all used, as before.

--- a/dogwoodhook/state/target_availability.py
+++ b/dogwoodhook/state/target_availability.py
@@ -54,6 +54,11 @@
     """The store does not list the target."""
 
 
+@dataclass(frozen=True, slots=True)
+class Replaced:
+    """The store lists a target at the same address whose process started later."""
+
+
 @dataclass(frozen=True, slots=True)
 class Draining:
     """The target drains, according to the store."""
@@ -95,7 +100,7 @@
     return Paused(now_s + pause_s, return_s, place)
 
 
-Availability = Available | Unlisted | Draining | Leaving | Paused
+Availability = Available | Unlisted | Replaced | Draining | Leaving | Paused
 
 
 def describe(availability: Availability) -> str:
@@ -109,6 +114,8 @@
             return "the target is available"
         case Unlisted():
             return "the target is not listed"
+        case Replaced():
+            return "another target has the address"
         case Draining() | Leaving():
             return "the target leaves"
         case Paused():
--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -16,6 +16,7 @@
     Draining,
     Leaving,
     Paused,
+    Replaced,
     Turn,
     Unlisted,
 )
@@ -97,6 +98,8 @@
         self._removal_due_s: dict[str, float] = {}
         self._joined_s: dict[str, float] = {}
         self._serving: dict[str, tuple[TargetEntry, ...]] = {}
+        # Listed targets whose address another process has had since it started.
+        self._replaced: set[str] = set()
         # What targets said in answers. It stays when an entry is removed and returns.
         self._leaving: OrderedDict[str, Leaving] = OrderedDict()
         self._paused: OrderedDict[str, Paused] = OrderedDict()
@@ -127,6 +130,8 @@
             return paused
         if known is None:
             return Unlisted()
+        if known.name in self._replaced:
+            return Replaced()
         return Draining() if known.is_draining else Available()
 
     def may_be_probed(self, target: TargetEntry, *, now_s: float) -> bool:
@@ -134,7 +139,7 @@
         match self.availability(target, turn=Turn.OTHER, now_s=now_s):
             case Leaving() | Paused():
                 return False
-            case Available() | Draining() | Unlisted():
+            case Available() | Draining() | Unlisted() | Replaced():
                 return True
 
     def record_leaving(self, target: TargetEntry) -> bool:
@@ -351,9 +356,17 @@
             self._index()
 
     def _index(self) -> None:
+        started: defaultdict[str, int] = defaultdict(int)
+        for entry in self._entries.values():
+            started[entry.address] = max(started[entry.address], entry.incarnation)
+        self._replaced = {
+            entry.name
+            for entry in self._entries.values()
+            if entry.incarnation < started[entry.address]
+        }
         serving: defaultdict[str, list[TargetEntry]] = defaultdict(list)
         for entry in self._entries.values():
-            if not entry.is_draining:
+            if not entry.is_draining and entry.name not in self._replaced:
                 serving[entry.service].append(entry)
         self._serving = {name: tuple(each) for name, each in serving.items()}
 
--- a/tests/test_target_directory.py
+++ b/tests/test_target_directory.py
@@ -10,6 +10,7 @@
     Available,
     Draining,
     Leaving,
+    Replaced,
     Turn,
     pause_for,
     turn_of,
@@ -133,6 +134,25 @@
     assert names(directory, service="stock") == ["t3"]
 
 
+@pytest.mark.parametrize("service", ["payouts", "stock"])
+def test_a_target_whose_address_another_process_has_gets_requests(directory, service):
+    reused = replace(T1, name="t3", service=service, incarnation=18)
+    directory.apply([TargetChange("t3", 10, reused)], version=10, now_s=0.0)
+    listed = {
+        each for name in ("payouts", "stock") for each in names(directory, service=name)
+    }
+    assert listed == {"t2", "t3"}
+    assert availability(directory, T1) == Replaced()
+    directory.apply([TargetChange("t3", 11, None)], version=11, now_s=0.0)
+    assert names(directory) == ["t1", "t2"]
+
+
+def test_targets_with_the_same_address_and_start_replace_each_other(directory):
+    copy = replace(T1, name="t3")
+    directory.apply([TargetChange("t3", 10, copy)], version=10, now_s=0.0)
+    assert names(directory) == ["t1", "t2", "t3"]
+
+
 def test_only_targets_added_after_the_first_read_count_as_recently_joined(directory):
     joined = replace(T1, name="t3")
     directory.apply([TargetChange("t3", 10, joined)], version=10, now_s=5.0)
