Refuse a request with more than one id

A caller with two ids got 502, and a later request with one of them 503 though it ran: the daemon checks answers by the first id, and a target may use another one. Shown by a review with a connection that had carried both ids; the new test fails before.

--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -186,6 +186,11 @@
             return self._own_answers.denial(
                 request, BAD_REQUEST_STATUS, "a URI that HTTP does not allow"
             )
+        if len(request.headers.getall(self._conventions.request_id_header, [])) > 1:
+            # Which of them identifies an answer is up to the target.
+            return self._own_answers.denial(
+                request, BAD_REQUEST_STATUS, "more than one request id"
+            )
         route = _route_of(configuration, request, uri)
         if route is None:
             return self._own_answers.denial(
--- a/tests/platform_adapter/test_copied_refusals.py
+++ b/tests/platform_adapter/test_copied_refusals.py
@@ -3,8 +3,11 @@
 import asyncio
 from contextlib import suppress
 
+import aiohttp
 import logbook
 import pytest
+from multidict import CIMultiDict
+from yarl import URL
 
 from dogwoodhook.testing.fleet import free_port
 from tests.exchanges import until
@@ -182,6 +185,20 @@
     assert [each.connection for each in target.received] == [1, 1, 2]
 
 
+async def test_a_request_with_two_ids_is_sent_to_a_target(platform):
+    await platform.configure()
+    target = await platform.start_target("t1")
+    await platform.start_gateway()
+    headers = CIMultiDict([("Request-Id", "x"), ("Request-Id", "a")])
+    url = URL(platform.gateways[0].url).with_path("/post/1")
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(url, headers=headers) as response,
+    ):
+        assert response.status == 400
+    assert not target.received
+
+
 @pytest.mark.parametrize("path", ["/post/", "/read/"])
 @pytest.mark.parametrize("foreign_id", ["Request-Id: another\r\n", ""])
 async def test_a_connection_with_a_foreign_answer_gets_the_next_request(
