Let the soak's targets copy refusals, and use addresses again

Any refusal of a target may now be written again: behind itself, or before the next answer on its connection or to the same request, up to 0.1 s late. Additional targets end while their rows stay, and up to three others follow each other at the address, each with a name of its own and a later start. They refuse what is meant for the ended ones with 421, 429 or 503. Both are drawn from generators of their own. Runs and announcements on a connection with a copy excuse what a lost answer does. Targets are numbered before they start, since two that started at once got one name.

The checks of the two rules count all runs of the soak, also those after the answer, and stay as they were.

--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -26,6 +26,7 @@
     find_stale_configurations,
     find_violations,
 )
+from tests.platform_adapter.soak.reused_addresses import AddressReuser
 from tests.platform_adapter.soak.world import World
 
 SERIES = 3
@@ -81,7 +82,10 @@
 ) -> Report:
     """Run one soak and return its report."""
     with tempfile.TemporaryDirectory() as temporary:
-        async with World(folder or Path(temporary), random.Random(seed)) as world:
+        # A generator of its own leaves the faults of known seeds as they are.
+        copy_rng = random.Random(f"copies {seed}")
+        path = folder or Path(temporary)
+        async with World(path, random.Random(seed), copy_rng) as world:
             return await _soak(world, size or Size(), seed=seed, seconds=seconds)
 
 
@@ -99,10 +103,11 @@
     caller_tasks = callers.start(size.callers)
     harmful = HarmfulCaller(world, seed=seed)
     harmful_task = asyncio.create_task(harmful.run())
-    announcer_task = asyncio.create_task(Announcer(world, seed=seed).run())
+    others = [Announcer(world, seed=seed), AddressReuser(world, seed=seed)]
+    other_tasks = [asyncio.create_task(each.run()) for each in others]
     series = [asyncio.create_task(run_series(world, injected)) for _ in range(SERIES)]
     await asyncio.sleep(seconds)
-    violations += await _cancel_series([*series, harmful_task, announcer_task])
+    violations += await _cancel_series([*series, harmful_task, *other_tasks])
     await _end_faults(world)
     violations += await _wait_until_serving(world, callers, RECOVERY_TIMEOUT_S)
     callers.end()
--- a/tests/platform_adapter/soak/world.py
+++ b/tests/platform_adapter/soak/world.py
@@ -1,6 +1,7 @@
 """The daemon processes of a soak, and its simulated store and targets."""
 
 import asyncio
+import itertools
 import os
 import random
 import select
@@ -81,6 +82,12 @@
 DELIVERY_S = 1.0
 """Time after a run for which the next end of its target is recorded with it."""
 
+COPY_SHARES = {"none": 0.3, "at once": 0.1, "next": 0.2, "same id": 0.4}
+"""Shares of the refusals that are written again behind themselves, before the next
+answer on their connection, or before the next answer to the same request."""
+
+MAX_COPY_AFTER_S = 0.1
+
 MAX_DOWN_S = 2.0
 """Longest time from a target's end until it accepts connections again."""
 
@@ -158,16 +165,33 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class WrittenRefusal:
+    """A refusal that is written again after ``copy_after_s`` of a later request.
+
+    This is the connection's next request, or the refused one if ``waits_for_id``.
+    """
+
+    refuse: behave.Behaviour
+    request: behave.ReceivedRequest
+    copy_after_s: float = 0.0
+    waits_for_id: bool = False
+
+
 async def _refuse_first(server, received, writer):
-    server.refused_requests[received.connection] = received
+    server.refusals[received.connection] = WrittenRefusal(behave.refuse, received)
     await behave.refuse(server, received, writer)
 
 
+async def _refuse_busy(server, received, writer):
+    writer.write(behave.head("429 Busy", received, length=0, Not_Executed="1"))
+
+
 async def duplicate_refusal(server, received, writer):
     """Send the refusal of the connection's earlier request again, then answer."""
-    await behave.refuse(
-        server, server.refused_requests.pop(received.connection), writer
-    )
+    refusal = server.refusals.pop(received.connection)
+    await asyncio.sleep(refusal.copy_after_s)
+    await refusal.refuse(server, refusal.request, writer)
     await asyncio.sleep(0.1)
     await behave.answer(server, received, writer)
 
@@ -181,6 +205,7 @@
 
 PADDING = b"~"
 REFUSALS = (behave.refuse, behave.misdirected, _refuse_first)
+REFUSALS_FOR_ENDED = (behave.misdirected, behave.refuse, _refuse_busy)
 
 
 def wait_for_exit(pid):
@@ -203,7 +228,9 @@
     If ``gray_behaviour`` is set, it fails ``gray_failure_share`` of the requests in
     this way. ``link_fault_until_s`` is the end of the last fault of its link, infinite
     while one lasts, ``ended_s`` when it last ended, and ``opened_s`` when each of its
-    connections was opened.
+    connections was opened. ``copy_rng`` draws which refusals are written again, and
+    ``copied_on`` are the connections with such a copy. New connections are those of
+    ``successor``, once there is one.
     """
 
     rng: random.Random = field(default_factory=random.Random)
@@ -212,7 +239,10 @@
     gray_failure_share: float = 0.8
     relay: Relay | None = None
     link_fault_until_s: float = 0.0
-    refused_requests: dict = field(default_factory=dict)
+    refusals: dict[int, WrittenRefusal] = field(default_factory=dict)
+    copy_rng: random.Random | None = None
+    copied_on: set[int] = field(default_factory=set)
+    successor: "SoakTarget | None" = None
     harmful_arrivals: list[HarmfulArrival] = field(default_factory=list)
     endings: set[asyncio.Task] = field(default_factory=set)
     incarnation: int = 0
@@ -230,6 +260,9 @@
 
     async def serve(self, reader, writer):
         """Serve one connection, and record when it was opened."""
+        if self.successor is not None:
+            await self.successor.serve(reader, writer)
+            return
         self.opened_s[self.connections + 1] = time.monotonic()
         await super().serve(reader, writer)
 
@@ -237,20 +270,30 @@
         now_s = time.monotonic()
         self.arrivals.append((received.request_id, now_s))
         if received.headers.get("expected-instance") != self.name:
-            await behave.misdirected(server, received, writer)
+            rng = self.copy_rng
+            refuse = rng.choice(REFUSALS_FOR_ENDED) if rng else behave.misdirected
+            await self._refuse(refuse, received, writer)
             return
         if now_s < self.paused_until_s:
             self.announce(received, until_s=self.paused_until_s)
             pause = behave.pausing(f"{self.paused_until_s - now_s:.3f}")
-            await pause(server, received, writer)
+            await self._refuse(pause, received, writer)
             return
         if received.path.split("/")[2] == HARMFUL:
             await self._run_harmful(received, writer)
             return
         behaviour = self._choose(received)
         if behaviour in REFUSALS:
-            await behaviour(server, received, writer)
+            await self._refuse(behaviour, received, writer)
             return
+        await self._run(behaviour, received, writer)
+
+    async def _run(self, behaviour, received, writer):
+        """Run a request, and record the run."""
+        if behaviour is _answer_completely and self._copies_before(received):
+            behaviour = duplicate_refusal
+        if behaviour is duplicate_refusal:
+            self.copied_on.add(received.connection)
         work_s, padding = _parse_path(received)
         run = RunRecord(received.request_id, self.name, time.monotonic())
         run.timeout_s = int(received.headers["deadline-ms"]) / 1000
@@ -270,19 +313,46 @@
             if behaviour is not duplicate_refusal:
                 await asyncio.sleep(run.work_s)
             run.broke_off = behaviour is _break_off
-            await behaviour(server, received, writer)
+            await behaviour(self, received, writer)
         except asyncio.CancelledError:
             run.was_cut = True
             raise
         finally:
             run.ended_s = time.monotonic()
             is_link_sound = not was_reset and self.link_fault_until_s < run.started_s
-            run.is_sound = is_sound_answer and is_link_sound
+            has_copy = received.connection in self.copied_on
+            run.is_sound = is_sound_answer and is_link_sound and not has_copy
+
+    async def _refuse(self, refuse, received, writer):
+        """Refuse, and draw whether and when the refusal is written again."""
+        await refuse(self, received, writer)
+        if self.copy_rng is None or refuse is _refuse_first:
+            return
+        copy_after_s = self.copy_rng.uniform(0, MAX_COPY_AFTER_S)
+        (kind,) = self.copy_rng.choices(list(COPY_SHARES), [*COPY_SHARES.values()])
+        if kind == "at once":
+            self.copied_on.add(received.connection)
+            await refuse(self, received, writer)
+        elif kind != "none":
+            self.refusals[received.connection] = WrittenRefusal(
+                refuse, received, copy_after_s, waits_for_id=kind == "same id"
+            )
+
+    def _copies_before(self, received):
+        """Return whether a refusal is written again before the answer to a request."""
+        refusal = self.refusals.get(received.connection)
+        return refusal is not None and (
+            not refusal.waits_for_id
+            or refusal.request.request_id == received.request_id
+        )
 
     def announce(self, received, *, until_s):
         """Record that an answer says that the target leaves or wants a pause."""
         now_s = time.monotonic()
-        is_sound = self.link_fault_until_s < now_s - DELIVERY_S
+        is_sound = (
+            self.link_fault_until_s < now_s - DELIVERY_S
+            and received.connection not in self.copied_on
+        )
         self.announcements.append(
             Announcement(self.name, received.request_id, now_s, until_s, is_sound)
         )
@@ -316,20 +386,25 @@
         await asyncio.sleep(shape.wait_s)
         if not self.relay.is_listening or self.incarnation != incarnation:
             return
-        arrival.ended_s = self.ended_s = time.monotonic()
-        self.incarnation += 1
-        for run in self.runs:
-            has_ended_before = run.target_ended_s is not None
-            if not has_ended_before and self.ended_s - run.ended_s < DELIVERY_S:
-                run.target_ended_s = self.ended_s
+        self.record_end()
+        arrival.ended_s = self.ended_s
         if shape.keeps_port:
             self.relay.reset_open_connections()
             down_s = 0.0
         else:
             self.relay.close_port()
-        self.link_fault_until_s = float("inf")
         self.endings.add(asyncio.create_task(self._restart(down_s=down_s)))
 
+    def record_end(self):
+        """Record that the target ends now, with the runs whose answers it may cut."""
+        self.ended_s = time.monotonic()
+        self.link_fault_until_s = float("inf")
+        self.incarnation += 1
+        for run in self.runs:
+            has_ended_before = run.target_ended_s is not None
+            if not has_ended_before and self.ended_s - run.ended_s < DELIVERY_S:
+                run.target_ended_s = self.ended_s
+
     async def _restart(self, *, down_s):
         await asyncio.sleep(down_s)
         if not self.relay.is_listening:
@@ -345,7 +420,7 @@
             return _break_off if fails else _answer_completely
         if (
             self.gray_behaviour is duplicate_refusal
-            and received.connection not in self.refused_requests
+            and received.connection not in self.refusals
         ):
             return _refuse_first
         return self.gray_behaviour
@@ -432,8 +507,12 @@
 class World:
     """The store, the targets and the daemons of one soak."""
 
-    def __init__(self, folder: Path, rng: random.Random) -> None:
+    def __init__(
+        self, folder: Path, rng: random.Random, copy_rng: random.Random
+    ) -> None:
         self.rng = rng
+        self._copy_rng = copy_rng
+        self._target_numbers = itertools.count()
         self.interruptions: list[Kill | Stop | LinkFault] = []
         self.targets: dict[str, SoakTarget] = {}
         self.all_targets: list[SoakTarget] = []
@@ -520,23 +599,39 @@
 
         No other fault affects it if ``is_extra`` is set.
         """
-        name = f"i-{len(self.all_targets):04x}"
-        target = SoakTarget(
-            name,
-            port or free_port(),
-            rng=self.rng,
-            data_centre=data_centre,
-            register_again=self._register_again,
-        )
+        target = self._make_target(data_centre, port or free_port())
         server = await asyncio.start_server(target.serve, "127.0.0.1", target.port)
         self._stack.callback(server.close)
         target.relay = await self._stack.enter_async_context(Relay(port=target.port))
         if not is_extra:
-            self.targets[name] = target
+            self.targets[target.name] = target
+        self.all_targets.append(target)
+        await self.register(target)
+        return target
+
+    async def replace_at_address(self, ended, data_centre):
+        """End a target whose entry stays, and register another one at its address."""
+        target = self._make_target(data_centre, ended.port)
+        target.relay = ended.relay
+        ended.record_end()
+        target.incarnation = ended.incarnation
+        target.link_fault_until_s = ended.ended_s
+        ended.successor = target
+        ended.relay.reset_open_connections()
         self.all_targets.append(target)
         await self.register(target)
         return target
 
+    def _make_target(self, data_centre, port):
+        return SoakTarget(
+            f"i-{next(self._target_numbers):04x}",
+            port,
+            rng=self.rng,
+            copy_rng=self._copy_rng,
+            data_centre=data_centre,
+            register_again=self._register_again,
+        )
+
     async def drain_target(self, name):
         """Announce that a target leaves, then remove it; it finishes its requests."""
         await self.register(self.targets.pop(name), state="draining")
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -636,3 +636,10 @@
     assert not report.violations, str(report)
     assert report.checked["sent to a leaving target"]
     assert report.checked["sent in a pause"]
+
+
+async def test_a_copied_refusal_at_a_reused_address_belies_what_callers_are_told():
+    report = await soak(seed=6003, seconds=8.0)
+    assert not report.violations, str(report)
+    assert report.checked["run twice"]
+    assert report.checked["ran, but was reported as not run"]
