Check refusals and second runs of harmful requests in the soak, too

The soak's harmful requests were checked for their number of arrivals only. One that is not idempotent could run twice, or run although its caller had got 408, 421, 429 or 503, and no check saw it. Their callers now record the status, and both rules are checked. The test that a refusal of a request that runs later is found covers all four statuses, not 429 alone.

--- a/tests/platform_adapter/soak/harmful.py
+++ b/tests/platform_adapter/soak/harmful.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
@@ -12,7 +12,11 @@
 
 from dogwoodhook.transport.resend_guard import AttemptTrace
 from dogwoodhook.transport.target_sessions import make_session
-from tests.platform_adapter.soak.records import Disturbance, PromiseChecks
+from tests.platform_adapter.soak.records import (
+    NOT_RUN_STATUSES,
+    Disturbance,
+    PromiseChecks,
+)
 from tests.platform_adapter.soak.world import BODY, HARMFUL, HarmfulArrival, World
 
 SENDING_S = 12.0
@@ -32,13 +36,15 @@
 """Arrivals of a harmful request that are allowed later; rule BUDGET."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class HarmfulCall:
-    """One sending of a harmful request to a daemon."""
+    """One sending of a harmful request to a daemon; ``status`` is 0 until answered."""
 
     request_id: str
     daemon: str
     sent_s: float
+    is_idempotent: bool = True
+    status: int = 0
 
 
 class HarmfulCaller:
@@ -77,7 +83,9 @@
         daemon = self._rng.choice(self._world.daemons)
         host, port = daemon.address(is_relayed=False)
         request_id = f"{HARMFUL}-{next(self._numbers)}"
-        self.calls.append(HarmfulCall(request_id, daemon.name, time.monotonic()))
+        is_idempotent = body is None
+        call = HarmfulCall(request_id, daemon.name, time.monotonic(), is_idempotent)
+        self.calls.append(call)
         trace = AttemptTrace()
         headers = {
             "Host": "127.0.0.1",
@@ -96,6 +104,7 @@
                     middlewares=(trace.block_resend,),
                 ) as response,
             ):
+                call.status = response.status
                 await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError):
             # What becomes of a harmful request does not matter to its caller.
@@ -129,3 +138,19 @@
         is_stopped = len(later) <= MAX_LATER_ARRIVALS
         checks.expect(is_stopped, "ends targets without limit", path, later)
     return checks
+
+
+def find_false_refusals(
+    arrivals: Iterable[HarmfulArrival], calls: Iterable[HarmfulCall]
+) -> PromiseChecks:
+    """Check that those which may run once did so once at most, refused ones never."""
+    reached = Counter(each.request_id for each in arrivals)
+    checks = PromiseChecks()
+    for call in calls:
+        if call.is_idempotent:
+            continue
+        runs = reached[call.request_id]
+        checks.expect(runs <= 1, "run twice", call, runs)
+        if call.status in NOT_RUN_STATUSES:
+            checks.expect(runs == 0, "ran, but was reported as not run", call, runs)
+    return checks
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -17,7 +17,11 @@
 )
 from tests.platform_adapter.soak.callers import Callers
 from tests.platform_adapter.soak.faults import run_series
-from tests.platform_adapter.soak.harmful import HarmfulCaller, find_unstopped_requests
+from tests.platform_adapter.soak.harmful import (
+    HarmfulCaller,
+    find_false_refusals,
+    find_unstopped_requests,
+)
 from tests.platform_adapter.soak.records import (
     Violation,
     find_abandoned_work,
@@ -130,6 +134,7 @@
         each for target in world.all_targets for each in target.harmful_arrivals
     ]
     checks += find_unstopped_requests(arrivals, harmful.calls, disturbances)
+    checks += find_false_refusals(arrivals, harmful.calls)
     checks += find_ignored_announcements(
         world.all_targets, [*calls, *harmful.calls], disturbances
     )
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -13,7 +13,11 @@
 from tests.platform_adapter.soak import callers
 from tests.platform_adapter.soak.announcements import find_ignored_announcements
 from tests.platform_adapter.soak.callers import Callers
-from tests.platform_adapter.soak.harmful import HarmfulCall, find_unstopped_requests
+from tests.platform_adapter.soak.harmful import (
+    HarmfulCall,
+    find_false_refusals,
+    find_unstopped_requests,
+)
 from tests.platform_adapter.soak.records import (
     Announcement,
     CallRecord,
@@ -430,8 +434,9 @@
     assert broken_rules(replace(CALL, padding=4), replace(RUN, padding=5)) == rule
 
 
-def test_a_refusal_of_a_request_that_runs_later_is_found():
-    refused = replace(CALL, status=429, signature="")
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_a_refusal_of_a_request_that_runs_later_is_found(status):
+    refused = replace(CALL, status=status, signature="")
     assert broken_rules(refused, replace(RUN, started_s=2.5)) == [
         "ran, but was reported as not run"
     ]
@@ -515,6 +520,25 @@
     assert not find_unstopped([1.0, 2.0, 3.0, 6.1, 6.2, 6.3, 6.4], disturbances=[kill])
 
 
+@pytest.mark.parametrize(
+    ("is_idempotent", "status", "arrivals", "rules"),
+    [
+        (False, 502, 1, []),
+        (False, 503, 0, []),
+        (False, 503, 1, ["ran, but was reported as not run"]),
+        (False, 0, 2, ["run twice"]),
+        (True, 503, 2, []),
+    ],
+)
+def test_a_harmful_request_that_runs_twice_or_though_refused_is_found(
+    is_idempotent, status, arrivals, rules
+):
+    call = HarmfulCall("a", "vm-1", 1.0, is_idempotent, status)
+    reached = [HarmfulArrival("/post/harmful/0", "a", "t1", 2.0)] * arrivals
+    found = find_false_refusals(reached, [call])
+    assert [each.rule for each in found.broken] == rules
+
+
 def ignored_announcements(arrived_s, *, until_s, daemon="vm-1", disturbances=()):
     """Return the broken rules of one announcement at 1 s and later arrivals."""
     target = SoakTarget("t1", 80)
