--- a/tests/platform_adapter/soak/reused_addresses.py
+++ b/tests/platform_adapter/soak/reused_addresses.py
@@ -14,7 +14,7 @@
 
 MAX_SUCCESSORS = 3
 
-SAME_START_SHARE = 0.5
+SAME_START_SHARE = 0.8
 """Share of the targets whose entry has the same start as that of the ended one."""
 
 
