--- a/dogwoodhook/state/connection_history.py
+++ b/dogwoodhook/state/connection_history.py
@@ -86,6 +86,11 @@
         """Record that the target declared that it did not run the last request."""
         self._refusals += 1
 
+    @property
+    def has_earlier_requests(self) -> bool:
+        """Return whether an answer may belong to a request before the last one."""
+        return self._requests > 1
+
     def is_of_last_request(self, request_id: str) -> bool:
         """Return whether an id is that of the last request."""
         return request_id == self._last_id
--- a/dogwoodhook/transport/bounded_answers.py
+++ b/dogwoodhook/transport/bounded_answers.py
@@ -151,7 +151,9 @@
         if self.request_id_header is None:
             return False
         ids = message.headers.getall(self.request_id_header, [])
-        return not ids or not all(map(self.history.is_of_last_request, ids))
+        if not ids:
+            return self.history.has_earlier_requests
+        return not all(map(self.history.is_of_last_request, ids))
 
     def _body_bytes_of_extra_answer(self, message: RawResponseMessage) -> int | None:
         """Return the length of the body of an answer to an earlier request.
