Ask of the soak that answers behind copies of refusals are delivered

Runs and announcements on a connection with a copy were excused, as answers behind a copy were lost when the soak got its copies.

--- a/tests/platform_adapter/soak/world.py
+++ b/tests/platform_adapter/soak/world.py
@@ -228,9 +228,8 @@
     If ``gray_behaviour`` is set, it fails ``gray_failure_share`` of the requests in
     this way. ``link_fault_until_s`` is the end of the last fault of its link, infinite
     while one lasts, ``ended_s`` when it last ended, and ``opened_s`` when each of its
-    connections was opened. ``copy_rng`` draws which refusals are written again, and
-    ``copied_on`` are the connections with such a copy. New connections are those of
-    ``successor``, once there is one.
+    connections was opened. ``copy_rng`` draws which refusals are written again. New
+    connections are those of ``successor``, once there is one.
     """
 
     rng: random.Random = field(default_factory=random.Random)
@@ -241,7 +240,6 @@
     link_fault_until_s: float = 0.0
     refusals: dict[int, WrittenRefusal] = field(default_factory=dict)
     copy_rng: random.Random | None = None
-    copied_on: set[int] = field(default_factory=set)
     successor: "SoakTarget | None" = None
     harmful_arrivals: list[HarmfulArrival] = field(default_factory=list)
     endings: set[asyncio.Task] = field(default_factory=set)
@@ -290,10 +288,11 @@
 
     async def _run(self, behaviour, received, writer):
         """Run a request, and record the run."""
-        if behaviour is _answer_completely and self._copies_before(received):
+        copies_refusal = behaviour is _answer_completely and self._copies_before(
+            received
+        )
+        if copies_refusal:
             behaviour = duplicate_refusal
-        if behaviour is duplicate_refusal:
-            self.copied_on.add(received.connection)
         work_s, padding = _parse_path(received)
         run = RunRecord(received.request_id, self.name, time.monotonic())
         run.timeout_s = int(received.headers["deadline-ms"]) / 1000
@@ -308,7 +307,8 @@
         self.runs.append(run)
         if behaviour is _answer_completely:
             run.padding = padding
-        is_sound_answer = behaviour in (_answer_completely, _time_out)
+        # The daemon drops the copy, and delivers the answer behind it.
+        is_sound_answer = behaviour in (_answer_completely, _time_out) or copies_refusal
         try:
             if behaviour is not duplicate_refusal:
                 await asyncio.sleep(run.work_s)
@@ -320,8 +320,7 @@
         finally:
             run.ended_s = time.monotonic()
             is_link_sound = not was_reset and self.link_fault_until_s < run.started_s
-            has_copy = received.connection in self.copied_on
-            run.is_sound = is_sound_answer and is_link_sound and not has_copy
+            run.is_sound = is_sound_answer and is_link_sound
 
     async def _refuse(self, refuse, received, writer):
         """Refuse, and draw whether and when the refusal is written again."""
@@ -331,7 +330,6 @@
         copy_after_s = self.copy_rng.uniform(0, MAX_COPY_AFTER_S)
         (kind,) = self.copy_rng.choices(list(COPY_SHARES), [*COPY_SHARES.values()])
         if kind == "at once":
-            self.copied_on.add(received.connection)
             await refuse(self, received, writer)
         elif kind != "none":
             self.refusals[received.connection] = WrittenRefusal(
@@ -349,10 +347,7 @@
     def announce(self, received, *, until_s):
         """Record that an answer says that the target leaves or wants a pause."""
         now_s = time.monotonic()
-        is_sound = (
-            self.link_fault_until_s < now_s - DELIVERY_S
-            and received.connection not in self.copied_on
-        )
+        is_sound = self.link_fault_until_s < now_s - DELIVERY_S
         self.announcements.append(
             Announcement(self.name, received.request_id, now_s, until_s, is_sound)
         )
