Distinguish the eras of a store that comes back from a copy

After such a return versions go back and are given out again, so a daemon would have ignored targets' reports and the operator's versions until the counter had caught up (DRAIN, ROUTE, FLOOR, CONFIG), taken changes after a version of another history, and a target that had been removed for one that serves.

A position is now the era of the Store-Era header and the version, as one ordered integer (state/store_position.py); the adapter makes them. The client reports history as lost where an answer is of another era, does not join pages of two eras, and writes no row by a version of an older one. Without the header every position is the version, as before. The store reader tells the others the difference between the eras; who knew something else reads the table. A configuration never goes back; a daemon that starts then gets the newer one from another daemon.

Still missing: the system's own rows are not written again.

--- a/dogwoodhook/coordination/configuration_following.py
+++ b/dogwoodhook/coordination/configuration_following.py
@@ -38,6 +38,7 @@
 )
 from dogwoodhook.findings import FindingsError
 from dogwoodhook.state.configuration_freshness import ConfigurationFreshness
+from dogwoodhook.state.store_position import describe
 from dogwoodhook.state.store_reader import rank_of
 
 if TYPE_CHECKING:
@@ -136,8 +137,8 @@
         self._announced_s = now_s
         log(
             CONFIGURATION_ANNOUNCED,
-            row=notice.row_version,
-            known_row=self._row_version,
+            row=describe(notice.row_version),
+            known_row=describe(self._row_version),
             daemon=notice.daemon,
             age_ms=round(notice.age_s * 1000),
         )
@@ -151,7 +152,7 @@
             case Result(error=problem):
                 log(
                     CONFIGURATION_NOT_HANDED,
-                    row=notice.row_version,
+                    row=describe(notice.row_version),
                     detail=f"{notice.daemon}: {problem}",
                 )
 
@@ -259,7 +260,9 @@
                     return True
                 case Result(error=problem):
                     log(
-                        CONFIGURATION_NOT_HANDED, row=row_version, detail=problem.detail
+                        CONFIGURATION_NOT_HANDED,
+                        row=describe(row_version),
+                        detail=problem.detail,
                     )
         return False
 
@@ -292,21 +295,30 @@
         if row.version <= self._row_version:
             return
         is_announced = self._announced_row > self._row_version
+        earlier_row = self._exchange.current_row
         self._row_version = row.version
         self._exchange.current_row = row
         decoding_s = self._clock.now_s()
         try:
             configuration = self._decoder.configuration(row)
         except FindingsError as error:
-            log(CONFIGURATION_REFUSED, row=row.version, findings=str(error))
+            log(
+                CONFIGURATION_REFUSED,
+                row=describe(row.version),
+                findings=str(error),
+            )
             return
         if self.in_force is not None and configuration.version < self.in_force.version:
             log(
                 CONFIGURATION_REFUSED,
-                row=row.version,
+                row=describe(row.version),
                 findings=f"version {configuration.version} is older than"
                 f" {self.in_force.version}",
             )
+            if earlier_row is not None:
+                # The store may have come back from a copy; a daemon that starts now
+                # gets the newer configuration from this one.
+                self._exchange.current_row = replace(earlier_row, version=row.version)
             return
         self.in_force = configuration
         now_s = self._clock.now_s()
@@ -315,7 +327,7 @@
             CONFIGURATION_IN_FORCE,
             version=configuration.version,
             routes=len(configuration.routes),
-            row=row.version,
+            row=describe(row.version),
             bytes=len(row.value),
             source=source,
             announced_ms=round(announced_s * 1000),
--- a/dogwoodhook/coordination/target_following.py
+++ b/dogwoodhook/coordination/target_following.py
@@ -3,6 +3,10 @@
 One daemon of the fleet is the store reader (see ``state.store_reader``); the others
 receive store updates from it. A daemon that receives an update with a gap after
 the version that it knows reads the store itself.
+
+When the store comes back from a copy, the store reader reads the complete table, and
+its next update tells what has changed since the version that it knew before. A daemon
+that knew more than that, or less, reads the table itself.
 """
 
 import asyncio
@@ -18,7 +22,8 @@
 from dogwoodhook.coordination.store import Store, Table, TableRows
 from dogwoodhook.coordination.store_availability import StoreAvailability
 from dogwoodhook.coordination.store_reading import RowDecoder, read_newer, wait_for
-from dogwoodhook.events import TARGET_CHANGED, log
+from dogwoodhook.events import STORE_ERA_ADOPTED, TARGET_CHANGED, log
+from dogwoodhook.state.store_position import describe, era_of
 from dogwoodhook.state.store_reader import excess_age_s, rank_of, silence_limit_s
 from dogwoodhook.state.target_directory import (
     TargetChange,
@@ -101,16 +106,24 @@
         """Apply another daemon's store update."""
         now_s = self._clock.now_s()
         version = update.version
-        if update.after_version > self._directory.version:
+        known = self._directory.version
+        if era_of(version) < era_of(known):
+            # Its sender has not heard of the store's return yet.
+            return
+        if era_of(version) > era_of(known) and update.after_version != known:
+            self._missed_version = version
+            self._must_read.set()
+            return
+        if update.after_version > known:
             # These changes are valid although earlier ones were missed.
-            version = self._directory.version
+            version = known
             self._missed_version = update.version
             self._must_read.set()
         elif self._parts.record(update) and update.store_version >= self._store_version:
             # An older update was delayed by a relay and is older than it says.
             self._record_peer_read(update.store_version, update.age_s, now_s)
         else:
-            version = self._directory.version
+            version = known
         applied = self._directory.apply(
             update.changes,
             version=version,
@@ -125,6 +138,8 @@
         This daemon may have read the store itself, before or after the other one.
         """
         now_s = self._clock.now_s()
+        if era_of(table.version) < era_of(self._directory.version):
+            return
         if table.store_version >= self._store_version:
             self._record_peer_read(table.store_version, table.age_s, now_s)
         applied = self._directory.replace_all(
@@ -218,6 +233,11 @@
             TargetChange(row.key, row.version, self._decoder.target(row))
             for row in rows.rows
         ]
+        before = self._directory.version
+        has_new_era = bool(before) and era_of(rows.version) > era_of(before)
+        if has_new_era:
+            # Targets that registered after the copy was made register again.
+            self._availability.returned_s = now_s
         hold_s = self._availability.removal_hold_s(now_s=now_s)
         apply = (
             self._directory.replace_all if rows.is_complete else self._directory.apply
@@ -225,6 +245,14 @@
         applied = apply(
             changes, version=rows.version, now_s=now_s, removal_hold_s=hold_s
         )
+        if has_new_era:
+            log(
+                STORE_ERA_ADOPTED,
+                table=Table.TARGETS,
+                before=describe(before),
+                position=describe(rows.version),
+                changed=len(applied),
+            )
         _log_changes(applied, source="store", version=rows.version, age_s=age_s)
         return hold_s
 
@@ -257,7 +285,10 @@
 
     def _changes_to_send(self, before: int) -> tuple[int, tuple[TargetChange, ...]]:
         """Return changes up to now, and the version that they follow on."""
+        era = era_of(self._directory.version)
         for base in self._bases:
+            if era_of(base) != era or era_of(before) != era:
+                continue
             changes = self._directory.changes_after(base)
             if len(changes) <= MAX_CHANGES_PER_UPDATE:
                 return base, changes
@@ -292,8 +323,8 @@
             service=entry.service if entry else "",
             state=_state_of(entry),
             source=source,
-            row=change.version,
-            version=version,
+            row=describe(change.version),
+            version=describe(version),
             age_ms=round(age_s * 1000),
         )
 
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -348,6 +348,26 @@
 STORE_AVAILABLE = _event(
     911, "store-available", Level.NOTICE, "The store answers again."
 )
+STORE_ERA_BEGAN = _event(
+    912,
+    "store-era-began",
+    Level.NOTICE,
+    "The store came back from a copy of its rows, and begins a new era of versions.",
+)
+STORE_ERA_IGNORED = _event(
+    913,
+    "store-era-ignored",
+    Level.WARNING,
+    "The store stated no usable era, or an older one; the last one known holds, and the"
+    " tables are read completely.",
+)
+STORE_ERA_ADOPTED = _event(
+    914,
+    "store-era-adopted",
+    Level.NOTICE,
+    "A table is known in a newer era of the store; `before` and `position` are the"
+    " positions, `changed` counts the rows that differ.",
+)
 TARGET_CHANGED = _event(
     320,
     "target-changed",
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -317,6 +317,10 @@
         """Return whether a target is listed."""
         return self._directory.get(name) is not None
 
+    def is_serving(self, name: str) -> bool:
+        """Return whether a target is listed and does not drain."""
+        return self._directory.is_serving(name)
+
     async def start(self) -> None:
         """Open the listeners and start the background tasks."""
         await self.peers.start(self._settings.peer_address)
--- a/dogwoodhook/platform/headers.py
+++ b/dogwoodhook/platform/headers.py
@@ -11,3 +11,7 @@
     not_run_statuses=frozenset({421}),
     leaving_header="Server-Leaving",
 )
+
+STORE_ERA_HEADER = "Store-Era"
+"""Header of the store's answers with a number that rises by one each time that the
+store comes back from a copy of its rows."""
--- a/dogwoodhook/platform/store_client.py
+++ b/dogwoodhook/platform/store_client.py
@@ -19,6 +19,9 @@
     TableRows,
 )
 from dogwoodhook.coordination.store_reading import wait_for
+from dogwoodhook.platform.headers import STORE_ERA_HEADER
+from dogwoodhook.platform.store_era import StoreEra
+from dogwoodhook.state.store_position import era_of, position_of, version_of
 from dogwoodhook.vm_settings import Address
 
 CALL_TIMEOUT_S = 1.0
@@ -44,11 +47,24 @@
 
 @dataclass(frozen=True, slots=True)
 class _Answer:
-    """An answer's status and body; ``problem`` says why there is none."""
+    """An answer's status and body in an era; ``problem`` says why there is none."""
 
     status: int = 0
     body: dict[str, Any] | None = None
     problem: str = ""
+    era: int = 0
+
+    @property
+    def position(self) -> int:
+        """Return the store's position at the answer."""
+        assert self.body is not None
+        return position_of(self.era, self.body["ver"])
+
+    @property
+    def rows(self) -> tuple[StoreRow, ...]:
+        """Return the answer's rows."""
+        assert self.body is not None
+        return tuple(_decode_row(row, self.era) for row in self.body["rows"])
 
     def to_unavailable(self) -> StoreUnavailable:
         return StoreUnavailable(self.problem or f"status {self.status}")
@@ -58,13 +74,17 @@
     """Client of the store. ``address`` may be changed at any time.
 
     Connections are reused. A read whose connection seems to have gone silent is hedged
-    on a new connection.
+    on a new connection. The versions that are passed and returned are positions (see
+    ``state.store_position``).
     """
 
     def __init__(self, address: Address) -> None:
         self.address = address
         self._session: aiohttp.ClientSession | None = None
         self._single_use: aiohttp.ClientSession | None = None
+        self._era = StoreEra()
+        # The doubts about the era at the last complete read of each table.
+        self._settled_doubts: dict[Table, int] = {}
 
     async def close(self) -> None:
         """Close the connections."""
@@ -79,16 +99,20 @@
         include everything that is written while the later pages are read.
         """
         rows: list[StoreRow] = []
-        version = 0
+        position = 0
         start = ""
+        doubts = self._era.doubts
         while True:
             answer = await self._read_page(table, start)
             if answer.status != _OK or answer.body is None:
                 return Error(answer.to_unavailable())
-            version = version or answer.body["ver"]
-            rows += map(_decode_row, answer.body["rows"])
+            position = position or answer.position
+            if era_of(position) != answer.era:
+                return Error(StoreUnavailable("a new era began during the read"))
+            rows += answer.rows
             if not answer.body.get("hasMore"):
-                return Ok(TableRows(tuple(rows), version, is_complete=True))
+                self._settled_doubts[table] = doubts
+                return Ok(TableRows(tuple(rows), position, is_complete=True))
             start = rows[-1].key + "\0"
 
     async def read_page(
@@ -98,8 +122,7 @@
         answer = await self._read_page(table, start)
         if answer.status != _OK or answer.body is None:
             return Error(answer.to_unavailable())
-        rows = tuple(map(_decode_row, answer.body["rows"]))
-        return Ok(TableRows(rows, answer.body["ver"], is_complete=False))
+        return Ok(TableRows(answer.rows, answer.position, is_complete=False))
 
     async def read_changes(
         self,
@@ -113,9 +136,11 @@
 
         ``on_long_answer`` is called when a long answer begins, before its body is read.
         """
+        if self._settled_doubts.get(table, 0) != self._era.doubts:
+            return Error(HistoryLost())
         query = {
             "table": _TABLE_NAMES[table],
-            "after": str(after_version),
+            "after": str(version_of(after_version)),
             "waitMs": "0",
         }
         answer = await self._read(
@@ -125,8 +150,10 @@
             return Error(HistoryLost())
         if answer.status != _OK or answer.body is None:
             return Error(answer.to_unavailable())
-        rows = tuple(map(_decode_row, answer.body["rows"]))
-        return Ok(TableRows(rows, answer.body["ver"], is_complete=False))
+        if answer.era != era_of(after_version):
+            # The version is of another era, and its changes are not those after it.
+            return Error(HistoryLost())
+        return Ok(TableRows(answer.rows, answer.position, is_complete=False))
 
     async def put_row(
         self, table: Table, key: str, value: bytes
@@ -135,7 +162,7 @@
         answer = await self._write(table, key, value, expected=[])
         if answer.status != _OK or answer.body is None:
             return Error(answer.to_unavailable())
-        return Ok(answer.body["ver"])
+        return Ok(answer.position)
 
     async def create_row(
         self, table: Table, key: str, value: bytes
@@ -147,14 +174,22 @@
         self, table: Table, key: str, value: bytes, *, version: int
     ) -> Result[int, StoreUnavailable | RowConflict]:
         """Write a row that still has a version, 0 for none; return the new one."""
-        known = {"table": _TABLE_NAMES[table], "part": "", "key": key, "ver": version}
+        if version and era_of(version) != self._era.current:
+            # Another row may have this version now.
+            return Error(StoreUnavailable("the version is of an older era"))
+        known = {
+            "table": _TABLE_NAMES[table],
+            "part": "",
+            "key": key,
+            "ver": version_of(version),
+        }
         answer = await self._write(table, key, value, expected=[known])
         body = answer.body
         if answer.status == _CONFLICT and body is not None and body.get("rows"):
-            return Error(RowConflict(_decode_row(body["rows"][0])))
+            return Error(RowConflict(_decode_row(body["rows"][0], answer.era)))
         if answer.status != _OK or answer.body is None:
             return Error(answer.to_unavailable())
-        return Ok(answer.body["ver"])
+        return Ok(answer.position)
 
     async def _read_page(self, table: Table, start: str) -> _Answer:
         query = {"table": _TABLE_NAMES[table], "part": "", "from": start}
@@ -256,7 +291,10 @@
                     async for part in response.content.iter_any():
                         content += part
                         deadline.reschedule(loop.time() + CALL_TIMEOUT_S)
-                    return _Answer(response.status, json.loads(content or "null"))
+                    body = json.loads(content or "null")
+                    if not self._era.observe(response.headers.get(STORE_ERA_HEADER)):
+                        return _Answer(problem="an answer of an older era")
+                    return _Answer(response.status, body, era=self._era.current)
         except TimeoutError:
             return _Answer(problem=f"no answer in time to {path}")
         except (aiohttp.ClientError, OSError, ValueError) as error:
@@ -276,6 +314,8 @@
         return self._single_use
 
 
-def _decode_row(row: dict[str, Any]) -> StoreRow:
+def _decode_row(row: dict[str, Any], era: int) -> StoreRow:
     value = None if row.get("deleted") else base64.b64decode(row.get("value") or "")
-    return StoreRow(key=row["key"], value=value, version=row["ver"])
+    # Version 0 is that of a row that does not exist, in every era.
+    version = row["ver"] and position_of(era, row["ver"])
+    return StoreRow(key=row["key"], value=value, version=version)
--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -4,12 +4,17 @@
 known, so changes may arrive twice, out of order and from several sources. An entry that
 disappears around an outage of the store may merely have expired because its target
 could not renew it; such removals take effect later.
+
+Versions are positions (see ``state.store_position``). When the store comes back from a
+copy, a row of the copy may be older than what is known: a target that drained or was
+removed does not return by it, only by a row that was written since.
 """
 
 from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
+from dogwoodhook.state.store_position import era_of
 from dogwoodhook.state.target_availability import (
     Availability,
     Available,
@@ -91,6 +96,8 @@
         self.version = 0
         # The version of the newest complete read.
         self._complete_version = 0
+        # The first version known in the current era: rows up to it may be the copy's.
+        self._era_start = 0
         self._entries: dict[str, TargetEntry] = {}
         self._versions: dict[str, int] = {}
         # For each target, the version of its last change that is relevant to placement.
@@ -289,8 +296,15 @@
         unlisted_version: int,
     ) -> tuple[TargetChange, ...]:
         applied = []
-        for change in changes:
-            if change.version <= self._versions.get(change.name, unlisted_version):
+        if era_of(version) < era_of(self.version):
+            return ()
+        if era_of(version) > era_of(self.version):
+            self._era_start = version
+        for read in changes:
+            if read.version <= self._versions.get(read.name, unlisted_version):
+                continue
+            change = self._without_return(read)
+            if change is None:
                 continue
             self._versions[change.name] = change.version
             is_new = change.entry is not None and change.name not in self._entries
@@ -306,6 +320,24 @@
         self._trim()
         return tuple(applied)
 
+    def _without_return(self, change: TargetChange) -> TargetChange | None:
+        """Return a change without what a copy of the store brings back.
+
+        Returns ``None`` for a target that was removed in an older era, unless its row
+        was written since then.
+        """
+        known_version = self._versions.get(change.name, 0)
+        if change.entry is None or era_of(known_version) == era_of(change.version):
+            return change
+        known = self._entries.get(change.name)
+        if known is None:
+            was_removed = known_version > 0
+            is_of_copy = change.version <= self._era_start
+            return None if was_removed and is_of_copy else change
+        if known.is_draining and known.incarnation == change.entry.incarnation:
+            return replace(change, entry=replace(change.entry, is_draining=True))
+        return change
+
     def _listed(self, name: str) -> TargetEntry | None:
         return None if name in self._removal_due_s else self._entries.get(name)
 
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -14,6 +14,7 @@
     fingerprint,
 )
 from dogwoodhook.state.route_policy import RoutePolicy, host_name
+from dogwoodhook.state.store_position import describe
 from dogwoodhook.state.suspicion import Standing
 from dogwoodhook.state.target_availability import Turn, turn_of
 from dogwoodhook.transport.attempts import CompleteAnswer
@@ -122,7 +123,7 @@
             "target": self.last_target,
             "standing": self.last_standing.name.lower(),
             "configuration": self.configuration_version,
-            "targets": self.directory_version,
+            "targets": describe(self.directory_version),
             "targets_age_ms": int(self.directory_age_s * 1000),
             "attempts": len(self.tried),
             "runs": self.runs,
--- a/tests/platform_adapter/store_server.py
+++ b/tests/platform_adapter/store_server.py
@@ -63,7 +63,10 @@
 
 @dataclass
 class StoreServer:
-    """Rows by table and key, each with its version."""
+    """Rows by table and key, each with its version.
+
+    Answers state ``era`` unless it is ``None``.
+    """
 
     address: Address
     faults: StoreFaults = field(default_factory=StoreFaults)
@@ -71,6 +74,7 @@
     version: int = 0
     oldest_version: int = 0
     page_rows: int = 500
+    era: int | None = None
 
     def __post_init__(self):
         self._rows = {}
@@ -85,6 +89,17 @@
         """Remove a row."""
         await self._write({(table, key): None})
 
+    def copy(self):
+        """Return a copy of the rows, for ``restore``."""
+        return dict(self._rows), self.version
+
+    def restore(self, copy):
+        """Come back from a copy; versions since it are given out again."""
+        rows, self.version = copy
+        self._rows = dict(rows)
+        self.oldest_version = min(self.oldest_version, self.version)
+        self.era += 1
+
     def drop_history(self):
         """Discard the changes so far, as the platform does after some time."""
         self.oldest_version = self.version
@@ -109,7 +124,13 @@
     async def handle(self, request):
         """Answer one call."""
         self.calls.append(request.path_qs)
-        return await self.faults.apply_to(request, self._handle)
+        return await self.faults.apply_to(request, self._handle_in_era)
+
+    async def _handle_in_era(self, request):
+        response = await self._handle(request)
+        if self.era is not None:
+            response.headers["Store-Era"] = str(self.era)
+        return response
 
     async def _handle(self, request):
         match request.path:
@@ -133,7 +154,7 @@
 
     async def _feed(self, query):
         table, after = query["table"], int(query["after"])
-        if after < self.oldest_version:
+        if not self.oldest_version <= after <= self.version:
             return web.json_response({}, status=410)
 
         def changes():
