Tell daemons of a store's return from wherever they were in the older era

Only daemons at the very version that the reader knew before were told the difference. All daemons know the new era within the bound of 2.5 s.

--- a/dogwoodhook/coordination/fleet_messages.py
+++ b/dogwoodhook/coordination/fleet_messages.py
@@ -63,7 +63,9 @@
     split into several ``parts``; all parts together lead from ``after_version`` to
     ``version``. ``store_version`` is the store's version at the time of the read; it
     orders the updates of all daemons, and is higher than ``version`` if other tables
-    have changed since.
+    have changed since. ``older_version`` is what the sender knew of the store's older
+    era when the current one began. A daemon that knows more than that of the older era
+    reads the store itself, since the changes do not undo what only it knows.
     """
 
     daemon: str
@@ -75,6 +77,7 @@
     part: int = 0
     parts: int = 1
     store_version: int = 0
+    older_version: int = 0
     kind: Literal["reading"] = "reading"
 
 
--- a/dogwoodhook/coordination/target_following.py
+++ b/dogwoodhook/coordination/target_following.py
@@ -82,6 +82,8 @@
         self._started_s = clock.now_s()
         self._store_version = 0
         self._missed_version = 0
+        # What was known of the older era when the current one became known.
+        self._older_version = 0
         self._read_s = float("-inf")
         self._peer_as_of_s = float("-inf")
         self._silent_since_s = float("-inf")
@@ -110,10 +112,13 @@
         if era_of(version) < era_of(known):
             # Its sender has not heard of the store's return yet.
             return
-        if era_of(version) > era_of(known) and update.after_version != known:
-            self._missed_version = version
-            self._must_read.set()
-            return
+        if era_of(version) > era_of(known):
+            knows_more = bool(self._directory.changes_after(update.older_version))
+            if update.after_version > known or knows_more:
+                self._missed_version = version
+                self._must_read.set()
+                return
+            self._older_version = known
         if update.after_version > known:
             # These changes are valid although earlier ones were missed.
             version = known
@@ -262,6 +267,8 @@
         Changes that arrived in another daemon's update during the read are included,
         since some daemons may have lost that datagram.
         """
+        if era_of(version) > era_of(before):
+            self._older_version = before
         base, changes = self._changes_to_send(before)
         self._bases.append(before)
         if len(changes) > MAX_CHANGES_SENT:
@@ -280,15 +287,13 @@
                     part=part,
                     parts=len(starts),
                     store_version=self._store_version,
+                    older_version=self._older_version,
                 )
             )
 
     def _changes_to_send(self, before: int) -> tuple[int, tuple[TargetChange, ...]]:
         """Return changes up to now, and the version that they follow on."""
-        era = era_of(self._directory.version)
         for base in self._bases:
-            if era_of(base) != era or era_of(before) != era:
-                continue
             changes = self._directory.changes_after(base)
             if len(changes) <= MAX_CHANGES_PER_UPDATE:
                 return base, changes
--- a/tests/test_leaving_targets_fleet.py
+++ b/tests/test_leaving_targets_fleet.py
@@ -3,15 +3,16 @@
 import asyncio
 import random
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
-from expression import Ok
+from expression import Error, Ok
 
-from dogwoodhook.coordination.store import StoreRow, TableRows
+from dogwoodhook.coordination.store import HistoryLost, StoreRow, TableRows
 from dogwoodhook.coordination.store_reading import RowDecoder
 from dogwoodhook.coordination.target_following import TargetFollower
 from dogwoodhook.state.relays import RELAYS
+from dogwoodhook.state.store_position import era_of, position_of, version_of
 from dogwoodhook.state.store_reader import rank_of
 from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
 from tests import virtual_time
@@ -65,6 +66,19 @@
         rows = sorted(self.rows.values(), key=lambda row: row.version)
         return tuple(row for row in rows if row.version > version)
 
+    def has_history(self, version):
+        """Return whether the changes after a version are kept."""
+        return era_of(version) == era_of(self.version) and version <= self.version
+
+    def return_to(self, rows, version):
+        """Come back from a copy of the rows, and begin a new era."""
+        era = era_of(self.version) + 1
+        self.version = position_of(era, version_of(version))
+        self.rows = {
+            name: replace(row, version=position_of(era, version_of(row.version)))
+            for name, row in rows.items()
+        }
+
 
 @dataclass
 class Daemon:
@@ -106,6 +120,8 @@
         call_delay_s, answer_delay_s = self.conditions.one_way_delays_s
         await asyncio.sleep(call_delay_s * self.rng.uniform(0.5, 1.0))
         store = self.fleet.store
+        if after_version and not store.has_history(after_version):
+            return Error(HistoryLost())
         rows = TableRows(
             store.rows_after(after_version),
             store.version,
@@ -366,3 +382,46 @@
         ending=ending,
     )
     assert max(delays_s.values()) < BOUND_S - CONNECT_DEADLINE_S
+
+
+def return_from_a_copy(size, *, copy_age_s, loss_share, seconds=3.0):
+    """Return the calls after a return of the store, and whether all know of it."""
+
+    async def work():
+        fleet = Fleet(
+            seed=1,
+            conditions=lambda rank: Conditions(loss_share=loss_share),
+            targets=size.targets,
+            daemons=size.daemons,
+            data_centres=size.data_centres,
+        )
+        running = asyncio.create_task(fleet.run(20.0, leaving_interval_s=30.0))
+        await asyncio.sleep(10.0)
+        rows, version = dict(fleet.store.rows), fleet.store.version
+        await asyncio.sleep(copy_age_s)
+        calls = sum(daemon.calls for daemon in fleet.by_rank)
+        fleet.store.return_to(rows, version)
+        await asyncio.sleep(BOUND_S)
+        eras = [era_of(daemon.directory.version) for daemon in fleet.by_rank]
+        await asyncio.sleep(seconds - BOUND_S)
+        calls = sum(daemon.calls for daemon in fleet.by_rank) - calls
+        running.cancel()
+        return calls, eras
+
+    return virtual_time.run(work)
+
+
+@pytest.mark.parametrize(
+    "size",
+    [
+        FleetSize(daemons=32, data_centres=3, targets=30),
+        FleetSize(daemons=110, data_centres=3, targets=379),
+        LARGE,
+    ],
+)
+@pytest.mark.parametrize("loss_share", [0.0, DATAGRAM_LOSS_SHARE])
+def test_the_whole_fleet_reads_the_store_after_its_return(size, loss_share):
+    calls, eras = return_from_a_copy(size, copy_age_s=3.0, loss_share=loss_share)
+    print(f"{size}, {loss_share}: {calls} calls in 3 s")
+    assert set(eras) == {1}
+    assert calls < size.daemons
