Read the store where another daemon's update cannot tell what its copy lacked

An update from an older era leaves out what its sender knew before the return. A daemon that had read a copy without such a target, or that keeps a target away which had been removed before the return, would not have heard that it registered again. Found by a property test of eras, and by reading on from there; both tests fail before.

--- a/dogwoodhook/coordination/target_following.py
+++ b/dogwoodhook/coordination/target_following.py
@@ -26,6 +26,7 @@
 from dogwoodhook.state.store_position import describe, era_of
 from dogwoodhook.state.store_reader import excess_age_s, rank_of, silence_limit_s
 from dogwoodhook.state.target_directory import (
+    EXPIRY_HOLD_S,
     TargetChange,
     TargetDirectory,
     TargetEntry,
@@ -84,6 +85,10 @@
         self._missed_version = 0
         # What was known of the older era when the current one became known.
         self._older_version = 0
+        # The newest era of which another daemon's update told the beginning.
+        self._told_era = 0
+        # When the complete table is read again after a return of the store.
+        self._second_look_s = float("inf")
         self._read_s = float("-inf")
         self._peer_as_of_s = float("-inf")
         self._silent_since_s = float("-inf")
@@ -119,11 +124,16 @@
                 self._must_read.set()
                 return
             self._older_version = known
-        if update.after_version > known:
-            # These changes are valid although earlier ones were missed.
+            self._told_era = era_of(version)
+        tells_of_older_era = era_of(update.after_version) < era_of(version)
+        was_told = self._told_era == era_of(version)
+        if update.after_version > known or (tells_of_older_era and not was_told):
+            # These changes are valid although earlier ones were missed, or the sender
+            # knew targets before the return that this daemon's read of a copy lacked.
+            if update.version > known:
+                self._missed_version = update.version
+                self._must_read.set()
             version = known
-            self._missed_version = update.version
-            self._must_read.set()
         elif self._parts.record(update) and update.store_version >= self._store_version:
             # An older update was delayed by a relay and is older than it says.
             self._record_peer_read(update.store_version, update.age_s, now_s)
@@ -202,7 +212,8 @@
         rank = self._rank()
         limit_s = silence_limit_s(rank, bound_s=self.bound_s)
         latest_s = max(self._read_s, self._silent_since_s) if rank else self._read_s
-        return latest_s + limit_s - self._clock.now_s()
+        due_s = min(latest_s + limit_s, self._second_look_s)
+        return due_s - self._clock.now_s()
 
     async def _read(self, *, may_notify: bool) -> bool:
         """Read the changes and return whether the store answered.
@@ -211,7 +222,8 @@
         """
         started_s = self._clock.now_s()
         before = self._directory.version
-        if self.age_s > MAX_CATCH_UP_S:
+        if self.age_s > MAX_CATCH_UP_S or started_s >= self._second_look_s:
+            self._second_look_s = float("inf")
             result = await self._store.read_table(Table.TARGETS)
         else:
             result = await read_newer(self._store, Table.TARGETS, after_version=before)
@@ -251,6 +263,9 @@
             changes, version=rows.version, now_s=now_s, removal_hold_s=hold_s
         )
         if has_new_era:
+            if self._directory.doubtful:
+                # Other daemons' updates do not tell that such a target is alive.
+                self._second_look_s = now_s + EXPIRY_HOLD_S
             log(
                 STORE_ERA_ADOPTED,
                 table=Table.TARGETS,
--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -76,6 +76,8 @@
 class TargetDirectory:
     """The known targets; ``version`` is the store version that they reflect.
 
+    ``doubtful`` names the targets that a copy of the store lists and that were removed
+    before its return.
     ``on_restart`` is called with the name of a target that has a new incarnation.
     ``on_end`` is called with the entry of a target that had not announced its end, and
     that another process has replaced, under its name or at its address. ``on_removal``
@@ -98,6 +100,7 @@
         self._complete_version = 0
         # The first version known in the current era: rows up to it may be the copy's.
         self._era_start = 0
+        self.doubtful: set[str] = set()
         self._entries: dict[str, TargetEntry] = {}
         self._versions: dict[str, int] = {}
         # For each target, the version of its last change that is relevant to placement.
@@ -305,7 +308,9 @@
                 continue
             change = self._without_return(read)
             if change is None:
+                self.doubtful.add(read.name)
                 continue
+            self.doubtful.discard(read.name)
             self._versions[change.name] = change.version
             is_new = change.entry is not None and change.name not in self._entries
             if is_new and self.version:
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -9,13 +9,19 @@
 from dogwoodhook.clock import SystemClock
 from dogwoodhook.coordination.fleet_messages import StoreUpdate
 from dogwoodhook.coordination.fleet_snapshot import TargetTable
-from dogwoodhook.coordination.store import StoreRow, StoreUnavailable, TableRows
+from dogwoodhook.coordination.store import (
+    HistoryLost,
+    StoreRow,
+    StoreUnavailable,
+    TableRows,
+)
 from dogwoodhook.coordination.store_reading import RowDecoder
 from dogwoodhook.coordination.target_following import (
     MAX_CHANGES_PER_UPDATE,
     MAX_CHANGES_SENT,
     TargetFollower,
 )
+from dogwoodhook.state.store_position import position_of
 from dogwoodhook.state.target_directory import (
     TargetChange,
     TargetDirectory,
@@ -285,3 +291,56 @@
         store.is_down = False
         await until(lambda: directory.version == 3)
         assert store.table_reads == reads + 1
+
+
+async def test_a_target_missing_in_a_copy_is_missed_behind_another_daemons_update():
+    """The sender knew the target before the return, so it saw no change of it."""
+    async with following("vm-1") as (_, _, directory, follower):
+        directory.replace_all((), version=position_of(2, 0), now_s=0.0)
+        follower._must_read.clear()
+        follower.receive(empty_update(position_of(1, 1), position_of(2, 1)))
+        assert directory.version == position_of(2, 0)
+        assert follower._must_read.is_set()
+
+
+class ReturnedStore(ChangingStore):
+    """A store in its second era, in which a target writes its row again and again."""
+
+    version = 1
+
+    async def read_table(self, table):
+        self.table_reads += 1
+        self.version += 1
+        rows = (StoreRow("t1", b"{}", position_of(2, self.version)),)
+        return Ok(TableRows(rows, position_of(2, self.version), is_complete=True))
+
+    async def read_changes(
+        self, table, *, after_version, wait_s=0.0, on_long_answer=None
+    ):
+        return Error(HistoryLost())
+
+
+async def test_a_live_target_that_was_removed_stays_away_behind_others_updates(
+    monkeypatch,
+):
+    """Updates of others name it only if they had removed it too."""
+    monkeypatch.setattr("dogwoodhook.coordination.target_following.EXPIRY_HOLD_S", 0.2)
+    directory = TargetDirectory()
+    removal = TargetChange("t1", position_of(1, 9), None)
+    directory.replace_all((), version=position_of(1, 8), now_s=0.0)
+    directory.apply([removal], version=position_of(1, 9), now_s=0.0)
+    follower = TargetFollower(
+        ReturnedStore(),
+        directory,
+        RowDecoder("config", decode, lambda row: None),
+        RecordingLinks("vm-9"),
+        SystemClock(),
+        daemon="vm-1",
+        bound_s=2.0,
+    )
+    await follower._read(may_notify=False)
+    assert directory.get("t1") is None
+    follower._silent_since_s = float("inf")
+    running = asyncio.create_task(follower.run())
+    await until(lambda: directory.get("t1") is not None)
+    running.cancel()
