Read the store behind an update from an older era

A target that was missing in the store's copy and registered again stayed unlisted in a daemon that had read the store in between, so callers' requests did not get to it, and a service without other targets was refused there. The sender of an update knew the target before the return, so it saw no change of it; a receiver that already knew the new era took the update's version without the row, and never read it.

An update that follows on a position of an older era now counts as one with a gap unless the receiver knows exactly that position: its changes are applied, and the store is read.

Evidence: the new test fails before (the version moved from 2/0 to 2/1) and passes after; a property test of daemons across returns found the case.

--- a/dogwoodhook/coordination/target_following.py
+++ b/dogwoodhook/coordination/target_following.py
@@ -114,11 +114,14 @@
             self._missed_version = version
             self._must_read.set()
             return
-        if update.after_version > known:
+        # Between eras, changes tell only what differs from exactly the version before.
+        is_from_older_era = era_of(update.after_version) < era_of(known)
+        if update.after_version > known or is_from_older_era:
             # These changes are valid although earlier ones were missed.
             version = known
-            self._missed_version = update.version
-            self._must_read.set()
+            if update.version > known:
+                self._missed_version = update.version
+                self._must_read.set()
         elif self._parts.record(update) and update.store_version >= self._store_version:
             # An older update was delayed by a relay and is older than it says.
             self._record_peer_read(update.store_version, update.age_s, now_s)
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -16,6 +16,7 @@
     MAX_CHANGES_SENT,
     TargetFollower,
 )
+from dogwoodhook.state.store_position import position_of
 from dogwoodhook.state.target_directory import (
     TargetChange,
     TargetDirectory,
@@ -285,3 +286,21 @@
         store.is_down = False
         await until(lambda: directory.version == 3)
         assert store.table_reads == reads + 1
+
+
+async def test_a_target_missing_in_a_copy_is_missed_behind_another_daemons_update():
+    """The sender knew the target before the return, so it saw no change of it."""
+    directory = TargetDirectory()
+    directory.replace_all((), version=position_of(2, 0), now_s=0.0)
+    follower = TargetFollower(
+        ChangingStore(),
+        directory,
+        RowDecoder("config", decode, lambda row: None),
+        RecordingLinks("vm-9"),
+        SystemClock(),
+        daemon="vm-1",
+        bound_s=2.0,
+    )
+    follower.receive(empty_update(position_of(1, 1), position_of(2, 1)))
+    assert directory.version == position_of(2, 0)
+    assert follower._must_read.is_set()
