Keep a restarted target when the store's copy lists its earlier process

A target that restarted after the copy was made came back as its earlier process: the daemon took the known process for ended, although it had just replaced that one, and reported the end to the requests that run there, which may then be sent again.

A row that may be the copy's no longer replaces a process that started later. The target's next row in that era is taken as it is.

--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -330,10 +330,13 @@
         if change.entry is None or era_of(known_version) == era_of(change.version):
             return change
         known = self._entries.get(change.name)
+        is_of_copy = change.version <= self._era_start
         if known is None:
             was_removed = known_version > 0
-            is_of_copy = change.version <= self._era_start
             return None if was_removed and is_of_copy else change
+        if is_of_copy and change.entry.incarnation < known.incarnation:
+            # The known process has replaced that one, and has not ended.
+            return replace(change, entry=known)
         if known.is_draining and known.incarnation == change.entry.incarnation:
             return replace(change, entry=replace(change.entry, is_draining=True))
         return change
--- a/tests/test_target_directory.py
+++ b/tests/test_target_directory.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from dogwoodhook.state.store_position import position_of
 from dogwoodhook.state.target_availability import (
     MAX_RETURN_S,
     Available,
@@ -189,6 +190,21 @@
     assert restarted == ["t1"]
 
 
+def test_a_copy_of_the_store_ends_the_process_that_had_replaced_another_one():
+    ended = []
+    directory = TargetDirectory(on_end=ended.append)
+    row = TargetChange("t1", position_of(1, 1), T1)
+    directory.replace_all([row], version=position_of(1, 1), now_s=0.0)
+    newer = replace(T1, incarnation=T1.incarnation + 1)
+    row = TargetChange("t1", position_of(1, 2), newer)
+    directory.apply([row], version=position_of(1, 2), now_s=0.0)
+    ended.clear()
+    row = TargetChange("t1", position_of(2, 1), T1)
+    directory.replace_all([row], version=position_of(2, 1), now_s=0.0)
+    assert directory.get("t1") == newer
+    assert ended == []
+
+
 @pytest.mark.parametrize("is_complete", [True, False])
 def test_a_target_that_said_it_leaves_is_available_again_after_a_read(
     directory, is_complete
