Write the daemons' rows and the fleet's key again after a store's return

What the system wrote since the copy is gone when the store comes back. A daemon that had joined shortly before was missing for daemons that start afterwards, and if the key was created after the copy, such a daemon created another one: two keys, so the daemons ignore each other's datagrams.

A daemon now writes its row again if it wrote it less than 30 s before it noticed the new era, within 2 s. The daemons of ranks 0 and 1 then create the key with its known value if they joined within those 30 s, the others read its row 3 s after the return, and create it if nobody has. The store's row decides: on another key the daemon adopts that one and reads the table again. The era is that of the directory's version, compared with the eras in which the own row and the key were written or read; no polling.

Evidence: on the code before, the table is empty after the return in test_daemons_that_joined_before_a_return_are_missing_for_later_ones (passes now).

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -368,6 +368,21 @@
     "A table is known in a newer era of the store; `before` and `position` are the"
     " positions, `changed` counts the rows that differ.",
 )
+ROWS_RESTORED = _event(
+    915,
+    "rows-restored",
+    Level.NOTICE,
+    "This daemon has done its part after the store's return: `row` tells whether it"
+    " wrote its row again, `key` what it did about the fleet's key, `age_s` how long"
+    " before it had written its row.",
+)
+FLEET_KEY_REPLACED = _event(
+    916,
+    "fleet-key-replaced",
+    Level.WARNING,
+    "The store came back without the fleet's key, and another one was created"
+    " meanwhile; this daemon uses that one now.",
+)
 TARGET_CHANGED = _event(
     320,
     "target-changed",
--- a/dogwoodhook/fleet_joining.py
+++ b/dogwoodhook/fleet_joining.py
@@ -9,6 +9,10 @@
 moment in different data centres may not know each other then, but others know both:
 each daemon asks others for the daemons that they know, soon after its start and from
 time to time. The fleet's key is a row that the first daemon creates.
+
+When the store comes back from a copy, the daemons that joined shortly before write
+their rows again, and those of the first ranks the key (see ``state.row_restoring``). If
+another key was created meanwhile, the store's one holds.
 """
 
 import asyncio
@@ -16,7 +20,7 @@
 import json
 import random
 import secrets
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Protocol
 
 from expression import Result
@@ -36,8 +40,12 @@
     DAEMON_ROW_REFUSED,
     DAEMONS_NOT_LISTED,
     FLEET_JOINED,
+    FLEET_KEY_REPLACED,
+    ROWS_RESTORED,
     log,
 )
+from dogwoodhook.state.row_restoring import Restoring, restoring_after_return
+from dogwoodhook.state.store_position import describe, era_of
 from dogwoodhook.state.store_reader import rank_of
 from dogwoodhook.transport.datagrams import DatagramPeers, Peer
 from dogwoodhook.vm_settings import MAX_PORT, Address, VmSettings, is_host
@@ -96,7 +104,8 @@
     ``on_snapshot`` is called with the snapshot that a neighbour sent. ``has_asked`` is
     set once one has arrived or none is to be expected, ``has_joined`` once the other
     daemons are known. ``on_other_row`` is called with
-    each row of the daemons' table that is neither a daemon nor the fleet's key.
+    each row of the daemons' table that is neither a daemon nor the fleet's key,
+    ``on_missing_quarantines`` when this daemon is to write quarantines again.
     """
 
     def __init__(
@@ -110,6 +119,7 @@
         rng: random.Random,
         on_snapshot: Callable[[FleetSnapshot], None] = lambda snapshot: None,
         on_other_row: Callable[[StoreRow], None] = lambda row: None,
+        on_missing_quarantines: Callable[[], None] = lambda: None,
     ) -> None:
         self.has_asked = asyncio.Event()
         self.has_joined = False
@@ -121,6 +131,30 @@
         self._clock = clock
         self._neighbours = neighbours
         self._rng = rng
+        self._on_missing_quarantines = on_missing_quarantines
+        self._has_new_era = asyncio.Event()
+        self._era = 0
+        self._era_noticed_s = 0.0
+        # The oldest era of which the own row and the key are known to be, and when.
+        self._rows_era = 0
+        self._row_written_s = 0.0
+        self._key_known_s = 0.0
+
+    def notice_era(self, era: int) -> None:
+        """Record that the store began a newer era."""
+        if era > self._era:
+            self._era = era
+            self._era_noticed_s = self._clock.now_s()
+            self._has_new_era.set()
+
+    async def restore_rows(self) -> None:
+        """Write again what the store lacks after each return, until cancelled."""
+        while True:
+            await self._has_new_era.wait()
+            self._has_new_era.clear()
+            # A daemon that has not joined yet checks once it has.
+            if self.has_joined and self._rows_era < self._era:
+                await self._restore(self._era)
 
     async def run(self) -> None:
         """Try to join until it succeeds, then send hellos until cancelled."""
@@ -148,17 +182,15 @@
 
     async def _join(self) -> bool:
         key_prefix = f"{_DAEMON_ROW_PREFIX}{self._settings.data_centre}/"
-        own_key = key_prefix + self._settings.vm_name
-        row = json.dumps(_place_of(self.hello)).encode()
         async with asyncio.TaskGroup() as group:
             # A write that is not answered does not delay the first reads.
-            writing = group.create_task(
-                self._store.put_row(Table.DAEMONS, own_key, row)
-            )
+            writing = group.create_task(self._write_own_row())
             source = await self._learn(key_prefix, writing)
         if source is None or writing.result().is_error():
             return False
         self.has_joined = True
+        self._rows_era = min(self._rows_era, era_of(writing.result().ok))
+        self._has_new_era.set()
         log(FLEET_JOINED, peers=len(self._peers), source=source)
         self._send_hello(all_data_centres=True)
         return True
@@ -179,14 +211,17 @@
         if rows is None:
             return None
         self._adopt_rows(rows)
-        found = [each.value for each in rows if each.key == KEY_ROW]
-        key = found[0] if found else await self._create_key()
-        if key is None:
+        found = [each for each in rows if each.key == KEY_ROW]
+        row = found[0] if found else await self._create_key(_new_key())
+        key = row.value if row is not None else None
+        if row is None or key is None:
             return None
         if len(key) != KEY_BYTES:
             _log_refused(KEY_ROW, f"{len(key)} bytes, needed are {KEY_BYTES}")
             return None
         self._peers.key = key
+        self._rows_era = era_of(row.version)
+        self._key_known_s = self._clock.now_s()
         snapshot = await self._fetch_snapshot()
         if snapshot is not None:
             self._on_snapshot(snapshot)
@@ -276,17 +311,101 @@
     def _send_hello(self, *, all_data_centres: bool) -> None:
         self._peers.send_hello(self.hello, all_data_centres=all_data_centres)
 
-    async def _create_key(self) -> bytes | None:
-        """Create the fleet's key, or return the one that another daemon created."""
-        created = secrets.token_bytes(KEY_BYTES)
-        match await self._store.create_row(Table.DAEMONS, KEY_ROW, created):
-            case Result(tag="ok"):
-                return created
+    async def _create_key(self, key: bytes) -> StoreRow | None:
+        """Create the fleet's key; return its row, or that of the one that exists."""
+        match await self._store.create_row(Table.DAEMONS, KEY_ROW, key):
+            case Result(tag="ok", ok=version):
+                return StoreRow(KEY_ROW, key, version)
             case Result(error=RowConflict(row)):
-                return row.value
+                return row
             case _:
                 return None
 
+    async def _write_own_row(self) -> Result[int, StoreUnavailable]:
+        settings = self._settings
+        key = f"{_DAEMON_ROW_PREFIX}{settings.data_centre}/{settings.vm_name}"
+        row = json.dumps(_place_of(self.hello)).encode()
+        written = await self._store.put_row(Table.DAEMONS, key, row)
+        if written.is_ok():
+            self._row_written_s = self._clock.now_s()
+        return written
+
+    async def _restore(self, era: int) -> None:
+        noticed_s = self._era_noticed_s
+        row_age_s = noticed_s - self._row_written_s
+        settings = self._settings
+        restoring = restoring_after_return(
+            row_age_s=row_age_s,
+            key_age_s=noticed_s - self._key_known_s,
+            rank=rank_of(
+                settings.vm_name, settings.data_centre, self._peers.live_daemons()
+            ),
+            chosen=self._rng.random(),
+        )
+        if restoring.quarantines_delay_s is not None:
+            await self._sleep_until(noticed_s + restoring.quarantines_delay_s)
+            self._on_missing_quarantines()
+        if restoring.row_delay_s is not None:
+            await self._sleep_until(noticed_s + restoring.row_delay_s)
+            await self._repeat(era, self._restore_own_row)
+        if restoring.creates_key:
+            await self._repeat(era, self._restore_key)
+        if restoring.key_read_delay_s is not None:
+            await self._sleep_until(noticed_s + restoring.key_read_delay_s)
+            await self._repeat(era, self._check_key)
+        if era != self._era:
+            return
+        self._rows_era = era
+        if restoring.row_delay_s is not None:
+            log(
+                ROWS_RESTORED,
+                era=era,
+                row=True,
+                key=_key_step(restoring),
+                age_s=round(row_age_s, 1),
+            )
+
+    async def _repeat(self, era: int, step: Callable[[], Awaitable[bool]]) -> None:
+        """Repeat a step until it succeeds, or until the store has returned again."""
+        pause_s = MIN_RETRY_S
+        while era == self._era and not await step():
+            await asyncio.sleep(pause_s)
+            pause_s = min(MAX_RETRY_S, pause_s * 2)
+
+    async def _sleep_until(self, due_s: float) -> None:
+        await asyncio.sleep(max(0.0, due_s - self._clock.now_s()))
+
+    async def _restore_own_row(self) -> bool:
+        return (await self._write_own_row()).is_ok()
+
+    async def _restore_key(self) -> bool:
+        key = self._peers.key
+        row = await self._create_key(key) if key is not None else None
+        return row is not None and await self._adopt_key(row)
+
+    async def _check_key(self) -> bool:
+        rows = await self._read_page(KEY_ROW)
+        if rows is None:
+            return False
+        row = next((each for each in rows if each.key == KEY_ROW), None)
+        # The daemons of the first ranks may have ended meanwhile.
+        return await (self._restore_key() if row is None else self._adopt_key(row))
+
+    async def _adopt_key(self, row: StoreRow) -> bool:
+        """Use the stored key; return whether there is one."""
+        key = row.value
+        if key is None or len(key) != KEY_BYTES:
+            _log_refused(KEY_ROW, f"needed are {KEY_BYTES} bytes")
+            return False
+        self._key_known_s = self._clock.now_s()
+        if key == self._peers.key:
+            return True
+        self._peers.key = key
+        log(FLEET_KEY_REPLACED, version=describe(row.version))
+        await self._read_all()
+        self._send_hello(all_data_centres=True)
+        return True
+
     def _add_peer(self, row: StoreRow) -> None:
         if row.value is None:
             return
@@ -299,6 +418,16 @@
         self._peers.add(peer)
 
 
+def _new_key() -> bytes:
+    return secrets.token_bytes(KEY_BYTES)
+
+
+def _key_step(restoring: Restoring) -> str:
+    if restoring.creates_key:
+        return "created"
+    return "none" if restoring.key_read_delay_s is None else "read"
+
+
 def _log_refused(key: str, problem: str) -> None:
     log(DAEMON_ROW_REFUSED, row=key, problem=problem[:PROBLEM_LENGTH])
 
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -134,6 +134,7 @@
             on_restart=self._suspicion.record_restart,
             on_end=self._handle_replacement,
             on_removal=self._handle_removal,
+            on_era=lambda era: self._joining.notice_era(era),
         )
         self._load = FleetLoad()
         self._connections = TargetConnections(clock)
@@ -329,6 +330,7 @@
             await listener.start()
         await self._callers.start()
         self._spawn(self._joining.run)
+        self._spawn(self._joining.restore_rows)
         self._spawn(self._follow_targets)
         self._spawn(self._follow_configuration)
         self._spawn(self._quarantine.run)
--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -80,6 +80,7 @@
     ``on_end`` is called with the entry of a target that had not announced its end, and
     that another process has replaced, under its name or at its address. ``on_removal``
     is called with such an entry if it was only removed: the target may still serve.
+    ``on_era`` is called with each newer era of the store.
     """
 
     def __init__(
@@ -88,7 +89,9 @@
         on_restart: Callable[[str], None] = lambda name: None,
         on_end: Callable[[TargetEntry], None] = lambda entry: None,
         on_removal: Callable[[TargetEntry], None] = lambda entry: None,
+        on_era: Callable[[int], None] = lambda era: None,
     ) -> None:
+        self._on_era = on_era
         self._on_restart = on_restart
         self._on_end = on_end
         self._on_removal = on_removal
@@ -300,6 +303,7 @@
             return ()
         if era_of(version) > era_of(self.version):
             self._era_start = version
+            self._on_era(era_of(version))
         for read in changes:
             if read.version <= self._versions.get(read.name, unlisted_version):
                 continue
--- a/tests/platform_adapter/test_store_eras.py
+++ b/tests/platform_adapter/test_store_eras.py
@@ -229,3 +229,21 @@
             assert (await platform.send(f"/post/{sent}")).status == 200
             await asyncio.sleep(0.1)
     assert len(t1.received) == sent
+
+
+async def test_daemons_that_joined_before_a_return_are_missing_for_later_ones(platform):
+    copy = platform.store.copy()
+    await start(platform, "t1")
+    await platform.start_gateway("vm-2")
+    client = HttpStore(platform.store.address)
+    platform.stack.push_async_callback(client.close)
+    before = {
+        row.key: row.value for row in (await client.read_table(Table.DAEMONS)).ok.rows
+    }
+    assert len(before) == 3
+    platform.store.restore(copy)
+    await asyncio.sleep(6.0)
+    after = {
+        row.key: row.value for row in (await client.read_table(Table.DAEMONS)).ok.rows
+    }
+    assert after == before
