Play returns of the store from a copy in the soak

The soak's store always states an era now, in refusals too. Once or twice in a soak, at times twice in a row, it is silent or refuses for 0.2 to 1 s and comes back from a copy 1 to 8 s old. Within 0.1 to 2 s of that the operator writes its newest version again if the store doesn't have it, and every target that is listening writes its row in its present state. Rows of targets that are gone stay as the copy has them.

A return counts as a disturbance of the store from its outage until all is written again, which excuses only the versions of the configuration and the limits on harmful requests, as other disturbances of the store do. No check is changed. The soak has no check of requests at drained targets.

--- a/tests/platform_adapter/soak/announcements.py
+++ b/tests/platform_adapter/soak/announcements.py
@@ -64,7 +64,7 @@
         if reports:
             await world.register(target, state="draining")
         await asyncio.sleep(listed_s)
-        await world.store.remove("servers", target.name)
+        await world.remove_row(target.name)
 
 
 def find_ignored_announcements(
--- a/tests/platform_adapter/soak/reused_addresses.py
+++ b/tests/platform_adapter/soak/reused_addresses.py
@@ -47,7 +47,7 @@
             listed.append(target.name)
         await asyncio.sleep(rng.uniform(*LISTED_S))
         for name in listed:
-            await world.store.remove("servers", name)
+            await world.remove_row(name)
 
     def _draw_data_centre(self) -> str:
         return self._rng.choice(["dc-1", "dc-2"])
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -31,6 +31,7 @@
     find_violations,
 )
 from tests.platform_adapter.soak.reused_addresses import AddressReuser
+from tests.platform_adapter.soak.store_returns import StoreReturner
 from tests.platform_adapter.soak.world import World
 
 SERIES = 3
@@ -107,11 +108,14 @@
     caller_tasks = callers.start(size.callers)
     harmful = HarmfulCaller(world, seed=seed)
     harmful_task = asyncio.create_task(harmful.run())
-    others = [Announcer(world, seed=seed), AddressReuser(world, seed=seed)]
+    returner = StoreReturner(world, seed=seed)
+    others = [Announcer(world, seed=seed), AddressReuser(world, seed=seed), returner]
     other_tasks = [asyncio.create_task(each.run()) for each in others]
     series = [asyncio.create_task(run_series(world, injected)) for _ in range(SERIES)]
     await asyncio.sleep(seconds)
     violations += await _cancel_series([*series, harmful_task, *other_tasks])
+    await returner.finish()
+    injected += ["store return"] * returner.count
     await _end_faults(world)
     violations += await _wait_until_serving(world, callers, RECOVERY_TIMEOUT_S)
     callers.end()
--- a/tests/platform_adapter/soak/world.py
+++ b/tests/platform_adapter/soak/world.py
@@ -510,6 +510,8 @@
         self._target_numbers = itertools.count()
         self.interruptions: list[Kill | Stop | LinkFault] = []
         self.targets: dict[str, SoakTarget] = {}
+        # The targets that have a row, each with its state.
+        self.registered: dict[str, tuple[SoakTarget, str]] = {}
         self.all_targets: list[SoakTarget] = []
         self.daemons: list[Daemon] = []
         self.routes = {
@@ -524,6 +526,7 @@
         self._folder = folder
         self._stack = AsyncExitStack()
         self._version = 0
+        self._configuration: dict = {}
         self._ports = [free_port() for _ in range(3)]
         # The metrics port is fixed, so soaks that run at the same time need different
         # addresses.
@@ -532,6 +535,7 @@
 
     async def __aenter__(self):
         self.store = await self._stack.enter_async_context(running_store())
+        self.store.era = 1
         return self
 
     async def __aexit__(self, *error):
@@ -555,12 +559,19 @@
             self.routes = routes
         else:
             configuration["limits"] = None
+        self._configuration = configuration
         await self.store.put("op", "config", configuration)
         self.changes.append(Change(self._version, time.monotonic(), is_valid))
         if not is_valid:
             await asyncio.sleep(INVALID_VERSION_S)
             await self.configure()
 
+    async def configure_again(self, *, delay_s):
+        """Write the newest version again if the store returned without it."""
+        await asyncio.sleep(delay_s)
+        if not self.store.holds("op", "config", self._configuration):
+            await self.store.put("op", "config", self._configuration)
+
     @contextmanager
     def recording_disturbance(
         self, daemon=None, *, is_planned=False, is_of_store=False
@@ -613,6 +624,7 @@
         target.relay = ended.relay
         started = ended.incarnation
         ended.record_end()
+        self.registered.pop(ended.name, None)
         target.incarnation = started if has_same_start else ended.incarnation
         target.link_fault_until_s = ended.ended_s
         ended.successor = target
@@ -635,14 +647,30 @@
         """Announce that a target leaves, then remove it; it finishes its requests."""
         await self.register(self.targets.pop(name), state="draining")
         await asyncio.sleep(3.0)
+        await self.remove_row(name)
+
+    async def remove_row(self, name):
+        """Remove the row of a target, which is gone."""
+        self.registered.pop(name, None)
         await self.store.remove("servers", name)
 
+    async def register_after_return(self, name, *, delay_s):
+        """Write a target's row again in its present state, unless it has ended.
+
+        A target that is down at this time registers when it starts again.
+        """
+        await asyncio.sleep(delay_s)
+        target, state = self.registered.get(name, (None, ""))
+        if target is not None and target.relay.is_listening:
+            await self.register(target, state=state)
+
     async def _register_again(self, target):
         if self.targets.get(target.name) is target:
             await self.register(target)
 
     async def register(self, target, *, state="ready"):
         """Write a target's entry to the store."""
+        self.registered[target.name] = (target, state)
         entry = target.entry(
             zone=target.data_centre,
             state=state,
--- a/tests/platform_adapter/store_server.py
+++ b/tests/platform_adapter/store_server.py
@@ -58,14 +58,17 @@
 
     async def handle(self, request):
         """Answer one call with this endpoint's faults, then the store's."""
-        return await self.faults.apply_to(request, self.store.handle)
+        response = await self.faults.apply_to(request, self.store.handle)
+        self.store.state_era(response)
+        return response
 
 
 @dataclass
 class StoreServer:
     """Rows by table and key, each with its version.
 
-    Answers state ``era`` unless it is ``None``.
+    Answers state ``era`` unless it is ``None``. ``outage`` are the faults before a
+    return from a copy, beside ``faults``.
     """
 
     address: Address
@@ -75,6 +78,7 @@
     oldest_version: int = 0
     page_rows: int = 500
     era: int | None = None
+    outage: StoreFaults = field(default_factory=StoreFaults)
 
     def __post_init__(self):
         self._rows = {}
@@ -82,8 +86,11 @@
 
     async def put(self, table, key, value):
         """Write a row, as an operator or a target does."""
-        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
-        await self._write({(table, key): base64.b64encode(raw).decode()})
+        await self._write({(table, key): _encode(value)})
+
+    def holds(self, table, key, value):
+        """Return whether a row has a value."""
+        return self._rows.get((table, key), (None, 0))[0] == _encode(value)
 
     async def remove(self, table, key):
         """Remove a row."""
@@ -124,14 +131,23 @@
     async def handle(self, request):
         """Answer one call."""
         self.calls.append(request.path_qs)
-        return await self.faults.apply_to(request, self._handle_in_era)
+        response = await self.faults.apply_to(request, self._handle_in_outage)
+        self.state_era(response)
+        return response
+
+    async def _handle_in_outage(self, request):
+        return await self.outage.apply_to(request, self._handle_in_era)
 
     async def _handle_in_era(self, request):
         response = await self._handle(request)
-        if self.era is not None:
-            response.headers["Store-Era"] = str(self.era)
+        self.state_era(response)
         return response
 
+    def state_era(self, response):
+        """State the era in an answer, refusals included, that states none yet."""
+        if self.era is not None:
+            response.headers.setdefault("Store-Era", str(self.era))
+
     async def _handle(self, request):
         match request.path:
             case "/rows-get":
@@ -186,6 +202,11 @@
         return web.json_response({"ver": self.version, "now": "1ms"})
 
 
+def _encode(value):
+    raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return base64.b64encode(raw).decode()
+
+
 @asynccontextmanager
 async def running_store():
     """Run a store until the context ends."""
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -667,3 +667,10 @@
     assert not report.violations, str(report)
     assert report.checked["run twice"]
     assert report.checked["ran, but was reported as not run"]
+
+
+async def test_a_soak_in_which_the_store_returns_from_a_copy_finds_no_violation():
+    report = await soak(seed=7000, seconds=10.0)
+    assert not report.violations, str(report)
+    assert report.injected["store return"]
+    assert report.checked["a version not in force in time"]
