--- a/dogwoodhook/coordination/target_following.py
+++ b/dogwoodhook/coordination/target_following.py
@@ -117,19 +117,10 @@
         if era_of(version) < era_of(known):
             # Its sender has not heard of the store's return yet.
             return
-        if era_of(version) > era_of(known):
-            knows_more = bool(self._directory.changes_after(update.older_version))
-            if update.after_version > known or knows_more:
-                self._missed_version = version
-                self._must_read.set()
-                return
-            self._older_version = known
-            self._told_era = era_of(version)
-        tells_of_older_era = era_of(update.after_version) < era_of(version)
-        was_told = self._told_era == era_of(version)
-        if update.after_version > known or (tells_of_older_era and not was_told):
-            # These changes are valid although earlier ones were missed, or the sender
-            # knew targets before the return that this daemon's read of a copy lacked.
+        if era_of(version) > era_of(known) and not self._enter_era(update):
+            return
+        if update.after_version > known or not self._knew_older_era(update):
+            # These changes are valid although earlier ones were missed.
             if update.version > known:
                 self._missed_version = update.version
                 self._must_read.set()
@@ -147,6 +138,31 @@
         )
         self._record_received(update, applied)
 
+    def _enter_era(self, update: StoreUpdate) -> bool:
+        """Return whether an update tells all that a newer era of the store changes.
+
+        It does not if the sender did not know a change that this daemon has applied, or
+        if this daemon has missed changes before those of the update.
+        """
+        known = self._directory.version
+        knows_more = bool(self._directory.changes_after(update.older_version))
+        if update.after_version > known or knows_more:
+            self._missed_version = update.version
+            self._must_read.set()
+            return False
+        self._older_version = known
+        self._told_era = era_of(update.version)
+        return True
+
+    def _knew_older_era(self, update: StoreUpdate) -> bool:
+        """Return whether this daemon knew what an update from an older era leaves out.
+
+        Such an update lacks targets that its sender knew before the return, and that
+        may be missing in a copy that this daemon has read.
+        """
+        era = era_of(update.version)
+        return era_of(update.after_version) == era or self._told_era == era
+
     def adopt(self, table: TargetTable) -> None:
         """Apply all targets that another daemon knows; others are removed.
 
