Store quarantines again that a copy of the store lacks

A request that ends targets, quarantined shortly before the store came back from a copy, ran again if all daemons were restarted afterwards: its row was gone, and nobody wrote it again.

Rows that still wait to be stored are newer and stay.

A quarantine that is older than 30 s costs no call. Still missing: that a request was cleared is not stored again.

--- a/dogwoodhook/coordination/fleet_quarantine.py
+++ b/dogwoodhook/coordination/fleet_quarantine.py
@@ -44,6 +44,7 @@
 from dogwoodhook.coordination.store import Store, StoreRow, StoreUnavailable, Table
 from dogwoodhook.events import (
     DAEMON_ROW_REFUSED,
+    QUARANTINES_RESTORED,
     REQUEST_CLEARED,
     REQUEST_HELD,
     REQUEST_QUARANTINED,
@@ -61,6 +62,7 @@
     RequestIdentity,
     RunAlone,
 )
+from dogwoodhook.state.row_restoring import may_be_missing
 
 EXCHANGE_INTERVAL_S = 1.0
 """Interval at which a daemon sends some of the states that it knows."""
@@ -375,6 +377,33 @@
             if self._unstored.get(key) == row:
                 del self._unstored[key]
 
+    def store_again(self) -> None:
+        """Store the quarantines again that a copy of the store may lack."""
+        now_s = self._clock.now_s()
+        known = [
+            self._quarantine.state(each, now_s)
+            for each in self._quarantine.changed_fingerprints(now_s, within_s=RECENT_S)
+        ]
+        rows = {
+            _row_key(each.fingerprint): to_row(
+                Quarantined(
+                    each.service,
+                    each.fingerprint,
+                    now_s + each.refused_for_s,
+                    each.quarantines,
+                ),
+                self._clock,
+            )
+            for each in known
+            if each is not None
+            and each.quarantines
+            and may_be_missing(each.decided_age_s)
+        }
+        # Those that wait to be stored are newer.
+        self._unstored = {**rows, **self._unstored}
+        if rows:
+            log(QUARANTINES_RESTORED, rows=len(rows))
+
     def repeat(self) -> None:
         """Send the states again that changed a short time ago."""
         due = list(self._repeats)
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -383,6 +383,12 @@
     "The store came back without the fleet's key, and another one was created"
     " meanwhile; this daemon uses that one now.",
 )
+QUARANTINES_RESTORED = _event(
+    917,
+    "quarantines-restored",
+    Level.NOTICE,
+    "Quarantines that the copy of the store may lack are written again.",
+)
 TARGET_CHANGED = _event(
     320,
     "target-changed",
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -207,6 +207,7 @@
             rng=rng,
             on_snapshot=self._adopt_snapshot,
             on_other_row=self._quarantine.adopt_row,
+            on_missing_quarantines=self._quarantine.store_again,
         )
         self._exchange.take_snapshot = self._take_snapshot
         self._exchange.list_daemons = self._list_daemons
--- a/tests/platform_adapter/test_harmful_requests.py
+++ b/tests/platform_adapter/test_harmful_requests.py
@@ -26,6 +26,9 @@
 MAX_ENDS = 4
 """Targets that may end: the three that the rule allows, and one in the first trial."""
 
+RESTORED_S = 5.0
+"""Time after a return by which the daemons have written quarantines again."""
+
 PLAY_S = 9.0
 INTERVAL_S = 0.4
 CALLER_HOST = "127.0.0.21"
@@ -201,6 +204,31 @@
     assert len(end_times_s(targets)) == ended
 
 
+async def test_a_harmful_request_is_sent_again_after_a_return_and_a_start_of_all(
+    platform,
+):
+    platform.store.era = 1
+    targets = await start(platform)
+    copy = platform.store.copy()
+    caller = Caller(platform, CALLER_HOST)
+    for _ in range(12):
+        await caller.send("/post/bad", body=BODY)
+        await asyncio.sleep(INTERVAL_S)
+    ended = len(end_times_s(targets))
+    platform.store.restore(copy)
+    for target in targets:
+        await platform.store.put("servers", target.name, target.entry())
+    await asyncio.sleep(RESTORED_S)
+    for gateway in platform.gateways:
+        await gateway.close()
+    platform.gateways.clear()
+    for number in range(DAEMONS):
+        await platform.start_gateway(f"vm-{number}")
+    statuses = [(await caller.send("/post/bad", body=BODY))[0] for _ in range(3)]
+    assert statuses == [503] * 3
+    assert len(end_times_s(targets)) == ended
+
+
 async def test_a_server_error_clears_a_request_that_ends_targets(platform):
     targets = await start(platform, rng=random.Random(1))
     caller, gateway = Caller(platform, CALLER_HOST), platform.gateways[0]
--- a/tests/test_row_restoring.py
+++ b/tests/test_row_restoring.py
@@ -15,11 +15,18 @@
     TableRows,
 )
 from dogwoodhook.fleet_joining import KEY_ROW, FleetJoining
+from dogwoodhook.state.quarantine import Refuse
 from dogwoodhook.state.row_restoring import MAX_COPY_AGE_S
 from dogwoodhook.state.store_position import position_of
 from dogwoodhook.vm_settings import Address, VmSettings
 from tests import virtual_time
 from tests.test_fleet_joining import MemoryNeighbours, RecordingPeers
+from tests.test_fleet_quarantine import (
+    HARMFUL,
+    Fleet,
+    start_again,
+    store_until_quarantined,
+)
 
 MAX_WRITES_A_SECOND = 400
 MAX_CALLS_A_DAEMON = 2
@@ -280,3 +287,23 @@
     print(f"{daemons} daemons: {dict(counts)}, at most {busiest} writes a second")
     assert len(calls) <= MAX_CALLS_A_DAEMON * daemons
     assert busiest <= MAX_WRITES_A_SECOND
+
+
+async def test_a_harmful_request_runs_again_after_a_return_and_a_restart_of_all():
+    fleet = Fleet(3)
+    await store_until_quarantined(fleet)
+    fleet.store.rows.clear()
+    fleet.wait(5.0)
+    fleet.daemons["vm-2"].store_again()
+    await fleet.daemons["vm-2"].store_decisions()
+    assert isinstance(start_again(fleet).check(HARMFUL), Refuse)
+
+
+async def test_an_old_quarantine_is_written_again_after_a_return():
+    fleet = Fleet(3)
+    await store_until_quarantined(fleet)
+    fleet.store.rows.clear()
+    fleet.wait(MAX_COPY_AGE_S + 1.0)
+    fleet.daemons["vm-2"].store_again()
+    await fleet.daemons["vm-2"].store_decisions()
+    assert not fleet.store.rows
