Tell other daemons of a target that came and went between two reads

A store update left out the removal of a target that its sender had never listed. Another daemon that had read the table in between went on using it until its next complete read (DRAIN). Found by a property test of store returns, but independent of them; the new test fails before and passes after.

--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -357,7 +357,8 @@
         known = self._entries.get(change.name)
         if change.entry is None:
             if known is None:
-                return False
+                # Another daemon may have read the entry before its removal.
+                return True
             self._removal_due_s[change.name] = removal_s
             return True
         if known is not None and known.incarnation != change.entry.incarnation:
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -344,3 +344,20 @@
     running = asyncio.create_task(follower.run())
     await until(lambda: directory.get("t1") is not None)
     running.cancel()
+
+
+async def test_a_target_that_came_and_went_between_two_reads_stays_at_another_daemon():
+    store, links = ChangingStore(), RecordingLinks("vm-2")
+    store.add(1)
+    directory = TargetDirectory()
+    decoder = RowDecoder(
+        "config", lambda row: decode(row) if row.value else None, lambda row: None
+    )
+    options = {"daemon": "vm-1", "bound_s": 2.0}
+    follower = TargetFollower(
+        store, directory, decoder, links, SystemClock(), **options
+    )
+    await follower._read(may_notify=True)
+    store.rows.append(StoreRow("t2", None, 2))
+    await follower._read(may_notify=True)
+    assert links.sent[-1].changes == (TargetChange("t2", 2, None),)
