--- a/tests/test_target_directory.py
+++ b/tests/test_target_directory.py
@@ -190,6 +190,19 @@
     assert restarted == ["t1"]
 
 
+@pytest.mark.parametrize("is_complete", [True, False])
+def test_what_an_older_era_said_replaces_what_a_newer_one_says(is_complete):
+    directory = TargetDirectory()
+    row = TargetChange("t1", position_of(1, 1), T1)
+    directory.replace_all([row], version=position_of(1, 1), now_s=0.0)
+    directory.apply([], version=position_of(2, 3), now_s=0.0)
+    older = TargetChange("t2", position_of(1, 9), T2)
+    apply = directory.replace_all if is_complete else directory.apply
+    assert apply([older], version=position_of(1, 9), now_s=1.0) == ()
+    assert names(directory, now_s=9.0) == ["t1"]
+    assert directory.version == position_of(2, 3)
+
+
 def test_a_copy_of_the_store_ends_the_process_that_had_replaced_another_one():
     ended = []
     directory = TargetDirectory(on_end=ended.append)
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -74,6 +74,9 @@
         self.sent.append(message)
 
 
+T2 = TargetEntry("t2", "payouts", "10.0.0.2", 80, "oulu-1", 3, False, 0.0, 1)
+
+
 def decode(row):
     return TargetEntry(row.key, "payouts", "10.0.0.1", 80, "oulu-1", 3, False, 0.0, 1)
 
@@ -361,3 +364,15 @@
     store.rows.append(StoreRow("t2", None, 2))
     await follower._read(may_notify=True)
     assert links.sent[-1].changes == (TargetChange("t2", 2, None),)
+
+
+async def test_a_message_of_an_older_era_changes_what_a_newer_one_told():
+    async with following("vm-1") as (store, _, directory, follower):
+        store.is_down = True
+        directory.apply((), version=position_of(2, 3), now_s=0.0)
+        joined = (TargetChange("t2", position_of(1, 9), T2),)
+        after, version = position_of(1, 1), position_of(1, 9)
+        follower.receive(StoreUpdate("vm-9", after, version, 0.0, 0.0, joined))
+        follower.adopt(TargetTable("vm-9", version, version, 0.0, 0.0, joined))
+        assert directory.get("t2") is None
+        assert directory.version == position_of(2, 3)
