Let a soak's target keep its start when its row is written again

Traced in the daemons' logs: an additional target ended under a harmful request and started again without registering; it said that it leaves, under the start of its row; then the return of the store made the soak write its row with the new start, so daemons took it for another process and sent it a request each, until it said again that it leaves. A row that is written again after a return now has the start that it had.

--- a/tests/platform_adapter/soak/world.py
+++ b/tests/platform_adapter/soak/world.py
@@ -511,7 +511,7 @@
         self.interruptions: list[Kill | Stop | LinkFault] = []
         self.targets: dict[str, SoakTarget] = {}
         # The targets that have a row, each with its state.
-        self.registered: dict[str, tuple[SoakTarget, str]] = {}
+        self.registered: dict[str, tuple[SoakTarget, str, int]] = {}
         self.all_targets: list[SoakTarget] = []
         self.daemons: list[Daemon] = []
         self.routes = {
@@ -655,28 +655,31 @@
         await self.store.remove("servers", name)
 
     async def register_after_return(self, name, *, delay_s):
-        """Write a target's row again in its present state, unless it has ended.
+        """Write a target's row again as it was, unless the target has ended.
 
-        A target that is down at this time registers when it starts again.
+        A target that is down at this time registers when it starts again. An additional
+        one does not, so its row keeps the start that it had.
         """
         await asyncio.sleep(delay_s)
-        target, state = self.registered.get(name, (None, ""))
+        target, state, started = self.registered.get(name, (None, "", 0))
         if target is not None and target.relay.is_listening:
-            await self.register(target, state=state)
+            await self.register(target, state=state, started=started)
 
     async def _register_again(self, target):
         if self.targets.get(target.name) is target:
             await self.register(target)
 
-    async def register(self, target, *, state="ready"):
-        """Write a target's entry to the store."""
-        self.registered[target.name] = (target, state)
+    async def register(self, target, *, state="ready", started=None):
+        """Write a target's entry to the store, with its present start by default."""
+        if started is None:
+            started = target.incarnation
+        self.registered[target.name] = (target, state, started)
         entry = target.entry(
             zone=target.data_centre,
             state=state,
             address=f"127.0.0.1:{target.relay.port}",
             slots=SLOTS,
-            born=FIRST_INCARNATION + target.incarnation,
+            born=FIRST_INCARNATION + started,
         )
         await self.store.put("servers", target.name, entry)
 
