Decode workspaces, public routes and downloads of a configuration

Keys are kept as digests. A key of two workspaces, an empty key and a rate that is negative or no number refuse the version with their place. The settings gain the bounds of keys and quotas and the process's limits; nothing uses them yet.

Test: tests/platform_adapter/test_platform_rows.py

--- a/dogwoodhook/platform/headers.py
+++ b/dogwoodhook/platform/headers.py
@@ -10,6 +10,8 @@
     not_run_header="Not-Executed",
     not_run_statuses=frozenset({421}),
     leaving_header="Server-Leaving",
+    key_header="Api-Key",
+    workspace_header="Tenant-Id",
 )
 
 STORE_ERA_HEADER = "Store-Era"
--- a/dogwoodhook/platform/rows.py
+++ b/dogwoodhook/platform/rows.py
@@ -35,6 +35,11 @@
     ServiceShare,
 )
 from dogwoodhook.state.target_directory import TargetEntry
+from dogwoodhook.state.workspace_policy import (
+    WorkspacePolicy,
+    Workspaces,
+    key_digest,
+)
 
 CONFIGURATION_KEY = "config"
 
@@ -50,10 +55,16 @@
 MAX_TEXT_LENGTH = 200
 """Longest name that a row may contain, the store's limit for keys."""
 
+MAX_KEY_LENGTH = 4096
+"""Longest key of a workspace; a key has to fit the head of a request."""
+
 MAX_REPORTED_ROWS = 256
 """Rows whose last problem is remembered, so that it is logged once."""
 
 
+_IDEMPOTENT_TYPES = frozenset({"safe", "download"})
+
+
 def _encodable(text: str) -> str:
     text.encode()
     return text
@@ -68,6 +79,13 @@
 ]
 
 
+_Key = Annotated[
+    str,
+    Field(min_length=1, max_length=MAX_KEY_LENGTH, strict=True),
+    AfterValidator(_encodable),
+]
+
+
 class _PlatformModel(BaseModel):
     model_config = ConfigDict(frozen=True, alias_generator=to_camel, extra="ignore")
 
@@ -93,13 +111,14 @@
 class _RouteRow(_PlatformModel):
     hostname: str
     prefix: Annotated[str, Field(pattern=r"^/(.*/)?$")]
-    route_type: Literal["safe", "unsafe", "upload"]
+    route_type: Literal["safe", "unsafe", "upload", "download"]
     timeout: _DurationS
     target_latency: _DurationS
     priority: int
     attempts: Annotated[int, Field(ge=1, le=MAX_COUNT)]
     backend: str | None = None
     weighted_backends: tuple[_WeightedBackend, ...] = ()
+    public: bool = False
 
     @model_validator(mode="after")
     def _has_service(self) -> "_RouteRow":
@@ -120,12 +139,20 @@
     idle_timeout: _DurationS
 
 
+class _TenantRow(_PlatformModel):
+    api_keys: tuple[_Key, ...] = ()
+    rate_per_s: Annotated[float, Field(ge=0, le=MAX_COUNT)] = 0.0
+    burst: Annotated[float, Field(ge=0, le=MAX_COUNT)] = 0.0
+    priority: int | None = None
+
+
 class _ConfigurationRow(_PlatformModel):
     config_version: Annotated[int, Field(ge=-MAX_COUNT, le=MAX_COUNT)]
     # ``ConfigurationDecoder`` decodes each route separately.
     routes: dict[str, Any]
     backends: dict[str, _BackendRow]
     limits: _LimitsRow
+    tenants: dict[str, _TenantRow] | None = None
 
 
 class TargetDecoder:
@@ -198,6 +225,8 @@
             decoded = _ConfigurationRow.model_validate(raw)
         except ValidationError as error:
             findings += _findings(error)
+        else:
+            findings += _shared_keys(decoded)
         if findings:
             raise FindingsError(findings)
         self._cache = cache
@@ -231,6 +260,34 @@
     ]
 
 
+def _shared_keys(decoded: _ConfigurationRow) -> list[Finding]:
+    """Return a finding for each key of two workspaces; the key itself is not shown."""
+    holders: dict[str, str] = {}
+    findings: list[Finding] = []
+    for name, tenant in (decoded.tenants or {}).items():
+        for index, key in enumerate(tenant.api_keys):
+            holder = holders.setdefault(key, name)
+            if holder != name:
+                place = f"tenants.{name}.apiKeys.{index}"
+                findings.append(Finding(place, f"the tenant {holder} has the same key"))
+    return findings
+
+
+def _workspaces(decoded: _ConfigurationRow) -> Workspaces | None:
+    if decoded.tenants is None:
+        return None
+    return Workspaces.of(
+        WorkspacePolicy(
+            name=name,
+            key_digests=frozenset(map(key_digest, tenant.api_keys)),
+            rate_per_s=tenant.rate_per_s,
+            burst=tenant.burst,
+            priority=tenant.priority,
+        )
+        for name, tenant in decoded.tenants.items()
+    )
+
+
 def _configuration(
     decoded: _ConfigurationRow, policies: list[RoutePolicy]
 ) -> RoutingConfiguration:
@@ -248,6 +305,7 @@
             header_timeout_s=limits.header_timeout,
             idle_timeout_s=limits.idle_timeout,
         ),
+        workspaces=_workspaces(decoded),
     )
 
 
@@ -259,12 +317,14 @@
         name=name,
         host=route.hostname.lower(),
         path_prefix=route.prefix,
-        is_idempotent=route.route_type == "safe",
+        is_idempotent=route.route_type in _IDEMPOTENT_TYPES,
         timeout_s=route.timeout,
         target_latency_s=route.target_latency,
         priority=route.priority,
         max_targets=route.attempts,
         services=shares or (ServiceShare(route.backend or "", 1.0),),
+        is_public=route.public,
+        has_large_answers=route.route_type == "download",
     )
 
 
--- a/dogwoodhook/platform/settings_file.py
+++ b/dogwoodhook/platform/settings_file.py
@@ -4,6 +4,7 @@
 and reported together, each with its line.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TypeVar
@@ -24,6 +25,8 @@
 METRICS_PORT = 9464
 """Port of the metrics on the VM's own address, as set in ``deploy/system.toml``."""
 
+BYTES_PER_MB = 1024 * 1024
+
 T = TypeVar("T")
 
 
@@ -91,6 +94,8 @@
     # The range is available for traffic between daemons; they use its first port.
     peer_port = fields.required("portRange", _first_port)
     bounds = _parse_bounds(fields)
+    memory_mb = fields.optional("limits.memoryMb", _whole_number, 0)
+    max_descriptors = fields.optional("limits.maxFds", _whole_number, 0)
     metrics_address = Address(host, METRICS_PORT) if host else None
     if (
         fields.findings
@@ -112,6 +117,8 @@
         store_address=store_address,
         metrics_address=metrics_address,
         bounds=bounds,
+        memory_bytes=memory_mb * BYTES_PER_MB if memory_mb else None,
+        max_descriptors=max_descriptors or None,
     )
 
 
@@ -145,6 +152,19 @@
         retry_extra=fields.optional(
             "bounds.retryBudgetExtra", float, default.retry_extra
         ),
+        revoke_s=fields.optional(
+            "bounds.revoke", _positive_duration_s, default.revoke_s
+        ),
+        fails_closed=fields.optional("bounds.failClosed", _truth, default.fails_closed),
+        quota_window_s=fields.optional(
+            "bounds.quotaWindow", _positive_duration_s, default.quota_window_s
+        ),
+        quota_overshoot=fields.optional(
+            "bounds.quotaOvershoot", _non_negative, default.quota_overshoot
+        ),
+        quota_slack=fields.optional(
+            "bounds.quotaSlack", _non_negative, default.quota_slack
+        ),
     )
 
 
@@ -155,6 +175,26 @@
     return seconds
 
 
+def _non_negative(text: str) -> float:
+    number = float(text)
+    if not 0 <= number < math.inf:
+        raise ValueError(f"received {text!r}; allowed is 0 or more")
+    return number
+
+
+def _whole_number(text: str) -> int:
+    number = int(text)
+    if number < 0:
+        raise ValueError(f"received {text!r}; allowed is 0 or more")
+    return number
+
+
+def _truth(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError(f"received {text!r}; allowed is true or false")
+    return text == "true"
+
+
 def _non_empty(text: str) -> str:
     if not text:
         raise ValueError("received nothing; a value is needed")
--- a/dogwoodhook/protocol/http_conventions.py
+++ b/dogwoodhook/protocol/http_conventions.py
@@ -20,7 +20,8 @@
     ``signature_header`` is on every answer that a target produced itself. A target
     that did not run the request sets ``not_run_header`` on its answer, or answers
     with one of ``not_run_statuses``. A target that leaves sets ``leaving_header`` on
-    all its answers.
+    all its answers. ``key_header`` carries the key of a request's workspace; a target
+    is sent the workspace's name in ``workspace_header`` instead.
     """
 
     request_id_header: str
@@ -30,6 +31,8 @@
     not_run_header: str
     not_run_statuses: frozenset[int]
     leaving_header: str
+    key_header: str
+    workspace_header: str
 
     def declares_not_run(self, status: int, headers: Mapping[str, str]) -> bool:
         """Return whether an answer declares that the request was not run."""
--- a/dogwoodhook/state/route_policy.py
+++ b/dogwoodhook/state/route_policy.py
@@ -8,6 +8,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from dogwoodhook.state.workspace_policy import Workspaces
+
 
 def host_name(host: str) -> str:
     """Return the name in a Host header: in lower case and without the port.
@@ -31,7 +33,8 @@
     """One route.
 
     ``path_prefix`` begins and ends with a slash. ``max_targets`` limits the number of
-    targets that may run one request. ``priority`` 0 is the most urgent.
+    targets that may run one request. ``priority`` 0 is the most urgent. Requests on a
+    public route need no key. ``has_large_answers`` is set for a route of downloads.
     """
 
     name: str
@@ -43,6 +46,8 @@
     priority: int
     max_targets: int
     services: tuple[ServiceShare, ...]
+    is_public: bool = False
+    has_large_answers: bool = False
 
     def service_at(self, point: float) -> str:
         """Return the service at a point between 0 and 1 of the summed weights.
@@ -83,13 +88,15 @@
 class RoutingConfiguration:
     """The operator's configuration at one version.
 
-    ``routes`` is keyed by host and path prefix.
+    ``routes`` is keyed by host and path prefix. ``workspaces`` is ``None`` if the
+    configuration names none; requests then need no key.
     """
 
     version: int
     routes: Mapping[tuple[str, str], RoutePolicy]
     services: Mapping[str, ServicePolicy]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    workspaces: Workspaces | None = None
 
     def match(self, host: str, path: str) -> RoutePolicy | None:
         """Return the route with the longest prefix of the path, or ``None``.
--- a/dogwoodhook/vm_settings.py
+++ b/dogwoodhook/vm_settings.py
@@ -42,6 +42,11 @@
     requests plus ``retry_extra``. A configuration must be in force on every daemon
     within ``configuration_s`` after the store has acknowledged it. A leaving target
     must get no requests from ``drain_s`` after the store has acknowledged its leaving.
+    A key that a configuration no longer holds is refused ``revoke_s`` after the store
+    has acknowledged that configuration; with ``fails_closed`` a daemon that cannot tell
+    whether a key still holds refuses it. In any window of ``quota_window_s``, the fleet
+    may run the requests of a workspace's rate and burst, the share ``quota_overshoot``
+    more, plus ``quota_slack``.
     """
 
     grace_s: float = 6.0
@@ -50,6 +55,11 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_extra: float = 50.0
+    revoke_s: float = 5.0
+    fails_closed: bool = False
+    quota_window_s: float = 5.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 20.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +68,8 @@
 
     ``peer_address`` is reserved for communication between daemons. The metrics are
     served on ``readiness_address``, and also on ``metrics_address`` if it is set.
+    ``memory_bytes`` and ``max_descriptors`` are the limits of the process, ``None`` if
+    the platform sets none.
     """
 
     vm_name: str
@@ -68,3 +80,5 @@
     store_address: Address
     metrics_address: Address | None = None
     bounds: ServiceBounds = ServiceBounds()
+    memory_bytes: int | None = None
+    max_descriptors: int | None = None
--- a/tests/platform_adapter/test_platform_rows.py
+++ b/tests/platform_adapter/test_platform_rows.py
@@ -198,3 +198,65 @@
 def test_a_configuration_value_without_an_upper_bound_is_used(change):
     with pytest.raises(FindingsError):
         ConfigurationDecoder().decode(row({**CONFIGURATION, **change}))
+
+
+TENANTS = {
+    "ukara": {"apiKeys": ["k-1", "k-2"], "priority": 0, "ratePerS": 5, "burst": 7.5},
+    "ziwa": {"apiKeys": ["k-3"]},
+}
+
+
+def decode_with(**changes):
+    return ConfigurationDecoder().decode(row({**CONFIGURATION, **changes}))
+
+
+def findings_of(**changes):
+    with pytest.raises(FindingsError) as caught:
+        decode_with(**changes)
+    return [str(finding) for finding in caught.value.findings]
+
+
+def test_tenants_become_workspaces():
+    workspaces = decode_with(tenants=TENANTS).workspaces
+    ukara = workspaces.by_name["ukara"]
+    assert (ukara.rate_per_s, ukara.burst, ukara.priority) == (5, 7.5, 0)
+    assert workspaces.holder_of("k-2") is ukara
+    assert workspaces.holder_of("k-3").has_quota is False
+    assert workspaces.holder_of("k-4") is None
+
+
+def test_no_key_is_kept_or_shown():
+    assert "k-1" not in repr(decode_with(tenants=TENANTS))
+    shared = {"ukara": {"apiKeys": ["k-1"]}, "ziwa": {"apiKeys": ["k-9", "k-1"]}}
+    assert findings_of(tenants=shared) == [
+        "tenants.ziwa.apiKeys.1: the tenant ukara has the same key"
+    ]
+
+
+def test_a_configuration_may_name_no_tenants_or_an_empty_table_of_them():
+    assert decode_with().workspaces is None
+    assert decode_with(tenants={}).workspaces.by_name == {}
+
+
+@pytest.mark.parametrize(
+    ("tenant", "place"),
+    [
+        ({"apiKeys": [""]}, "tenants.ukara.apiKeys.0"),
+        ({"apiKeys": ["k"], "ratePerS": -1}, "tenants.ukara.ratePerS"),
+        ({"apiKeys": ["k"], "ratePerS": "many"}, "tenants.ukara.ratePerS"),
+        ({"apiKeys": ["k"], "burst": float("nan")}, "tenants.ukara.burst"),
+    ],
+)
+def test_a_tenant_that_is_not_allowed_refuses_the_version(tenant, place):
+    findings = findings_of(tenants={"ukara": tenant})
+    assert [finding.partition(": ")[0] for finding in findings] == [place]
+
+
+def test_downloads_are_idempotent_and_a_route_may_be_public():
+    downloads = {**ROUTE, "routeType": "download", "public": True}
+    route = decode_with(routes={"r-1": downloads}).match("tills.example", "/payouts/7")
+    assert (route.is_idempotent, route.has_large_answers, route.is_public) == (
+        True,
+        True,
+        True,
+    )
--- a/tests/platform_adapter/test_settings_file.py
+++ b/tests/platform_adapter/test_settings_file.py
@@ -81,3 +81,18 @@
     assert parse_findings(text) == [
         "boot.conf:10: bounds.config: received '0ms'; allowed is more than 0"
     ]
+
+
+def test_bounds_of_workspaces_and_limits_of_the_process_are_optional():
+    settings = parse_settings(SETTINGS_TEXT, place="boot.conf")
+    assert (settings.memory_bytes, settings.max_descriptors) == (None, None)
+    text = SETTINGS_TEXT + (
+        "limits.memoryMb=200\nlimits.maxFds=4100\nbounds.failClosed=true\n"
+        "bounds.revoke=4s\nbounds.quotaWindow=6s\nbounds.quotaSlack=21\n"
+    )
+    settings = parse_settings(text, place="boot.conf")
+    assert settings.memory_bytes == 200 * 1024 * 1024
+    assert settings.max_descriptors == 4100
+    assert settings.bounds.fails_closed
+    assert (settings.bounds.revoke_s, settings.bounds.quota_window_s) == (4.0, 6.0)
+    assert (settings.bounds.quota_overshoot, settings.bounds.quota_slack) == (0.1, 21.0)
