Hold requests back while their service has no room

A request that was shed after sheds have spent the budget now waits in the daemon until the budget has a retry, if it can still end before its deadline; otherwise it is refused at once, as before. Where the platform's settings say that callers compete for room, requests also wait before their first attempt while all slots and a short queue of the targets are known to be taken.

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -451,6 +451,19 @@
     "A caller sent something that is not a valid request, or a request head that is too"
     " large or too late; the connection is closed.",
 )
+REQUEST_HELD = _event(
+    530,
+    "request-held",
+    Level.INFO,
+    "A request waits in the daemon for room at its service; `expected_ms` is the time"
+    " expected, `held` the requests that wait here.",
+)
+REQUEST_GRANTED = _event(
+    531,
+    "request-granted",
+    Level.INFO,
+    "A request that waited for room is sent; `waited_ms` is how long it waited.",
+)
 DATAGRAM_DROPPED = _event(
     810,
     "datagram-dropped",
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -245,6 +245,8 @@
             load_sharing=LoadSharing(self._load, self.peers, daemon=settings.vm_name),
             receive_pending=self.peers.receive_pending,
             count_daemons=lambda: len(self.peers) + 1,
+            is_stopping=lambda: self._stop.has_begun,
+            has_competing_load=settings.has_competing_load,
         )
         self._metrics.watch_peer_bytes(lambda: self.peers.sent_bytes)
         self._metrics.watch_configuration(
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -27,10 +27,13 @@
 CLOSING_REASONS = 4
 """Reasons for which a caller's connection is closed."""
 
-DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 6 + CLOSING_REASONS
-"""Series of the daemon: two histograms, three gauges and four counters.
+ROOM_OUTCOMES = 4
+"""Outcomes of a request that asks for room at its service."""
 
-One of the counters has one series for each closing reason.
+DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 7 + CLOSING_REASONS + ROOM_OUTCOMES
+"""Series of the daemon: two histograms, three gauges and six counters.
+
+Two of the counters have one series for each closing reason and each outcome.
 """
 
 MIN_QUEUEING_MS = 0.5
@@ -59,6 +62,13 @@
         return {"kind": self.kind}
 
 
+class _RoomSeries(NamedTuple):
+    outcome: str
+
+    def attributes(self) -> dict[str, str]:
+        return {"outcome": self.outcome}
+
+
 class _RequestSeries(NamedTuple):
     service: str
     request_class: str
@@ -173,6 +183,19 @@
             description="requests whose connection was closed before a whole answer",
         )
 
+        self._room_waits: Counter[_RoomSeries] = Counter()
+        self._room_wait_s = 0.0
+        meter.create_observable_counter(
+            "dogwoodhook_room",
+            callbacks=[lambda options: _observations(self._room_waits)],
+            description="requests by whether their service had room for them",
+        )
+        meter.create_observable_counter(
+            "dogwoodhook_room_wait",
+            callbacks=[lambda options: [Observation(self._room_wait_s)]],
+            unit="s",
+            description="time that requests were held back for want of room",
+        )
         meter.create_observable_counter(
             "dogwoodhook_target_crashes",
             callbacks=[lambda options: [Observation(self._target_crashes)]],
@@ -239,6 +262,11 @@
         """Record a request that was refused because of its quarantine."""
         self._quarantine_refusals += 1
 
+    def record_room_wait(self, outcome: str, waited_s: float) -> None:
+        """Record whether a request got room: ``at-once``, ``waited``, ``too-late``."""
+        self._room_waits[_RoomSeries(outcome)] += 1
+        self._room_wait_s += waited_s
+
     def record_target_announcement(self, kind: str) -> None:
         """Record that a target announced something in an answer."""
         self._target_announcements[_AnnouncementSeries(kind)] += 1
@@ -291,6 +319,7 @@
     counts: Counter[_RequestSeries]
     | Counter[_RetrySeries]
     | Counter[_ClosingSeries]
-    | Counter[_AnnouncementSeries],
+    | Counter[_AnnouncementSeries]
+    | Counter[_RoomSeries],
 ) -> list[Observation]:
     return [Observation(count, series.attributes()) for series, count in counts.items()]
--- a/dogwoodhook/platform/settings_file.py
+++ b/dogwoodhook/platform/settings_file.py
@@ -27,6 +27,9 @@
 
 BYTES_PER_MB = 1024 * 1024
 
+COMPETING_LOAD = "pressure"
+"""Part of the rules that is in force where callers compete for too little room."""
+
 T = TypeVar("T")
 
 
@@ -96,6 +99,7 @@
     bounds = _parse_bounds(fields)
     memory_mb = fields.optional("limits.memoryMb", _whole_number, 0)
     max_descriptors = fields.optional("limits.maxFds", _whole_number, 0)
+    has_competing_load = fields.optional("contracts", _has_competing_load, False)
     metrics_address = Address(host, METRICS_PORT) if host else None
     if (
         fields.findings
@@ -119,6 +123,7 @@
         bounds=bounds,
         memory_bytes=memory_mb * BYTES_PER_MB if memory_mb else None,
         max_descriptors=max_descriptors or None,
+        has_competing_load=has_competing_load,
     )
 
 
@@ -189,6 +194,10 @@
     return number
 
 
+def _has_competing_load(text: str) -> bool:
+    return COMPETING_LOAD in (name.strip() for name in text.split(","))
+
+
 def _truth(text: str) -> bool:
     if text not in ("true", "false"):
         raise ValueError(f"received {text!r}; allowed is true or false")
--- a/dogwoodhook/state/fleet_budget.py
+++ b/dogwoodhook/state/fleet_budget.py
@@ -102,6 +102,11 @@
         self._extra = extra
         self._window_s = window_s
 
+    @property
+    def window_s(self) -> float:
+        """Return the window over which requests and retries are counted."""
+        return self._window_s
+
     def record_request(self, service: str, *, now_s: float) -> None:
         """Count a request of a caller of this daemon."""
         self._spending(service, now_s).requests_s.append(now_s)
--- a/dogwoodhook/state/placement.py
+++ b/dogwoodhook/state/placement.py
@@ -18,6 +18,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from dogwoodhook.state.crowding import ServiceRoom
 from dogwoodhook.state.fleet_load import FleetLoad
 from dogwoodhook.state.suspicion import Standing, Suspicion
 from dogwoodhook.state.target_directory import TargetEntry
@@ -120,6 +121,14 @@
         busy = sum(in_flight[each.name] for each in counted)
         return busy < FREE_SLOTS_SHARE * sum(each.slots for each in counted)
 
+    def room(self, targets: Iterable[TargetEntry], *, now_s: float) -> ServiceRoom:
+        """Return the known load of the targets."""
+        in_flight = self._load.by_target(now_s=now_s)
+        return ServiceRoom.of(
+            (each.slots, in_flight[each.name], each.data_centre == self._data_centre)
+            for each in targets
+        )
+
     def choose(
         self,
         targets: Iterable[TargetEntry],
--- a/dogwoodhook/state/retry_after.py
+++ b/dogwoodhook/state/retry_after.py
@@ -27,6 +27,14 @@
 two reads of the store."""
 
 
+ROOM_SPREAD = 0.5
+"""Time over which the callers of one priority return, as a share of the time until room
+is expected; those of the next priority return after them."""
+
+LAST_TURN = 2
+"""Priority from which on callers return together."""
+
+
 @dataclass(frozen=True, slots=True)
 class NoTargetKnown:
     """No configuration or no target is known."""
@@ -51,7 +59,17 @@
     """Targets refused the request although they have free slots."""
 
 
-RefusalCause = NoTargetKnown | TargetsPaused | TargetsRefused | TargetsShed
+@dataclass(frozen=True, slots=True)
+class RoomExpected:
+    """The service is expected to have room for requests of ``priority`` in ``in_s``."""
+
+    in_s: float
+    priority: int
+
+
+RefusalCause = (
+    RoomExpected | NoTargetKnown | TargetsPaused | TargetsRefused | TargetsShed
+)
 
 
 def retry_after_s(cause: RefusalCause, *, rng: random.Random) -> float:
@@ -71,5 +89,9 @@
                 MAX_RETRY_AFTER_S, max(2 * MIN_RETRY_AFTER_S, available_in_s)
             )
             return rng.uniform(MIN_RETRY_AFTER_S, latest_s)
+        case RoomExpected(in_s, priority):
+            first_s = max(MIN_RETRY_AFTER_S, in_s)
+            turn = min(priority, LAST_TURN)
+            return first_s * (1 + ROOM_SPREAD * (turn + rng.random()))
         case TargetsShed():
             return rng.uniform(*SHED_RETRY_AFTER_S)
--- a/dogwoodhook/state/typical_latency.py
+++ b/dogwoodhook/state/typical_latency.py
@@ -45,6 +45,12 @@
         """Record the latency of an answer."""
         self._latencies_s.append(latency_s)
 
+    def usual_s(self, *, target_latency_s: float) -> float:
+        """Return the usual latency: the median, or a share of the target latency."""
+        if len(self._latencies_s) < MIN_ANSWERS:
+            return TARGET_LATENCY_SHARE * target_latency_s
+        return statistics.median(self._latencies_s)
+
     def overdue_s(self, *, target_latency_s: float) -> float:
         """Return the time after which a request is overdue at its target."""
         return self._limit_s(OVERDUE_FACTOR, target_latency_s)
--- a/dogwoodhook/transport/attempts.py
+++ b/dogwoodhook/transport/attempts.py
@@ -338,3 +338,23 @@
         # The target may have closed the idle connection before it got the request.
         return None
     return Symptom.IDLE_RESET
+
+
+def connection_fields(result: NotRunAtTarget | MayHaveRun) -> dict[str, object]:
+    """Return the log fields that tell whether a refusal was believed, and why."""
+    fields = result.connection.log_fields()
+    match result:
+        case NotRunAtTarget(has_arrived=True):
+            return {"refusal": "believed", **fields}
+        case MayHaveRun(has_refusal=True):
+            return {"refusal": "doubted", **fields}
+        case _:
+            return fields
+
+
+def discard_attempt(task: asyncio.Task[AttemptResult]) -> None:
+    """Cancel an attempt whose answer is no longer needed, or close its answer."""
+    if not task.cancel() and not task.cancelled() and task.exception() is None:
+        result = task.result()
+        if isinstance(result, OpenAnswer):
+            result.response.close()
--- a/dogwoodhook/transport/fleet_view.py
+++ b/dogwoodhook/transport/fleet_view.py
@@ -25,7 +25,7 @@
     ``is_ready`` is set once routes and targets are known. ``notify_fleet`` sends
     to all daemons, ``notify_neighbours`` and ``load_sharing`` to those of the own data
     centre. ``receive_pending`` processes messages that have arrived and have not been
-    read yet.
+    read yet. ``has_competing_load`` is set where callers compete for too little room.
     """
 
     configuration: Callable[[], RoutingConfiguration | None]
@@ -44,3 +44,5 @@
     load_sharing: LoadSharing
     receive_pending: Callable[[], None]
     count_daemons: Callable[[], int]
+    is_stopping: Callable[[], bool]
+    has_competing_load: bool
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -55,6 +55,8 @@
     MayHaveRun,
     NotRunAtTarget,
     OpenAnswer,
+    connection_fields,
+    discard_attempt,
     send_attempt,
 )
 from dogwoodhook.transport.bodies import RequestBody, read_prelude
@@ -68,6 +70,7 @@
 from dogwoodhook.transport.fleet_reports import FleetReports
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.held_answers import HeldAnswers, may_stream
+from dogwoodhook.transport.held_requests import HeldRequests
 from dogwoodhook.transport.own_answers import UNAVAILABLE_STATUS, OwnAnswers
 from dogwoodhook.transport.pipelining import (
     ClosingReason,
@@ -162,6 +165,14 @@
         self._own_answers = OwnAnswers(conventions, rng)
         self._clock = clock
         self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
+        self._held_requests = HeldRequests(
+            fleet,
+            self._reports,
+            clock,
+            metrics,
+            rng,
+            holds_arrivals=fleet.has_competing_load,
+        )
         self._rng = rng
         self._announcements = AnnouncementRecorder(fleet.directory, clock, metrics, rng)
         self._held_answers = HeldAnswers(
@@ -340,7 +351,7 @@
         finally:
             self._running.discard(routed)
             for task in pending:
-                _discard_attempt(task)
+                discard_attempt(task)
             if routed.alone_run is not None:
                 has_arrived = bool(routed.arrivals or pending) or routed.may_have_run
                 self._fleet.quarantine.end_alone(
@@ -376,7 +387,7 @@
             outcome=str(answer.status),
             duration_ms=duration_s * 1000,
             target_ms=routed.target_s * 1000,
-            queueing_ms=0.0,
+            queueing_ms=routed.waited_s * 1000,
             retries=max(0, len(routed.tried) - 1),
         )
 
@@ -393,7 +404,7 @@
         refused_until_s = await self._begin_if_admitted(routed)
         if refused_until_s is not None:
             return self._refuse_quarantined(routed, refused_until_s)
-        target = self._next_target(routed)
+        target = await self._first_target(routed)
         detail = "no target serves it"
         while True:
             if target is not None:
@@ -417,8 +428,8 @@
                 if isinstance(answer, web.StreamResponse):
                     return answer
                 detail = answer
-            if not pending and self._may_send_again(routed):
-                target = self._next_target(routed)
+            if not pending:
+                target = await self._target_after_failure(routed)
 
     def _admission(self, routed: RoutedRequest) -> Admission:
         quarantine = self._fleet.quarantine
@@ -531,7 +542,7 @@
             self._fleet.directory.available(
                 routed.service, turn=routed.turn, now_s=now_s
             ),
-            tried=frozenset(routed.tried),
+            tried=routed.excluded_targets,
             is_idempotent=routed.route.is_idempotent,
             now_s=now_s,
         )
@@ -581,13 +592,14 @@
                 routed.refusals += 1
                 routed.unreachable += has_timed_out
                 routed.arrivals += has_arrived
-                connection = _connection_fields(result)
+                routed.sheds += symptom is Symptom.BUSY
+                connection = connection_fields(result)
                 self._record_failure(routed, target, symptom, detail, **connection)
                 return detail
             case MayHaveRun(detail, symptom):
                 routed.runs += 1
                 routed.arrivals += 1
-                connection = _connection_fields(result)
+                connection = connection_fields(result)
                 self._record_failure(routed, target, symptom, detail, **connection)
                 return detail
 
@@ -601,6 +613,7 @@
         self, routed: RoutedRequest, target: TargetEntry
     ) -> asyncio.Task[AttemptResult]:
         routed.tried.add(target.name)
+        routed.available_again.discard(target.name)
         routed.last_target = target.name
         return asyncio.ensure_future(self._send(routed, target))
 
@@ -819,6 +832,23 @@
             return False
         return not routed.arrivals or self._reports.take_retry(routed)
 
+    async def _first_target(self, routed: RoutedRequest) -> TargetEntry | None:
+        typical = self._typical_latencies[routed.service]
+        has_room = await self._held_requests.wait_on_arrival(routed, typical)
+        return self._next_target(routed) if has_room else None
+
+    async def _target_after_failure(self, routed: RoutedRequest) -> TargetEntry | None:
+        """Return where the request goes next, maybe after a wait, or ``None``."""
+        if self._may_send_again(routed):
+            target = self._next_target(routed)
+            if target is not None:
+                return target
+        typical = self._typical_latencies[routed.service]
+        if not await self._held_requests.wait_after_shed(routed, typical):
+            return None
+        is_admitted = isinstance(self._admission(routed), Admit)
+        return self._next_target(routed) if is_admitted else None
+
     def _deliver(
         self, routed: RoutedRequest, target: str, answer: CompleteAnswer
     ) -> web.Response:
@@ -888,7 +918,7 @@
                 status=UNAVAILABLE_STATUS,
                 detail=detail,
             )
-            cause = self._refusal_cause(routed)
+            cause = routed.expected_room or self._refusal_cause(routed)
             return self._own_answers.unavailable(routed.request, detail, cause)
         left_s = routed.deadline_s - self._clock.now_s()
         status = 504 if left_s <= MIN_ATTEMPT_S else 502
@@ -924,27 +954,7 @@
         )
 
 
-def _connection_fields(result: NotRunAtTarget | MayHaveRun) -> dict[str, object]:
-    """Return the log fields that tell whether a refusal was believed, and why."""
-    fields = result.connection.log_fields()
-    match result:
-        case NotRunAtTarget(has_arrived=True):
-            return {"refusal": "believed", **fields}
-        case MayHaveRun(has_refusal=True):
-            return {"refusal": "doubted", **fields}
-        case _:
-            return fields
-
-
 def _route_of(
     configuration: RoutingConfiguration, request: web.BaseRequest, uri: RequestUri
 ) -> RoutePolicy | None:
     return configuration.match(host_of(request, uri), uri.path)
-
-
-def _discard_attempt(task: asyncio.Task[AttemptResult]) -> None:
-    """Cancel an attempt whose answer is no longer needed, or close its answer."""
-    if not task.cancel() and not task.cancelled() and task.exception() is None:
-        result = task.result()
-        if isinstance(result, OpenAnswer):
-            result.response.close()
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -13,6 +13,7 @@
     body_digest,
     fingerprint,
 )
+from dogwoodhook.state.retry_after import RoomExpected
 from dogwoodhook.state.route_policy import RoutePolicy, host_name
 from dogwoodhook.state.store_position import describe
 from dogwoodhook.state.suspicion import Standing
@@ -30,6 +31,9 @@
     connection comes from. ``runs`` counts the attempts that may have run, ``refusals``
     those that did not run, and ``unreachable`` those among the latter that got no
     connection in time. ``arrivals`` counts the attempts that reached a target.
+    ``sheds`` counts the refusals of full targets, and ``available_again`` names targets
+    that were tried before the request waited for room. ``room_in_s`` is when room is
+    expected, if the request is refused for want of it.
     ``has_answer_started`` is set once the start of a target's answer has been read,
     ``has_succeeded`` once a target has answered without an error.
     ``is_hedge_considered`` is set once the request was overdue and a hedge was
@@ -53,8 +57,12 @@
     refusals: int = 0
     unreachable: int = 0
     arrivals: int = 0
+    sheds: int = 0
+    waited_s: float = 0.0
+    room_in_s: float | None = None
     has_answer_started: bool = False
     tried: set[str] = field(default_factory=set)
+    available_again: set[str] = field(default_factory=set)
     last_target: str = ""
     started_s: float = 0.0
     is_hedge_considered: bool = False
@@ -82,6 +90,18 @@
         """Return whether the request may have run."""
         return self.runs > 0 or self.has_answer_started
 
+    @property
+    def excluded_targets(self) -> frozenset[str]:
+        """Return the targets that the request is not to be sent to again for now."""
+        return frozenset(self.tried - self.available_again)
+
+    @property
+    def expected_room(self) -> RoomExpected | None:
+        """Return when room is expected, if the request is refused for want of it."""
+        if self.room_in_s is None:
+            return None
+        return RoomExpected(self.room_in_s, self.route.priority)
+
     @property
     def identity(self) -> RequestIdentity:
         """Return the fingerprints, which are the same for each sending.
--- a/dogwoodhook/vm_settings.py
+++ b/dogwoodhook/vm_settings.py
@@ -69,7 +69,8 @@
     ``peer_address`` is reserved for communication between daemons. The metrics are
     served on ``readiness_address``, and also on ``metrics_address`` if it is set.
     ``memory_bytes`` and ``max_descriptors`` are the limits of the process, ``None`` if
-    the platform sets none.
+    the platform sets none. ``has_competing_load`` is set where callers compete for too
+    little room at times.
     """
 
     vm_name: str
@@ -82,3 +83,4 @@
     bounds: ServiceBounds = ServiceBounds()
     memory_bytes: int | None = None
     max_descriptors: int | None = None
+    has_competing_load: bool = False
