Refuse an answer whose status HTTP does not have

A target in trouble answered with status 000, and its answer was passed on: a caller got "000" or "999" as the answer to its request, where a strict client library fails on a status below 100. The parser takes any three digits. A head whose status lies outside of 100 to 599 (RFC 9110, section 15) is now treated as no answer: the request may have run, and is sent again only if it is idempotent; otherwise its caller gets 502.

--- a/dogwoodhook/transport/answer_heads.py
+++ b/dogwoodhook/transport/answer_heads.py
@@ -12,9 +12,15 @@
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _SWITCHING_PROTOCOLS = 101
 
+_MIN_STATUS = 100
+_MAX_STATUS = 599
+"""The first and the last status code of HTTP (RFC 9110, section 15)."""
+
 
 def head_problem(message: RawResponseMessage) -> str | None:
     """Return why a head cannot answer a proxied request, ``None`` if it can."""
+    if not _MIN_STATUS <= message.code <= _MAX_STATUS:
+        return f"status {message.code:03}, which HTTP does not have"
     if message.code == _SWITCHING_PROTOCOLS:
         return "a switch of protocols that was not asked for"
     texts = (message.reason, *message.headers.values())
--- a/tests/platform_adapter/test_confused_heads.py
+++ b/tests/platform_adapter/test_confused_heads.py
@@ -137,6 +137,19 @@
     assert reply.status in (502, 504)
 
 
+STATUSES_WITHOUT_A_CLASS = ["000", "000 Odd", "099 Odd", "600 Odd", "999 Odd"]
+
+
+@pytest.mark.parametrize("status", STATUSES_WITHOUT_A_CLASS)
+@pytest.mark.parametrize("path", ["/read/1", "/post/1"])
+async def test_a_status_that_http_does_not_have_reaches_no_caller(
+    platform, target, path, status
+):
+    whole = f"Request-Id: ID\r\n{SIGNED}Content-Length: 5\r\n\r\nwhole"
+    target.behaviours = [run_and_write(f"HTTP/1.1 {status}\r\n{whole}")]
+    assert (await platform.send(path)).status == 502
+
+
 UNUSUAL_ANSWERS = {
     "lower_case": "HTTP/1.1 200 OK\r\nrequest-id: ID\r\nserver-signature: t1\r\n"
     "content-length: 5\r\n\r\nwhole",
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -82,6 +82,20 @@
         assert is_unknown(await exchange(session, proxy, method=method))
 
 
+@pytest.mark.parametrize("status", [b"000 Odd", b"999 Odd"])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_a_status_that_http_does_not_have_reaches_no_caller(method, status):
+    answer = SIZED.replace(b"200 OK", status)
+    async with (
+        RawTarget((ReceiveRequest(), Send(answer))) as target,
+        LocalProxy([target.port]) as proxy,
+        open_caller() as session,
+    ):
+        result = await exchange(session, proxy, method=method)
+        assert target.request_count
+        assert is_unknown(result)
+
+
 @pytest.mark.parametrize("index", range(0, len(SIZED), 3))
 async def test_an_answer_cut_on_a_reused_connection_never_looks_complete(index):
     first = (*ECHO_STEPS, ReceiveRequest(), Send(SIZED[:index]))
