--- a/dogwoodhook/platform/rows.py
+++ b/dogwoodhook/platform/rows.py
@@ -214,6 +214,11 @@
         self.decoded_route_count = 0
         self._cache: dict[str, tuple[object, RoutePolicy]] = {}
 
+    @property
+    def listed_routes(self) -> list[RoutePolicy]:
+        """Return the routes of the last configuration, as they are listed."""
+        return [policy for _, policy in self._cache.values()]
+
     def decode(self, row: StoreRow) -> RoutingConfiguration:
         """Return the configuration in a row, or raise ``FindingsError``."""
         try:
@@ -230,7 +235,7 @@
         if findings:
             raise FindingsError(findings)
         self._cache = cache
-        return _configuration(decoded, [policy for _, policy in cache.values()])
+        return _configuration(decoded, self.listed_routes)
 
     def _decode_routes(
         self, raw: Any
