Admit requests by the keys of workspaces

Callers of a configuration with workspaces were served without a look at their key, and the key went to the targets. Now an unknown key gets 401 at once, and a target gets the workspace's name in place of the key. Both headers of a caller are dropped in each spelling that a server may take for the same name. The key is checked again before each attempt and immediately before its first byte: a request whose key was withdrawn gets 401 if it has not run, and one whose key was moved goes out for the new holder or not at all. Without workspaces in the configuration, requests are forwarded as before.

--- a/dogwoodhook/coordination/configuration_following.py
+++ b/dogwoodhook/coordination/configuration_following.py
@@ -110,6 +110,11 @@
         """Return the time since the known version was confirmed as the newest."""
         return self._clock.now_s() - self._confirmed_s
 
+    @property
+    def is_newer_known(self) -> bool:
+        """Return whether another daemon has announced a newer configuration."""
+        return self._announced_row > self._row_version
+
     async def run(self) -> None:
         """Read the store whenever a read is due, until cancelled."""
         while True:
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -451,6 +451,14 @@
     "A caller sent something that is not a valid request, or a request head that is too"
     " large or too late; the connection is closed.",
 )
+KEY_REFUSED = _event(
+    518,
+    "key-refused",
+    Level.NOTICE,
+    "Requests without a valid key of a workspace are refused; `key_digest` is the start"
+    " of the SHA-256 digest of the key. A line is written once a minute for each digest"
+    " and route, and only for the first of them; a metric counts all.",
+)
 DATAGRAM_DROPPED = _event(
     810,
     "datagram-dropped",
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -62,6 +62,7 @@
 from dogwoodhook.state.route_policy import CallerLimits
 from dogwoodhook.state.suspicion import FailureReport, Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
+from dogwoodhook.state.workspace_access import ConfigurationAge
 from dogwoodhook.transport.crash_checks import CrashChecks
 from dogwoodhook.transport.datagrams import DatagramPeers
 from dogwoodhook.transport.detached_tasks import DetachedTasks
@@ -221,6 +222,7 @@
         )
         fleet = FleetView(
             configuration=lambda: self._configuration.in_force,
+            configuration_age=self._configuration_age,
             directory=self._directory,
             targets_age_s=lambda: self._targets.age_s,
             suspicion=self._suspicion,
@@ -323,6 +325,16 @@
         """Return whether a target is listed and does not drain."""
         return self._directory.is_serving(name)
 
+    def _configuration_age(self) -> ConfigurationAge:
+        bounds = self._settings.bounds
+        return ConfigurationAge(
+            age_s=self._configuration.age_s,
+            is_newer_known=self._configuration.is_newer_known,
+            configuration_s=bounds.configuration_s,
+            revoke_s=bounds.revoke_s,
+            fails_closed=bounds.fails_closed,
+        )
+
     async def start(self) -> None:
         """Open the listeners and start the background tasks."""
         await self.peers.start(self._settings.peer_address)
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -27,10 +27,14 @@
 CLOSING_REASONS = 4
 """Reasons for which a caller's connection is closed."""
 
-DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 6 + CLOSING_REASONS
-"""Series of the daemon: two histograms, three gauges and four counters.
+KEY_PROBLEMS = 5
+"""Reasons for which a request's key is refused."""
 
-One of the counters has one series for each closing reason.
+DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 6 + CLOSING_REASONS + KEY_PROBLEMS
+"""Series of the daemon: two histograms, three gauges and five counters.
+
+Two of the counters have one series for each closing reason and for each problem of a
+key.
 """
 
 MIN_QUEUEING_MS = 0.5
@@ -52,6 +56,13 @@
         return {"closed_by": self.closed_by}
 
 
+class _KeyRefusalSeries(NamedTuple):
+    problem: str
+
+    def attributes(self) -> dict[str, str]:
+        return {"problem": self.problem}
+
+
 class _AnnouncementSeries(NamedTuple):
     kind: str
 
@@ -76,7 +87,7 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    14971
+    14976
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
@@ -157,6 +168,7 @@
         self._target_crashes = 0
         self._quarantine_refusals = 0
         self._target_announcements: Counter[_AnnouncementSeries] = Counter()
+        self._key_refusals: Counter[_KeyRefusalSeries] = Counter()
         meter.create_observable_counter(
             "dogwoodhook_requests",
             callbacks=[lambda options: _observations(self._requests)],
@@ -188,6 +200,11 @@
             callbacks=[lambda options: _observations(self._target_announcements)],
             description="changes that targets announced in their answers, by kind",
         )
+        meter.create_observable_counter(
+            "dogwoodhook_key_refusals",
+            callbacks=[lambda options: _observations(self._key_refusals)],
+            description="requests refused because of their key, by problem",
+        )
 
     def watch_peer_bytes(self, read_total: Callable[[], int]) -> None:
         """Expose the bytes sent to peers; the total is read at each exposition."""
@@ -243,6 +260,10 @@
         """Record that a target announced something in an answer."""
         self._target_announcements[_AnnouncementSeries(kind)] += 1
 
+    def record_key_refusal(self, problem: str) -> None:
+        """Record a request that was refused because of its key."""
+        self._key_refusals[_KeyRefusalSeries(problem)] += 1
+
     def record_unanswered(self, closed_by: str) -> None:
         """Record a request whose connection closed before its answer was complete."""
         self._unanswered[_ClosingSeries(closed_by)] += 1
@@ -291,6 +312,7 @@
     counts: Counter[_RequestSeries]
     | Counter[_RetrySeries]
     | Counter[_ClosingSeries]
-    | Counter[_AnnouncementSeries],
+    | Counter[_AnnouncementSeries]
+    | Counter[_KeyRefusalSeries],
 ) -> list[Observation]:
     return [Observation(count, series.attributes()) for series, count in counts.items()]
--- a/dogwoodhook/transport/fleet_view.py
+++ b/dogwoodhook/transport/fleet_view.py
@@ -13,6 +13,7 @@
 from dogwoodhook.state.route_policy import RoutingConfiguration
 from dogwoodhook.state.suspicion import Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory
+from dogwoodhook.state.workspace_access import ConfigurationAge
 from dogwoodhook.transport.crash_checks import CrashChecks
 from dogwoodhook.transport.target_connections import TargetConnections
 
@@ -21,6 +22,7 @@
 class FleetView:
     """The parts that a forwarder shares with the rest of the daemon.
 
+    ``configuration_age`` tells how far the configuration may be behind.
     ``targets_age_s`` is the time since the directory was known to be up to date.
     ``is_ready`` is set once routes and targets are known. ``notify_fleet`` sends
     to all daemons, ``notify_neighbours`` and ``load_sharing`` to those of the own data
@@ -29,6 +31,7 @@
     """
 
     configuration: Callable[[], RoutingConfiguration | None]
+    configuration_age: Callable[[], ConfigurationAge]
     directory: TargetDirectory
     targets_age_s: Callable[[], float]
     suspicion: Suspicion
--- a/dogwoodhook/transport/own_answers.py
+++ b/dogwoodhook/transport/own_answers.py
@@ -12,11 +12,18 @@
     RefusalCause,
     retry_after_s,
 )
+from dogwoodhook.state.route_policy import CallerLimits
+from dogwoodhook.transport.bounded_requests import HEAD_TOO_LARGE_STATUS, head_bytes
 from dogwoodhook.transport.request_uris import logged_path
 
 UNAVAILABLE_STATUS = 503
 """Status by which an answer promises that the request has not run and will not run."""
 
+BODY_TOO_LARGE_STATUS = 413
+
+UNAUTHORIZED_STATUS = 401
+"""Status for a request whose key no workspace holds; it has not run."""
+
 BODY_LATE_STATUS = 408
 """Status with the same promise, for a caller that sent its request too slowly."""
 
@@ -70,6 +77,25 @@
         answer.headers["Retry-After"] = "0"
         return answer
 
+    def over_limit(
+        self, request: web.BaseRequest, limits: CallerLimits
+    ) -> web.Response | None:
+        """Refuse a request whose head or announced body is too large."""
+        if head_bytes(request) > limits.max_header_bytes:
+            detail = f"a head over {limits.max_header_bytes} bytes"
+            return self.denial(request, HEAD_TOO_LARGE_STATUS, detail)
+        if (request.content_length or 0) > limits.max_body_bytes:
+            detail = f"a body over {limits.max_body_bytes} bytes"
+            return self.denial(request, BODY_TOO_LARGE_STATUS, detail)
+        return None
+
+    def unauthorized(self, request: web.BaseRequest, detail: str) -> web.Response:
+        """Refuse a request without a valid key; what is logged is up to the caller."""
+        answer = self.failure(request, UNAUTHORIZED_STATUS, detail)
+        # A challenge is needed (RFC 9110, section 15.5.2).
+        answer.headers["WWW-Authenticate"] = self._conventions.key_header
+        return answer
+
     def body_late(self, request: web.BaseRequest) -> web.Response:
         """Refuse a request as not run: its body did not arrive in time."""
         detail = "the body did not come in time"
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -36,14 +36,11 @@
 from dogwoodhook.state.daemon_stop import DaemonStop
 from dogwoodhook.state.placement import Candidate
 from dogwoodhook.state.quarantine import Admission, Admit, Refuse, RunAlone
-from dogwoodhook.state.retry_after import (
-    NoTargetKnown,
-    RefusalCause,
-    TargetsPaused,
-    TargetsRefused,
-    TargetsShed,
+from dogwoodhook.state.route_policy import (
+    CallerLimits,
+    RoutePolicy,
+    RoutingConfiguration,
 )
-from dogwoodhook.state.route_policy import RoutePolicy, RoutingConfiguration
 from dogwoodhook.state.suspicion import Standing, Symptom
 from dogwoodhook.state.target_directory import TargetEntry
 from dogwoodhook.state.typical_latency import TypicalLatency
@@ -58,11 +55,7 @@
     send_attempt,
 )
 from dogwoodhook.transport.bodies import RequestBody, read_prelude
-from dogwoodhook.transport.bounded_requests import (
-    BAD_REQUEST_STATUS,
-    HEAD_TOO_LARGE_STATUS,
-    head_bytes,
-)
+from dogwoodhook.transport.bounded_requests import BAD_REQUEST_STATUS
 from dogwoodhook.transport.crash_checks import SecondConnection
 from dogwoodhook.transport.detached_tasks import DetachedTasks
 from dogwoodhook.transport.fleet_reports import FleetReports
@@ -85,6 +78,8 @@
 from dogwoodhook.transport.routed_request import RoutedRequest
 from dogwoodhook.transport.stop_timeouts import StopTimeouts
 from dogwoodhook.transport.target_announcements import AnnouncementRecorder
+from dogwoodhook.transport.target_shortage import refusal_cause, shortage_fields
+from dogwoodhook.transport.workspace_admission import WorkspaceAdmission
 
 REPLAY_BUFFER_BYTES = 512 * 1024
 """Bodies up to this size are buffered, so that they can be sent to another target."""
@@ -160,6 +155,9 @@
         self._fleet = fleet
         self._conventions = conventions
         self._own_answers = OwnAnswers(conventions, rng)
+        self._workspaces = WorkspaceAdmission(
+            fleet, conventions, clock, metrics, self._own_answers
+        )
         self._clock = clock
         self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
         self._rng = rng
@@ -196,13 +194,9 @@
             return self._own_answers.denial(
                 request, 404, f"no route in version {configuration.version}"
             )
-        limits = configuration.limits
-        if head_bytes(request) > limits.max_header_bytes:
-            detail = f"a head over {limits.max_header_bytes} bytes"
-            return self._own_answers.denial(request, HEAD_TOO_LARGE_STATUS, detail)
-        if (request.content_length or 0) > limits.max_body_bytes:
-            detail = f"a body over {limits.max_body_bytes} bytes"
-            return self._own_answers.denial(request, 413, detail)
+        refusal = self._refusal_on_arrival(request, route, configuration.limits)
+        if refusal is not None:
+            return refusal
         deadline_s = arrived_s + self._time_limit_s(request, route)
         service = route.service_at(self._rng.random())
         if not self._stop_allows_sending(route, service, deadline_s=deadline_s):
@@ -223,12 +217,21 @@
             deadline_s=deadline_s,
         )
         routed.configuration_version = configuration.version
+        self._workspaces.admits(routed)
         self._fleet.budget.record_request(routed.service, now_s=self._clock.now_s())
         if route.is_idempotent:
             return await self._run(routed)
         # Runs to its end even if the caller disconnects: it may not be sent again.
         return await self._detached_tasks.run(self._run(routed))
 
+    def _refusal_on_arrival(
+        self, request: web.BaseRequest, route: RoutePolicy, limits: CallerLimits
+    ) -> web.Response | None:
+        refusal = self._workspaces.refusal(request, route)
+        if refusal is not None:
+            return refusal
+        return self._own_answers.over_limit(request, limits)
+
     def _refuse_late_body(
         self, request: web.BaseRequest, *, deadline_s: float
     ) -> web.StreamResponse:
@@ -371,7 +374,7 @@
         duration_s = self._clock.now_s() - routed.arrived_s
         self._metrics.record_request(
             service=routed.service,
-            workspace=routed.route.name,
+            workspace=routed.workspace.name if routed.workspace else routed.route.name,
             request_class="idempotent" if routed.route.is_idempotent else "once",
             outcome=str(answer.status),
             duration_ms=duration_s * 1000,
@@ -525,6 +528,8 @@
         if not self._stop_allows_attempt(routed):
             return None
         self._fleet.receive_pending()
+        if not self._workspaces.admits(routed):
+            return None
         routed.directory_version = self._fleet.directory.version
         routed.directory_age_s = self._fleet.targets_age_s()
         return self._fleet.placement.choose(
@@ -628,7 +633,8 @@
         overdue_s = typical_latency.overdue_s(
             target_latency_s=routed.route.target_latency_s
         )
-        headers = routed.headers.copy()
+        label = self._workspaces.label(routed)
+        headers = self._workspaces.headers_to_target(routed, label)
         headers[self._conventions.remaining_ms_header] = str(int(remaining_s * 1000))
         attempt = Attempt(
             method=routed.request.method,
@@ -643,7 +649,12 @@
             ),
         )
         may_use_idle = fleet.suspicion.may_use_idle(target.name, now_s=now_s)
-        trace = AttemptTrace(lambda: self._announcements.obstacle(routed, target))
+        trace = AttemptTrace(
+            lambda: (
+                self._workspaces.obstacle(routed, label)
+                or self._announcements.obstacle(routed, target)
+            )
+        )
         overdue = asyncio.create_task(
             self._report_overdue(routed, target, trace, due_s=now_s + overdue_s)
         )
@@ -811,6 +822,8 @@
             return False
         if routed.has_caller_left or not self._stop_allows_attempt(routed):
             return False
+        if not self._workspaces.admits(routed):
+            return False
         if routed.may_have_run and not routed.route.is_idempotent:
             return False
         if routed.runs >= routed.route.max_targets:
@@ -879,50 +892,27 @@
         """Return the daemon's own answer: a refusal if the request has not run."""
         if not routed.may_have_run and not self._stop_allows_attempt(routed):
             return self._own_answers.stopping(routed.request)
+        if not routed.may_have_run:
+            refusal = self._workspaces.refusal(routed.request, routed.route)
+            if refusal is not None:
+                return refusal
         fields = self._log_fields(routed)
         if not routed.may_have_run:
+            now_s = self._clock.now_s()
             log(
                 REQUEST_REFUSED,
                 **fields,
-                **self._unavailable_fields(routed),
+                **shortage_fields(self._fleet, routed, now_s=now_s),
                 status=UNAVAILABLE_STATUS,
                 detail=detail,
             )
-            cause = self._refusal_cause(routed)
+            cause = refusal_cause(self._fleet, routed, now_s=now_s)
             return self._own_answers.unavailable(routed.request, detail, cause)
         left_s = routed.deadline_s - self._clock.now_s()
         status = 504 if left_s <= MIN_ATTEMPT_S else 502
         log(REQUEST_UNANSWERED, **fields, status=status, detail=detail)
         return self._own_answers.failure(routed.request, status, detail)
 
-    def _unavailable_fields(self, routed: RoutedRequest) -> dict[str, object]:
-        """Return the log fields that tell how many targets are not to be used."""
-        directory, now_s = self._fleet.directory, self._clock.now_s()
-        pauses = directory.pauses(routed.service, turn=routed.turn, now_s=now_s)
-        return {
-            "targets_listed": len(directory.serving(routed.service, now_s=now_s)),
-            "targets_paused": len(pauses),
-            "targets_leaving": directory.count_leaving(routed.service, now_s=now_s),
-        }
-
-    def _refusal_cause(self, routed: RoutedRequest) -> RefusalCause:
-        now_s = self._clock.now_s()
-        directory, turn = self._fleet.directory, routed.turn
-        targets = directory.available(routed.service, turn=turn, now_s=now_s)
-        if not targets:
-            pauses = directory.pauses(routed.service, turn=turn, now_s=now_s)
-            if not pauses:
-                return NoTargetKnown()
-            first_s = min(pause.returns_s(turn) for pause in pauses)
-            return TargetsPaused(first_s - now_s)
-        if not routed.arrivals:
-            return NoTargetKnown()
-        if self._fleet.placement.has_free_slots(targets, now_s=now_s):
-            return TargetsShed()
-        return TargetsRefused(
-            self._fleet.budget.available_in_s(routed.service, now_s=now_s)
-        )
-
 
 def _connection_fields(result: NotRunAtTarget | MayHaveRun) -> dict[str, object]:
     """Return the log fields that tell whether a refusal was believed, and why."""
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -17,6 +17,7 @@
 from dogwoodhook.state.store_position import describe
 from dogwoodhook.state.suspicion import Standing
 from dogwoodhook.state.target_availability import Turn, turn_of
+from dogwoodhook.state.workspace_policy import WorkspacePolicy
 from dogwoodhook.transport.attempts import CompleteAnswer
 from dogwoodhook.transport.bodies import RequestBody
 from dogwoodhook.transport.request_uris import host_of
@@ -36,7 +37,8 @@
     considered, even if none was sent. ``failure`` is the error answer of
     ``failed_target``, kept in case no other target answers successfully. ``alone_run``
     is the request's run as a suspect. ``recalled`` is done once its attempts are to be
-    given up.
+    given up. ``workspace`` is the holder of the request's key, ``None`` if it needs
+    none.
     """
 
     request: web.BaseRequest
@@ -68,14 +70,20 @@
     has_succeeded: bool = False
     alone_run: AloneRun | None = None
     recalled: asyncio.Future[None] = field(default_factory=asyncio.Future)
+    workspace: WorkspacePolicy | None = None
     _identity: RequestIdentity | None = None
 
+    @property
+    def priority(self) -> int:
+        """Return the priority of the workspace if it has one, else of the route."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
+
     @property
     def turn(self) -> Turn:
         """Return when the request returns to a target after a pause."""
-        return turn_of(
-            priority=self.route.priority, is_idempotent=self.route.is_idempotent
-        )
+        return turn_of(priority=self.priority, is_idempotent=self.route.is_idempotent)
 
     @property
     def may_have_run(self) -> bool:
--- a/tests/platform_adapter/target_server.py
+++ b/tests/platform_adapter/target_server.py
@@ -22,6 +22,7 @@
     headers: dict
     body: bytes
     connection: int
+    raw_head: str = ""
 
     @property
     def request_id(self):
@@ -258,7 +259,7 @@
             name, _, value = line.partition(":")
             headers[name.lower()] = value.strip()
         length = int(headers.get("content-length", 0))
-        return ReceivedRequest(method, path, headers, b"", number), length
+        return ReceivedRequest(method, path, headers, b"", number, text), length
 
 
 @asynccontextmanager
