Let a daemon that starts with an old configuration know its age

A daemon that started while the store was away took a neighbour's configuration, and its age counted from the daemon's own start, since only a later confirmation replaced that time. It then told the others the same, so that a configuration which nobody had confirmed for long seemed new: an unknown key was denied though a newer version might hold it, and with failClosed withdrawn keys went on being served.

Test: test_a_daemon_that_starts_with_an_old_configuration_knows_its_age failed before with an age under a millisecond.

--- a/dogwoodhook/coordination/configuration_following.py
+++ b/dogwoodhook/coordination/configuration_following.py
@@ -100,6 +100,7 @@
         self._announced_by = ""
         self._announced_s = 0.0
         self._confirmed_s = clock.now_s()
+        self._is_confirmed = False
         self._confirmed_version = 0
         # Earliest time of the next call, for a store that answers immediately.
         self._next_s = 0.0
@@ -202,7 +203,10 @@
         if store_version < self._confirmed_version:
             return
         self._confirmed_version = store_version
-        self._confirmed_s = max(self._confirmed_s, moment_s)
+        # The first configuration may be older than this daemon's start.
+        earlier_s = self._confirmed_s if self._is_confirmed else moment_s
+        self._confirmed_s = max(earlier_s, moment_s)
+        self._is_confirmed = self._row_version > 0
 
     async def _read(self) -> bool:
         """Read the changes; return whether the store or another daemon answered.
--- a/tests/test_configuration_following.py
+++ b/tests/test_configuration_following.py
@@ -331,3 +331,14 @@
         reads = store.table_reads
         await asyncio.sleep(0.5)
         assert store.table_reads - reads <= 6
+
+
+async def test_a_daemon_that_starts_with_an_old_configuration_knows_its_age():
+    async with following("vm-1", has_configuration=False) as (store, follower, _):
+        store.is_down = True
+        follower.receive(notice(row=0, store_version=0))
+        row = StoreRow("config", b"4", 9)
+        follower.adopt(notice(row=9, age_s=100.0), row)
+        assert follower.in_force.version == 4
+        assert follower.age_s >= 100.0
+        assert follower.snapshot().age_s >= 100.0
