Refuse a configuration whose workspace names fit no header

A workspace's name goes to targets as the value of a header. One with a line break or another control character, an empty one, or one with blanks around it made each attempt of its requests fail with an error of the client library. Such a version is now refused with its place. The spellings of the two headers are compared only where a header's name has their length.

Test: test_a_name_that_fits_no_header_refuses_the_version

--- a/dogwoodhook/platform/rows.py
+++ b/dogwoodhook/platform/rows.py
@@ -146,13 +146,25 @@
     priority: int | None = None
 
 
+_WorkspaceName = Annotated[
+    str,
+    # Sent to targets as the value of a header.
+    Field(
+        max_length=MAX_TEXT_LENGTH,
+        strict=True,
+        pattern=r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?$",
+    ),
+    AfterValidator(_encodable),
+]
+
+
 class _ConfigurationRow(_PlatformModel):
     config_version: Annotated[int, Field(ge=-MAX_COUNT, le=MAX_COUNT)]
     # ``ConfigurationDecoder`` decodes each route separately.
     routes: dict[str, Any]
     backends: dict[str, _BackendRow]
     limits: _LimitsRow
-    tenants: dict[str, _TenantRow] | None = None
+    tenants: dict[_WorkspaceName, _TenantRow] | None = None
 
 
 class TargetDecoder:
--- a/dogwoodhook/transport/workspace_admission.py
+++ b/dogwoodhook/transport/workspace_admission.py
@@ -34,7 +34,7 @@
     OwnAnswers,
 )
 from dogwoodhook.transport.routed_request import RoutedRequest
-from dogwoodhook.transport.workspace_headers import drop_workspace_headers
+from dogwoodhook.transport.workspace_headers import WorkspaceHeaders
 
 MAX_REPORTED_KEYS = 32
 """Log lines on refused keys in an interval; all refusals are counted."""
@@ -75,6 +75,7 @@
         self._clock = clock
         self._metrics = metrics
         self._own_answers = own_answers
+        self._headers = WorkspaceHeaders(conventions)
         self._reported = ReportedKeys(
             limit=MAX_REPORTED_KEYS, interval_s=REPORT_INTERVAL_S
         )
@@ -132,7 +133,7 @@
         headers = routed.headers.copy()
         if not label.is_set_here:
             return headers
-        drop_workspace_headers(headers, self._conventions)
+        self._headers.drop(headers)
         if label.name is not None:
             headers[self._conventions.workspace_header] = label.name
         return headers
--- a/dogwoodhook/transport/workspace_headers.py
+++ b/dogwoodhook/transport/workspace_headers.py
@@ -20,16 +20,23 @@
     >>> canonical_name("X_Own.Header") == canonical_name("x-own-header")
     True
     """
-    return _SEPARATOR.sub("-", name.strip().lower())
-
-
-def drop_workspace_headers(
-    headers: CIMultiDict[str], conventions: HttpConventions
-) -> None:
-    """Remove the key and the name of a workspace that a caller has sent."""
-    dropped = {
-        canonical_name(conventions.key_header),
-        canonical_name(conventions.workspace_header),
-    }
-    for name in {name for name in headers if canonical_name(name) in dropped}:
-        headers.popall(name, None)
+    return _SEPARATOR.sub("-", name.lower())
+
+
+class WorkspaceHeaders:
+    """Removes the key and the name of a workspace that a caller has sent."""
+
+    def __init__(self, conventions: HttpConventions) -> None:
+        self._dropped = frozenset(
+            canonical_name(name)
+            for name in (conventions.key_header, conventions.workspace_header)
+        )
+        # All spellings of a name have the same length.
+        self._lengths = frozenset(map(len, self._dropped))
+
+    def drop(self, headers: CIMultiDict[str]) -> None:
+        """Remove both headers in all spellings."""
+        suspects = {name for name in headers if len(name) in self._lengths}
+        for name in suspects:
+            if canonical_name(name) in self._dropped:
+                headers.popall(name, None)
--- a/tests/platform_adapter/test_platform_rows.py
+++ b/tests/platform_adapter/test_platform_rows.py
@@ -233,6 +233,13 @@
     ]
 
 
+@pytest.mark.parametrize("name", ["", " ", "a ", "a\nb", "a\r", "\x00", "a" * 201])
+def test_a_name_that_fits_no_header_refuses_the_version(name):
+    (finding,) = findings_of(tenants={name: {"apiKeys": ["k"]}})
+    assert finding.startswith("tenants.")
+    assert decode_with(tenants={"Käyttö 1": {"apiKeys": ["k"]}}).workspaces is not None
+
+
 def test_a_configuration_may_name_no_tenants_or_an_empty_table_of_them():
     assert decode_with().workspaces is None
     assert decode_with(tenants={}).workspaces.by_name == {}
