Count refused keys by the workspace that held them

An operator who asks why a workspace got 401 finds keys that were withdrawn while requests waited, and keys that a daemon with an old configuration refuses, under the workspace's name.

Test: tests/platform_adapter/test_workspace_keys.py

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -455,9 +455,10 @@
     518,
     "key-refused",
     Level.NOTICE,
-    "Requests without a valid key of a workspace are refused; `key_digest` is the start"
-    " of the SHA-256 digest of the key. A line is written once a minute for each digest"
-    " and route, and only for the first of them; a metric counts all.",
+    "Requests without a valid key of a workspace are refused; `problem` says why,"
+    " `workspace` is the holder of the key if one is known, and `key_digest` the start"
+    " of the key's SHA-256 digest. A line is written once a minute for each digest and"
+    " route, and only for the first of them; a metric counts all.",
 )
 DATAGRAM_DROPPED = _event(
     810,
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -28,7 +28,10 @@
 """Reasons for which a caller's connection is closed."""
 
 KEY_PROBLEMS = 5
-"""Reasons for which a request's key is refused."""
+"""Problems with the key of a request whose workspace is not known."""
+
+HOLDER_PROBLEMS = 2
+"""Problems with a key that a workspace held, or holds for all that is known."""
 
 DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 6 + CLOSING_REASONS + KEY_PROBLEMS
 """Series of the daemon: two histograms, three gauges and five counters.
@@ -58,9 +61,10 @@
 
 class _KeyRefusalSeries(NamedTuple):
     problem: str
+    workspace: str
 
     def attributes(self) -> dict[str, str]:
-        return {"problem": self.problem}
+        return {"problem": self.problem, "workspace": self.workspace}
 
 
 class _AnnouncementSeries(NamedTuple):
@@ -87,13 +91,14 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    14976
+    15378
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
     per_class = 3 * histogram + outcomes + 1
     by_service = (services + 1) * REQUEST_CLASSES * per_class
-    return by_service + (workspaces + 1) * histogram + DAEMON_SERIES
+    per_workspace = histogram + HOLDER_PROBLEMS
+    return by_service + (workspaces + 1) * per_workspace + DAEMON_SERIES
 
 
 class BoundedLabels:
@@ -260,9 +265,13 @@
         """Record that a target announced something in an answer."""
         self._target_announcements[_AnnouncementSeries(kind)] += 1
 
-    def record_key_refusal(self, problem: str) -> None:
-        """Record a request that was refused because of its key."""
-        self._key_refusals[_KeyRefusalSeries(problem)] += 1
+    def record_key_refusal(self, problem: str, *, workspace: str = "") -> None:
+        """Record a request that was refused because of its key.
+
+        ``workspace`` is the holder of the key, if one is known.
+        """
+        label = self._workspaces.label(workspace) if workspace else ""
+        self._key_refusals[_KeyRefusalSeries(problem, label)] += 1
 
     def record_unanswered(self, closed_by: str) -> None:
         """Record a request whose connection closed before its answer was complete."""
--- a/dogwoodhook/state/workspace_access.py
+++ b/dogwoodhook/state/workspace_access.py
@@ -21,12 +21,18 @@
 
 
 class KeyProblem(StrEnum):
-    """Why a request belongs to no workspace."""
+    """Why a request is refused because of its key.
+
+    ``WITHDRAWN`` is the key of a request that waited, and ``UNCONFIRMED`` one on which
+    the known configuration is too old to decide.
+    """
 
     ABSENT = "absent"
     REPEATED = "repeated"
     EMPTY = "empty"
     UNKNOWN = "unknown"
+    WITHDRAWN = "withdrawn"
+    UNCONFIRMED = "unconfirmed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +60,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Unconfirmed:
-    """The known configuration is too old to tell whether a workspace holds the key."""
+    """The known configuration is too old to tell whether a workspace holds the key.
+
+    ``holder`` holds it according to that configuration.
+    """
+
+    holder: WorkspacePolicy | None = None
 
 
 KeyAccess = Public | Admitted | UnknownKey
@@ -122,8 +133,8 @@
     match access:
         case UnknownKey() if age.may_lack_keys:
             return Unconfirmed()
-        case Admitted() if age.may_hold_withdrawn_keys:
-            return Unconfirmed()
+        case Admitted(workspace) if age.may_hold_withdrawn_keys:
+            return Unconfirmed(workspace)
         case _:
             return access
 
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -893,7 +893,9 @@
         if not routed.may_have_run and not self._stop_allows_attempt(routed):
             return self._own_answers.stopping(routed.request)
         if not routed.may_have_run:
-            refusal = self._workspaces.refusal(routed.request, routed.route)
+            refusal = self._workspaces.refusal(
+                routed.request, routed.route, earlier=routed.workspace
+            )
             if refusal is not None:
                 return refusal
         fields = self._log_fields(routed)
--- a/dogwoodhook/transport/workspace_admission.py
+++ b/dogwoodhook/transport/workspace_admission.py
@@ -20,6 +20,7 @@
 from dogwoodhook.state.workspace_access import (
     Access,
     Admitted,
+    KeyProblem,
     Public,
     ReportedKeys,
     Unconfirmed,
@@ -27,10 +28,9 @@
     access_by_key,
     confirmed_access,
 )
+from dogwoodhook.state.workspace_policy import WorkspacePolicy
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.own_answers import (
-    UNAUTHORIZED_STATUS,
-    UNAVAILABLE_STATUS,
     OwnAnswers,
 )
 from dogwoodhook.transport.routed_request import RoutedRequest
@@ -92,15 +92,24 @@
         return confirmed_access(access, self._fleet.configuration_age())
 
     def refusal(
-        self, request: web.BaseRequest, route: RoutePolicy
+        self,
+        request: web.BaseRequest,
+        route: RoutePolicy,
+        *,
+        earlier: WorkspacePolicy | None = None,
     ) -> web.Response | None:
-        """Return the answer to a request that may not run now, ``None`` if it may."""
+        """Return the answer to a request that may not run now, ``None`` if it may.
+
+        ``earlier`` is the workspace that held the key when it was checked before.
+        """
         match self.access(request, route):
             case UnknownKey(problem, digest_label):
-                self._report(UNAUTHORIZED_STATUS, problem, digest_label, route)
+                if earlier is not None:
+                    problem = KeyProblem.WITHDRAWN
+                self._report(problem, route, earlier, digest_label)
                 return self._own_answers.unauthorized(request, UNKNOWN_KEY_DETAIL)
-            case Unconfirmed():
-                self._report(UNAVAILABLE_STATUS, "unconfirmed", "", route)
+            case Unconfirmed(holder):
+                self._report(KeyProblem.UNCONFIRMED, route, holder or earlier)
                 return self._own_answers.unavailable(
                     request, UNCONFIRMED_DETAIL, NoTargetKnown()
                 )
@@ -145,16 +154,21 @@
         return CHANGED_DETAIL if self.label(routed) != label else None
 
     def _report(
-        self, status: int, problem: str, digest_label: str, route: RoutePolicy
+        self,
+        problem: KeyProblem,
+        route: RoutePolicy,
+        holder: WorkspacePolicy | None,
+        digest_label: str = "",
     ) -> None:
-        self._metrics.record_key_refusal(problem)
-        label = f"{problem} {digest_label} {route.name}"
+        workspace = holder.name if holder is not None else ""
+        self._metrics.record_key_refusal(problem, workspace=workspace)
+        label = f"{problem} {digest_label} {workspace} {route.name}"
         if self._reported.is_new(label, now_s=self._clock.now_s()):
             configuration = self._fleet.configuration()
             log(
                 KEY_REFUSED,
-                status=status,
                 problem=problem,
+                workspace=workspace,
                 key_digest=digest_label,
                 route=route.name,
                 configuration=configuration.version if configuration else 0,
--- a/tests/platform_adapter/test_workspace_keys.py
+++ b/tests/platform_adapter/test_workspace_keys.py
@@ -260,6 +260,8 @@
     refusal.set()
     assert (await sending).status == status
     assert workspaces_at(first) + workspaces_at(second) == names
+    metrics = platform.gateways[0]._metrics.exposition().decode()
+    assert ('problem="withdrawn",workspace="ward"' in metrics) == (status == 401)
 
 
 async def test_a_pipelined_request_goes_by_the_key_of_its_own_sending(platform):
--- a/tests/test_workspace_access.py
+++ b/tests/test_workspace_access.py
@@ -95,7 +95,7 @@
     ("age_s", "fails_closed", "expected"),
     [
         (5.0, True, Admitted(LAB)),
-        (5.1, True, Unconfirmed()),
+        (5.1, True, Unconfirmed(LAB)),
         (3600.0, False, Admitted(LAB)),
     ],
 )
