Let soaks add, move and withdraw keys of workspaces

Callers send steady, changing and unknown keys, and forge the workspace's name. The soak checks that no request runs for a workspace that cannot hold its key, nor by a withdrawn key after the bound, that no key or forged name reaches a target, and that 401 is given only if a version that may be in force lacks the key. The check of denials accepts 401 only for requests with a key, which the new check judges.

--- a/tests/platform_adapter/raw_caller.py
+++ b/tests/platform_adapter/raw_caller.py
@@ -8,13 +8,14 @@
 PIECE_BYTES = 64 * 1024
 
 
-def request_text(path, *, body=None, deadline_ms=5000):
+def request_text(path, *, body=None, deadline_ms=5000, headers=None):
     """Return the bytes of a request; the last part of its path is its id."""
     method = "GET" if path.startswith("/read") else "POST"
     text = (
         f"{method} {path} HTTP/1.1\r\nHost: 127.0.0.1\r\n"
         f"Request-Id: {path.rpartition('/')[2]}\r\n"
         f"Deadline-Ms: {deadline_ms}\r\n"
+        + "".join(f"{name}: {value}\r\n" for name, value in (headers or {}).items())
     ).encode()
     if body is not None:
         text += f"Content-Length: {len(body)}\r\n".encode()
--- a/tests/platform_adapter/soak/callers.py
+++ b/tests/platform_adapter/soak/callers.py
@@ -13,6 +13,7 @@
 from dogwoodhook.transport.target_sessions import make_session
 from tests.platform_adapter.raw_caller import RawCaller, request_text
 from tests.platform_adapter.soak.records import CallRecord, Ending
+from tests.platform_adapter.soak.workspaces import key_headers
 from tests.platform_adapter.soak.world import (
     BODY,
     PADDING,
@@ -209,6 +210,7 @@
             "added_in": added_in,
             "limit_s": limit_s,
             "is_relayed": is_relayed,
+            "key": self._world.keys.draw_key(is_steady=is_short),
             "request_content": f"GET {path} b''"
             if is_idempotent
             else f"POST {path} {BODY}",
@@ -230,6 +232,7 @@
                         "Host": "127.0.0.1",
                         "Request-Id": request_fields["request_id"],
                         "Deadline-Ms": str(DEADLINE_MS),
+                        **key_headers(request_fields["key"]),
                     },
                     trace_request_ctx=trace,
                     middlewares=(trace.block_resend,),
@@ -325,7 +328,12 @@
             request["sent_s"] = time.monotonic()
             self._sent.append(request)
             body = None if request["is_idempotent"] else BODY
-            text = request_text(request["path"], body=body, deadline_ms=DEADLINE_MS)
+            text = request_text(
+                request["path"],
+                body=body,
+                deadline_ms=DEADLINE_MS,
+                headers=key_headers(request["key"]),
+            )
             try:
                 await self._write(text, is_slow=is_slow)
             except ConnectionError:
--- a/tests/platform_adapter/soak/harmful.py
+++ b/tests/platform_adapter/soak/harmful.py
@@ -17,6 +17,7 @@
     Disturbance,
     PromiseChecks,
 )
+from tests.platform_adapter.soak.workspaces import key_headers
 from tests.platform_adapter.soak.world import BODY, HARMFUL, HarmfulArrival, World
 
 SENDING_S = 12.0
@@ -91,6 +92,7 @@
             "Host": "127.0.0.1",
             "Request-Id": request_id,
             "Deadline-Ms": str(DEADLINE_MS),
+            **key_headers(self._world.keys.draw_key(is_steady=True)),
         }
         try:
             async with (
--- a/tests/platform_adapter/soak/records.py
+++ b/tests/platform_adapter/soak/records.py
@@ -10,8 +10,8 @@
 """Statuses that promise a caller that its request did not run and will not run."""
 
 DENIAL_STATUSES = frozenset({400, 401, 403, 404, 413, 431})
-"""Statuses that deny a request. The soak accepts only 404, and only for routes added
-during the soak."""
+"""Statuses that deny a request. The soak accepts only 404, for routes added during the
+soak, and 401, for keys that a version does not hold; see ``soak.workspaces``."""
 
 DAEMON_FAILURE_STATUSES = frozenset({502, 504})
 """Statuses of a daemon's own answer to a request that may have run."""
@@ -28,6 +28,7 @@
 """Time after the grace period that still counts as part of the stop."""
 
 UNKNOWN_ROUTE_STATUS = 404
+UNAUTHORIZED_STATUS = 401
 
 RECOVERY_S = 3.0
 """Time after a disturbance until a daemon must keep its bounds again."""
@@ -92,7 +93,8 @@
     ``None`` if that never happened. ``is_after_close`` is whether an earlier answer
     closed the connection, ``is_relayed`` whether the connection went through a relay,
     and ``has_begun`` whether the head of an answer arrived. ``padding`` is the number
-    of bytes after ``body``. ``request_content`` is what a target must receive.
+    of bytes after ``body``. ``request_content`` is what a target must receive, and
+    ``key`` the key of a workspace that was sent.
     """
 
     request_id: str
@@ -116,6 +118,7 @@
     has_begun: bool = False
     padding: int = 0
     request_content: str = ""
+    key: str = ""
 
     @property
     def answer_due_s(self) -> float | None:
@@ -140,7 +143,9 @@
     the number of bytes after the text of the answer, ``work_s`` the time that the run
     takes, and ``request_content`` what the target received. ``timeout_s`` is the time
     that the daemon gave the target, which stops working after it. ``target_ended_s`` is
-    when the target ended, if that was during the run or soon after it.
+    when the target ended, if that was during the run or soon after it. ``workspace`` is
+    the name that the target received, and ``has_foreign_header`` is set if it received
+    a key, or a name that the caller sent.
     """
 
     request_id: str
@@ -155,6 +160,8 @@
     request_content: str = ""
     timeout_s: float = math.inf
     target_ended_s: float | None = None
+    workspace: str = ""
+    has_foreign_header: bool = False
 
     def target_ended_by(self, at_s: float) -> bool:
         """Return whether the target had ended, so that its answer may be cut."""
@@ -402,7 +409,9 @@
     if call.status in NOT_RUN_STATUSES:
         checks.expect(not runs, "ran, but was reported as not run", call, runs)
     is_denied = call.status in DENIAL_STATUSES
-    is_allowed = call.status == UNKNOWN_ROUTE_STATUS and call.added_in
+    is_allowed = (call.status == UNKNOWN_ROUTE_STATUS and call.added_in) or (
+        call.status == UNAUTHORIZED_STATUS and call.key
+    )
     checks.expect(not is_denied or bool(is_allowed), "denied", call)
     has_own_id = call.echoed_id == call.request_id
     checks.expect(has_own_id, "answer of another request", call)
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -32,6 +32,10 @@
 )
 from tests.platform_adapter.soak.reused_addresses import AddressReuser
 from tests.platform_adapter.soak.store_returns import StoreReturner
+from tests.platform_adapter.soak.workspaces import (
+    WorkspaceKeys,
+    find_wrong_workspaces,
+)
 from tests.platform_adapter.soak.world import World
 
 SERIES = 3
@@ -90,7 +94,8 @@
         # A generator of its own leaves the faults of known seeds as they are.
         copy_rng = random.Random(f"copies {seed}")
         path = folder or Path(temporary)
-        async with World(path, random.Random(seed), copy_rng) as world:
+        keys = WorkspaceKeys(seed=seed)
+        async with World(path, random.Random(seed), copy_rng, keys) as world:
             return await _soak(world, size or Size(), seed=seed, seconds=seconds)
 
 
@@ -134,6 +139,7 @@
         + find_abandoned_work(calls, runs, interruptions, disturbances)
         + find_late_answers(calls, interruptions, disturbances)
     )
+    checks += find_wrong_workspaces(calls, runs, world.keys.versions, disturbances)
     arrivals = [
         each for target in world.all_targets for each in target.harmful_arrivals
     ]
--- a/tests/platform_adapter/soak/world.py
+++ b/tests/platform_adapter/soak/world.py
@@ -28,6 +28,7 @@
     RunRecord,
     Stop,
 )
+from tests.platform_adapter.soak.workspaces import FORGED, KEY_MARK, WorkspaceKeys
 from tests.platform_adapter.store_server import (
     StoreEndpoint,
     StoreServer,
@@ -296,6 +297,10 @@
         work_s, padding = _parse_path(received)
         run = RunRecord(received.request_id, self.name, time.monotonic())
         run.timeout_s = int(received.headers["deadline-ms"]) / 1000
+        run.workspace = received.headers.get("tenant-id", "")
+        run.has_foreign_header = any(
+            text in received.raw_head for text in (KEY_MARK, FORGED)
+        )
         run.work_s = min(work_s, run.timeout_s)
         if work_s > run.timeout_s and behaviour is not duplicate_refusal:
             behaviour = _time_out
@@ -503,10 +508,15 @@
     """The store, the targets and the daemons of one soak."""
 
     def __init__(
-        self, folder: Path, rng: random.Random, copy_rng: random.Random
+        self,
+        folder: Path,
+        rng: random.Random,
+        copy_rng: random.Random,
+        keys: WorkspaceKeys,
     ) -> None:
         self.rng = rng
         self._copy_rng = copy_rng
+        self.keys = keys
         self._target_numbers = itertools.count()
         self.interruptions: list[Kill | Stop | LinkFault] = []
         self.targets: dict[str, SoakTarget] = {}
@@ -559,8 +569,13 @@
             self.routes = routes
         else:
             configuration["limits"] = None
+        key_version = self.keys.begin_version() if is_valid else None
+        if self.keys.is_used:
+            configuration["tenants"] = self.keys.table()
         self._configuration = configuration
         await self.store.put("op", "config", configuration)
+        if key_version is not None:
+            key_version.acknowledged_s = time.monotonic()
         self.changes.append(Change(self._version, time.monotonic(), is_valid))
         if not is_valid:
             await asyncio.sleep(INVALID_VERSION_S)
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -35,6 +35,11 @@
     find_violations,
 )
 from tests.platform_adapter.soak.run import soak
+from tests.platform_adapter.soak.workspaces import (
+    KeyVersion,
+    WorkspaceKeys,
+    find_wrong_workspaces,
+)
 from tests.platform_adapter.soak.world import (
     HarmfulArrival,
     HarmfulShape,
@@ -567,6 +572,65 @@
     assert ignored_announcements([1.6, 2.0, 2.9], until_s=3.0) == ["sent in a pause"]
 
 
+KEYED_CALL = replace(CALL, key="k", sent_s=11.0, ended_s=12.0)
+KEYED_RUN = replace(RUN, started_s=11.5, workspace="lab")
+
+
+def broken_key_rules(*versions, call=KEYED_CALL, run=KEYED_RUN, disturbances=()):
+    """Return the broken rules; versions are (holder of the key, acknowledged at)."""
+    history = [
+        KeyVersion({"k": holder} if holder else {}, acknowledged_s, acknowledged_s)
+        for holder, acknowledged_s in versions
+    ]
+    runs = [run] if run else []
+    found = find_wrong_workspaces([call], runs, history, disturbances)
+    return [each.rule for each in found.broken]
+
+
+@pytest.mark.parametrize(
+    ("versions", "is_found"),
+    [
+        ([("lab", 0.0)], False),
+        ([("ward", 0.0)], True),
+        ([("", 0.0)], True),
+        ([("lab", 0.0), ("", 6.6)], False),
+        ([("lab", 0.0), ("", 6.4)], True),
+        ([("lab", 0.0), ("ward", 6.4)], True),
+        ([("ward", 0.0), ("lab", 11.4)], False),
+        ([("ward", 0.0), ("lab", 11.6)], True),
+    ],
+)
+def test_a_run_for_a_workspace_that_cannot_hold_the_key_is_found(versions, is_found):
+    rule = ["ran for another workspace"] if is_found else []
+    assert broken_key_rules(*versions) == rule
+
+
+def test_a_disturbed_daemon_may_know_only_an_older_holder_but_no_wrong_one():
+    kill = [Disturbance("vm-1", 9.0, 9.5)]
+    assert not broken_key_rules(("lab", 0.0), ("", 1.0), disturbances=kill)
+    assert broken_key_rules(("ward", 0.0), ("", 1.0), disturbances=kill)
+
+
+def test_a_callers_header_at_a_target_is_found():
+    run = replace(KEYED_RUN, has_foreign_header=True)
+    assert broken_key_rules(("lab", 0.0), run=run) == ["a caller's header at a target"]
+
+
+@pytest.mark.parametrize(
+    ("versions", "is_found"),
+    [
+        ([("lab", 0.0)], True),
+        ([("", 0.0), ("lab", 8.6)], False),
+        ([("", 0.0), ("lab", 8.4)], True),
+        ([("lab", 0.0), ("", 11.9)], False),
+    ],
+)
+def test_a_denial_of_a_key_that_all_versions_hold_is_found(versions, is_found):
+    denied = replace(KEYED_CALL, status=401, signature="")
+    rule = ["denied a valid key"] if is_found else []
+    assert broken_key_rules(*versions, call=denied, run=None) == rule
+
+
 async def _end_target(target):
     shape = HarmfulShape(0.0, keeps_port=True, outlives_connection=True, error_share=0)
     await target._end(HarmfulArrival("/", "b", "t1", 0.0), shape, down_s=0.0)
@@ -624,7 +688,11 @@
             caller_relay=relay,
             address=lambda *, is_relayed: ("127.0.0.1", relay.port),
         )
-        world = SimpleNamespace(daemons=[daemon], changes=[Change(1, 0.0, True)])
+        world = SimpleNamespace(
+            daemons=[daemon],
+            changes=[Change(1, 0.0, True)],
+            keys=WorkspaceKeys(seed=1),
+        )
         soak_callers = Callers(world, seed=1)
         running = asyncio.create_task(soak_callers._run_sequential())
         await until(lambda: soak_callers.calls)
@@ -674,3 +742,10 @@
     assert not report.violations, str(report)
     assert report.injected["store return"]
     assert report.checked["a version not in force in time"]
+
+
+async def test_a_soak_in_which_keys_change_finds_no_violation():
+    report = await soak(seed=9101, seconds=8.0)
+    assert not report.violations, str(report)
+    assert report.checked["ran for another workspace"]
+    assert report.checked["denied a valid key"]
