--- a/tests/platform_adapter/test_wire_names.py
+++ b/tests/platform_adapter/test_wire_names.py
@@ -25,6 +25,11 @@
     "nodeName",
     "portRange",
     "retryBudgetExtra",
+    "Api-Key",
+    "Tenant-Id",
+    "[tT]enants?",
+    "apiKeys",
+    "ratePerS",
 ]
 
 
