--- a/tests/platform_adapter/test_workspace_keys.py
+++ b/tests/platform_adapter/test_workspace_keys.py
@@ -301,3 +301,29 @@
     reply = await platform.send("/post/1", data=b"x", headers=WARD)
     assert reply.status == (401 if tenants is WITHDRAWN else 503)
     assert target.received == []
+
+
+async def test_a_request_whose_key_was_withdrawn_is_not_hedged(platform):
+    first = await start(platform, behave.after(2.0))
+    sending = asyncio.create_task(platform.send("/read/1", headers=WARD))
+    await until(lambda: first.received)
+    second = await platform.start_target("t2")
+    await until(lambda: platform.gateways[0].knows_target("t2"))
+    await configure(platform, 2, WITHDRAWN)
+    assert (await sending).status == 200
+    assert second.received == []
+
+
+async def test_a_withdrawn_key_says_nothing_of_a_request_that_may_have_run(platform):
+    release = asyncio.Event()
+
+    async def reset_later(server, received, writer):
+        await release.wait()
+        await behave.reset(server, received, writer)
+
+    target = await start(platform, reset_later)
+    sending = asyncio.create_task(platform.send("/post/1", data=b"x", headers=WARD))
+    await until(lambda: target.received)
+    await configure(platform, 2, WITHDRAWN)
+    release.set()
+    assert (await sending).status == 502
