--- a/dogwoodhook/transport/workspace_admission.py
+++ b/dogwoodhook/transport/workspace_admission.py
@@ -30,9 +30,7 @@
 )
 from dogwoodhook.state.workspace_policy import WorkspacePolicy
 from dogwoodhook.transport.fleet_view import FleetView
-from dogwoodhook.transport.own_answers import (
-    OwnAnswers,
-)
+from dogwoodhook.transport.own_answers import OwnAnswers
 from dogwoodhook.transport.routed_request import RoutedRequest
 from dogwoodhook.transport.workspace_headers import WorkspaceHeaders
 
@@ -44,6 +42,7 @@
 
 UNKNOWN_KEY_DETAIL = "no workspace holds the key"
 UNCONFIRMED_DETAIL = "the configuration is too old to tell whether the key holds"
+REFUSED_DETAIL = "the key no longer holds for certain"
 CHANGED_DETAIL = "the workspace of the key has changed"
 
 
@@ -150,7 +149,7 @@
     def obstacle(self, routed: RoutedRequest, label: WorkspaceLabel) -> str | None:
         """Return why an attempt is not to be sent any more, if so."""
         if not self.admits(routed):
-            return UNKNOWN_KEY_DETAIL
+            return REFUSED_DETAIL
         return CHANGED_DETAIL if self.label(routed) != label else None
 
     def _report(
