Correct neighbours' counts of requests in flight by their age

Callers waited at busy targets while others had free slots: what daemons know of each other's requests is some 10 ms old, and hundreds while processors are busy, and all that choose in the meantime compare the same old counts.

In data centres with a collector a daemon now measures the age of reports by its own that come back. From a tenth of the usual time of the work on, reported counts are multiplied by the share that is still in flight, the rest is spread over the targets, and fewer targets are compared for each request. Without a collector, or with recent news, choices are as before. No message is added.

--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -8,6 +8,7 @@
 import random
 import secrets
 import signal
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -57,11 +58,14 @@
 from dogwoodhook.state.daemon_stop import DaemonStop
 from dogwoodhook.state.fleet_budget import FleetBudget
 from dogwoodhook.state.fleet_load import FleetLoad
+from dogwoodhook.state.load_estimate import LoadEstimator
+from dogwoodhook.state.load_spread import load_spreads
 from dogwoodhook.state.placement import Placement
 from dogwoodhook.state.quarantine import CONFIRMED_CRASHES_POLICY, Quarantine
 from dogwoodhook.state.route_policy import CallerLimits
 from dogwoodhook.state.suspicion import FailureReport, Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
+from dogwoodhook.state.typical_latency import TypicalLatency
 from dogwoodhook.transport.crash_checks import CrashChecks
 from dogwoodhook.transport.datagrams import DatagramPeers
 from dogwoodhook.transport.detached_tasks import DetachedTasks
@@ -137,6 +141,9 @@
             on_era=lambda era: self._joining.notice_era(era),
         )
         self._load = FleetLoad()
+        typical_latencies: defaultdict[str, TypicalLatency] = defaultdict(
+            TypicalLatency
+        )
         self._connections = TargetConnections(clock)
         self.peers = DatagramPeers(
             self._receive,
@@ -145,6 +152,11 @@
             data_centre=settings.data_centre,
             rng=rng,
         )
+        estimator = LoadEstimator(
+            self._load,
+            news_age_s=self.peers.news_age.median_s,
+            work_s=lambda service: typical_latencies[service].median_s,
+        )
         self._exchange = PeerExchange(self.peers, settings.peer_address, clock)
         self._configuration = ConfigurationFollower(
             platform.store,
@@ -233,6 +245,7 @@
                 has_joined_recently=lambda name, now_s: (
                     self._directory.has_joined_recently(name, now_s=now_s)
                 ),
+                estimator=estimator,
             ),
             budget=self._budget,
             connections=self._connections,
@@ -243,6 +256,7 @@
             notify_fleet=self.peers.broadcast,
             notify_neighbours=self.peers.notify_neighbours,
             load_sharing=LoadSharing(self._load, self.peers, daemon=settings.vm_name),
+            typical_latencies=typical_latencies,
             receive_pending=self.peers.receive_pending,
             count_daemons=lambda: len(self.peers) + 1,
         )
@@ -252,6 +266,14 @@
             age_s=lambda: self._configuration.age_s,
         )
         self._metrics.watch_targets(age_s=lambda: self._targets.age_s)
+        self._metrics.watch_load(
+            spread=lambda: load_spreads(
+                self._directory.all_serving(now_s=clock.now_s()),
+                self._load.by_target(now_s=clock.now_s()),
+                data_centre=settings.data_centre,
+            ),
+            news_age_s=lambda: self.peers.news_age.median_s(now_s=clock.now_s()),
+        )
         detached_tasks = DetachedTasks()
         forwarder = RouteForwarder(
             fleet,
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -6,8 +6,9 @@
 attributes; ``max_series`` gives the bound.
 """
 
+import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -16,6 +17,7 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
 
+from dogwoodhook.state.load_spread import LoadSpread
 from dogwoodhook.state.outcomes import NotRunReason, UnknownReason
 
 LATENCY_BUCKETS_MS = (1.0, 2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 1000.0, 5000.0)
@@ -27,12 +29,15 @@
 CLOSING_REASONS = 4
 """Reasons for which a caller's connection is closed."""
 
-DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 6 + CLOSING_REASONS
-"""Series of the daemon: two histograms, three gauges and four counters.
+DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 7 + CLOSING_REASONS
+"""Series of the daemon: two histograms, four gauges and four counters.
 
 One of the counters has one series for each closing reason.
 """
 
+LOAD_BOUNDS = 2
+"""Gauges of the targets' load for each service: the largest and the smallest."""
+
 MIN_QUEUEING_MS = 0.5
 """Time up to which choosing a target does not count as waiting for one."""
 
@@ -76,12 +81,12 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    14971
+    15174
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
     per_class = 3 * histogram + outcomes + 1
-    by_service = (services + 1) * REQUEST_CLASSES * per_class
+    by_service = (services + 1) * (REQUEST_CLASSES * per_class + LOAD_BOUNDS)
     return by_service + (workspaces + 1) * histogram + DAEMON_SERIES
 
 
@@ -223,6 +228,46 @@
             description="time since the list of targets was certainly the newest",
         )
 
+    def watch_load(
+        self,
+        *,
+        spread: Callable[[], Mapping[str, LoadSpread]],
+        news_age_s: Callable[[], float | None],
+    ) -> None:
+        """Expose the spread of the targets' load, and the age of neighbours' reports.
+
+        The load is in requests in flight for each slot, by service.
+        """
+
+        def observe_spread() -> list[Observation]:
+            smallest: dict[str, float] = {}
+            largest: dict[str, float] = {}
+            for name, each in spread().items():
+                service = self._services.label(name)
+                smallest[service] = min(each.smallest, smallest.get(service, math.inf))
+                largest[service] = max(each.largest, largest.get(service, 0.0))
+            return [
+                Observation(load, {"service": service, "bound": bound})
+                for bound, loads in (("smallest", smallest), ("largest", largest))
+                for service, load in loads.items()
+            ]
+
+        self._meter.create_observable_gauge(
+            "dogwoodhook_target_load",
+            callbacks=[lambda options: observe_spread()],
+            description="largest and smallest load of a target of the own data centre",
+        )
+        self._meter.create_observable_gauge(
+            "dogwoodhook_load_report_age",
+            callbacks=[
+                lambda options: [
+                    Observation(age_s) for age_s in (news_age_s(),) if age_s is not None
+                ]
+            ],
+            unit="s",
+            description="usual age of neighbours' reports of load, if it is measured",
+        )
+
     def record_adoption(self, duration_ms: float) -> None:
         """Record the time from another daemon's notice of a version to its use here."""
         self._adoption.record(duration_ms)
--- a/dogwoodhook/state/fleet_load.py
+++ b/dogwoodhook/state/fleet_load.py
@@ -49,7 +49,13 @@
 
     def by_target(self, *, now_s: float) -> Counter[str]:
         """Return the requests in flight at each target, own and reported."""
-        total = self._own.copy()
+        return self._add_reported(self._own.copy(), now_s)
+
+    def reported(self, *, now_s: float) -> Counter[str]:
+        """Return the requests in flight at each target that neighbours reported."""
+        return self._add_reported(Counter(), now_s)
+
+    def _add_reported(self, total: Counter[str], now_s: float) -> Counter[str]:
         for at_s, in_flight in self._reports.values():
             if now_s - at_s < MAX_REPORT_AGE_S:
                 total.update(in_flight)
--- a/dogwoodhook/state/placement.py
+++ b/dogwoodhook/state/placement.py
@@ -11,7 +11,8 @@
 Each therefore compares a few: those to which it has idle connections, and some chosen
 at random for each request (Mitzenmacher, The power of two choices in randomized load
 balancing, 2001). It compares all of them if none of these few is sound and has a free
-slot.
+slot. While the neighbours' counts are old, which ``load_estimate`` decides, it compares
+all only if these few have failed requests.
 """
 
 import random
@@ -19,6 +20,7 @@
 from dataclasses import dataclass
 
 from dogwoodhook.state.fleet_load import FleetLoad
+from dogwoodhook.state.load_estimate import LoadEstimator
 from dogwoodhook.state.suspicion import Standing, Suspicion
 from dogwoodhook.state.target_directory import TargetEntry
 
@@ -63,6 +65,10 @@
 """Targets of the own data centre that are chosen at random for each request, in
 addition to those with idle connections."""
 
+SAMPLED_TARGETS_OF_OLD = 2
+"""The same while the neighbours' counts are old: of more, the daemons that choose in
+the meantime would find the same target to be the best."""
+
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
@@ -89,6 +95,7 @@
         rng: random.Random,
         has_idle_connection: Callable[[TargetEntry], bool],
         has_joined_recently: Callable[[str, float], bool],
+        estimator: LoadEstimator | None = None,
     ) -> None:
         self._suspicion = suspicion
         self._data_centre = data_centre
@@ -96,6 +103,7 @@
         self._has_idle_connection = has_idle_connection
         self._has_joined_recently = has_joined_recently
         self._load = load
+        self._estimator = estimator or LoadEstimator(load)
         self._used_recently_joined: set[str] = set()
 
     def start(self, target: TargetEntry, *, now_s: float) -> None:
@@ -129,7 +137,9 @@
         now_s: float,
     ) -> Candidate | None:
         """Return the best target that was not tried yet, or ``None``."""
-        in_flight = self._load.by_target(now_s=now_s)
+        untried = [each for each in targets if each.name not in tried]
+        estimate = self._estimator.estimate(untried, now_s=now_s)
+        in_flight = estimate.in_flight
 
         def best_of(compared: Iterable[TargetEntry]) -> Candidate | None:
             candidates = (
@@ -143,30 +153,36 @@
             )
             return min(candidates, key=lambda each: each.cost, default=None)
 
-        untried = [each for each in targets if each.name not in tried]
-        sampled = self._sample(untried)
+        sampled = self._sample(untried, is_old=estimate.is_old)
         if len(sampled) < len(untried):
             best = best_of(sampled)
             if best is not None and best.has_free_slot:
                 if best.standing is Standing.SOUND:
                     return best
+        if estimate.is_old:
+            # All daemons would find the same target to be the best of all.
+            remote = [each for each in untried if each.data_centre != self._data_centre]
+            best = best_of([*sampled, *remote])
+            if best is not None and best.standing <= Standing.SLOW:
+                return best
         return best_of(untried)
 
-    def _sample(self, targets: list[TargetEntry]) -> list[TargetEntry]:
+    def _sample(self, targets: list[TargetEntry], *, is_old: bool) -> list[TargetEntry]:
         """Return a few targets of the own data centre."""
         near = [each for each in targets if each.data_centre == self._data_centre]
-        if len(near) <= SAMPLED_TARGETS:
+        count = SAMPLED_TARGETS_OF_OLD if is_old else SAMPLED_TARGETS
+        if len(near) <= count:
             return near
         is_idle = {each.name: self._has_idle_connection(each) for each in near}
         others = [each for each in near if not is_idle[each.name]]
-        chosen = self._rng.sample(others, min(SAMPLED_TARGETS, len(others)))
+        chosen = self._rng.sample(others, min(count, len(others)))
         return chosen + [each for each in near if is_idle[each.name]]
 
     def _evaluate(
         self,
         target: TargetEntry,
         *,
-        in_flight: int,
+        in_flight: float,
         is_idempotent: bool,
         now_s: float,
     ) -> Candidate:
--- a/dogwoodhook/state/target_directory.py
+++ b/dogwoodhook/state/target_directory.py
@@ -189,6 +189,14 @@
             self._remove_due(now_s)
         return self._serving.get(service, ())
 
+    def all_serving(self, *, now_s: float) -> tuple[TargetEntry, ...]:
+        """Return the targets of all services that accept new work."""
+        return tuple(
+            each
+            for service in tuple(self._serving)
+            for each in self.serving(service, now_s=now_s)
+        )
+
     def available(
         self, service: str, *, turn: Turn, now_s: float
     ) -> tuple[TargetEntry, ...]:
--- a/dogwoodhook/state/typical_latency.py
+++ b/dogwoodhook/state/typical_latency.py
@@ -45,6 +45,13 @@
         """Record the latency of an answer."""
         self._latencies_s.append(latency_s)
 
+    @property
+    def median_s(self) -> float | None:
+        """The median latency, ``None`` until there are enough answers."""
+        if len(self._latencies_s) < MIN_ANSWERS:
+            return None
+        return statistics.median(self._latencies_s)
+
     def overdue_s(self, *, target_latency_s: float) -> float:
         """Return the time after which a request is overdue at its target."""
         return self._limit_s(OVERDUE_FACTOR, target_latency_s)
@@ -55,6 +62,5 @@
 
     def _limit_s(self, factor: float, target_latency_s: float) -> float:
         least_s = TARGET_LATENCY_SHARE * target_latency_s
-        if len(self._latencies_s) < MIN_ANSWERS:
-            return least_s
-        return max(least_s, factor * statistics.median(self._latencies_s))
+        median_s = self.median_s
+        return least_s if median_s is None else max(least_s, factor * median_s)
--- a/dogwoodhook/transport/datagrams.py
+++ b/dogwoodhook/transport/datagrams.py
@@ -24,6 +24,7 @@
 )
 from dogwoodhook.events import COLLECTOR_SILENT, DATAGRAM_DROPPED, log
 from dogwoodhook.protocol.fleet_codec import decode_datagram, encode_datagram
+from dogwoodhook.state.load_estimate import NewsAge
 from dogwoodhook.state.peer_liveness import (
     NEIGHBOUR_SILENCE_S,
     REMOTE_SILENCE_S,
@@ -119,6 +120,7 @@
         self._peers: dict[str, Peer] = {}
         self._cached_live = _LivePeers(expires_s=-math.inf)
         self._collector_trust = CollectorTrust()
+        self.news_age = NewsAge()
         self._notices_since_hello = 0
         self._gathered: dict[tuple[object, ...], CollectedMessage] = {}
         self._socket = DatagramSocket(self._receive_datagram)
@@ -224,6 +226,8 @@
             self._send(ToCollector(self._daemon, message), [live.collector])
             if message.daemon == self._daemon:
                 self._collector_trust.record_sent(now_s=now_s)
+                if isinstance(message, LoadReport):
+                    self.news_age.record_sent(message.in_flight, now_s=now_s)
 
     def _gather(self, message: CollectedMessage) -> None:
         if not self._gathered:
@@ -321,6 +325,9 @@
     def _receive_collected(self, message: CollectedMessage) -> None:
         if message.daemon == self._daemon:
             self._collector_trust.record_echo()
+            if isinstance(message, LoadReport):
+                now_s = self._clock.now_s()
+                self.news_age.record_echo(message.in_flight, now_s=now_s)
             return
         self._record_seen(message.daemon)
         self._receive(message)
--- a/dogwoodhook/transport/fleet_view.py
+++ b/dogwoodhook/transport/fleet_view.py
@@ -1,6 +1,7 @@
 """What a forwarder knows of the fleet, and how it sends messages to it."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -13,6 +14,7 @@
 from dogwoodhook.state.route_policy import RoutingConfiguration
 from dogwoodhook.state.suspicion import Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory
+from dogwoodhook.state.typical_latency import TypicalLatency
 from dogwoodhook.transport.crash_checks import CrashChecks
 from dogwoodhook.transport.target_connections import TargetConnections
 
@@ -24,8 +26,8 @@
     ``targets_age_s`` is the time since the directory was known to be up to date.
     ``is_ready`` is set once routes and targets are known. ``notify_fleet`` sends
     to all daemons, ``notify_neighbours`` and ``load_sharing`` to those of the own data
-    centre. ``receive_pending`` processes messages that have arrived and have not been
-    read yet.
+    centre. ``typical_latencies`` is keyed by service. ``receive_pending`` processes
+    messages that have arrived and have not been read yet.
     """
 
     configuration: Callable[[], RoutingConfiguration | None]
@@ -42,5 +44,6 @@
     notify_fleet: Callable[[TargetFailure | TargetSuccess], None]
     notify_neighbours: Callable[[TargetFailure], None]
     load_sharing: LoadSharing
+    typical_latencies: defaultdict[str, TypicalLatency]
     receive_pending: Callable[[], None]
     count_daemons: Callable[[], int]
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-from collections import defaultdict
 from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import replace
@@ -46,7 +45,6 @@
 from dogwoodhook.state.route_policy import RoutePolicy, RoutingConfiguration
 from dogwoodhook.state.suspicion import Standing, Symptom
 from dogwoodhook.state.target_directory import TargetEntry
-from dogwoodhook.state.typical_latency import TypicalLatency
 from dogwoodhook.state.unanswered_runs import UnansweredRun
 from dogwoodhook.transport.attempts import (
     Attempt,
@@ -171,9 +169,6 @@
         )
         self._running: set[RoutedRequest] = set()
         fleet.quarantine.on_stopped = self._recall
-        self._typical_latencies: defaultdict[str, TypicalLatency] = defaultdict(
-            TypicalLatency
-        )
 
     async def forward(self, request: web.BaseRequest) -> web.StreamResponse:
         """Forward a request, and return the answer for the caller."""
@@ -243,7 +238,7 @@
         """Return whether a planned stop still allows a request to go to a target."""
         if not self._stop.has_begun:
             return True
-        expected_s = self._typical_latencies[service].overdue_s(
+        expected_s = self._fleet.typical_latencies[service].overdue_s(
             target_latency_s=route.target_latency_s
         )
         return self._stop.may_send(
@@ -547,7 +542,7 @@
         )
         if not may_hedge:
             return None
-        hedge_delay_s = self._typical_latencies[routed.service].hedge_after_s(
+        hedge_delay_s = self._fleet.typical_latencies[routed.service].hedge_after_s(
             target_latency_s=routed.route.target_latency_s
         )
         return max(0.0, routed.started_s + hedge_delay_s - self._clock.now_s())
@@ -624,7 +619,7 @@
         fleet = self._fleet
         now_s = self._clock.now_s()
         remaining_s = routed.deadline_s - now_s
-        typical_latency = self._typical_latencies[routed.service]
+        typical_latency = self._fleet.typical_latencies[routed.service]
         overdue_s = typical_latency.overdue_s(
             target_latency_s=routed.route.target_latency_s
         )
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,6 +1,7 @@
 import itertools
 
 from dogwoodhook.metrics import Metrics, max_series
+from dogwoodhook.state.load_spread import LoadSpread
 from dogwoodhook.state.outcomes import NotRunReason, UnknownReason
 
 
@@ -97,3 +98,18 @@
     lines = metrics.exposition().decode().splitlines()
     own = [line for line in lines if line.startswith("dogwoodhook_")]
     assert 0 < len(own) <= max_series(services=2, workspaces=3)
+
+
+def test_services_past_the_limit_share_the_outermost_loads():
+    metrics = Metrics(daemon="d", max_workspace_series=1, max_service_series=1)
+    spread = {
+        "tills": LoadSpread(0.5, 1.0),
+        "proofs": LoadSpread(0.25, 0.75),
+        "orders": LoadSpread(0.5, 2.0),
+    }
+    metrics.watch_load(spread=lambda: spread, news_age_s=lambda: 0.05)
+    loads = series(metrics, "dogwoodhook_target_load")
+    assert find(loads, 'service="tills"') == [0.5, 1.0]
+    assert find(loads, 'service="other"') == [0.25, 2.0]
+    ages = series(metrics, "dogwoodhook_load_report_age_seconds")
+    assert list(ages.values()) == [0.05]
