--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -11,6 +11,7 @@
     "latency",
     "detection",
     "overload",
+    "even_load",
     "quarantine",
     "control_configuration",
     "control_ejection",
--- a/benchmarks/even_load_fleet.py
+++ b/benchmarks/even_load_fleet.py
@@ -8,7 +8,7 @@
 import math
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field, fields, replace
 from typing import Protocol
 
 from dogwoodhook.coordination.load_sharing import START_INTERVAL_S_PER_NEIGHBOUR
@@ -114,10 +114,11 @@
         self,
         placement_class: type[Placement] = Placement,
         *,
+        estimator_class: type[LoadEstimator] = LoadEstimator,
         corrects_counts: bool = True,
     ) -> Placement:
         """Return a placement over this daemon's view."""
-        estimator = LoadEstimator(
+        estimator = estimator_class(
             self.load,
             news_age_s=self.news_age.median_s,
             work_s=lambda service: self.latency.median_s,
@@ -147,6 +148,12 @@
     smallest: list[float] = field(default_factory=list)
     reports: int = 0
 
+    def add(self, other: "Measured") -> None:
+        """Add the figures of another run."""
+        for each in fields(self):
+            total = getattr(self, each.name) + getattr(other, each.name)
+            setattr(self, each.name, total)
+
     def summary(self) -> dict[str, float]:
         """Return the means and the tail of the waits."""
         waits = sorted(self.waits_s)
