--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -464,6 +464,15 @@
     Level.INFO,
     "A request that waited for room is sent; `waited_ms` is how long it waited.",
 )
+KEY_REFUSED = _event(
+    518,
+    "key-refused",
+    Level.NOTICE,
+    "Requests without a valid key of a workspace are refused; `problem` says why,"
+    " `workspace` is the holder of the key if one is known, and `key_digest` the start"
+    " of the key's SHA-256 digest. A line is written once a minute for each digest and"
+    " route, and only for the first of them; a metric counts all.",
+)
 DATAGRAM_DROPPED = _event(
     810,
     "datagram-dropped",
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -6,8 +6,9 @@
 attributes; ``max_series`` gives the bound.
 """
 
+import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -16,6 +17,7 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
 
+from dogwoodhook.state.load_spread import LoadSpread
 from dogwoodhook.state.outcomes import NotRunReason, UnknownReason
 
 LATENCY_BUCKETS_MS = (1.0, 2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 1000.0, 5000.0)
@@ -27,15 +29,31 @@
 CLOSING_REASONS = 4
 """Reasons for which a caller's connection is closed."""
 
+KEY_PROBLEMS = 5
+"""Problems with the key of a request whose workspace is not known."""
+
+HOLDER_PROBLEMS = 2
+"""Problems with a key that a workspace held, or holds for all that is known."""
+
 ROOM_OUTCOMES = 4
 """Outcomes of a request that asks for room at its service."""
 
-DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 7 + CLOSING_REASONS + ROOM_OUTCOMES
-"""Series of the daemon: two histograms, three gauges and six counters.
-
-Two of the counters have one series for each closing reason and each outcome.
+DAEMON_SERIES = (
+    2 * (len(LATENCY_BUCKETS_MS) + 3)
+    + 8
+    + CLOSING_REASONS
+    + KEY_PROBLEMS
+    + ROOM_OUTCOMES
+)
+"""Series of the daemon: two histograms, four gauges and seven counters.
+
+Three of the counters have one series for each closing reason, for each problem of a
+key and for each outcome.
 """
 
+LOAD_BOUNDS = 2
+"""Gauges of the targets' load for each service: the largest and the smallest."""
+
 MIN_QUEUEING_MS = 0.5
 """Time up to which choosing a target does not count as waiting for one."""
 
@@ -55,6 +73,14 @@
         return {"closed_by": self.closed_by}
 
 
+class _KeyRefusalSeries(NamedTuple):
+    problem: str
+    workspace: str
+
+    def attributes(self) -> dict[str, str]:
+        return {"problem": self.problem, "workspace": self.workspace}
+
+
 class _AnnouncementSeries(NamedTuple):
     kind: str
 
@@ -86,13 +112,14 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    14971
+    15586
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
     per_class = 3 * histogram + outcomes + 1
-    by_service = (services + 1) * REQUEST_CLASSES * per_class
-    return by_service + (workspaces + 1) * histogram + DAEMON_SERIES
+    by_service = (services + 1) * (REQUEST_CLASSES * per_class + LOAD_BOUNDS)
+    per_workspace = histogram + HOLDER_PROBLEMS
+    return by_service + (workspaces + 1) * per_workspace + DAEMON_SERIES
 
 
 class BoundedLabels:
@@ -167,6 +194,7 @@
         self._target_crashes = 0
         self._quarantine_refusals = 0
         self._target_announcements: Counter[_AnnouncementSeries] = Counter()
+        self._key_refusals: Counter[_KeyRefusalSeries] = Counter()
         meter.create_observable_counter(
             "dogwoodhook_requests",
             callbacks=[lambda options: _observations(self._requests)],
@@ -211,6 +239,11 @@
             callbacks=[lambda options: _observations(self._target_announcements)],
             description="changes that targets announced in their answers, by kind",
         )
+        meter.create_observable_counter(
+            "dogwoodhook_key_refusals",
+            callbacks=[lambda options: _observations(self._key_refusals)],
+            description="requests refused because of their key, by problem",
+        )
 
     def watch_peer_bytes(self, read_total: Callable[[], int]) -> None:
         """Expose the bytes sent to peers; the total is read at each exposition."""
@@ -246,6 +279,46 @@
             description="time since the list of targets was certainly the newest",
         )
 
+    def watch_load(
+        self,
+        *,
+        spread: Callable[[], Mapping[str, LoadSpread]],
+        news_age_s: Callable[[], float | None],
+    ) -> None:
+        """Expose the spread of the targets' load, and the age of neighbours' reports.
+
+        The load is in requests in flight for each slot, by service.
+        """
+
+        def observe_spread() -> list[Observation]:
+            smallest: dict[str, float] = {}
+            largest: dict[str, float] = {}
+            for name, each in spread().items():
+                service = self._services.label(name)
+                smallest[service] = min(each.smallest, smallest.get(service, math.inf))
+                largest[service] = max(each.largest, largest.get(service, 0.0))
+            return [
+                Observation(load, {"service": service, "bound": bound})
+                for bound, loads in (("smallest", smallest), ("largest", largest))
+                for service, load in loads.items()
+            ]
+
+        self._meter.create_observable_gauge(
+            "dogwoodhook_target_load",
+            callbacks=[lambda options: observe_spread()],
+            description="largest and smallest load of a target of the own data centre",
+        )
+        self._meter.create_observable_gauge(
+            "dogwoodhook_load_report_age",
+            callbacks=[
+                lambda options: [
+                    Observation(age_s) for age_s in (news_age_s(),) if age_s is not None
+                ]
+            ],
+            unit="s",
+            description="usual age of neighbours' reports of load, if it is measured",
+        )
+
     def record_adoption(self, duration_ms: float) -> None:
         """Record the time from another daemon's notice of a version to its use here."""
         self._adoption.record(duration_ms)
@@ -271,6 +344,14 @@
         """Record that a target announced something in an answer."""
         self._target_announcements[_AnnouncementSeries(kind)] += 1
 
+    def record_key_refusal(self, problem: str, *, workspace: str = "") -> None:
+        """Record a request that was refused because of its key.
+
+        ``workspace`` is the holder of the key, if one is known.
+        """
+        label = self._workspaces.label(workspace) if workspace else ""
+        self._key_refusals[_KeyRefusalSeries(problem, label)] += 1
+
     def record_unanswered(self, closed_by: str) -> None:
         """Record a request whose connection closed before its answer was complete."""
         self._unanswered[_ClosingSeries(closed_by)] += 1
@@ -320,6 +401,7 @@
     | Counter[_RetrySeries]
     | Counter[_ClosingSeries]
     | Counter[_AnnouncementSeries]
-    | Counter[_RoomSeries],
+    | Counter[_RoomSeries]
+    | Counter[_KeyRefusalSeries],
 ) -> list[Observation]:
     return [Observation(count, series.attributes()) for series, count in counts.items()]
--- a/dogwoodhook/transport/held_requests.py
+++ b/dogwoodhook/transport/held_requests.py
@@ -20,7 +20,6 @@
     Wait,
     WaitingRequest,
 )
-from dogwoodhook.state.typical_latency import TypicalLatency
 from dogwoodhook.transport.fleet_reports import FleetReports
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.routed_request import RoutedRequest
@@ -66,15 +65,13 @@
         self._numbers = itertools.count(1)
         self._check: asyncio.Task[None] | None = None
 
-    async def wait_on_arrival(
-        self, routed: RoutedRequest, typical: TypicalLatency
-    ) -> bool:
+    async def wait_on_arrival(self, routed: RoutedRequest) -> bool:
         """Wait until a new request may be sent; return ``False`` if it is refused."""
         if not self._holds_arrivals:
             return True
-        usual_s = typical.usual_s(target_latency_s=routed.route.target_latency_s)
+        usual_s = self._usual_s(routed)
         now_s = self._clock.now_s()
-        self._crowding.record_use(routed.route.name, now_s=now_s)
+        self._crowding.record_use(_workspace_of(routed), now_s=now_s)
         waiting = self._waiting_request(routed)
         decision = self._crowding.decide_arrival(
             waiting,
@@ -85,9 +82,7 @@
         )
         return await self._follow(decision, routed, waiting, usual_s)
 
-    async def wait_after_shed(
-        self, routed: RoutedRequest, typical: TypicalLatency
-    ) -> bool:
+    async def wait_after_shed(self, routed: RoutedRequest) -> bool:
         """Wait until a request that was shed may be sent again, with a retry taken.
 
         Return ``False`` if it cannot wait; it is then to be refused.
@@ -100,7 +95,7 @@
         if retries.tokens >= 1 and not self._holds_arrivals:
             # The targets refuse, but not so many requests that the budget is spent.
             return False
-        usual_s = typical.usual_s(target_latency_s=routed.route.target_latency_s)
+        usual_s = self._usual_s(routed)
         waiting = self._waiting_request(routed)
         decision = self._crowding.decide_shed(
             waiting,
@@ -229,12 +224,17 @@
         if not held.outcome.done():
             held.outcome.set_result(decision)
 
+    def _usual_s(self, routed: RoutedRequest) -> float:
+        return self._fleet.typical_latencies[routed.service].usual_s(
+            target_latency_s=routed.route.target_latency_s
+        )
+
     def _waiting_request(self, routed: RoutedRequest) -> WaitingRequest:
         return WaitingRequest(
             number=next(self._numbers),
             service=routed.service,
-            workspace=routed.route.name,
-            priority=routed.route.priority,
+            workspace=_workspace_of(routed),
+            priority=routed.priority,
             arrived_s=routed.arrived_s,
             target_latency_s=routed.route.target_latency_s,
             deadline_s=routed.deadline_s,
@@ -257,3 +257,8 @@
             next_in_s=max(0.0, budget.available_in_s(service, now_s=now_s)),
             tokens_per_s=usage.allowed / budget.window_s,
         )
+
+
+def _workspace_of(routed: RoutedRequest) -> str:
+    """Return the name of a request's workspace, or of its route if it has none."""
+    return routed.workspace.name if routed.workspace else routed.route.name
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-from collections import defaultdict
 from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import replace
@@ -36,17 +35,13 @@
 from dogwoodhook.state.daemon_stop import DaemonStop
 from dogwoodhook.state.placement import Candidate
 from dogwoodhook.state.quarantine import Admission, Admit, Refuse, RunAlone
-from dogwoodhook.state.retry_after import (
-    NoTargetKnown,
-    RefusalCause,
-    TargetsPaused,
-    TargetsRefused,
-    TargetsShed,
+from dogwoodhook.state.route_policy import (
+    CallerLimits,
+    RoutePolicy,
+    RoutingConfiguration,
 )
-from dogwoodhook.state.route_policy import RoutePolicy, RoutingConfiguration
 from dogwoodhook.state.suspicion import Standing, Symptom
 from dogwoodhook.state.target_directory import TargetEntry
-from dogwoodhook.state.typical_latency import TypicalLatency
 from dogwoodhook.state.unanswered_runs import UnansweredRun
 from dogwoodhook.transport.attempts import (
     Attempt,
@@ -60,11 +55,7 @@
     send_attempt,
 )
 from dogwoodhook.transport.bodies import RequestBody, read_prelude
-from dogwoodhook.transport.bounded_requests import (
-    BAD_REQUEST_STATUS,
-    HEAD_TOO_LARGE_STATUS,
-    head_bytes,
-)
+from dogwoodhook.transport.bounded_requests import BAD_REQUEST_STATUS
 from dogwoodhook.transport.crash_checks import SecondConnection
 from dogwoodhook.transport.detached_tasks import DetachedTasks
 from dogwoodhook.transport.fleet_reports import FleetReports
@@ -88,6 +79,8 @@
 from dogwoodhook.transport.routed_request import RoutedRequest
 from dogwoodhook.transport.stop_timeouts import StopTimeouts
 from dogwoodhook.transport.target_announcements import AnnouncementRecorder
+from dogwoodhook.transport.target_shortage import refusal_cause, shortage_fields
+from dogwoodhook.transport.workspace_admission import WorkspaceAdmission
 
 REPLAY_BUFFER_BYTES = 512 * 1024
 """Bodies up to this size are buffered, so that they can be sent to another target."""
@@ -163,6 +156,9 @@
         self._fleet = fleet
         self._conventions = conventions
         self._own_answers = OwnAnswers(conventions, rng)
+        self._workspaces = WorkspaceAdmission(
+            fleet, conventions, clock, metrics, self._own_answers
+        )
         self._clock = clock
         self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
         self._held_requests = HeldRequests(
@@ -182,9 +178,6 @@
         )
         self._running: set[RoutedRequest] = set()
         fleet.quarantine.on_stopped = self._recall
-        self._typical_latencies: defaultdict[str, TypicalLatency] = defaultdict(
-            TypicalLatency
-        )
 
     async def forward(self, request: web.BaseRequest) -> web.StreamResponse:
         """Forward a request, and return the answer for the caller."""
@@ -207,13 +200,9 @@
             return self._own_answers.denial(
                 request, 404, f"no route in version {configuration.version}"
             )
-        limits = configuration.limits
-        if head_bytes(request) > limits.max_header_bytes:
-            detail = f"a head over {limits.max_header_bytes} bytes"
-            return self._own_answers.denial(request, HEAD_TOO_LARGE_STATUS, detail)
-        if (request.content_length or 0) > limits.max_body_bytes:
-            detail = f"a body over {limits.max_body_bytes} bytes"
-            return self._own_answers.denial(request, 413, detail)
+        refusal = self._refusal_on_arrival(request, route, configuration.limits)
+        if refusal is not None:
+            return refusal
         deadline_s = arrived_s + self._time_limit_s(request, route)
         service = route.service_at(self._rng.random())
         if not self._stop_allows_sending(route, service, deadline_s=deadline_s):
@@ -234,12 +223,21 @@
             deadline_s=deadline_s,
         )
         routed.configuration_version = configuration.version
+        self._workspaces.admits(routed)
         self._fleet.budget.record_request(routed.service, now_s=self._clock.now_s())
         if route.is_idempotent:
             return await self._run(routed)
         # Runs to its end even if the caller disconnects: it may not be sent again.
         return await self._detached_tasks.run(self._run(routed))
 
+    def _refusal_on_arrival(
+        self, request: web.BaseRequest, route: RoutePolicy, limits: CallerLimits
+    ) -> web.Response | None:
+        refusal = self._workspaces.refusal(request, route)
+        if refusal is not None:
+            return refusal
+        return self._own_answers.over_limit(request, limits)
+
     def _refuse_late_body(
         self, request: web.BaseRequest, *, deadline_s: float
     ) -> web.StreamResponse:
@@ -254,7 +252,7 @@
         """Return whether a planned stop still allows a request to go to a target."""
         if not self._stop.has_begun:
             return True
-        expected_s = self._typical_latencies[service].overdue_s(
+        expected_s = self._fleet.typical_latencies[service].overdue_s(
             target_latency_s=route.target_latency_s
         )
         return self._stop.may_send(
@@ -382,7 +380,7 @@
         duration_s = self._clock.now_s() - routed.arrived_s
         self._metrics.record_request(
             service=routed.service,
-            workspace=routed.route.name,
+            workspace=routed.workspace.name if routed.workspace else routed.route.name,
             request_class="idempotent" if routed.route.is_idempotent else "once",
             outcome=str(answer.status),
             duration_ms=duration_s * 1000,
@@ -536,6 +534,8 @@
         if not self._stop_allows_attempt(routed):
             return None
         self._fleet.receive_pending()
+        if not self._workspaces.admits(routed):
+            return None
         routed.directory_version = self._fleet.directory.version
         routed.directory_age_s = self._fleet.targets_age_s()
         return self._fleet.placement.choose(
@@ -558,7 +558,7 @@
         )
         if not may_hedge:
             return None
-        hedge_delay_s = self._typical_latencies[routed.service].hedge_after_s(
+        hedge_delay_s = self._fleet.typical_latencies[routed.service].hedge_after_s(
             target_latency_s=routed.route.target_latency_s
         )
         return max(0.0, routed.started_s + hedge_delay_s - self._clock.now_s())
@@ -637,11 +637,12 @@
         fleet = self._fleet
         now_s = self._clock.now_s()
         remaining_s = routed.deadline_s - now_s
-        typical_latency = self._typical_latencies[routed.service]
+        typical_latency = self._fleet.typical_latencies[routed.service]
         overdue_s = typical_latency.overdue_s(
             target_latency_s=routed.route.target_latency_s
         )
-        headers = routed.headers.copy()
+        label = self._workspaces.label(routed)
+        headers = self._workspaces.headers_to_target(routed, label)
         headers[self._conventions.remaining_ms_header] = str(int(remaining_s * 1000))
         attempt = Attempt(
             method=routed.request.method,
@@ -656,7 +657,12 @@
             ),
         )
         may_use_idle = fleet.suspicion.may_use_idle(target.name, now_s=now_s)
-        trace = AttemptTrace(lambda: self._announcements.obstacle(routed, target))
+        trace = AttemptTrace(
+            lambda: (
+                self._workspaces.obstacle(routed, label)
+                or self._announcements.obstacle(routed, target)
+            )
+        )
         overdue = asyncio.create_task(
             self._report_overdue(routed, target, trace, due_s=now_s + overdue_s)
         )
@@ -824,6 +830,8 @@
             return False
         if routed.has_caller_left or not self._stop_allows_attempt(routed):
             return False
+        if not self._workspaces.admits(routed):
+            return False
         if routed.may_have_run and not routed.route.is_idempotent:
             return False
         if routed.runs >= routed.route.max_targets:
@@ -833,8 +841,7 @@
         return not routed.arrivals or self._reports.take_retry(routed)
 
     async def _first_target(self, routed: RoutedRequest) -> TargetEntry | None:
-        typical = self._typical_latencies[routed.service]
-        has_room = await self._held_requests.wait_on_arrival(routed, typical)
+        has_room = await self._held_requests.wait_on_arrival(routed)
         return self._next_target(routed) if has_room else None
 
     async def _target_after_failure(self, routed: RoutedRequest) -> TargetEntry | None:
@@ -843,8 +850,7 @@
             target = self._next_target(routed)
             if target is not None:
                 return target
-        typical = self._typical_latencies[routed.service]
-        if not await self._held_requests.wait_after_shed(routed, typical):
+        if not await self._held_requests.wait_after_shed(routed):
             return None
         is_admitted = isinstance(self._admission(routed), Admit)
         return self._next_target(routed) if is_admitted else None
@@ -909,50 +915,29 @@
         """Return the daemon's own answer: a refusal if the request has not run."""
         if not routed.may_have_run and not self._stop_allows_attempt(routed):
             return self._own_answers.stopping(routed.request)
+        if not routed.may_have_run:
+            refusal = self._workspaces.refusal(
+                routed.request, routed.route, earlier=routed.workspace
+            )
+            if refusal is not None:
+                return refusal
         fields = self._log_fields(routed)
         if not routed.may_have_run:
+            now_s = self._clock.now_s()
             log(
                 REQUEST_REFUSED,
                 **fields,
-                **self._unavailable_fields(routed),
+                **shortage_fields(self._fleet, routed, now_s=now_s),
                 status=UNAVAILABLE_STATUS,
                 detail=detail,
             )
-            cause = routed.expected_room or self._refusal_cause(routed)
+            cause = refusal_cause(self._fleet, routed, now_s=now_s)
             return self._own_answers.unavailable(routed.request, detail, cause)
         left_s = routed.deadline_s - self._clock.now_s()
         status = 504 if left_s <= MIN_ATTEMPT_S else 502
         log(REQUEST_UNANSWERED, **fields, status=status, detail=detail)
         return self._own_answers.failure(routed.request, status, detail)
 
-    def _unavailable_fields(self, routed: RoutedRequest) -> dict[str, object]:
-        """Return the log fields that tell how many targets are not to be used."""
-        directory, now_s = self._fleet.directory, self._clock.now_s()
-        pauses = directory.pauses(routed.service, turn=routed.turn, now_s=now_s)
-        return {
-            "targets_listed": len(directory.serving(routed.service, now_s=now_s)),
-            "targets_paused": len(pauses),
-            "targets_leaving": directory.count_leaving(routed.service, now_s=now_s),
-        }
-
-    def _refusal_cause(self, routed: RoutedRequest) -> RefusalCause:
-        now_s = self._clock.now_s()
-        directory, turn = self._fleet.directory, routed.turn
-        targets = directory.available(routed.service, turn=turn, now_s=now_s)
-        if not targets:
-            pauses = directory.pauses(routed.service, turn=turn, now_s=now_s)
-            if not pauses:
-                return NoTargetKnown()
-            first_s = min(pause.returns_s(turn) for pause in pauses)
-            return TargetsPaused(first_s - now_s)
-        if not routed.arrivals:
-            return NoTargetKnown()
-        if self._fleet.placement.has_free_slots(targets, now_s=now_s):
-            return TargetsShed()
-        return TargetsRefused(
-            self._fleet.budget.available_in_s(routed.service, now_s=now_s)
-        )
-
 
 def _route_of(
     configuration: RoutingConfiguration, request: web.BaseRequest, uri: RequestUri
