Count the requests of a workspace for the whole fleet

A workspace's quota was decoded but never counted. One daemon of the fleet, ranked by a hash, now holds the token bucket of a workspace and is asked for each request; the next two stand in for it and exchange what they granted. Daemons that reach none of them keep to a part of the tolerance.

Ruled out: counts in the load reports (they go to all neighbours: their number grows with the daemons, and with less than one request a daemon in the window they are always old); a row of the store under a condition (a call for each allowance).

Nothing asks for tokens yet.

--- a/dogwoodhook/coordination/fleet_links.py
+++ b/dogwoodhook/coordination/fleet_links.py
@@ -1,6 +1,6 @@
 """Interfaces through which a daemon communicates with the others of its fleet."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -26,6 +26,21 @@
         """Return the names of the other live daemons by data centre."""
         ...
 
+    def count_known_daemons(self) -> int:
+        """Return the number of daemons, this one included, that ran lately.
+
+        It includes those that this daemon has not heard from for minutes.
+        """
+        ...
+
+    def notify(self, message: FleetMessage, daemons: Iterable[str]) -> None:
+        """Send a message to daemons by name; those that are not known get nothing."""
+        ...
+
+    def receive_pending(self) -> None:
+        """Process messages that have arrived and have not been read yet."""
+        ...
+
     def notify_neighbours(self, message: FleetMessage) -> None:
         """Send a message to the neighbours."""
         ...
--- a/dogwoodhook/coordination/fleet_messages.py
+++ b/dogwoodhook/coordination/fleet_messages.py
@@ -10,6 +10,7 @@
 from dogwoodhook.state.quarantine import SuspectState
 from dogwoodhook.state.suspicion import Symptom
 from dogwoodhook.state.target_directory import TargetChange
+from dogwoodhook.state.workspace_quota import BucketState
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +131,59 @@
     kind: Literal["ended"] = "ended"
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaAsk:
+    """Asks a workspace's coordinator for a token of its quota.
+
+    ``taken`` is ``None`` for a request that waits for the answer. Otherwise it counts
+    requests that were sent without waiting, or given back (below 0). Copies have the
+    same ``number``, and count once. ``rate_per_s`` and ``burst`` are for a coordinator
+    whose configuration does not name the workspace yet.
+    """
+
+    daemon: str
+    number: int
+    workspace: str
+    rate_per_s: float
+    burst: float
+    priority: int
+    taken: int | None = None
+    kind: Literal["quota-ask"] = "quota-ask"
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaAnswer:
+    """A coordinator's answer to the ask with the same ``number``.
+
+    ``retry_after_s`` is set if there is no token, ``is_ample`` if many are left.
+    """
+
+    daemon: str
+    number: int
+    is_ample: bool = False
+    retry_after_s: float | None = None
+    kind: Literal["quota-answer"] = "quota-answer"
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaReport:
+    """What a coordinator has granted, for the other coordinators of the workspaces.
+
+    ``run`` changes when the daemon restarts. A report that is not an answer is answered
+    by one, which may have no buckets.
+    """
+
+    daemon: str
+    run: int
+    buckets: tuple[BucketState, ...] = ()
+    is_answer: bool = False
+    kind: Literal["quota-report"] = "quota-report"
+
+
+QuotaMessage = QuotaAsk | QuotaAnswer | QuotaReport
+"""Messages about the quotas of workspaces."""
+
+
 BroadcastMessage = (
     TargetFailure
     | TargetSuccess
@@ -191,6 +245,9 @@
     | LoadReport
     | SuspectStates
     | TargetEnded
+    | QuotaAsk
+    | QuotaAnswer
+    | QuotaReport
     | Relayed
     | ToCollector
     | Collected
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -8,7 +8,7 @@
 import random
 import secrets
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 
 from dogwoodhook.clock import Clock, SystemClock
@@ -18,6 +18,9 @@
     DaemonHello,
     FleetMessage,
     LoadReport,
+    QuotaAnswer,
+    QuotaAsk,
+    QuotaReport,
     StoreUpdate,
     SuspectStates,
     TargetEnded,
@@ -27,6 +30,7 @@
 from dogwoodhook.coordination.fleet_quarantine import FleetQuarantine
 from dogwoodhook.coordination.fleet_snapshot import FleetSnapshot
 from dogwoodhook.coordination.load_sharing import LoadSharing
+from dogwoodhook.coordination.quota_sharing import QuotaSharing
 from dogwoodhook.coordination.run_claims import RunClaims
 from dogwoodhook.coordination.store import Store
 from dogwoodhook.coordination.store_reading import RowDecoder, wait_for
@@ -62,6 +66,12 @@
 from dogwoodhook.state.route_policy import CallerLimits
 from dogwoodhook.state.suspicion import FailureReport, Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
+from dogwoodhook.state.workspace_policy import WorkspacePolicy
+from dogwoodhook.state.workspace_quota import (
+    FleetQuota,
+    QuotaCoordinator,
+    QuotaTolerance,
+)
 from dogwoodhook.transport.crash_checks import CrashChecks
 from dogwoodhook.transport.datagrams import DatagramPeers
 from dogwoodhook.transport.detached_tasks import DetachedTasks
@@ -71,7 +81,7 @@
 from dogwoodhook.transport.route_forwarder import RouteForwarder
 from dogwoodhook.transport.stop_timeouts import StopTimeouts
 from dogwoodhook.transport.target_connections import TargetConnections
-from dogwoodhook.vm_settings import VmSettings
+from dogwoodhook.vm_settings import ServiceBounds, VmSettings
 
 STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
 """Signals that stop a daemon."""
@@ -219,6 +229,20 @@
             rng=rng,
             started_s=clock.now_s(),
         )
+        tolerance = _quota_tolerance(bounds)
+        self._fleet_quota = FleetQuota(tolerance, rng=rng, started_s=clock.now_s())
+        self._quota_coordinator = QuotaCoordinator(
+            tolerance, rng=rng, started_s=clock.now_s()
+        )
+        self._quota_sharing = QuotaSharing(
+            self._fleet_quota,
+            self._quota_coordinator,
+            self.peers,
+            clock,
+            daemon=settings.vm_name,
+            rng=rng,
+            policies=self._workspace_policies,
+        )
         fleet = FleetView(
             configuration=lambda: self._configuration.in_force,
             directory=self._directory,
@@ -235,6 +259,7 @@
                 ),
             ),
             budget=self._budget,
+            quota_sharing=self._quota_sharing,
             connections=self._connections,
             crash_checks=self._crash_checks,
             quarantine=self._quarantine,
@@ -382,6 +407,8 @@
             extra=bounds.retry_extra,
             window_s=bounds.retry_window_s,
         )
+        tolerance = _quota_tolerance(bounds)
+        self._fleet_quota.tolerance = self._quota_coordinator.tolerance = tolerance
         log(SETTINGS_IN_FORCE, bounds=bounds, store=settings.store_address)
 
     async def _watch_settings(self) -> None:
@@ -419,6 +446,12 @@
         in_force = self._configuration.in_force
         return in_force.limits if in_force else CallerLimits()
 
+    def _workspace_policies(self) -> Mapping[str, WorkspacePolicy]:
+        in_force = self._configuration.in_force
+        if in_force is None or in_force.workspaces is None:
+            return {}
+        return in_force.workspaces.by_name
+
     def _handle_adoption(self, since_announced_s: float) -> None:
         """Update metrics and readiness after a configuration was put in force."""
         self._metrics.record_adoption(since_announced_s * 1000)
@@ -484,6 +517,8 @@
                 self._quarantine.receive(message)
             case TargetEnded():
                 self._target_ends.receive(message)
+            case QuotaAsk() | QuotaAnswer() | QuotaReport():
+                self._quota_sharing.receive(message)
             case _:
                 return
 
@@ -524,6 +559,14 @@
         self._tasks.add(task)
 
 
+def _quota_tolerance(bounds: ServiceBounds) -> QuotaTolerance:
+    return QuotaTolerance(
+        window_s=bounds.quota_window_s,
+        overshoot=bounds.quota_overshoot,
+        slack=bounds.quota_slack,
+    )
+
+
 async def serve(platform: PlatformAdapter) -> float:
     """Run a daemon until a stop signal; return the seconds left for the process."""
     return await Gateway(platform, SystemClock()).run()
--- a/dogwoodhook/state/peer_liveness.py
+++ b/dogwoodhook/state/peer_liveness.py
@@ -13,6 +13,10 @@
 """The same for other data centres. Hellos between data centres cost more and are sent
 less often."""
 
+KNOWN_SILENCE_S = 600.0
+"""Silence after which a daemon no longer belongs to the fleet. A daemon that is cut off
+must not take the rest of the fleet for gone."""
+
 
 class PeerLiveness:
     """Records when the last message of each known daemon was received.
--- a/dogwoodhook/transport/datagrams.py
+++ b/dogwoodhook/transport/datagrams.py
@@ -25,6 +25,7 @@
 from dogwoodhook.events import COLLECTOR_SILENT, DATAGRAM_DROPPED, log
 from dogwoodhook.protocol.fleet_codec import decode_datagram, encode_datagram
 from dogwoodhook.state.peer_liveness import (
+    KNOWN_SILENCE_S,
     NEIGHBOUR_SILENCE_S,
     REMOTE_SILENCE_S,
     PeerLiveness,
@@ -86,6 +87,7 @@
     neighbours: tuple[Peer, ...] = ()
     names: Mapping[str, list[str]] = field(default_factory=dict)
     all_names: frozenset[str] = frozenset()
+    known_daemons: int = 1
 
 
 class DatagramPeers:
@@ -161,6 +163,10 @@
         """Return the names of the live peers of each data centre that has any."""
         return self._live().names
 
+    def count_known_daemons(self) -> int:
+        """Return the number of daemons, this one included, that ran lately."""
+        return self._live().known_daemons
+
     def address_of(self, daemon: str) -> Address | None:
         """Return a daemon's address, or ``None`` if the daemon is not known."""
         peer = self._peers.get(daemon)
@@ -239,10 +245,11 @@
         for start in range(0, len(contents), MAX_REPORTS_PER_BATCH):
             batch = contents[start : start + MAX_REPORTS_PER_BATCH]
             for first, *others in split_among_forwarders(names, rng=self._rng):
-                self._send_to(Collected(self._daemon, batch, tuple(others)), [first])
+                self.notify(Collected(self._daemon, batch, tuple(others)), [first])
 
-    def _send_to(self, message: FleetMessage, names: Iterable[str]) -> None:
-        peers = [self._peers[each] for each in names if each in self._peers]
+    def notify(self, message: FleetMessage, daemons: Iterable[str]) -> None:
+        """Send a message to daemons by name; those that are not known get nothing."""
+        peers = [self._peers[each] for each in daemons if each in self._peers]
         self._send(message, peers)
 
     def notify_some(self, message: FleetMessage, count: int) -> None:
@@ -287,6 +294,11 @@
             collector=None if collector == self._daemon else self._peers[collector],
             names=dict(names),
             all_names=frozenset(peer.daemon for peer in live),
+            known_daemons=1
+            + sum(
+                self._liveness.is_live(name, silence_s=KNOWN_SILENCE_S, now_s=now_s)
+                for name in self._peers
+            ),
         )
         return self._cached_live
 
@@ -348,7 +360,7 @@
                 self._gather(content)
             case Collected(contents=contents, forward_to=forward_to):
                 if forward_to:
-                    self._send_to(replace(message, forward_to=()), forward_to)
+                    self.notify(replace(message, forward_to=()), forward_to)
                 for each in contents:
                     self._receive_collected(each)
             case _:
--- a/dogwoodhook/transport/fleet_view.py
+++ b/dogwoodhook/transport/fleet_view.py
@@ -7,6 +7,7 @@
 from dogwoodhook.coordination.fleet_messages import TargetFailure, TargetSuccess
 from dogwoodhook.coordination.fleet_quarantine import FleetQuarantine
 from dogwoodhook.coordination.load_sharing import LoadSharing
+from dogwoodhook.coordination.quota_sharing import QuotaSharing
 from dogwoodhook.coordination.target_ends import TargetEnds
 from dogwoodhook.state.fleet_budget import FleetBudget
 from dogwoodhook.state.placement import Placement
@@ -34,6 +35,7 @@
     suspicion: Suspicion
     placement: Placement
     budget: FleetBudget
+    quota_sharing: QuotaSharing
     connections: TargetConnections
     crash_checks: CrashChecks
     quarantine: FleetQuarantine
