--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -27,10 +27,17 @@
 CLOSING_REASONS = 4
 """Reasons for which a caller's connection is closed."""
 
-DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 6 + CLOSING_REASONS
-"""Series of the daemon: two histograms, three gauges and four counters.
+KEY_PROBLEMS = 5
+"""Problems with the key of a request whose workspace is not known."""
 
-One of the counters has one series for each closing reason.
+HOLDER_PROBLEMS = 2
+"""Problems with a key that a workspace held, or holds for all that is known."""
+
+DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 6 + CLOSING_REASONS + KEY_PROBLEMS
+"""Series of the daemon: two histograms, three gauges and five counters.
+
+Two of the counters have one series for each closing reason and for each problem of a
+key.
 """
 
 MIN_QUEUEING_MS = 0.5
@@ -52,6 +59,14 @@
         return {"closed_by": self.closed_by}
 
 
+class _KeyRefusalSeries(NamedTuple):
+    problem: str
+    workspace: str
+
+    def attributes(self) -> dict[str, str]:
+        return {"problem": self.problem, "workspace": self.workspace}
+
+
 class _AnnouncementSeries(NamedTuple):
     kind: str
 
@@ -76,13 +91,14 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    14971
+    15378
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
     per_class = 3 * histogram + outcomes + 1
     by_service = (services + 1) * REQUEST_CLASSES * per_class
-    return by_service + (workspaces + 1) * histogram + DAEMON_SERIES
+    per_workspace = histogram + HOLDER_PROBLEMS
+    return by_service + (workspaces + 1) * per_workspace + DAEMON_SERIES
 
 
 class BoundedLabels:
@@ -157,6 +173,7 @@
         self._target_crashes = 0
         self._quarantine_refusals = 0
         self._target_announcements: Counter[_AnnouncementSeries] = Counter()
+        self._key_refusals: Counter[_KeyRefusalSeries] = Counter()
         meter.create_observable_counter(
             "dogwoodhook_requests",
             callbacks=[lambda options: _observations(self._requests)],
@@ -188,6 +205,11 @@
             callbacks=[lambda options: _observations(self._target_announcements)],
             description="changes that targets announced in their answers, by kind",
         )
+        meter.create_observable_counter(
+            "dogwoodhook_key_refusals",
+            callbacks=[lambda options: _observations(self._key_refusals)],
+            description="requests refused because of their key, by problem",
+        )
 
     def watch_peer_bytes(self, read_total: Callable[[], int]) -> None:
         """Expose the bytes sent to peers; the total is read at each exposition."""
@@ -243,6 +265,14 @@
         """Record that a target announced something in an answer."""
         self._target_announcements[_AnnouncementSeries(kind)] += 1
 
+    def record_key_refusal(self, problem: str, *, workspace: str = "") -> None:
+        """Record a request that was refused because of its key.
+
+        ``workspace`` is the holder of the key, if one is known.
+        """
+        label = self._workspaces.label(workspace) if workspace else ""
+        self._key_refusals[_KeyRefusalSeries(problem, label)] += 1
+
     def record_unanswered(self, closed_by: str) -> None:
         """Record a request whose connection closed before its answer was complete."""
         self._unanswered[_ClosingSeries(closed_by)] += 1
@@ -291,6 +321,7 @@
     counts: Counter[_RequestSeries]
     | Counter[_RetrySeries]
     | Counter[_ClosingSeries]
-    | Counter[_AnnouncementSeries],
+    | Counter[_AnnouncementSeries]
+    | Counter[_KeyRefusalSeries],
 ) -> list[Observation]:
     return [Observation(count, series.attributes()) for series, count in counts.items()]
--- a/dogwoodhook/platform/rows.py
+++ b/dogwoodhook/platform/rows.py
@@ -146,13 +146,25 @@
     priority: int | None = None
 
 
+_WorkspaceName = Annotated[
+    str,
+    # Sent to targets as the value of a header.
+    Field(
+        max_length=MAX_TEXT_LENGTH,
+        strict=True,
+        pattern=r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?$",
+    ),
+    AfterValidator(_encodable),
+]
+
+
 class _ConfigurationRow(_PlatformModel):
     config_version: Annotated[int, Field(ge=-MAX_COUNT, le=MAX_COUNT)]
     # ``ConfigurationDecoder`` decodes each route separately.
     routes: dict[str, Any]
     backends: dict[str, _BackendRow]
     limits: _LimitsRow
-    tenants: dict[str, _TenantRow] | None = None
+    tenants: dict[_WorkspaceName, _TenantRow] | None = None
 
 
 class TargetDecoder:
@@ -214,6 +226,11 @@
         self.decoded_route_count = 0
         self._cache: dict[str, tuple[object, RoutePolicy]] = {}
 
+    @property
+    def listed_routes(self) -> list[RoutePolicy]:
+        """Return the routes of the last configuration, as they are listed."""
+        return [policy for _, policy in self._cache.values()]
+
     def decode(self, row: StoreRow) -> RoutingConfiguration:
         """Return the configuration in a row, or raise ``FindingsError``."""
         try:
@@ -230,7 +247,7 @@
         if findings:
             raise FindingsError(findings)
         self._cache = cache
-        return _configuration(decoded, [policy for _, policy in cache.values()])
+        return _configuration(decoded, self.listed_routes)
 
     def _decode_routes(
         self, raw: Any
