Let each request of a workspace wait for the answer on its quota

A daemon that had been told that a bucket was far from empty took tokens without waiting for 0.5 s. Three daemons that got ten requests each at once let 21 of them through where 12 tokens were left: what they took was counted too late. A bound that holds for all daemons (one unconfirmed request each, and as many tokens left as there are daemons) leaves nearly no workspace for which it would apply, so all requests wait.

--- a/dogwoodhook/coordination/fleet_messages.py
+++ b/dogwoodhook/coordination/fleet_messages.py
@@ -135,10 +135,9 @@
 class QuotaAsk:
     """Asks a workspace's coordinator for a token of its quota.
 
-    ``taken`` is ``None`` for a request that waits for the answer. Otherwise it counts
-    requests that were sent without waiting, or given back (below 0). Copies have the
-    same ``number``, and count once. ``rate_per_s`` and ``burst`` are for a coordinator
-    whose configuration does not name the workspace yet.
+    With ``gives_back`` it returns one that was granted. Copies have the same
+    ``number``, and count once. ``rate_per_s`` and ``burst`` are for a coordinator whose
+    configuration does not name the workspace yet.
     """
 
     daemon: str
@@ -147,7 +146,7 @@
     rate_per_s: float
     burst: float
     priority: int
-    taken: int | None = None
+    gives_back: bool = False
     kind: Literal["quota-ask"] = "quota-ask"
 
 
@@ -155,12 +154,11 @@
 class QuotaAnswer:
     """A coordinator's answer to the ask with the same ``number``.
 
-    ``retry_after_s`` is set if there is no token, ``is_ample`` if many are left.
+    ``retry_after_s`` is set if there is no token.
     """
 
     daemon: str
     number: int
-    is_ample: bool = False
     retry_after_s: float | None = None
     kind: Literal["quota-answer"] = "quota-answer"
 
--- a/dogwoodhook/coordination/quota_sharing.py
+++ b/dogwoodhook/coordination/quota_sharing.py
@@ -116,18 +116,15 @@
         self, policy: WorkspacePolicy, *, priority: int
     ) -> QuotaTaken | OverQuota:
         """Count a request that is about to be sent, or refuse it."""
-        now_s = self._clock.now_s()
-        if self._quota.is_ample(policy.name, now_s=now_s):
-            coordinators = self._reachable(policy.name)
-            self._spawn_count(policy, coordinators, 1)
-            return QuotaTaken(policy.name, now_s, coordinators[0])
-        answer = await self._ask(policy, self._reachable(policy.name), priority, None)
+        answer = await self._ask(
+            policy, self._reachable(policy.name), priority=priority
+        )
         now_s = self._clock.now_s()
         if answer is None:
             daemons = self._links.count_known_daemons()
             return self._quota.try_take(policy, daemons=daemons, now_s=now_s)
         if answer.retry_after_s is not None:
-            return OverQuota(answer.retry_after_s)
+            return OverQuota(answer.retry_after_s, answer.daemon)
         return QuotaTaken(policy.name, now_s, answer.daemon)
 
     def give_back(self, policy: WorkspacePolicy, taken: QuotaTaken) -> None:
@@ -135,7 +132,14 @@
         if taken.granted_by is None:
             self._quota.give_back(taken)
         else:
-            self._spawn_count(policy, [taken.granted_by], -1)
+            self._spawn_give_back(policy, taken.granted_by)
+
+    def close(self) -> None:
+        """Stop counting and reporting."""
+        if self._report_timer is not None:
+            self._report_timer.cancel()
+        for task in self._tasks:
+            task.cancel()
 
     def receive(self, message: QuotaMessage) -> None:
         """Process a message of another daemon."""
@@ -178,8 +182,9 @@
         self,
         policy: WorkspacePolicy,
         coordinators: Iterable[str],
-        priority: int,
-        taken: int | None,
+        *,
+        priority: int = 0,
+        gives_back: bool = False,
     ) -> QuotaAnswer | None:
         """Ask one coordinator after the other, until one answers.
 
@@ -193,7 +198,7 @@
             rate_per_s=policy.rate_per_s,
             burst=policy.burst,
             priority=priority,
-            taken=taken,
+            gives_back=gives_back,
         )
         asked = _Asked(policy, asyncio.get_running_loop().create_future())
         self._asked[ask.number] = asked
@@ -209,9 +214,6 @@
             if asked.answered.done():
                 return asked.answered.result()
             self._avoided_until_s[coordinator] = self._clock.now_s() + AVOID_S
-        self._quota.record_answer(
-            policy.name, is_ample=False, now_s=self._clock.now_s()
-        )
         return None
 
     async def _send_until_answered(
@@ -237,11 +239,9 @@
         silence_s = self._clock.now_s() - self._unanswered_since_s
         return silence_s < TOUCH_TIMEOUT_S or not self._links.live_daemons()
 
-    def _spawn_count(
-        self, policy: WorkspacePolicy, coordinators: Iterable[str], count: int
-    ) -> None:
-        """Count requests at a coordinator without waiting for its answer."""
-        task = asyncio.ensure_future(self._ask(policy, coordinators, 0, count))
+    def _spawn_give_back(self, policy: WorkspacePolicy, coordinator: str) -> None:
+        """Return a token to its coordinator, without waiting for the answer."""
+        task = asyncio.ensure_future(self._ask(policy, [coordinator], gives_back=True))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -276,13 +276,11 @@
             policy = WorkspacePolicy(
                 ask.workspace, frozenset(), ask.rate_per_s, ask.burst
             )
-        match self._grant(policy, ask.priority, ask.taken):
-            case Granted(is_ample):
-                return QuotaAnswer(self._daemon, ask.number, is_ample=is_ample)
+        match self._grant(policy, ask.priority, gives_back=ask.gives_back):
+            case Granted():
+                return QuotaAnswer(self._daemon, ask.number)
             case OverQuota(retry_after_s):
-                return QuotaAnswer(
-                    self._daemon, ask.number, retry_after_s=retry_after_s
-                )
+                return QuotaAnswer(self._daemon, ask.number, retry_after_s)
 
     def _receive_answer(self, answer: QuotaAnswer) -> None:
         self._avoided_until_s.pop(answer.daemon, None)
@@ -292,17 +290,12 @@
         asked.settled.add(answer.daemon)
         if not asked.answered.done():
             asked.answered.set_result(answer)
-            self._quota.record_answer(
-                asked.policy.name,
-                is_ample=answer.is_ample,
-                now_s=self._clock.now_s(),
-            )
         elif answer.retry_after_s is None:
             # A second coordinator granted a token too.
-            self._spawn_count(asked.policy, [answer.daemon], -1)
+            self._spawn_give_back(asked.policy, answer.daemon)
 
     def _grant(
-        self, policy: WorkspacePolicy, priority: int, taken: int | None
+        self, policy: WorkspacePolicy, priority: int, *, gives_back: bool
     ) -> Granted | OverQuota:
         self._forget_removed()
         now_s = self._clock.now_s()
@@ -316,11 +309,12 @@
                 SHARED_REPORT_INTERVAL_S if is_shared else REPORT_INTERVAL_S,
                 self._send_reports,
             )
-        if taken is None:
-            return self._coordinator.grant(
-                policy, priority=priority, share=share, now_s=now_s
-            )
-        return self._coordinator.record_taken(policy, taken, share=share, now_s=now_s)
+        if gives_back:
+            self._coordinator.give_back(policy, share=share, now_s=now_s)
+            return Granted()
+        return self._coordinator.grant(
+            policy, priority=priority, share=share, now_s=now_s
+        )
 
     def _forget_removed(self) -> None:
         """Forget the workspaces that a new configuration no longer names."""
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -396,6 +396,7 @@
             await listener.close()
         for task in self._tasks:
             task.cancel()
+        self._quota_sharing.close()
         await self._connections.close()
         await self._exchange.close()
         await self._platform.store.close()
--- a/dogwoodhook/state/workspace_quota.py
+++ b/dogwoodhook/state/workspace_quota.py
@@ -7,9 +7,8 @@
 not answer. Coordinators tell each other what they have granted, and each takes it from
 its own bucket, so that two of them together grant little more than one.
 
-A daemon takes tokens without waiting for the answer for a short time after it has been
-told that the bucket is far from empty. A daemon that gets no answer takes its part of
-the tolerance, which is small enough for all daemons together. A coordinator that has
+A daemon that gets no answer takes its part of the tolerance, which is small enough for
+all daemons together. A coordinator that has
 just started does not know what was granted before; its bucket starts almost empty, and
 what it adds is what would have been added anyway.
 
@@ -45,12 +44,6 @@
 FIRST_UNREACHED_SHARE = 0.1
 """The same for a daemon in its first window. It does not know what it took before."""
 
-AMPLE_LEVEL = 0.5
-"""Share of a full bucket from which on daemons need not wait for an answer."""
-
-AMPLE_S = 0.5
-"""Time for which they need not, and the seconds of the rate that must be left."""
-
 URGENT_RESERVE = 0.15
 """Share of a full bucket that is kept for more urgent requests of the workspace, for
 each priority that was lately seen among them."""
@@ -109,16 +102,18 @@
 
 @dataclass(frozen=True, slots=True)
 class OverQuota:
-    """The workspace is over its quota; its bucket has room in ``retry_after_s``."""
+    """The workspace is over its quota; its bucket has room in ``retry_after_s``.
+
+    ``decided_by`` is the coordinator, ``None`` if none was reached.
+    """
 
     retry_after_s: float
+    decided_by: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Granted:
-    """A token was granted; ``is_ample`` means that many are left."""
-
-    is_ample: bool
+    """A token was granted."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,20 +206,13 @@
             missing = 1 + reserve - bucket.level
             return self._refusal(bucket, policy, priority, missing, now_s)
         self._take(bucket, policy, 1)
-        return Granted(self._is_ample(bucket, policy))
+        return Granted()
 
-    def record_taken(
-        self,
-        policy: WorkspacePolicy,
-        count: int,
-        *,
-        now_s: float,
-        share: float = 1.0,
-    ) -> Granted:
-        """Count requests that were sent without waiting, or given back (below 0)."""
-        bucket = self._refilled(policy, share=share, now_s=now_s)
-        self._take(bucket, policy, count)
-        return Granted(self._is_ample(bucket, policy))
+    def give_back(
+        self, policy: WorkspacePolicy, *, now_s: float, share: float = 1.0
+    ) -> None:
+        """Return a token whose request no target ran."""
+        self._take(self._refilled(policy, share=share, now_s=now_s), policy, -1)
 
     def unreported(self) -> tuple[BucketState, ...]:
         """Return the buckets that have changed since the last call."""
@@ -301,10 +289,6 @@
         bucket.granted += count
         self._unreported.add(policy.name)
 
-    def _is_ample(self, bucket: _Bucket, policy: WorkspacePolicy) -> bool:
-        least = max(AMPLE_LEVEL * bucket.capacity, AMPLE_S * policy.rate_per_s)
-        return bucket.level >= least
-
     def _reserve(
         self, bucket: _Bucket, policy: WorkspacePolicy, priority: int, now_s: float
     ) -> float:
@@ -366,22 +350,10 @@
         self.tolerance = tolerance
         self._rng = rng
         self._started_s = started_s
-        self._ample_until_s: dict[str, float] = {}
         self._taken_s: dict[str, deque[float]] = {}
         self._draws: dict[str, tuple[float, float]] = {}
         self._most_daemons = 1
 
-    def is_ample(self, workspace: str, *, now_s: float) -> bool:
-        """Return whether a request need not wait for the coordinator's answer."""
-        return now_s < self._ample_until_s.get(workspace, -math.inf)
-
-    def record_answer(self, workspace: str, *, is_ample: bool, now_s: float) -> None:
-        """Record a coordinator's answer."""
-        if is_ample:
-            self._ample_until_s[workspace] = now_s + AMPLE_S
-        else:
-            self._ample_until_s.pop(workspace, None)
-
     def try_take(
         self, policy: WorkspacePolicy, *, daemons: int, now_s: float
     ) -> QuotaTaken | OverQuota:
@@ -419,8 +391,6 @@
             if name not in workspaces and (not taken_s or taken_s[-1] < oldest_s):
                 del self._taken_s[name]
                 self._draws.pop(name, None)
-        for name in self._ample_until_s.keys() - workspaces:
-            del self._ample_until_s[name]
 
     def _draw(self, workspace: str, now_s: float) -> float:
         """Return a number between 0 and 1 that holds for a window."""
