Refuse requests of a workspace over its quota with 429

Callers over their workspace's quota were served as all others, at the cost of the others' slots. A request is counted when its body is there.

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -460,6 +460,15 @@
     " of the key's SHA-256 digest. A line is written once a minute for each digest and"
     " route, and only for the first of them; a metric counts all.",
 )
+QUOTA_EXCEEDED = _event(
+    519,
+    "quota-exceeded",
+    Level.NOTICE,
+    "Requests of a workspace over its quota are refused. `decided_by` is the daemon"
+    " that holds the quota, empty if none was reached and this daemon's part was used"
+    " up. A line is written once in ten seconds for each workspace and daemon, for at"
+    " most 32 of them; a metric counts all.",
+)
 DATAGRAM_DROPPED = _event(
     810,
     "datagram-dropped",
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -67,6 +67,15 @@
         return {"problem": self.problem, "workspace": self.workspace}
 
 
+class _QuotaSeries(NamedTuple):
+    workspace: str
+    is_reached: bool
+
+    def attributes(self) -> dict[str, str]:
+        reached = "yes" if self.is_reached else "no"
+        return {"workspace": self.workspace, "coordinator_reached": reached}
+
+
 class _AnnouncementSeries(NamedTuple):
     kind: str
 
@@ -174,6 +183,7 @@
         self._quarantine_refusals = 0
         self._target_announcements: Counter[_AnnouncementSeries] = Counter()
         self._key_refusals: Counter[_KeyRefusalSeries] = Counter()
+        self._quota_refusals: Counter[_QuotaSeries] = Counter()
         meter.create_observable_counter(
             "dogwoodhook_requests",
             callbacks=[lambda options: _observations(self._requests)],
@@ -210,6 +220,11 @@
             callbacks=[lambda options: _observations(self._key_refusals)],
             description="requests refused because of their key, by problem",
         )
+        meter.create_observable_counter(
+            "dogwoodhook_quota_refusals",
+            callbacks=[lambda options: _observations(self._quota_refusals)],
+            description="requests refused because their workspace is over its quota",
+        )
 
     def watch_peer_bytes(self, read_total: Callable[[], int]) -> None:
         """Expose the bytes sent to peers; the total is read at each exposition."""
@@ -273,6 +288,14 @@
         label = self._workspaces.label(workspace) if workspace else ""
         self._key_refusals[_KeyRefusalSeries(problem, label)] += 1
 
+    def record_quota_refusal(self, workspace: str, *, is_reached: bool) -> None:
+        """Record a request that was refused because of its workspace's quota.
+
+        ``is_reached`` tells whether a coordinator of the quota decided.
+        """
+        label = self._workspaces.label(workspace)
+        self._quota_refusals[_QuotaSeries(label, is_reached)] += 1
+
     def record_unanswered(self, closed_by: str) -> None:
         """Record a request whose connection closed before its answer was complete."""
         self._unanswered[_ClosingSeries(closed_by)] += 1
@@ -322,6 +345,7 @@
     | Counter[_RetrySeries]
     | Counter[_ClosingSeries]
     | Counter[_AnnouncementSeries]
-    | Counter[_KeyRefusalSeries],
+    | Counter[_KeyRefusalSeries]
+    | Counter[_QuotaSeries],
 ) -> list[Observation]:
     return [Observation(count, series.attributes()) for series, count in counts.items()]
--- a/dogwoodhook/transport/own_answers.py
+++ b/dogwoodhook/transport/own_answers.py
@@ -21,6 +21,9 @@
 
 BODY_TOO_LARGE_STATUS = 413
 
+OVER_QUOTA_STATUS = 429
+"""Status with the same promise, for a workspace that is over its quota."""
+
 UNAUTHORIZED_STATUS = 401
 """Status for a request whose key no workspace holds; it has not run."""
 
@@ -51,8 +54,15 @@
         """Return an answer that promises that the request has not run."""
         answer = self.failure(request, UNAVAILABLE_STATUS, detail)
         retry_s = retry_after_s(cause, rng=self._rng)
-        # Rounded up, so that no caller returns before the first pause ends.
-        answer.headers["Retry-After"] = f"{math.ceil(retry_s * 100) / 100:.2f}"
+        answer.headers["Retry-After"] = _rounded_up(retry_s)
+        return answer
+
+    def over_quota(
+        self, request: web.BaseRequest, detail: str, *, retry_after_s: float
+    ) -> web.Response:
+        """Refuse a request as not run, until its workspace's quota has room."""
+        answer = self.failure(request, OVER_QUOTA_STATUS, detail)
+        answer.headers["Retry-After"] = _rounded_up(retry_after_s)
         return answer
 
     def quarantined(
@@ -119,3 +129,8 @@
             status=status,
             detail=detail,
         )
+
+
+def _rounded_up(retry_after_s: float) -> str:
+    """Return a time in hundredths of a second, after which no caller is too early."""
+    return f"{math.ceil(retry_after_s * 100) / 100:.2f}"
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -68,6 +68,7 @@
     start_streaming,
     waited_s,
 )
+from dogwoodhook.transport.quota_admission import QuotaAdmission
 from dogwoodhook.transport.request_uris import (
     headers_to_target,
     host_of,
@@ -158,6 +159,7 @@
         self._workspaces = WorkspaceAdmission(
             fleet, conventions, clock, metrics, self._own_answers
         )
+        self._quotas = QuotaAdmission(fleet, clock, metrics, self._own_answers)
         self._clock = clock
         self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
         self._rng = rng
@@ -206,7 +208,9 @@
             async with self._stop_timeouts.until_intake_ends(left_s):
                 body = await read_prelude(request, buffer_bytes=REPLAY_BUFFER_BYTES)
         except TimeoutError:
-            return self._refuse_late_body(request, deadline_s=deadline_s)
+            if self._clock.now_s() < deadline_s:
+                return self._own_answers.stopping(request)
+            return self._own_answers.body_late(request)
         routed = self._make_routed_request(
             request,
             uri,
@@ -218,11 +222,11 @@
         )
         routed.configuration_version = configuration.version
         self._workspaces.admits(routed)
-        self._fleet.budget.record_request(routed.service, now_s=self._clock.now_s())
+        work = self._quotas.run(routed, self._run)
         if route.is_idempotent:
-            return await self._run(routed)
+            return await work
         # Runs to its end even if the caller disconnects: it may not be sent again.
-        return await self._detached_tasks.run(self._run(routed))
+        return await self._detached_tasks.run(work)
 
     def _refusal_on_arrival(
         self, request: web.BaseRequest, route: RoutePolicy, limits: CallerLimits
@@ -232,14 +236,6 @@
             return refusal
         return self._own_answers.over_limit(request, limits)
 
-    def _refuse_late_body(
-        self, request: web.BaseRequest, *, deadline_s: float
-    ) -> web.StreamResponse:
-        """Refuse a request whose body did not arrive in time."""
-        if self._clock.now_s() < deadline_s:
-            return self._own_answers.stopping(request)
-        return self._own_answers.body_late(request)
-
     def _stop_allows_sending(
         self, route: RoutePolicy, service: str, *, deadline_s: float
     ) -> bool:
@@ -336,6 +332,7 @@
 
     async def _run(self, routed: RoutedRequest) -> web.StreamResponse:
         pending: dict[asyncio.Task[AttemptResult], TargetEntry] = {}
+        self._fleet.budget.record_request(routed.service, now_s=self._clock.now_s())
         self._running.add(routed)
         try:
             answer = await self._send_until_answered(routed, pending)
