--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -38,6 +38,9 @@
 ROOM_OUTCOMES = 4
 """Outcomes of a request that asks for room at its service."""
 
+QUOTA_OUTCOMES = 2
+"""Whether a refusal over a quota was decided by the quota's coordinator or not."""
+
 DAEMON_SERIES = (
     2 * (len(LATENCY_BUCKETS_MS) + 3)
     + 8
@@ -81,6 +84,15 @@
         return {"problem": self.problem, "workspace": self.workspace}
 
 
+class _QuotaSeries(NamedTuple):
+    workspace: str
+    is_reached: bool
+
+    def attributes(self) -> dict[str, str]:
+        reached = "yes" if self.is_reached else "no"
+        return {"workspace": self.workspace, "coordinator_reached": reached}
+
+
 class _AnnouncementSeries(NamedTuple):
     kind: str
 
@@ -112,13 +124,13 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    15586
+    15988
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
     per_class = 3 * histogram + outcomes + 1
     by_service = (services + 1) * (REQUEST_CLASSES * per_class + LOAD_BOUNDS)
-    per_workspace = histogram + HOLDER_PROBLEMS
+    per_workspace = histogram + HOLDER_PROBLEMS + QUOTA_OUTCOMES
     return by_service + (workspaces + 1) * per_workspace + DAEMON_SERIES
 
 
@@ -195,6 +207,7 @@
         self._quarantine_refusals = 0
         self._target_announcements: Counter[_AnnouncementSeries] = Counter()
         self._key_refusals: Counter[_KeyRefusalSeries] = Counter()
+        self._quota_refusals: Counter[_QuotaSeries] = Counter()
         meter.create_observable_counter(
             "dogwoodhook_requests",
             callbacks=[lambda options: _observations(self._requests)],
@@ -244,6 +257,11 @@
             callbacks=[lambda options: _observations(self._key_refusals)],
             description="requests refused because of their key, by problem",
         )
+        meter.create_observable_counter(
+            "dogwoodhook_quota_refusals",
+            callbacks=[lambda options: _observations(self._quota_refusals)],
+            description="requests refused because their workspace is over its quota",
+        )
 
     def watch_peer_bytes(self, read_total: Callable[[], int]) -> None:
         """Expose the bytes sent to peers; the total is read at each exposition."""
@@ -352,6 +370,14 @@
         label = self._workspaces.label(workspace) if workspace else ""
         self._key_refusals[_KeyRefusalSeries(problem, label)] += 1
 
+    def record_quota_refusal(self, workspace: str, *, is_reached: bool) -> None:
+        """Record a request that was refused because of its workspace's quota.
+
+        ``is_reached`` tells whether a coordinator of the quota decided.
+        """
+        label = self._workspaces.label(workspace)
+        self._quota_refusals[_QuotaSeries(label, is_reached)] += 1
+
     def record_unanswered(self, closed_by: str) -> None:
         """Record a request whose connection closed before its answer was complete."""
         self._unanswered[_ClosingSeries(closed_by)] += 1
@@ -402,6 +428,7 @@
     | Counter[_ClosingSeries]
     | Counter[_AnnouncementSeries]
     | Counter[_RoomSeries]
-    | Counter[_KeyRefusalSeries],
+    | Counter[_KeyRefusalSeries]
+    | Counter[_QuotaSeries],
 ) -> list[Observation]:
     return [Observation(count, series.attributes()) for series, count in counts.items()]
