--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -6,8 +6,9 @@
 attributes; ``max_series`` gives the bound.
 """
 
+import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -16,6 +17,7 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
 
+from dogwoodhook.state.load_spread import LoadSpread
 from dogwoodhook.state.outcomes import NotRunReason, UnknownReason
 
 LATENCY_BUCKETS_MS = (1.0, 2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 1000.0, 5000.0)
@@ -33,13 +35,25 @@
 HOLDER_PROBLEMS = 2
 """Problems with a key that a workspace held, or holds for all that is known."""
 
-DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 6 + CLOSING_REASONS + KEY_PROBLEMS
-"""Series of the daemon: two histograms, three gauges and five counters.
+ROOM_OUTCOMES = 4
+"""Outcomes of a request that asks for room at its service."""
 
-Two of the counters have one series for each closing reason and for each problem of a
-key.
+DAEMON_SERIES = (
+    2 * (len(LATENCY_BUCKETS_MS) + 3)
+    + 8
+    + CLOSING_REASONS
+    + KEY_PROBLEMS
+    + ROOM_OUTCOMES
+)
+"""Series of the daemon: two histograms, four gauges and seven counters.
+
+Three of the counters have one series for each closing reason, for each problem of a
+key and for each outcome.
 """
 
+LOAD_BOUNDS = 2
+"""Gauges of the targets' load for each service: the largest and the smallest."""
+
 MIN_QUEUEING_MS = 0.5
 """Time up to which choosing a target does not count as waiting for one."""
 
@@ -74,6 +88,13 @@
         return {"kind": self.kind}
 
 
+class _RoomSeries(NamedTuple):
+    outcome: str
+
+    def attributes(self) -> dict[str, str]:
+        return {"outcome": self.outcome}
+
+
 class _RequestSeries(NamedTuple):
     service: str
     request_class: str
@@ -91,12 +112,12 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    15378
+    15586
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
     per_class = 3 * histogram + outcomes + 1
-    by_service = (services + 1) * REQUEST_CLASSES * per_class
+    by_service = (services + 1) * (REQUEST_CLASSES * per_class + LOAD_BOUNDS)
     per_workspace = histogram + HOLDER_PROBLEMS
     return by_service + (workspaces + 1) * per_workspace + DAEMON_SERIES
 
@@ -190,6 +211,19 @@
             description="requests whose connection was closed before a whole answer",
         )
 
+        self._room_waits: Counter[_RoomSeries] = Counter()
+        self._room_wait_s = 0.0
+        meter.create_observable_counter(
+            "dogwoodhook_room",
+            callbacks=[lambda options: _observations(self._room_waits)],
+            description="requests by whether their service had room for them",
+        )
+        meter.create_observable_counter(
+            "dogwoodhook_room_wait",
+            callbacks=[lambda options: [Observation(self._room_wait_s)]],
+            unit="s",
+            description="time that requests were held back for want of room",
+        )
         meter.create_observable_counter(
             "dogwoodhook_target_crashes",
             callbacks=[lambda options: [Observation(self._target_crashes)]],
@@ -245,6 +279,46 @@
             description="time since the list of targets was certainly the newest",
         )
 
+    def watch_load(
+        self,
+        *,
+        spread: Callable[[], Mapping[str, LoadSpread]],
+        news_age_s: Callable[[], float | None],
+    ) -> None:
+        """Expose the spread of the targets' load, and the age of neighbours' reports.
+
+        The load is in requests in flight for each slot, by service.
+        """
+
+        def observe_spread() -> list[Observation]:
+            smallest: dict[str, float] = {}
+            largest: dict[str, float] = {}
+            for name, each in spread().items():
+                service = self._services.label(name)
+                smallest[service] = min(each.smallest, smallest.get(service, math.inf))
+                largest[service] = max(each.largest, largest.get(service, 0.0))
+            return [
+                Observation(load, {"service": service, "bound": bound})
+                for bound, loads in (("smallest", smallest), ("largest", largest))
+                for service, load in loads.items()
+            ]
+
+        self._meter.create_observable_gauge(
+            "dogwoodhook_target_load",
+            callbacks=[lambda options: observe_spread()],
+            description="largest and smallest load of a target of the own data centre",
+        )
+        self._meter.create_observable_gauge(
+            "dogwoodhook_load_report_age",
+            callbacks=[
+                lambda options: [
+                    Observation(age_s) for age_s in (news_age_s(),) if age_s is not None
+                ]
+            ],
+            unit="s",
+            description="usual age of neighbours' reports of load, if it is measured",
+        )
+
     def record_adoption(self, duration_ms: float) -> None:
         """Record the time from another daemon's notice of a version to its use here."""
         self._adoption.record(duration_ms)
@@ -261,6 +335,11 @@
         """Record a request that was refused because of its quarantine."""
         self._quarantine_refusals += 1
 
+    def record_room_wait(self, outcome: str, waited_s: float) -> None:
+        """Record whether a request got room: ``at-once``, ``waited``, ``too-late``."""
+        self._room_waits[_RoomSeries(outcome)] += 1
+        self._room_wait_s += waited_s
+
     def record_target_announcement(self, kind: str) -> None:
         """Record that a target announced something in an answer."""
         self._target_announcements[_AnnouncementSeries(kind)] += 1
@@ -322,6 +401,7 @@
     | Counter[_RetrySeries]
     | Counter[_ClosingSeries]
     | Counter[_AnnouncementSeries]
+    | Counter[_RoomSeries]
     | Counter[_KeyRefusalSeries],
 ) -> list[Observation]:
     return [Observation(count, series.attributes()) for series, count in counts.items()]
--- a/dogwoodhook/transport/fleet_view.py
+++ b/dogwoodhook/transport/fleet_view.py
@@ -1,6 +1,7 @@
 """What a forwarder knows of the fleet, and how it sends messages to it."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -13,6 +14,7 @@
 from dogwoodhook.state.route_policy import RoutingConfiguration
 from dogwoodhook.state.suspicion import Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory
+from dogwoodhook.state.typical_latency import TypicalLatency
 from dogwoodhook.state.workspace_access import ConfigurationAge
 from dogwoodhook.transport.crash_checks import CrashChecks
 from dogwoodhook.transport.target_connections import TargetConnections
@@ -26,8 +28,9 @@
     ``targets_age_s`` is the time since the directory was known to be up to date.
     ``is_ready`` is set once routes and targets are known. ``notify_fleet`` sends
     to all daemons, ``notify_neighbours`` and ``load_sharing`` to those of the own data
-    centre. ``receive_pending`` processes messages that have arrived and have not been
-    read yet.
+    centre. ``typical_latencies`` is keyed by service. ``receive_pending`` processes
+    messages that have arrived and have not been read yet. ``has_competing_load`` is set
+    where callers compete for too little room.
     """
 
     configuration: Callable[[], RoutingConfiguration | None]
@@ -45,5 +48,8 @@
     notify_fleet: Callable[[TargetFailure | TargetSuccess], None]
     notify_neighbours: Callable[[TargetFailure], None]
     load_sharing: LoadSharing
+    typical_latencies: defaultdict[str, TypicalLatency]
     receive_pending: Callable[[], None]
     count_daemons: Callable[[], int]
+    is_stopping: Callable[[], bool]
+    has_competing_load: bool
