Rank only the daemons that joined when ranking coordinators

At each change of the list of live daemons, each daemon ranked all others for each workspace that it had requests of: at 2,010 daemons and 84 workspaces 170,000 hashes. Now only those that joined are ranked, and the rankings that lost a daemon.

--- a/dogwoodhook/coordination/quota_sharing.py
+++ b/dogwoodhook/coordination/quota_sharing.py
@@ -107,6 +107,7 @@
         self._avoided_until_s: dict[str, float] = {}
         self._reporters_s: defaultdict[str, dict[str, float]] = defaultdict(dict)
         self._daemons: Mapping[str, list[str]] | None = None
+        self._names: frozenset[str] = frozenset()
         self._rankings: dict[str, tuple[str, ...]] = {}
         self._known_policies: Mapping[str, WorkspacePolicy] | None = None
         self._report_timer: asyncio.TimerHandle | None = None
@@ -168,16 +169,27 @@
     def _coordinators(self, workspace: str) -> tuple[str, ...]:
         daemons = self._links.live_daemons()
         if daemons is not self._daemons:
-            if daemons != self._daemons:
-                self._rankings.clear()
             self._daemons = daemons
+            self._update_rankings(
+                frozenset(name for names in daemons.values() for name in names)
+            )
         ranking = self._rankings.get(workspace)
         if ranking is None:
-            others = [name for names in daemons.values() for name in names]
-            ranking = coordinators_of(workspace, [self._daemon, *others])
+            ranking = coordinators_of(workspace, self._names | {self._daemon})
             self._rankings[workspace] = ranking
         return ranking
 
+    def _update_rankings(self, names: frozenset[str]) -> None:
+        """Rank only what has changed: a ranking of all costs a hash for each daemon."""
+        added, removed = names - self._names, self._names - names
+        self._names = names
+        if added or removed:
+            self._rankings = {
+                workspace: coordinators_of(workspace, {*ranking, *added})
+                for workspace, ranking in self._rankings.items()
+                if removed.isdisjoint(ranking)
+            }
+
     async def _ask(
         self,
         policy: WorkspacePolicy,
--- a/tests/test_quota_sharing.py
+++ b/tests/test_quota_sharing.py
@@ -229,3 +229,15 @@
     fleet = virtual_time.run(work)
     assert fleet.refusals["ukara"]
     assert not fleet.refusals["other"]
+
+
+def test_a_daemon_that_joins_or_leaves_is_ranked_as_if_all_were_ranked_anew():
+    fleet = QuotaFleet(DAEMONS)
+    sharing = fleet.sharing["vm-0"]
+    workspaces = [f"workspace-{number}" for number in range(40)]
+    for gone in ({"vm-3", "vm-4"}, {"vm-4", "vm-9"}, set(), {"vm-30"}):
+        fleet.gone = gone
+        live = [name for name in fleet.names if name not in gone]
+        for workspace in workspaces:
+            ranking = sharing._coordinators(workspace)
+            assert ranking == coordinators_of(workspace, live)
