--- a/dogwoodhook/transport/target_shortage.py
+++ b/dogwoodhook/transport/target_shortage.py
@@ -28,6 +28,8 @@
     fleet: FleetView, routed: RoutedRequest, *, now_s: float
 ) -> RefusalCause:
     """Return why a request that has not run is refused."""
+    if routed.expected_room is not None:
+        return routed.expected_room
     directory, turn = fleet.directory, routed.turn
     targets = directory.available(routed.service, turn=turn, now_s=now_s)
     if not targets:
