Benchmark who waits and who is refused, and expect waits from grants

The wait of an arriving request was expected from the targets' load alone; it is now expected from the rate of the daemon's own grants, and half of a request's time is kept for more urgent ones that arrive later. A held request needs 1.5 times the usual latency to be sent, so that fewer slots work for callers that have given up.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -12,6 +12,7 @@
     "detection",
     "overload",
     "even_load",
+    "crowding",
     "quarantine",
     "control_configuration",
     "control_ejection",
--- a/dogwoodhook/state/crowding.py
+++ b/dogwoodhook/state/crowding.py
@@ -21,7 +21,7 @@
 
 import math
 import random
-from collections import Counter, OrderedDict, defaultdict
+from collections import Counter, OrderedDict, defaultdict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -42,6 +42,20 @@
 CONCURRENT_SHARE = 0.3
 """Share of the daemons assumed to send a held request at the same moment."""
 
+RECENT_GRANTS = 32
+MIN_GRANTS = 4
+MAX_GRANT_AGE_S = 5.0
+"""Grants from whose rate the wait is expected: how many are remembered, how many are
+needed, and the age up to which they count."""
+
+WAIT_MARGIN = 2.0
+"""Multiple of the expected wait that a request must have left when it arrives, since
+more urgent requests that arrive later go before it."""
+
+END_MARGIN = 1.5
+"""Multiple of the usual time that a held request must have left to be sent: half of all
+requests take longer than the usual time."""
+
 MIN_TIMES_USUAL = 3.0
 """Multiple of the usual time of the work that a shed request must have left to wait."""
 
@@ -72,7 +86,7 @@
 
     def can_end(self, *, usual_s: float, now_s: float) -> bool:
         """Return whether the request can end before its deadline if sent now."""
-        return now_s + usual_s <= self.deadline_s
+        return now_s + END_MARGIN * usual_s <= self.deadline_s
 
     def is_in_time(self, *, usual_s: float, now_s: float) -> bool:
         """Return whether it can be answered within its target latency if sent now."""
@@ -180,6 +194,9 @@
         self._passes: dict[tuple[str, str], float] = {}
         self._virtual_times: defaultdict[str, float] = defaultdict(float)
         self._grants: Counter[str] = Counter()
+        self._granted_s: defaultdict[str, deque[float]] = defaultdict(
+            lambda: deque(maxlen=RECENT_GRANTS)
+        )
 
     def __len__(self) -> int:
         return len(self._held)
@@ -214,9 +231,17 @@
         ahead = sum(not each.sheds for each in self._held_for(request.service))
         if not room.slots or (room.places and not ahead):
             return SendNow()
-        expected_s = (1 + ahead * daemons) * room.time_per_end_s(usual_s)
+        per_grant_s = daemons * room.time_per_end_s(usual_s)
+        granted_s = self._granted_s[request.service]
+        if len(granted_s) >= MIN_GRANTS and now_s - granted_s[0] < MAX_GRANT_AGE_S:
+            per_grant_s = (now_s - granted_s[0]) / len(granted_s)
+        expected_s = room.time_per_end_s(usual_s) + ahead * per_grant_s
         return self._wait_or_refuse(
-            request, expected_s, usual_s=usual_s, now_s=now_s, least_left_s=0.0
+            request,
+            expected_s,
+            usual_s=usual_s,
+            now_s=now_s,
+            least_left_s=WAIT_MARGIN * expected_s + usual_s,
         )
 
     def decide_shed(
@@ -290,6 +315,8 @@
         if not ready:
             return None
         chosen = self._choose(ready, usual_s=usual_s, now_s=now_s)
+        if not chosen.sheds:
+            self._granted_s[service].append(now_s)
         self.release(chosen.number)
         return chosen
 
@@ -331,7 +358,7 @@
         least_left_s: float,
     ) -> Decision:
         left_s = request.deadline_s - now_s
-        if left_s < max(expected_s + usual_s, least_left_s):
+        if left_s < max(expected_s + END_MARGIN * usual_s, least_left_s):
             return RefuseTooLate(expected_s)
         held_bytes = sum(each.body_bytes for each, _ in self._held.values())
         if (
