Let requests with large bodies leave their data centre last

A request left its data centre once the slots of the targets there were taken, whatever its size. One with a body of 16 KiB or more now stays as long as a queue there lets it be answered within half of its target latency, at most 2.5 requests in flight longer; a target in doubt is still left for a sound one elsewhere. Others leave as before.

A metric counts the requests that were sent elsewhere.

--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -35,7 +35,7 @@
 HOLDER_PROBLEMS = 2
 """Problems with a key that a workspace held, or holds for all that is known."""
 
-ROOM_OUTCOMES = 4
+ROOM_OUTCOMES = 5
 """Outcomes of a request that asks for room at its service."""
 
 DAEMON_SERIES = (
@@ -112,7 +112,7 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    15586
+    15587
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
@@ -336,7 +336,11 @@
         self._quarantine_refusals += 1
 
     def record_room_wait(self, outcome: str, waited_s: float) -> None:
-        """Record whether a request got room: ``at-once``, ``waited``, ``too-late``."""
+        """Record whether a request got room at its service.
+
+        ``outcome`` is ``at-once``, ``waited``, ``elsewhere`` (in another data centre),
+        ``too-late`` or ``no-room``.
+        """
         self._room_waits[_RoomSeries(outcome)] += 1
         self._room_wait_s += waited_s
 
--- a/dogwoodhook/state/placement.py
+++ b/dogwoodhook/state/placement.py
@@ -22,13 +22,10 @@
 from dogwoodhook.state.crowding import ServiceRoom
 from dogwoodhook.state.fleet_load import FleetLoad
 from dogwoodhook.state.load_estimate import LoadEstimator
+from dogwoodhook.state.remote_choice import REMOTE_COST
 from dogwoodhook.state.suspicion import Standing, Suspicion
 from dogwoodhook.state.target_directory import TargetEntry
 
-REMOTE_COST = 3.0
-"""Requests in flight by which a target of the own data centre may be busier than one
-of another data centre before the latter is chosen: the usual number of slots."""
-
 TYPICAL_SLOTS = 3.0
 """Slots of a target at which a request in flight costs 1; with more it costs less."""
 
@@ -75,13 +72,15 @@
 class Candidate:
     """A target and its cost; the target with the lowest cost is chosen.
 
-    ``has_free_slot`` considers only requests from the own data centre.
+    ``has_free_slot`` considers only requests from the own data centre. A target in
+    another data centre ``is_elsewhere``.
     """
 
     target: TargetEntry
     cost: float
     standing: Standing
     has_free_slot: bool
+    is_elsewhere: bool = False
 
 
 class Placement:
@@ -144,8 +143,12 @@
         tried: frozenset[str],
         is_idempotent: bool,
         now_s: float,
+        cost_elsewhere: float = REMOTE_COST,
     ) -> Candidate | None:
-        """Return the best target that was not tried yet, or ``None``."""
+        """Return the best target that was not tried yet, or ``None``.
+
+        ``cost_elsewhere`` is the cost of targets of other data centres.
+        """
         untried = [each for each in targets if each.name not in tried]
         estimate = self._estimator.estimate(untried, now_s=now_s)
         in_flight = estimate.in_flight
@@ -157,6 +160,7 @@
                     in_flight=in_flight[target.name],
                     is_idempotent=is_idempotent,
                     now_s=now_s,
+                    cost_elsewhere=cost_elsewhere,
                 )
                 for target in compared
             )
@@ -194,14 +198,16 @@
         in_flight: float,
         is_idempotent: bool,
         now_s: float,
+        cost_elsewhere: float = REMOTE_COST,
     ) -> Candidate:
         avoidance = self._suspicion.avoidance(
             target.name, is_idempotent=is_idempotent, now_s=now_s
         )
         cost = in_flight * TYPICAL_SLOTS / target.slots
         cost += self._rng.uniform(0, RANDOM_COST)
-        if target.data_centre != self._data_centre:
-            cost += REMOTE_COST
+        is_elsewhere = target.data_centre != self._data_centre
+        if is_elsewhere:
+            cost += cost_elsewhere
         if target.warmup_s > 0:
             cost += WARMUP_COST
         if not self._has_idle_connection(target) and not self._is_untried(
@@ -219,7 +225,13 @@
                 cost += SLOW_COST
             case Standing.SOUND:
                 pass
-        return Candidate(target, cost, avoidance.standing, in_flight < target.slots)
+        return Candidate(
+            target,
+            cost,
+            avoidance.standing,
+            has_free_slot=in_flight < target.slots,
+            is_elsewhere=is_elsewhere,
+        )
 
     def _is_untried(self, target: TargetEntry, now_s: float) -> bool:
         """Return whether a target joined recently and was not used by this daemon."""
--- a/dogwoodhook/transport/held_requests.py
+++ b/dogwoodhook/transport/held_requests.py
@@ -20,6 +20,7 @@
     Wait,
     WaitingRequest,
 )
+from dogwoodhook.state.remote_choice import remote_cost
 from dogwoodhook.transport.fleet_reports import FleetReports
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.routed_request import RoutedRequest
@@ -40,9 +41,9 @@
 class HeldRequests:
     """Lets requests wait for room, and tells them when to go or that it is too late.
 
-    ``holds_arrivals`` is set where requests are held before they were sent once, and
-    where one that was shed by all targets waits, too. Elsewhere a shed request waits
-    only while sheds have spent the retry budget.
+    Where callers compete for room, requests are also held before they were sent once,
+    and one that was shed by all targets waits, too. Elsewhere a shed request waits only
+    while sheds have spent the retry budget.
     """
 
     def __init__(
@@ -52,15 +53,13 @@
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
-        *,
-        holds_arrivals: bool,
     ) -> None:
         self._fleet = fleet
         self._reports = reports
         self._clock = clock
         self._metrics = metrics
         self._crowding = Crowding(rng)
-        self._holds_arrivals = holds_arrivals
+        self._holds_arrivals = fleet.has_competing_load
         self._held: dict[int, _HeldRequest] = {}
         self._numbers = itertools.count(1)
         self._check: asyncio.Task[None] | None = None
@@ -106,6 +105,14 @@
         )
         return await self._follow(decision, routed, waiting, usual_s)
 
+    def cost_elsewhere(self, routed: RoutedRequest) -> float:
+        """Return the cost of sending a request to another data centre."""
+        return remote_cost(
+            body_bytes=len(routed.body.prelude),
+            usual_s=self._usual_s(routed),
+            target_latency_s=routed.route.target_latency_s,
+        )
+
     async def _follow(
         self,
         decision: Decision,
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -161,14 +161,7 @@
         )
         self._clock = clock
         self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
-        self._held_requests = HeldRequests(
-            fleet,
-            self._reports,
-            clock,
-            metrics,
-            rng,
-            holds_arrivals=fleet.has_competing_load,
-        )
+        self._held_requests = HeldRequests(fleet, self._reports, clock, metrics, rng)
         self._rng = rng
         self._announcements = AnnouncementRecorder(fleet.directory, clock, metrics, rng)
         self._held_answers = HeldAnswers(
@@ -505,6 +498,8 @@
         if candidate is None:
             return None
         routed.last_standing = candidate.standing
+        if candidate.is_elsewhere:
+            self._metrics.record_room_wait("elsewhere", 0.0)
         return candidate.target
 
     def _hedge_target(self, routed: RoutedRequest) -> TargetEntry | None:
@@ -545,6 +540,7 @@
             tried=routed.excluded_targets,
             is_idempotent=routed.route.is_idempotent,
             now_s=now_s,
+            cost_elsewhere=self._held_requests.cost_elsewhere(routed),
         )
 
     def _time_to_hedge_s(self, routed: RoutedRequest, in_flight: int) -> float | None:
