--- a/tests/platform_adapter/conftest.py
+++ b/tests/platform_adapter/conftest.py
@@ -93,7 +93,14 @@
         return await self.stack.enter_async_context(running_store_endpoint(self.store))
 
     async def start_gateway(
-        self, name="vm-1", *, is_ready=True, store_address=None, clock=None, **bounds
+        self,
+        name="vm-1",
+        *,
+        is_ready=True,
+        store_address=None,
+        clock=None,
+        has_competing_load=False,
+        **bounds,
     ):
         store_address = store_address or self.store.address
         address = Address(HOST, free_port())
@@ -105,6 +112,7 @@
             peer_address=Address(HOST, free_port()),
             store_address=store_address,
             bounds=ServiceBounds(**bounds),
+            has_competing_load=has_competing_load,
         )
         store = HttpStore(store_address)
         gateway = Gateway(
--- a/tests/platform_adapter/test_held_requests.py
+++ b/tests/platform_adapter/test_held_requests.py
@@ -7,11 +7,11 @@
 from tests.platform_adapter.conftest import make_route
 
 
-async def start(platform, *behaviours, retries=2.0):
+async def start(platform, *behaviours, retries=2.0, **settings):
     await platform.configure(post=make_route("/post/", timeout="4000ms"))
-    target = await platform.start_target("t1", *behaviours)
+    target = await platform.start_target("t1", *behaviours, slots=1)
     gateway = await platform.start_gateway(
-        retry_ratio=0.0, retry_extra=retries, retry_window_s=0.4
+        retry_ratio=0.0, retry_extra=retries, retry_window_s=0.4, **settings
     )
     return target, gateway
 
@@ -51,3 +51,38 @@
     stopping = asyncio.create_task(gateway.drain())
     assert (await waiting).status == 503
     await stopping
+
+
+async def send_three(platform):
+    calls = []
+    for number in range(3):
+        calls.append(asyncio.create_task(platform.send(f"/post/{number}", data=b"x")))
+        await asyncio.sleep(0.03)
+    return await asyncio.gather(*calls)
+
+
+async def test_a_request_waits_while_slots_and_a_short_queue_are_taken(platform):
+    target, _ = await start(platform, behave.after(0.4), has_competing_load=True)
+    waiting = asyncio.create_task(send_three(platform))
+    await asyncio.sleep(0.2)
+    assert len(target.received) == 2
+    assert [reply.status for reply in await waiting] == [200, 200, 200]
+
+
+async def test_no_request_waits_for_a_slot_where_callers_do_not_compete(platform):
+    target, _ = await start(platform, behave.after(0.4))
+    waiting = asyncio.create_task(send_three(platform))
+    await asyncio.sleep(0.2)
+    assert len(target.received) == 3
+    assert [reply.status for reply in await waiting] == [200, 200, 200]
+
+
+async def test_a_request_that_cannot_end_in_time_is_refused_before_it_waits(platform):
+    target, _ = await start(platform, behave.after(0.4), has_competing_load=True)
+    first = asyncio.create_task(send_three(platform))
+    await asyncio.sleep(0.1)
+    reply = await platform.send("/post/3", data=b"x", headers={"Deadline-Ms": "700"})
+    assert reply.status == 503
+    assert float(reply.headers["Retry-After"]) > 0
+    await first
+    assert len(target.received) == 3
--- a/tests/platform_adapter/test_settings_file.py
+++ b/tests/platform_adapter/test_settings_file.py
@@ -43,6 +43,13 @@
     assert settings.bounds.retry_extra == 62
 
 
+def test_callers_compete_for_room_only_where_the_settings_say_so():
+    others = f"{SETTINGS_TEXT}contracts=base,pressures,platform\n"
+    assert not parse_settings(others, place="boot.conf").has_competing_load
+    named = f"{SETTINGS_TEXT}contracts=base,pressure,platform\n"
+    assert parse_settings(named, place="boot.conf").has_competing_load
+
+
 def test_every_problem_is_reported_with_its_line():
     text = SETTINGS_TEXT.replace("10.1.0.15:8641", "10.1.0.15").replace(
         "10000ms", "soon"
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -8,6 +8,7 @@
     MAX_RETRY_AFTER_S,
     MIN_RETRY_AFTER_S,
     NoTargetKnown,
+    RoomExpected,
     TargetsPaused,
     TargetsRefused,
     TargetsShed,
@@ -71,3 +72,11 @@
     servable = 1 - SHED_SHARE**ATTEMPTS
     assert share_answered_in_time(TargetsShed()) > 0.95 * servable
     assert share_answered_in_time(TargetsRefused(available_in_s=5.0)) < 0.8 * servable
+
+
+def test_urgent_callers_return_when_room_is_expected_and_the_others_after_them():
+    urgent, usual = (
+        retry_times_s(RoomExpected(2.0, priority=priority)) for priority in (0, 1)
+    )
+    assert 2.0 <= urgent[0] < urgent[-1] <= usual[0] < usual[-1]
+    assert urgent[-1] - urgent[0] > 0.9
