Judge the age of news by the time of work that does not queue

While targets were overrun, requests took longer, so news of 50 ms counted as recent: all daemons compared all targets again, and each shed opened another connection.

--- a/dogwoodhook/state/load_estimate.py
+++ b/dogwoodhook/state/load_estimate.py
@@ -29,9 +29,13 @@
 from dogwoodhook.state.target_directory import TargetEntry
 
 MIN_OLD_SHARE = 0.1
-"""Age of the news, as a share of the usual time of the work, from which counts are
-corrected: a tenth of the reported requests have ended. Below it daemons find free slots
-at least as often by comparing more targets."""
+"""Age of the news, as a share of the usual time of the work without queueing, from
+which counts are corrected: a tenth of the reported requests have ended. Below it
+daemons find free slots at least as often by comparing more targets."""
+
+CALM_WORK_DOUBLING_S = 60.0
+"""Time in which the usual time of unhindered work may double: bursts last seconds, and
+a service whose work has become longer is followed within minutes."""
 
 RECENT_ECHOES = 9
 """Echoes over which the median age is taken; one that was lost does not change it."""
@@ -118,6 +122,8 @@
         self._load = load
         self._news_age_s = news_age_s
         self._work_s = work_s
+        # For each service, the time of unhindered work and when it was determined.
+        self._calm_work: dict[str, tuple[float, float]] = {}
 
     def estimate(self, targets: Sequence[TargetEntry], *, now_s: float) -> LoadEstimate:
         """Return the requests in flight at targets of one service."""
@@ -148,10 +154,24 @@
             return None
         age_s = self._news_age_s(now_s=now_s)
         work_s = self._work_s(targets[0].service)
-        if age_s is None or work_s is None or age_s < MIN_OLD_SHARE * work_s:
+        if age_s is None or work_s is None:
+            return None
+        calm_work_s = self._calm_work_s(targets[0].service, work_s, now_s)
+        if age_s < MIN_OLD_SHARE * calm_work_s:
             return None
         return math.exp(-age_s / work_s)
 
+    def _calm_work_s(self, service: str, work_s: float, now_s: float) -> float:
+        """Return the usual time of a service's requests while none of them queue.
+
+        Requests that queue at busy targets take longer, but no fewer are started.
+        """
+        known_s, at_s = self._calm_work.get(service, (work_s, now_s))
+        grown_s = known_s * 2 ** ((now_s - at_s) / CALM_WORK_DOUBLING_S)
+        calm_work_s = min(work_s, grown_s)
+        self._calm_work[service] = calm_work_s, now_s
+        return calm_work_s
+
 
 def _ended_by_data_centre(
     targets: Sequence[TargetEntry], reported: Counter[str], share: float
--- a/tests/test_load_estimate.py
+++ b/tests/test_load_estimate.py
@@ -49,6 +49,19 @@
     assert estimated.in_flight == load.by_target(now_s=0.0)
 
 
+def test_counts_that_are_old_remain_so_while_requests_queue(load):
+    work_s = [0.3]
+    estimator = LoadEstimator(
+        load,
+        news_age_s=lambda *, now_s: 0.05,
+        work_s=lambda service: work_s[0],
+    )
+    assert estimator.estimate(TARGETS, now_s=0.0).is_old
+    work_s[0] = 2.0
+    assert estimator.estimate(TARGETS, now_s=5.0).is_old
+    assert not estimator.estimate(TARGETS, now_s=600.0).is_old
+
+
 def test_old_counts_differ_less_and_own_requests_count_in_full(load):
     counts = [
         estimate(load, age_s=age_s).in_flight for age_s in (0.1, 0.3, 100 * WORK_S)
@@ -180,6 +193,15 @@
     assert corrected[name] <= as_reported[name]
 
 
+def test_a_burst_on_old_news_sheds_fewer_requests_by_corrected_counts():
+    layout = replace(HALF_BUSY, load=1.3, age_s=0.05)
+    corrected = play(layout, corrects_counts=True)
+    as_reported = play(layout, corrects_counts=False)
+    assert corrected["sheds_per_request"] < 0.75 * as_reported["sheds_per_request"]
+    name = "new_connections_per_request"
+    assert corrected[name] < as_reported[name]
+
+
 def test_with_recent_news_nothing_changes():
     layout = replace(HALF_BUSY, age_s=0.005)
     assert play(layout, corrects_counts=True) == play(layout, corrects_counts=False)
