--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -29,10 +29,29 @@
 CLOSING_REASONS = 4
 """Reasons for which a caller's connection is closed."""
 
-DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 7 + CLOSING_REASONS
-"""Series of the daemon: two histograms, four gauges and four counters.
+KEY_PROBLEMS = 5
+"""Problems with the key of a request whose workspace is not known."""
 
-One of the counters has one series for each closing reason.
+HOLDER_PROBLEMS = 2
+"""Problems with a key that a workspace held, or holds for all that is known."""
+
+ROOM_OUTCOMES = 4
+"""Outcomes of a request that asks for room at its service."""
+
+QUOTA_OUTCOMES = 2
+"""Whether a refusal over a quota was decided by the quota's coordinator or not."""
+
+DAEMON_SERIES = (
+    2 * (len(LATENCY_BUCKETS_MS) + 3)
+    + 8
+    + CLOSING_REASONS
+    + KEY_PROBLEMS
+    + ROOM_OUTCOMES
+)
+"""Series of the daemon: two histograms, four gauges and seven counters.
+
+Three of the counters have one series for each closing reason, for each problem of a
+key and for each outcome.
 """
 
 LOAD_BOUNDS = 2
@@ -57,6 +76,23 @@
         return {"closed_by": self.closed_by}
 
 
+class _KeyRefusalSeries(NamedTuple):
+    problem: str
+    workspace: str
+
+    def attributes(self) -> dict[str, str]:
+        return {"problem": self.problem, "workspace": self.workspace}
+
+
+class _QuotaSeries(NamedTuple):
+    workspace: str
+    is_reached: bool
+
+    def attributes(self) -> dict[str, str]:
+        reached = "yes" if self.is_reached else "no"
+        return {"workspace": self.workspace, "coordinator_reached": reached}
+
+
 class _AnnouncementSeries(NamedTuple):
     kind: str
 
@@ -64,6 +100,13 @@
         return {"kind": self.kind}
 
 
+class _RoomSeries(NamedTuple):
+    outcome: str
+
+    def attributes(self) -> dict[str, str]:
+        return {"outcome": self.outcome}
+
+
 class _RequestSeries(NamedTuple):
     service: str
     request_class: str
@@ -81,13 +124,14 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    15174
+    15988
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
     per_class = 3 * histogram + outcomes + 1
     by_service = (services + 1) * (REQUEST_CLASSES * per_class + LOAD_BOUNDS)
-    return by_service + (workspaces + 1) * histogram + DAEMON_SERIES
+    per_workspace = histogram + HOLDER_PROBLEMS + QUOTA_OUTCOMES
+    return by_service + (workspaces + 1) * per_workspace + DAEMON_SERIES
 
 
 class BoundedLabels:
@@ -162,6 +206,8 @@
         self._target_crashes = 0
         self._quarantine_refusals = 0
         self._target_announcements: Counter[_AnnouncementSeries] = Counter()
+        self._key_refusals: Counter[_KeyRefusalSeries] = Counter()
+        self._quota_refusals: Counter[_QuotaSeries] = Counter()
         meter.create_observable_counter(
             "dogwoodhook_requests",
             callbacks=[lambda options: _observations(self._requests)],
@@ -178,6 +224,19 @@
             description="requests whose connection was closed before a whole answer",
         )
 
+        self._room_waits: Counter[_RoomSeries] = Counter()
+        self._room_wait_s = 0.0
+        meter.create_observable_counter(
+            "dogwoodhook_room",
+            callbacks=[lambda options: _observations(self._room_waits)],
+            description="requests by whether their service had room for them",
+        )
+        meter.create_observable_counter(
+            "dogwoodhook_room_wait",
+            callbacks=[lambda options: [Observation(self._room_wait_s)]],
+            unit="s",
+            description="time that requests were held back for want of room",
+        )
         meter.create_observable_counter(
             "dogwoodhook_target_crashes",
             callbacks=[lambda options: [Observation(self._target_crashes)]],
@@ -193,6 +252,16 @@
             callbacks=[lambda options: _observations(self._target_announcements)],
             description="changes that targets announced in their answers, by kind",
         )
+        meter.create_observable_counter(
+            "dogwoodhook_key_refusals",
+            callbacks=[lambda options: _observations(self._key_refusals)],
+            description="requests refused because of their key, by problem",
+        )
+        meter.create_observable_counter(
+            "dogwoodhook_quota_refusals",
+            callbacks=[lambda options: _observations(self._quota_refusals)],
+            description="requests refused because their workspace is over its quota",
+        )
 
     def watch_peer_bytes(self, read_total: Callable[[], int]) -> None:
         """Expose the bytes sent to peers; the total is read at each exposition."""
@@ -284,10 +353,31 @@
         """Record a request that was refused because of its quarantine."""
         self._quarantine_refusals += 1
 
+    def record_room_wait(self, outcome: str, waited_s: float) -> None:
+        """Record whether a request got room: ``at-once``, ``waited``, ``too-late``."""
+        self._room_waits[_RoomSeries(outcome)] += 1
+        self._room_wait_s += waited_s
+
     def record_target_announcement(self, kind: str) -> None:
         """Record that a target announced something in an answer."""
         self._target_announcements[_AnnouncementSeries(kind)] += 1
 
+    def record_key_refusal(self, problem: str, *, workspace: str = "") -> None:
+        """Record a request that was refused because of its key.
+
+        ``workspace`` is the holder of the key, if one is known.
+        """
+        label = self._workspaces.label(workspace) if workspace else ""
+        self._key_refusals[_KeyRefusalSeries(problem, label)] += 1
+
+    def record_quota_refusal(self, workspace: str, *, is_reached: bool) -> None:
+        """Record a request that was refused because of its workspace's quota.
+
+        ``is_reached`` tells whether a coordinator of the quota decided.
+        """
+        label = self._workspaces.label(workspace)
+        self._quota_refusals[_QuotaSeries(label, is_reached)] += 1
+
     def record_unanswered(self, closed_by: str) -> None:
         """Record a request whose connection closed before its answer was complete."""
         self._unanswered[_ClosingSeries(closed_by)] += 1
@@ -336,6 +426,9 @@
     counts: Counter[_RequestSeries]
     | Counter[_RetrySeries]
     | Counter[_ClosingSeries]
-    | Counter[_AnnouncementSeries],
+    | Counter[_AnnouncementSeries]
+    | Counter[_RoomSeries]
+    | Counter[_KeyRefusalSeries]
+    | Counter[_QuotaSeries],
 ) -> list[Observation]:
     return [Observation(count, series.attributes()) for series, count in counts.items()]
--- a/dogwoodhook/state/typical_latency.py
+++ b/dogwoodhook/state/typical_latency.py
@@ -52,6 +52,11 @@
             return None
         return statistics.median(self._latencies_s)
 
+    def usual_s(self, *, target_latency_s: float) -> float:
+        """Return the usual latency: the median, or a share of the target latency."""
+        median_s = self.median_s
+        return TARGET_LATENCY_SHARE * target_latency_s if median_s is None else median_s
+
     def overdue_s(self, *, target_latency_s: float) -> float:
         """Return the time after which a request is overdue at its target."""
         return self._limit_s(OVERDUE_FACTOR, target_latency_s)
--- a/dogwoodhook/transport/fleet_view.py
+++ b/dogwoodhook/transport/fleet_view.py
@@ -8,6 +8,7 @@
 from dogwoodhook.coordination.fleet_messages import TargetFailure, TargetSuccess
 from dogwoodhook.coordination.fleet_quarantine import FleetQuarantine
 from dogwoodhook.coordination.load_sharing import LoadSharing
+from dogwoodhook.coordination.quota_sharing import QuotaSharing
 from dogwoodhook.coordination.target_ends import TargetEnds
 from dogwoodhook.state.fleet_budget import FleetBudget
 from dogwoodhook.state.placement import Placement
@@ -15,6 +16,7 @@
 from dogwoodhook.state.suspicion import Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory
 from dogwoodhook.state.typical_latency import TypicalLatency
+from dogwoodhook.state.workspace_access import ConfigurationAge
 from dogwoodhook.transport.crash_checks import CrashChecks
 from dogwoodhook.transport.target_connections import TargetConnections
 
@@ -23,19 +25,23 @@
 class FleetView:
     """The parts that a forwarder shares with the rest of the daemon.
 
+    ``configuration_age`` tells how far the configuration may be behind.
     ``targets_age_s`` is the time since the directory was known to be up to date.
     ``is_ready`` is set once routes and targets are known. ``notify_fleet`` sends
     to all daemons, ``notify_neighbours`` and ``load_sharing`` to those of the own data
     centre. ``typical_latencies`` is keyed by service. ``receive_pending`` processes
-    messages that have arrived and have not been read yet.
+    messages that have arrived and have not been read yet. ``has_competing_load`` is set
+    where callers compete for too little room.
     """
 
     configuration: Callable[[], RoutingConfiguration | None]
+    configuration_age: Callable[[], ConfigurationAge]
     directory: TargetDirectory
     targets_age_s: Callable[[], float]
     suspicion: Suspicion
     placement: Placement
     budget: FleetBudget
+    quota_sharing: QuotaSharing
     connections: TargetConnections
     crash_checks: CrashChecks
     quarantine: FleetQuarantine
@@ -47,3 +53,5 @@
     typical_latencies: defaultdict[str, TypicalLatency]
     receive_pending: Callable[[], None]
     count_daemons: Callable[[], int]
+    is_stopping: Callable[[], bool]
+    has_competing_load: bool
