--- a/tests/platform_adapter/test_stop_processes.py
+++ b/tests/platform_adapter/test_stop_processes.py
@@ -19,7 +19,7 @@
 
 
 @asynccontextmanager
-async def daemon_process(platform, folder, *, grace_s):
+async def daemon_process(platform, folder, *, grace_s, more_settings=""):
     """Run a daemon as a process; yield it once it serves."""
     # The metrics port is fixed, so test runs at the same time need different addresses.
     host = f"127.{1 + os.getpid() % 200}.{os.getpid() // 200 % 200}.1"
@@ -36,6 +36,8 @@
     )
     daemon.settings = SimpleNamespace(caller_address=Address(host, daemon.caller_port))
     daemon.write_settings((free_port(), free_port()), grace_s=grace_s)
+    with daemon.settings_path.open("a") as settings:
+        settings.write(more_settings)
     await daemon.start()
     try:
         await until(
