Hold no more for callers than a share of the VM's memory

Callers saw a daemon end: 200 of them with heads of thousands of short lines, or bodies in small chunks that stopped short of their end, took 141 to 394 MB of a process that may have 128. A line of a head costs 180 to 400 bytes whatever its size, a chunk of a body 50 to 95, each upload up to three copies of its first 512 KiB, and nothing counted them together. A chunked body was never compared with the limit for bodies, and connections not with the descriptors of the process.

A daemon now has one account of what it holds for callers, a quarter of the process's memory (256 MiB if the platform sets none). Received bytes are parsed when the account admits their cost; until then the connection is not read. Costly ones are parsed in turns, a few milliseconds in each pass of the event loop, so that others are answered meanwhile. Over three quarters of the account no large body is started (503), and at its end the request is refused or the connection closed that holds most and has made the daemon wait. A body over the limit gets 413 however it is sent. Three quarters of the descriptors for sockets are for callers; beyond that, the connection that has been waited for longest is closed.

--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -451,6 +451,13 @@
     "A caller sent something that is not a valid request, or a request head that is too"
     " large or too late; the connection is closed.",
 )
+CALLERS_LIMITED = _event(
+    518,
+    "callers-limited",
+    Level.WARNING,
+    "A limit for all callers together refused a request or closed a connection;"
+    " `refusals` counts them since the last such line, at most one a second.",
+)
 DATAGRAM_DROPPED = _event(
     810,
     "datagram-dropped",
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -62,6 +62,7 @@
 from dogwoodhook.state.route_policy import CallerLimits
 from dogwoodhook.state.suspicion import FailureReport, Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
+from dogwoodhook.transport.caller_pressure import CallerPressure
 from dogwoodhook.transport.crash_checks import CrashChecks
 from dogwoodhook.transport.datagrams import DatagramPeers
 from dogwoodhook.transport.detached_tasks import DetachedTasks
@@ -275,6 +276,11 @@
             on_unanswered=forwarder.report_unanswered,
             get_limits=self._caller_limits,
             detached_tasks=detached_tasks,
+            pressure=CallerPressure(
+                self._metrics,
+                memory_bytes=settings.memory_bytes,
+                max_descriptors=settings.max_descriptors,
+            ),
         )
         self._operator_listeners = [
             OperatorListener(lambda: self.is_ready, self._metrics, address)
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -24,13 +24,19 @@
 """Classes of requests: idempotent and non-idempotent."""
 
 
-CLOSING_REASONS = 4
+CLOSING_REASONS = 5
 """Reasons for which a caller's connection is closed."""
 
-DAEMON_SERIES = 2 * (len(LATENCY_BUCKETS_MS) + 3) + 6 + CLOSING_REASONS
-"""Series of the daemon: two histograms, three gauges and four counters.
+CALLER_REFUSAL_REASONS = 4
+"""Reasons for which a limit for all callers refuses a request."""
 
-One of the counters has one series for each closing reason.
+DAEMON_SERIES = (
+    2 * (len(LATENCY_BUCKETS_MS) + 3) + 7 + CLOSING_REASONS + CALLER_REFUSAL_REASONS
+)
+"""Series of the daemon: two histograms, four gauges and five counters.
+
+One of the counters has one series for each closing reason, and one for each reason of
+a refusal.
 """
 
 MIN_QUEUEING_MS = 0.5
@@ -52,6 +58,13 @@
         return {"closed_by": self.closed_by}
 
 
+class _RefusalSeries(NamedTuple):
+    reason: str
+
+    def attributes(self) -> dict[str, str]:
+        return {"reason": self.reason}
+
+
 class _AnnouncementSeries(NamedTuple):
     kind: str
 
@@ -76,7 +89,7 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    14971
+    14977
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
@@ -154,6 +167,7 @@
         self._requests: Counter[_RequestSeries] = Counter()
         self._retries: Counter[_RetrySeries] = Counter()
         self._unanswered: Counter[_ClosingSeries] = Counter()
+        self._caller_refusals: Counter[_RefusalSeries] = Counter()
         self._target_crashes = 0
         self._quarantine_refusals = 0
         self._target_announcements: Counter[_AnnouncementSeries] = Counter()
@@ -173,6 +187,11 @@
             description="requests whose connection was closed before a whole answer",
         )
 
+        meter.create_observable_counter(
+            "dogwoodhook_caller_refusals",
+            callbacks=[lambda options: _observations(self._caller_refusals)],
+            description="requests and connections refused by a limit for all callers",
+        )
         meter.create_observable_counter(
             "dogwoodhook_target_crashes",
             callbacks=[lambda options: [Observation(self._target_crashes)]],
@@ -223,6 +242,19 @@
             description="time since the list of targets was certainly the newest",
         )
 
+    def watch_caller_memory(self, read_bytes: Callable[[], int]) -> None:
+        """Expose the bytes that are held for callers."""
+        self._meter.create_observable_gauge(
+            "dogwoodhook_caller_memory",
+            callbacks=[lambda options: [Observation(read_bytes())]],
+            unit="By",
+            description="memory held for heads, bodies and answers of callers",
+        )
+
+    def record_caller_refusal(self, reason: str) -> None:
+        """Record a request or connection that a limit for all callers refused."""
+        self._caller_refusals[_RefusalSeries(reason)] += 1
+
     def record_adoption(self, duration_ms: float) -> None:
         """Record the time from another daemon's notice of a version to its use here."""
         self._adoption.record(duration_ms)
@@ -291,6 +323,7 @@
     counts: Counter[_RequestSeries]
     | Counter[_RetrySeries]
     | Counter[_ClosingSeries]
+    | Counter[_RefusalSeries]
     | Counter[_AnnouncementSeries],
 ) -> list[Observation]:
     return [Observation(count, series.attributes()) for series, count in counts.items()]
--- a/dogwoodhook/state/retry_after.py
+++ b/dogwoodhook/state/retry_after.py
@@ -51,7 +51,14 @@
     """Targets refused the request although they have free slots."""
 
 
-RefusalCause = NoTargetKnown | TargetsPaused | TargetsRefused | TargetsShed
+@dataclass(frozen=True, slots=True)
+class MemoryShort:
+    """The daemon has no memory for the request; others are likely to have some."""
+
+
+RefusalCause = (
+    NoTargetKnown | TargetsPaused | TargetsRefused | TargetsShed | MemoryShort
+)
 
 
 def retry_after_s(cause: RefusalCause, *, rng: random.Random) -> float:
@@ -61,7 +68,7 @@
     True
     """
     match cause:
-        case NoTargetKnown():
+        case NoTargetKnown() | MemoryShort():
             return rng.uniform(NO_TARGET_RETRY_AFTER_S, 2 * NO_TARGET_RETRY_AFTER_S)
         case TargetsPaused(returns_in_s):
             spread_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, returns_in_s))
--- a/dogwoodhook/transport/bodies.py
+++ b/dogwoodhook/transport/bodies.py
@@ -1,6 +1,6 @@
 """Request bodies: small ones are buffered, larger ones are streamed."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -28,12 +28,19 @@
     identifying_bytes: bytes
     _request: web.BaseRequest = field(repr=False)
     has_been_sent: bool = False
+    _count: Callable[[int], None] = field(default=lambda size_bytes: None, repr=False)
+    _held_bytes: int = 0
 
     @property
     def can_be_sent(self) -> bool:
         """Return whether a further attempt can send the body from its beginning."""
         return self.is_complete or not self.has_been_sent
 
+    def release(self) -> None:
+        """Stop counting the bytes that were read, since the request has ended."""
+        held_bytes, self._held_bytes = self._held_bytes, 0
+        self._count(-held_bytes)
+
     def content(self) -> bytes | AsyncIterator[bytes]:
         """Return the body that an attempt sends: the buffered bytes, or a stream."""
         return self.prelude if self.is_complete else self._stream()
@@ -48,23 +55,49 @@
             raise CallerBodyError("the caller's upload broke off") from error
 
 
-async def read_prelude(request: web.BaseRequest, *, buffer_bytes: int) -> RequestBody:
-    """Read a body up to the size of the replay buffer; the rest is streamed later."""
+async def read_prelude(
+    request: web.BaseRequest,
+    *,
+    buffer_bytes: int,
+    count: Callable[[int], None] = lambda size_bytes: None,
+) -> RequestBody:
+    """Read a body up to the size of the replay buffer; the rest is streamed later.
+
+    ``count`` is called with the number of bytes that are held, negative once they no
+    longer are. Small pieces are joined, so that many of them take no more memory.
+    """
     if not request.body_exists:
         return RequestBody(b"", True, b"", _request=request)
     await _send_continue_if_expected(request)
-    parts: list[bytes] = []
-    size = 0
-    while size <= buffer_bytes:
-        chunk = await request.content.read(CHUNK_BYTES)
-        if not chunk:
-            body = b"".join(parts)
-            return RequestBody(body, True, body, _request=request)
-        parts.append(chunk)
-        size += len(chunk)
-    prelude = b"".join(parts)
+    received = bytearray()
+    is_complete = False
+    try:
+        while len(received) <= buffer_bytes and not is_complete:
+            chunk = await request.content.read(CHUNK_BYTES)
+            received += chunk
+            is_complete = not chunk
+            count(len(chunk))
+    except BaseException:
+        count(-len(received))
+        raise
+    prelude, held_bytes = bytes(received), len(received)
+    if is_complete:
+        return RequestBody(
+            prelude, True, prelude, request, _count=count, _held_bytes=held_bytes
+        )
     length = f"{request.content_length}".encode()
-    return RequestBody(prelude, False, prelude[:buffer_bytes] + length, request)
+    identifying_bytes = prelude[:buffer_bytes] + length
+    # The bytes that identify the body are a second copy.
+    count(len(identifying_bytes))
+    held_bytes += len(identifying_bytes)
+    return RequestBody(
+        prelude,
+        False,
+        identifying_bytes,
+        request,
+        _count=count,
+        _held_bytes=held_bytes,
+    )
 
 
 async def _send_continue_if_expected(request: web.BaseRequest) -> None:
--- /dev/null
+++ b/dogwoodhook/transport/caller_pressure.py
@@ -0,0 +1,178 @@
+"""Decides for all connections of callers what is parsed now, later, or refused."""
+
+import asyncio
+from collections import deque
+from enum import StrEnum
+from typing import Protocol
+
+from dogwoodhook.events import CALLERS_LIMITED, log
+from dogwoodhook.metrics import Metrics
+from dogwoodhook.state.caller_memory import (
+    CallerMemory,
+    Holding,
+    ParsingPass,
+    choose_closed,
+    choose_refused,
+    limit_bytes,
+    max_connections,
+)
+
+WAITING_INTERVAL_S = 0.05
+"""Interval at which it is checked whether waiting connections may be read again."""
+
+LOG_INTERVAL_S = 1.0
+"""Minimum time between two log lines on refusals."""
+
+
+class RefusalReason(StrEnum):
+    """Why a request was refused, or its connection closed."""
+
+    MEMORY = "memory"
+    LARGE_BODY = "large-body"
+    BODY_LIMIT = "body-limit"
+    CONNECTIONS = "connections"
+
+
+class CountedConnection(Protocol):
+    """A connection whose received bytes may have to wait."""
+
+    @property
+    def holding(self) -> Holding:
+        """What is held for the connection."""
+
+    @property
+    def waiting_cost(self) -> tuple[int, int]:
+        """The cost in bytes and the lines of what waits to be parsed."""
+
+    def parse_waiting(self) -> None:
+        """Parse what waits, and read on."""
+
+    def refuse_for_memory(self) -> None:
+        """Refuse the current request, or close the connection."""
+
+
+class CallerPressure:
+    """The account of one daemon, and the connections that wait to be parsed."""
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        *,
+        memory_bytes: int | None = None,
+        max_descriptors: int | None = None,
+    ) -> None:
+        self.memory = CallerMemory(limit_bytes(memory_bytes))
+        self._max_connections = max_connections(max_descriptors)
+        self._metrics = metrics
+        self._connections: dict[CountedConnection, None] = {}
+        self._waiting: deque[CountedConnection] = deque()
+        self._pass = ParsingPass()
+        self._pass_timer: asyncio.Handle | None = None
+        self._timer: asyncio.Handle | None = None
+        self._refusals = 0
+        self._logged_s = float("-inf")
+        self._refused_s = float("-inf")
+        metrics.watch_caller_memory(lambda: self.memory.held_bytes)
+
+    def open(self, connection: CountedConnection) -> bool:
+        """Count a new connection; return whether there is room for it."""
+        limit = self._max_connections
+        has_room = limit is None or len(self._connections) < limit
+        if not has_room:
+            self.record_refusal(RefusalReason.CONNECTIONS)
+            closed = self._choose(choose_closed)
+            if closed is None:
+                return False
+            closed.refuse_for_memory()
+            self.close(closed)
+        self._connections[connection] = None
+        return True
+
+    def close(self, connection: CountedConnection) -> None:
+        """Stop counting a connection."""
+        self._connections.pop(connection, None)
+
+    def may_parse(self, cost_bytes: int, lines: int) -> bool:
+        """Return whether a received part may be parsed now, and count its lines."""
+        if not self.memory.admits(cost_bytes) or not self._pass.take(lines):
+            return False
+        if self._pass.lines and self._pass_timer is None:
+            loop = asyncio.get_running_loop()
+            self._pass_timer = loop.call_soon(self._begin_pass)
+        return True
+
+    def wait(self, connection: CountedConnection) -> None:
+        """Let a connection wait until its received bytes may be parsed."""
+        self._waiting.append(connection)
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_soon(self._parse_waiting)
+
+    def record_refusal(self, reason: RefusalReason) -> None:
+        """Count a refusal; log at most one line a second."""
+        self._metrics.record_caller_refusal(reason)
+        self._refusals += 1
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._logged_s < LOG_INTERVAL_S:
+            return
+        log(
+            CALLERS_LIMITED,
+            reason=reason,
+            refusals=self._refusals,
+            held_bytes=self.memory.held_bytes,
+            limit_bytes=self.memory.limit_bytes,
+            waiting=len(self._waiting),
+            connections=len(self._connections),
+        )
+        self._refusals, self._logged_s = 0, now_s
+
+    def _begin_pass(self) -> None:
+        self._pass_timer = None
+        self._pass = ParsingPass()
+
+    def _parse_waiting(self) -> None:
+        self._timer = None
+        needs_memory = has_parsed = False
+        for _ in range(len(self._waiting)):
+            connection = self._waiting.popleft()
+            if connection not in self._connections:
+                continue
+            cost_bytes, lines = connection.waiting_cost
+            if self.may_parse(cost_bytes, lines):
+                connection.parse_waiting()
+                has_parsed = True
+                continue
+            if self.memory.admits(cost_bytes):
+                self._waiting.appendleft(connection)
+                has_parsed = True
+                break
+            self._waiting.append(connection)
+            needs_memory = True
+        if needs_memory:
+            self._refuse_largest()
+        if not self._waiting or self._timer is not None:
+            return
+        loop = asyncio.get_running_loop()
+        if has_parsed:
+            self._timer = loop.call_soon(self._parse_waiting)
+        else:
+            self._timer = loop.call_later(WAITING_INTERVAL_S, self._parse_waiting)
+
+    def _refuse_largest(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._refused_s < WAITING_INTERVAL_S:
+            return
+        refused = self._choose(choose_refused)
+        if refused is None:
+            return
+        self._refused_s = now_s
+        self.record_refusal(RefusalReason.MEMORY)
+        refused.refuse_for_memory()
+
+    def _choose(self, choose: "_Choose") -> CountedConnection | None:
+        connections = list(self._connections)
+        index = choose([connection.holding for connection in connections])
+        return None if index is None else connections[index]
+
+
+class _Choose(Protocol):
+    def __call__(self, holdings: list[Holding], /) -> int | None: ...
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -10,7 +10,10 @@
 from dogwoodhook.events import REQUEST_FAILED, log
 from dogwoodhook.metrics import Metrics
 from dogwoodhook.state.daemon_stop import BALANCER_NOTICE_S, DaemonStop
+from dogwoodhook.transport.accounted_connections import exceeds_body_limit
+from dogwoodhook.transport.body_intake import BODY_TOO_LARGE_STATUS
 from dogwoodhook.transport.bounded_requests import GetLimits
+from dogwoodhook.transport.caller_pressure import CallerPressure
 from dogwoodhook.transport.detached_tasks import DetachedTasks
 from dogwoodhook.transport.listening import HttpListener
 from dogwoodhook.transport.metrics_answer import metrics_answer
@@ -46,7 +49,8 @@
 
     ``on_unanswered`` is called for each request whose connection was closed before its
     answer had been written. ``get_limits`` returns the limits for callers' requests
-    now in force, and ``detached_tasks`` holds requests that continue without a caller.
+    now in force, ``detached_tasks`` holds requests that continue without a caller, and
+    ``pressure`` has the account of what is held for callers.
     """
 
     def __init__(
@@ -62,6 +66,7 @@
         on_unanswered: OnUnanswered,
         get_limits: GetLimits,
         detached_tasks: DetachedTasks,
+        pressure: CallerPressure,
     ) -> None:
         self._forward = forward
         self._stop = stop
@@ -72,6 +77,7 @@
         self._on_unanswered = on_unanswered
         self._get_limits = get_limits
         self._detached_tasks = detached_tasks
+        self._pressure = pressure
         self._server: PipelinedServer | None = None
         self._listener = HttpListener(
             self._handle,
@@ -117,10 +123,13 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
-            return await self._forward(request)
+            answer = await self._forward(request)
         except Exception as error:
             log(REQUEST_FAILED, error=repr(error))
             return web.Response(status=502)
+        if exceeds_body_limit(request) and not answer.prepared:
+            return body_too_large(answer)
+        return answer
 
     @property
     def _has_work(self) -> bool:
@@ -136,11 +145,27 @@
             is_stopping=lambda: self._stop.has_begun,
             on_unanswered=self._on_unanswered,
             get_limits=self._get_limits,
+            pressure=self._pressure,
             **options,
         )
         return self._server
 
 
+def body_too_large(failure: web.StreamResponse) -> web.Response:
+    """Return the answer to a request whose body was cut at a target.
+
+    It says, as the failure does, nothing about whether the request ran.
+    """
+    headers = failure.headers.copy()
+    for name in ("Content-Length", "Content-Type"):
+        headers.popall(name, None)
+    answer = web.Response(
+        status=BODY_TOO_LARGE_STATUS, text="the body is too large\n", headers=headers
+    )
+    answer.force_close()
+    return answer
+
+
 class OperatorListener:
     """Answers the balancer's readiness checks, and serves the metrics."""
 
--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -22,7 +22,9 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler
 
-from dogwoodhook.transport.bounded_requests import BoundedRequestHandler, GetLimits
+from dogwoodhook.transport.accounted_connections import AccountedRequestHandler
+from dogwoodhook.transport.bounded_requests import GetLimits
+from dogwoodhook.transport.caller_pressure import CallerPressure
 from dogwoodhook.transport.listening import GracefulServer
 
 MAX_PIPELINED = 16
@@ -47,6 +49,7 @@
     ANSWER = "the answer in front"
     BROKEN_ANSWER = "an answer that broke off"
     STOP = "the stop of the daemon"
+    LIMIT = "a limit for all callers"
 
 
 OnUnanswered = Callable[[web.BaseRequest, ClosingReason], None]
@@ -74,7 +77,7 @@
         self._answer.cancel()
 
 
-class _PipelinedHandler(BoundedRequestHandler):
+class _PipelinedHandler(AccountedRequestHandler):
     """A connection that starts later requests while an earlier one is answered."""
 
     __slots__ = (
@@ -97,7 +100,13 @@
         loop: asyncio.AbstractEventLoop,
         **options: Any,
     ) -> None:
-        super().__init__(manager, get_limits=manager.get_limits, loop=loop, **options)
+        super().__init__(
+            manager,
+            get_limits=manager.get_limits,
+            pressure=manager.pressure,
+            loop=loop,
+            **options,
+        )
         self._arrived_s: dict[int, float] = {}
         self._started: dict[int, PipelinedRequest] = {}
         self._forward = manager.forward
@@ -211,6 +220,11 @@
         self._start_waiting_requests()
         return finished, is_reset
 
+    def refuse_for_memory(self) -> None:
+        """Refuse the current request, or close the connection."""
+        self.record_closing_reason(ClosingReason.LIMIT)
+        super().refuse_for_memory()
+
     async def shutdown(self, timeout: float | None = 15.0) -> None:
         """Close the connection because the daemon stops."""
         self.record_closing_reason(ClosingReason.STOP)
@@ -249,7 +263,8 @@
     ``may_be_large`` whether its answer may be large, and ``is_stopping`` whether
     connections are to be closed. ``on_unanswered`` is called
     for each request whose connection was closed before its complete answer had been
-    written. ``get_limits`` returns the limits for callers' requests now in force.
+    written. ``get_limits`` returns the limits for callers' requests now in force, and
+    ``pressure`` has the account of what is held for all callers.
     """
 
     def __init__(
@@ -261,6 +276,7 @@
         is_stopping: IsStopping,
         on_unanswered: OnUnanswered,
         get_limits: GetLimits,
+        pressure: CallerPressure,
         **options: Any,
     ) -> None:
         super().__init__(self._handle, request_factory=self._request, **options)
@@ -270,6 +286,7 @@
         self.is_stopping = is_stopping
         self.on_unanswered = on_unanswered
         self.get_limits = get_limits
+        self.pressure = pressure
 
     @property
     def has_unanswered(self) -> bool:
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -57,7 +57,8 @@
     OpenAnswer,
     send_attempt,
 )
-from dogwoodhook.transport.bodies import RequestBody, read_prelude
+from dogwoodhook.transport.bodies import RequestBody
+from dogwoodhook.transport.body_intake import BodyIntake
 from dogwoodhook.transport.bounded_requests import (
     BAD_REQUEST_STATUS,
     HEAD_TOO_LARGE_STATUS,
@@ -160,6 +161,9 @@
         self._fleet = fleet
         self._conventions = conventions
         self._own_answers = OwnAnswers(conventions, rng)
+        self._intake = BodyIntake(
+            self._own_answers, clock, stop_timeouts, buffer_bytes=REPLAY_BUFFER_BYTES
+        )
         self._clock = clock
         self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
         self._rng = rng
@@ -207,12 +211,9 @@
         service = route.service_at(self._rng.random())
         if not self._stop_allows_sending(route, service, deadline_s=deadline_s):
             return self._own_answers.stopping(request)
-        left_s = deadline_s - self._clock.now_s()
-        try:
-            async with self._stop_timeouts.until_intake_ends(left_s):
-                body = await read_prelude(request, buffer_bytes=REPLAY_BUFFER_BYTES)
-        except TimeoutError:
-            return self._refuse_late_body(request, deadline_s=deadline_s)
+        body = await self._intake.read(request, deadline_s=deadline_s)
+        if isinstance(body, web.StreamResponse):
+            return body
         routed = self._make_routed_request(
             request,
             uri,
@@ -229,14 +230,6 @@
         # Runs to its end even if the caller disconnects: it may not be sent again.
         return await self._detached_tasks.run(self._run(routed))
 
-    def _refuse_late_body(
-        self, request: web.BaseRequest, *, deadline_s: float
-    ) -> web.StreamResponse:
-        """Refuse a request whose body did not arrive in time."""
-        if self._clock.now_s() < deadline_s:
-            return self._own_answers.stopping(request)
-        return self._own_answers.body_late(request)
-
     def _stop_allows_sending(
         self, route: RoutePolicy, service: str, *, deadline_s: float
     ) -> bool:
@@ -339,6 +332,7 @@
             routed.has_succeeded = answer.status < SERVER_ERROR_STATUS
         finally:
             self._running.discard(routed)
+            routed.body.release()
             for task in pending:
                 _discard_attempt(task)
             if routed.alone_run is not None:
