Count a head by its own bytes, and hold a fifth of the memory for callers

The account took the bytes received with a head for the head's own, so that an idle connection counted 42 KB after an upload.

--- a/dogwoodhook/state/caller_memory.py
+++ b/dogwoodhook/state/caller_memory.py
@@ -17,7 +17,7 @@
 
 from dataclasses import dataclass
 
-MEMORY_SHARE = 0.25
+MEMORY_SHARE = 0.2
 """Share of the process's memory that may be held for callers. An idle daemon takes
 about 60 MB; the rest is for targets' answers and for what cannot be counted."""
 
@@ -75,7 +75,7 @@
     """Return how much may be held for callers, from the memory of the process.
 
     >>> limit_bytes(400_000_000), limit_bytes(None)
-    (100000000, 268435456)
+    (80000000, 268435456)
     """
     if memory_bytes is None:
         return DEFAULT_LIMIT_BYTES
--- a/dogwoodhook/transport/accounted_connections.py
+++ b/dogwoodhook/transport/accounted_connections.py
@@ -128,9 +128,9 @@
             if isinstance(message, _ErrInfo):
                 self._heads.append((0, body))
                 continue
-            size_bytes = min(len(data), self._get_limits().max_header_bytes)
-            lines = len(message.raw_headers)
-            cost_bytes = head_cost(lines=lines, size_bytes=size_bytes)
+            raw = message.raw_headers
+            size_bytes = len(message.path) + sum(len(line[0] + line[1]) for line in raw)
+            cost_bytes = head_cost(lines=len(raw), size_bytes=size_bytes)
             self._heads.append((cost_bytes, body))
             self._is_last_chunked = message.chunked
         self._refuse_large_body()
--- a/tests/platform_adapter/hostile_callers.py
+++ b/tests/platform_adapter/hostile_callers.py
@@ -7,6 +7,9 @@
 from tests.platform_adapter.raw_caller import raw_caller
 from tests.platform_adapter.target_server import HOST, TargetServer
 
+CHUNKED = "Transfer-Encoding: chunked"
+ONE_SHORT = "Content-Length: 2"
+
 WRITTEN_AT_ONCE_BYTES = 64 * 1024
 
 SETTLED_S = 1.0
--- /dev/null
+++ b/tests/platform_adapter/test_caller_memory.py
@@ -0,0 +1,97 @@
+"""The account of what a daemon holds for its callers, with a daemon in the process."""
+
+import asyncio
+
+import pytest
+
+from dogwoodhook.state.caller_memory import CONNECTION_BYTES
+from tests.exchanges import until
+from tests.platform_adapter import target_server as behave
+from tests.platform_adapter.hostile_callers import CHUNKED, ONE_SHORT, chunks, head
+from tests.platform_adapter.raw_caller import raw_caller
+
+FULL_BYTES = 1024 * 1024 * 1024
+
+
+async def start(platform, *behaviours):
+    await platform.configure()
+    target = await platform.start_target("t1", *behaviours)
+    gateway = await platform.start_gateway()
+    return target, gateway, gateway._callers._pressure.memory
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        head(ONE_SHORT) + b"x",
+        head(ONE_SHORT) + b"xx",
+        head("Content-Length: 400000") + b"x" * 300_000,
+        head("Content-Length: 900000") + b"x" * 800_000,
+        head("Content-Length: 9000000") + b"x" * 800_000,
+        head(CHUNKED) + chunks(10_000, chunk_bytes=1),
+        head(CHUNKED) + chunks(2_000_000, chunk_bytes=50_000),
+        head(ONE_SHORT)[:-4],
+        b"no request\r\n\r\n",
+    ],
+)
+async def test_nothing_is_held_for_a_caller_that_has_left(platform, text):
+    _, _, memory = await start(platform, behave.after(0.2))
+    async with raw_caller(platform.gateways[0]) as caller:
+        caller.writer.write(text)
+        await until(lambda: memory.held_bytes >= CONNECTION_BYTES)
+        await asyncio.sleep(0.1)
+    await until(lambda: memory.held_bytes == 0)
+
+
+async def test_little_is_held_for_an_idle_connection(platform):
+    _, _, memory = await start(platform)
+    async with raw_caller(platform.gateways[0]) as caller:
+        for _ in range(3):
+            caller.send("/post/1", body=b"x" * 300_000)
+            assert (await caller.answer()).status == 200
+        await until(lambda: memory.held_bytes < 4 * CONNECTION_BYTES)
+
+
+async def test_a_large_body_is_refused_as_not_run_while_memory_is_short(platform):
+    target, _, memory = await start(platform)
+    memory.change(int(0.8 * memory.limit_bytes))
+    reply = await platform.send("/post/1", data=b"x" * 100_000)
+    assert reply.status == 503
+    assert float(reply.headers["Retry-After"]) > 0
+    assert (await platform.send("/post/2", data=b"x" * 10_000)).status == 200
+    assert [each.path for each in target.received] == ["/post/2"]
+
+
+async def test_a_caller_is_read_again_once_there_is_memory(platform):
+    _, _, memory = await start(platform)
+    memory.change(FULL_BYTES)
+    async with raw_caller(platform.gateways[0]) as caller:
+        caller.send("/read/1")
+        await asyncio.sleep(0.2)
+        memory.change(-FULL_BYTES)
+        assert (await caller.answer()).status == 200
+
+
+async def test_the_caller_that_holds_most_is_refused_as_not_run(platform):
+    target, _, memory = await start(platform)
+    async with raw_caller(platform.gateways[0]) as caller:
+        caller.writer.write(head("Content-Length: 400000") + b"x" * 399_999)
+        await until(lambda: memory.held_bytes > 400_000)
+        memory.change(memory.limit_bytes - memory.held_bytes)
+        large = platform.send("/read/1", headers={f"X-{n}": "" for n in range(800)})
+        other = asyncio.ensure_future(large)
+        refusal = await caller.answer()
+        assert refusal.status == 503
+        assert refusal.closes
+        assert refusal.request_id == "hostile"
+    assert (await other).status == 200
+    assert [each.path for each in target.received] == ["/read/1"]
+
+
+async def test_a_body_in_chunks_over_the_limit_gets_413(platform):
+    _, gateway, _ = await start(platform)
+    async with raw_caller(gateway) as caller:
+        caller.writer.write(head(CHUNKED) + chunks(2_000_000, chunk_bytes=50_000))
+        answer = await caller.answer()
+    assert (answer.status, answer.closes) == (413, True)
+    assert answer.request_id == "hostile"
--- a/tests/platform_adapter/test_hostile_callers.py
+++ b/tests/platform_adapter/test_hostile_callers.py
@@ -9,6 +9,8 @@
 
 from tests.platform_adapter.conftest import make_configuration, make_route
 from tests.platform_adapter.hostile_callers import (
+    CHUNKED,
+    ONE_SHORT,
     chunks,
     crowd,
     filled_head,
@@ -36,9 +38,6 @@
 
 HANG_S = 60.0
 
-CHUNKED = "Transfer-Encoding: chunked"
-ONE_SHORT = "Content-Length: 2"
-
 
 def heads(line_of):
     return filled_head(line_of, ONE_SHORT, head_bytes=HEAD_BYTES) + b"x"
