--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -482,6 +482,13 @@
     " up. A line is written once in ten seconds for each workspace and daemon, for at"
     " most 32 of them; a metric counts all.",
 )
+CALLERS_LIMITED = _event(
+    520,
+    "callers-limited",
+    Level.WARNING,
+    "A limit for all callers together refused a request or closed a connection;"
+    " `refusals` counts them since the last such line, at most one a second.",
+)
 DATAGRAM_DROPPED = _event(
     810,
     "datagram-dropped",
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -54,7 +54,8 @@
     discard_attempt,
     send_attempt,
 )
-from dogwoodhook.transport.bodies import RequestBody, read_prelude
+from dogwoodhook.transport.bodies import RequestBody
+from dogwoodhook.transport.body_intake import BodyIntake
 from dogwoodhook.transport.bounded_requests import BAD_REQUEST_STATUS
 from dogwoodhook.transport.crash_checks import SecondConnection
 from dogwoodhook.transport.detached_tasks import DetachedTasks
@@ -161,6 +162,9 @@
             fleet, conventions, clock, metrics, self._own_answers
         )
         self._quotas = QuotaAdmission(fleet, clock, metrics, self._own_answers)
+        self._intake = BodyIntake(
+            self._own_answers, clock, stop_timeouts, buffer_bytes=REPLAY_BUFFER_BYTES
+        )
         self._clock = clock
         self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
         self._held_requests = HeldRequests(fleet, self._reports, clock, metrics, rng)
@@ -202,14 +206,9 @@
         service = route.service_at(self._rng.random())
         if not self._stop_allows_sending(route, service, deadline_s=deadline_s):
             return self._own_answers.stopping(request)
-        left_s = deadline_s - self._clock.now_s()
-        try:
-            async with self._stop_timeouts.until_intake_ends(left_s):
-                body = await read_prelude(request, buffer_bytes=REPLAY_BUFFER_BYTES)
-        except TimeoutError:
-            if self._clock.now_s() < deadline_s:
-                return self._own_answers.stopping(request)
-            return self._own_answers.body_late(request)
+        body = await self._intake.read(request, deadline_s=deadline_s)
+        if isinstance(body, web.StreamResponse):
+            return body
         routed = self._make_routed_request(
             request,
             uri,
@@ -338,6 +337,7 @@
             routed.has_succeeded = answer.status < SERVER_ERROR_STATUS
         finally:
             self._running.discard(routed)
+            routed.body.release()
             for task in pending:
                 discard_attempt(task)
             if routed.alone_run is not None:
