Give back tokens that are granted after nobody waits any more

A coordinator that answered after the ask had been given up, or after its caller had left, had granted a token that was neither used nor returned: a workspace could be refused below its quota for it. Such a grant is now returned once; a late answer to a returned token is ignored.

--- a/dogwoodhook/coordination/quota_sharing.py
+++ b/dogwoodhook/coordination/quota_sharing.py
@@ -68,10 +68,14 @@
 
 @dataclass(slots=True)
 class _Asked:
-    """An ask for a token, and the coordinators whose answers have been used."""
+    """An ask for a token, and the coordinators whose answers have been used.
+
+    ``answered`` is cancelled when nobody waits for the answer any more.
+    """
 
     policy: WorkspacePolicy
     answered: asyncio.Future[QuotaAnswer]
+    gives_back: bool
     settled: set[str] = field(default_factory=set)
 
 
@@ -212,10 +216,19 @@
             priority=priority,
             gives_back=gives_back,
         )
-        asked = _Asked(policy, asyncio.get_running_loop().create_future())
+        answered = asyncio.get_running_loop().create_future()
+        asked = _Asked(policy, answered, gives_back)
         self._asked[ask.number] = asked
         if len(self._asked) > MAX_ASKED:
             self._asked.popitem(last=False)
+        try:
+            return await self._first_answer(ask, asked, coordinators)
+        finally:
+            answered.cancel()
+
+    async def _first_answer(
+        self, ask: QuotaAsk, asked: _Asked, coordinators: Iterable[str]
+    ) -> QuotaAnswer | None:
         for coordinator in coordinators:
             if coordinator == self._daemon:
                 if not self._is_in_touch():
@@ -302,8 +315,8 @@
         asked.settled.add(answer.daemon)
         if not asked.answered.done():
             asked.answered.set_result(answer)
-        elif answer.retry_after_s is None:
-            # A second coordinator granted a token too.
+        elif answer.retry_after_s is None and not asked.gives_back:
+            # Another coordinator granted a token before, or it comes too late.
             self._spawn_give_back(asked.policy, answer.daemon)
 
     def _grant(
--- a/tests/test_quota_sharing.py
+++ b/tests/test_quota_sharing.py
@@ -241,3 +241,35 @@
         for workspace in workspaces:
             ranking = sharing._coordinators(workspace)
             assert ranking == coordinators_of(workspace, live)
+
+
+@pytest.mark.parametrize("is_cancelled", [False, True])
+def test_a_token_that_is_granted_too_late_is_given_back(is_cancelled):
+    async def work():
+        fleet = QuotaFleet(DAEMONS, LARGE)
+        coordinators = coordinators_of("ukara", fleet.names)
+        fleet.frozen.update(coordinators)
+        request = asyncio.ensure_future(fleet.request())
+        await asyncio.sleep(0.05)
+        if is_cancelled:
+            request.cancel()
+        await asyncio.wait([request])
+        for name in coordinators:
+            fleet.wake(name)
+        await asyncio.sleep(0.03 if is_cancelled else 0.05)
+        states = [
+            state
+            for name in coordinators
+            for state in fleet.sharing[name]._coordinator.unreported()
+        ]
+        assert states
+        await asyncio.sleep(2.0)
+        return [
+            fleet.sharing[name]._coordinator._buckets["ukara"].granted
+            for name in coordinators
+            if "ukara" in fleet.sharing[name]._coordinator._buckets
+        ]
+
+    granted = virtual_time.run(work)
+    assert granted
+    assert not any(granted)
