Take no retry from the budget for a request without a target left

A request that all targets of its service had refused took a retry of the fleet's budget and was then refused, since no target was left for it; other requests lacked that retry. The target is now looked for first.

--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -842,10 +842,9 @@
 
     async def _target_after_failure(self, routed: RoutedRequest) -> TargetEntry | None:
         """Return where the request goes next, maybe after a wait, or ``None``."""
-        if self._may_send_again(routed):
-            target = self._next_target(routed)
-            if target is not None:
-                return target
+        # Before a retry is taken from the budget, there must be a target for it.
+        if self._choose_candidate(routed) is not None and self._may_send_again(routed):
+            return self._next_target(routed)
         if not await self._held_requests.wait_after_shed(routed):
             return None
         is_admitted = isinstance(self._admission(routed), Admit)
