Count targets that shed as full, and hold requests instead of retrying at full targets

A target that refused a request a moment ago now has no room, and where callers compete a shed request waits while no target has any, even if the budget allows a retry.

--- a/benchmarks/crowding.py
+++ b/benchmarks/crowding.py
@@ -226,9 +226,10 @@
     def room(self, daemon: int) -> ServiceRoom:
         """Return the service's room as a daemon knows it."""
         known = self.known(daemon)
-        return ServiceRoom.of(
-            (SLOTS, known[target], True) for target in range(self.load.targets)
-        )
+        room = ServiceRoom(slots=0, in_flight=0, places=0)
+        for target in range(self.load.targets):
+            room = room.with_target(slots=SLOTS, in_flight=known[target], is_near=True)
+        return room
 
     def send(self, daemon: int, request: WaitingRequest, *, sheds: int) -> None:
         """Send a request to the target with the fewest requests of three."""
--- a/dogwoodhook/state/crowding.py
+++ b/dogwoodhook/state/crowding.py
@@ -22,7 +22,6 @@
 import math
 import random
 from collections import Counter, OrderedDict, defaultdict, deque
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 QUEUE_SHARE = 1.0
@@ -101,25 +100,22 @@
     in_flight: int
     places: int
 
-    @classmethod
-    def of(cls, targets: Iterable[tuple[int, int, bool]]) -> "ServiceRoom":
-        """Return the room of targets, given as slots, requests in flight, is near.
+    def with_target(
+        self, *, slots: int, in_flight: int, is_near: bool, is_sound: bool = True
+    ) -> "ServiceRoom":
+        """Return the room with one more target; one that is not sound has no places.
 
         Of targets in other data centres only the requests from here are known, so their
         queues are left to their own data centre.
 
-        >>> ServiceRoom.of([(6, 11, True), (6, 6, False)])
-        ServiceRoom(slots=12, in_flight=17, places=1)
+        >>> room = ServiceRoom(slots=0, in_flight=0, places=0)
+        >>> room.with_target(slots=6, in_flight=11, is_near=True)
+        ServiceRoom(slots=6, in_flight=11, places=1)
         """
-        listed = list(targets)
-        places = 0
-        for slots, in_flight, is_near in listed:
-            limit = slots * (1 + QUEUE_SHARE) if is_near else slots
-            places += max(0, math.floor(limit) - in_flight)
-        return cls(
-            slots=sum(slots for slots, _, _ in listed),
-            in_flight=sum(in_flight for _, in_flight, _ in listed),
-            places=places,
+        limit = math.floor(slots * (1 + QUEUE_SHARE)) if is_near else slots
+        places = max(0, limit - in_flight) if is_sound else 0
+        return ServiceRoom(
+            self.slots + slots, self.in_flight + in_flight, self.places + places
         )
 
     def with_one_more(self) -> "ServiceRoom":
--- a/dogwoodhook/state/placement.py
+++ b/dogwoodhook/state/placement.py
@@ -129,12 +129,24 @@
         return busy < FREE_SLOTS_SHARE * sum(each.slots for each in counted)
 
     def room(self, targets: Iterable[TargetEntry], *, now_s: float) -> ServiceRoom:
-        """Return the known load of the targets."""
+        """Return the known load of the targets.
+
+        A target that refused a request a moment ago is full, whatever is known of its
+        load: other data centres send requests to it, too. One in doubt has no room.
+        """
         in_flight = self._load.by_target(now_s=now_s)
-        return ServiceRoom.of(
-            (each.slots, in_flight[each.name], each.data_centre == self._data_centre)
-            for each in targets
-        )
+        room = ServiceRoom(slots=0, in_flight=0, places=0)
+        for each in targets:
+            avoidance = self._suspicion.avoidance(
+                each.name, is_idempotent=True, now_s=now_s
+            )
+            room = room.with_target(
+                slots=each.slots,
+                in_flight=in_flight[each.name],
+                is_near=each.data_centre == self._data_centre,
+                is_sound=avoidance.standing is Standing.SOUND,
+            )
+        return room
 
     def choose(
         self,
--- a/dogwoodhook/transport/held_requests.py
+++ b/dogwoodhook/transport/held_requests.py
@@ -105,6 +105,16 @@
         )
         return await self._follow(decision, routed, waiting, usual_s)
 
+    def may_retry_at_once(self, routed: RoutedRequest) -> bool:
+        """Return whether a request may be sent again now, if the budget allows it.
+
+        While callers compete and no place is known to be free, a retry would only be
+        shed again.
+        """
+        if not self._holds_arrivals or not routed.sheds:
+            return True
+        return self._room(routed, self._clock.now_s()).places > 0
+
     def cost_elsewhere(self, routed: RoutedRequest) -> float:
         """Return the cost of sending a request to another data centre."""
         return remote_cost(
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -843,7 +843,9 @@
     async def _target_after_failure(self, routed: RoutedRequest) -> TargetEntry | None:
         """Return where the request goes next, maybe after a wait, or ``None``."""
         # Before a retry is taken from the budget, there must be a target for it.
-        if self._choose_candidate(routed) is not None and self._may_send_again(routed):
+        has_room = self._held_requests.may_retry_at_once(routed)
+        has_target = has_room and self._choose_candidate(routed) is not None
+        if has_target and self._may_send_again(routed):
             return self._next_target(routed)
         if not await self._held_requests.wait_after_shed(routed):
             return None
--- a/tests/platform_adapter/test_held_requests.py
+++ b/tests/platform_adapter/test_held_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from dogwoodhook.state.suspicion import Symptom
 from tests.exchanges import until
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.conftest import make_route
@@ -94,3 +95,17 @@
     reply = await platform.send("/post/1", data=b"x")
     assert reply.status == 503
     assert gateway._budget.own_retries("payouts", now_s=gateway._clock.now_s()) == 0
+
+
+async def test_a_shed_request_waits_while_the_other_targets_are_full(platform):
+    other = await platform.start_target("t2", behave.answer)
+    target, gateway = await start(
+        platform, behave.refuse, behave.answer, retries=20.0, has_competing_load=True
+    )
+    now_s = gateway._clock.now_s()
+    gateway._suspicion.record_failure("t2", Symptom.BUSY, now_s=now_s)
+    waiting = asyncio.create_task(platform.send("/post/1", data=b"x"))
+    await until(lambda: target.received)
+    await asyncio.sleep(0.1)
+    assert not other.received
+    assert (await waiting).status == 200
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -241,3 +241,10 @@
         assert placement.choose([HERE], **options).has_free_slot
         placement.start(HERE, now_s=0.0)
     assert not placement.choose([HERE], **options).has_free_slot
+
+
+def test_a_target_that_refused_a_request_has_no_room_for_a_moment(placement, suspicion):
+    assert placement.room([HERE, AWAY], now_s=0.0).places == 9
+    suspicion.record_failure("here", Symptom.BUSY, now_s=0.0)
+    assert placement.room([HERE, AWAY], now_s=0.1).places == 3
+    assert placement.room([HERE, AWAY], now_s=5.0).places == 9
