--- a/dogwoodhook/state/caller_memory.py
+++ b/dogwoodhook/state/caller_memory.py
@@ -16,6 +16,7 @@
 """
 
 from dataclasses import dataclass
+from heapq import nlargest
 
 MEMORY_SHARE = 0.2
 """Share of the process's memory that may be held for callers. An idle daemon takes
@@ -55,6 +56,9 @@
 """How long a connection must have waited for its caller before it may be refused in
 favour of others."""
 
+CLOSED_SHARE = 0.01
+"""Share of the connections that are closed at once to make room for others."""
+
 FEW_LINES = 128
 """Lines of received bytes that are always parsed at once: more than an ordinary
 request has."""
@@ -187,14 +191,16 @@
     return max(waiting, key=lambda index: holdings[index].held_bytes, default=None)
 
 
-def choose_closed(holdings: list[Holding]) -> int | None:
-    """Return the index of the connection to close so that another one can be opened.
+def choose_closed(holdings: list[Holding]) -> list[int]:
+    """Return the indices of connections to close so that others can be opened.
+
+    They have been waited for longest. Several are chosen at once, so that many new
+    connections do not take as many searches.
 
     >>> choose_closed([Holding(9, None), Holding(5, 7.0), Holding(8, 2.0)])
-    1
+    [1]
     """
     waits_s = [holding.waits_s or 0.0 for holding in holdings]
-    longest = max(range(len(waits_s)), key=waits_s.__getitem__, default=None)
-    if longest is None or waits_s[longest] < MIN_WAIT_S:
-        return None
-    return longest
+    count = 1 + int(CLOSED_SHARE * len(holdings))
+    longest = nlargest(count, range(len(waits_s)), key=waits_s.__getitem__)
+    return [index for index in longest if waits_s[index] >= MIN_WAIT_S]
--- a/dogwoodhook/transport/accounted_connections.py
+++ b/dogwoodhook/transport/accounted_connections.py
@@ -54,6 +54,7 @@
         "_answered",
         "_body_bytes",
         "_counted_bytes",
+        "_exceeds_body_limit",
         "_head_lines",
         "_heads",
         "_is_admitted",
@@ -62,8 +63,8 @@
         "_pressure",
         "_since_s",
         "_waiting_bytes",
-        "exceeds_body_limit",
         "is_refused",
+        "waiting_cost",
     )
 
     def __init__(
@@ -89,8 +90,10 @@
         self._is_last_chunked = False
         self._since_s = 0.0
         self._waiting_bytes = b""
-        self.exceeds_body_limit = False
+        self._exceeds_body_limit = False
         self.is_refused = False
+        # The cost in bytes and the lines of what waits to be parsed.
+        self.waiting_cost = (0, 0)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection; close it if there are too many."""
@@ -143,7 +146,7 @@
             return True
         if self._waiting_bytes:
             self._waiting_bytes += data
-            self._count()
+            self._record_waiting_cost()
             return False
         lines = self._count_lines(data)
         has_small_chunks = self._is_in_body and lines * SMALL_CHUNK_BYTES > len(data)
@@ -151,11 +154,16 @@
         if self._pressure.may_parse(self._cost_bytes(data, lines), lines):
             return True
         self._waiting_bytes = data
+        self._record_waiting_cost()
         self._pause_transport_reading()
         self._pressure.wait(self)
-        self._count()
         return False
 
+    def _record_waiting_cost(self) -> None:
+        lines = self._count_lines(self._waiting_bytes)
+        self.waiting_cost = (self._cost_bytes(self._waiting_bytes, lines), lines)
+        self._count()
+
     @property
     def _is_in_body(self) -> bool:
         return not self._last_body.is_eof()
@@ -175,12 +183,6 @@
         # What alone is more than half of the limit would wait for ever.
         return min(cost_bytes, self._pressure.memory.limit_bytes // 2)
 
-    @property
-    def waiting_cost(self) -> tuple[int, int]:
-        """Return the cost in bytes and the lines of what waits to be parsed."""
-        lines = self._count_lines(self._waiting_bytes)
-        return self._cost_bytes(self._waiting_bytes, lines), lines
-
     def parse_waiting(self) -> None:
         """Parse what waits, and read on."""
         data, self._waiting_bytes = self._waiting_bytes, b""
@@ -207,11 +209,14 @@
     def _refuse_large_body(self) -> None:
         """Stop reading a body that exceeds the configuration's limit."""
         body = self._last_body
-        if body is EMPTY_PAYLOAD or self.exceeds_body_limit:
+        # Without a current request, the library reads and drops what follows.
+        if body is EMPTY_PAYLOAD or self._current_request is None:
+            return
+        if self._exceeds_body_limit:
             return
         if body.total_bytes <= self._get_limits().max_body_bytes:
             return
-        self.exceeds_body_limit = self._is_refusing = True
+        self._exceeds_body_limit = self._is_refusing = True
         self._pressure.record_refusal(RefusalReason.BODY_LIMIT)
         body.set_exception(BodyTooLargeError("the body is too large"))
 
@@ -325,5 +330,4 @@
 
 def exceeds_body_limit(request: web.BaseRequest) -> bool:
     """Return whether a body was cut off because it exceeded the limit."""
-    protocol = request.protocol
-    return isinstance(protocol, AccountedRequestHandler) and protocol.exceeds_body_limit
+    return isinstance(request.content.exception(), BodyTooLargeError)
--- a/dogwoodhook/transport/caller_pressure.py
+++ b/dogwoodhook/transport/caller_pressure.py
@@ -72,6 +72,8 @@
         self._refusals = 0
         self._logged_s = float("-inf")
         self._refused_s = float("-inf")
+        # When no connection to close was last found.
+        self._searched_s = float("-inf")
         metrics.watch_caller_memory(lambda: self.memory.held_bytes)
 
     def open(self, connection: CountedConnection) -> bool:
@@ -80,11 +82,8 @@
         has_room = limit is None or len(self._connections) < limit
         if not has_room:
             self.record_refusal(RefusalReason.CONNECTIONS)
-            closed = self._choose(choose_closed)
-            if closed is None:
+            if not self._close_longest():
                 return False
-            closed.refuse_for_memory()
-            self.close(closed)
         self._connections[connection] = None
         return True
 
@@ -92,6 +91,20 @@
         """Stop counting a connection."""
         self._connections.pop(connection, None)
 
+    def _close_longest(self) -> bool:
+        """Close connections that have been waited for; return whether there are any."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._searched_s < WAITING_INTERVAL_S:
+            return False
+        connections = list(self._connections)
+        chosen = choose_closed([connection.holding for connection in connections])
+        for index in chosen:
+            connections[index].refuse_for_memory()
+            self.close(connections[index])
+        if not chosen:
+            self._searched_s = now_s
+        return bool(chosen)
+
     def may_parse(self, cost_bytes: int, lines: int) -> bool:
         """Return whether a received part may be parsed now, and count its lines."""
         if not self.memory.admits(cost_bytes) or not self._pass.take(lines):
@@ -161,18 +174,10 @@
         now_s = asyncio.get_running_loop().time()
         if now_s - self._refused_s < WAITING_INTERVAL_S:
             return
-        refused = self._choose(choose_refused)
+        self._refused_s = now_s
+        connections = list(self._connections)
+        refused = choose_refused([connection.holding for connection in connections])
         if refused is None:
             return
-        self._refused_s = now_s
         self.record_refusal(RefusalReason.MEMORY)
-        refused.refuse_for_memory()
-
-    def _choose(self, choose: "_Choose") -> CountedConnection | None:
-        connections = list(self._connections)
-        index = choose([connection.holding for connection in connections])
-        return None if index is None else connections[index]
-
-
-class _Choose(Protocol):
-    def __call__(self, holdings: list[Holding], /) -> int | None: ...
+        connections[refused].refuse_for_memory()
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -27,6 +27,8 @@
 from dogwoodhook.transport.stop_timeouts import StopTimeouts
 from dogwoodhook.vm_settings import Address
 
+FAILURE_STATUS = 502
+
 DRAIN_INTERVAL_S = 0.02
 """Time between checks whether a stopping daemon has answered all requests."""
 
@@ -126,9 +128,12 @@
             answer = await self._forward(request)
         except Exception as error:
             log(REQUEST_FAILED, error=repr(error))
-            return web.Response(status=502)
+            return web.Response(status=FAILURE_STATUS)
         if exceeds_body_limit(request) and not answer.prepared:
-            return body_too_large(answer)
+            if answer.status == FAILURE_STATUS:
+                return body_too_large(answer)
+            # A target answered before the end of the body, which is no longer read.
+            answer.force_close()
         return answer
 
     @property
--- a/tests/platform_adapter/test_caller_memory.py
+++ b/tests/platform_adapter/test_caller_memory.py
@@ -7,7 +7,13 @@
 from dogwoodhook.state.caller_memory import CONNECTION_BYTES
 from tests.exchanges import until
 from tests.platform_adapter import target_server as behave
-from tests.platform_adapter.hostile_callers import CHUNKED, ONE_SHORT, chunks, head
+from tests.platform_adapter.hostile_callers import (
+    CHUNKED,
+    ONE_SHORT,
+    chunks,
+    head,
+    running_chunked_target,
+)
 from tests.platform_adapter.raw_caller import raw_caller
 
 FULL_BYTES = 1024 * 1024 * 1024
@@ -89,9 +95,35 @@
 
 
 async def test_a_body_in_chunks_over_the_limit_gets_413(platform):
-    _, gateway, _ = await start(platform)
+    await platform.configure()
+    target = await platform.stack.enter_async_context(running_chunked_target("t1"))
+    await platform.store.put("servers", "t1", target.entry())
+    gateway = await platform.start_gateway()
     async with raw_caller(gateway) as caller:
         caller.writer.write(head(CHUNKED) + chunks(2_000_000, chunk_bytes=50_000))
         answer = await caller.answer()
     assert (answer.status, answer.closes) == (413, True)
     assert answer.request_id == "hostile"
+    assert not target.received
+
+
+async def test_an_answer_before_the_end_of_a_body_over_the_limit_is_delivered(platform):
+    _, gateway, _ = await start(platform)
+    async with raw_caller(gateway) as caller:
+        caller.writer.write(head(CHUNKED) + chunks(2_000_000, chunk_bytes=50_000))
+        answer = await caller.answer()
+    assert answer.closes
+    assert (answer.status, answer.body) in (
+        (200, b"t1 ran /post/1"),
+        (413, b"the body is too large\n"),
+    )
+
+
+async def test_an_answer_in_front_of_a_body_over_the_limit_is_delivered(platform):
+    _, gateway, _ = await start(platform, behave.after(0.3))
+    async with raw_caller(gateway) as caller:
+        caller.send("/read/1")
+        caller.writer.write(head(CHUNKED) + chunks(2_000_000, chunk_bytes=50_000))
+        answers = await caller.answers()
+    assert answers[0].body == b"t1 ran /read/1"
+    assert answers[1].closes
