--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -11,6 +11,8 @@
     "latency",
     "detection",
     "overload",
+    "even_load",
+    "crowding",
     "quarantine",
     "control_configuration",
     "control_ejection",
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -451,8 +451,39 @@
     "A caller sent something that is not a valid request, or a request head that is too"
     " large or too late; the connection is closed.",
 )
-CALLERS_LIMITED = _event(
+REQUEST_HELD = _event(
+    530,
+    "request-held",
+    Level.INFO,
+    "A request waits in the daemon for room at its service; `expected_ms` is the time"
+    " expected, `held` the requests that wait here.",
+)
+REQUEST_GRANTED = _event(
+    531,
+    "request-granted",
+    Level.INFO,
+    "A request that waited for room is sent; `waited_ms` is how long it waited.",
+)
+KEY_REFUSED = _event(
     518,
+    "key-refused",
+    Level.NOTICE,
+    "Requests without a valid key of a workspace are refused; `problem` says why,"
+    " `workspace` is the holder of the key if one is known, and `key_digest` the start"
+    " of the key's SHA-256 digest. A line is written once a minute for each digest and"
+    " route, and only for the first of them; a metric counts all.",
+)
+QUOTA_EXCEEDED = _event(
+    519,
+    "quota-exceeded",
+    Level.NOTICE,
+    "Requests of a workspace over its quota are refused. `decided_by` is the daemon"
+    " that holds the quota, empty if none was reached and this daemon's part was used"
+    " up. A line is written once in ten seconds for each workspace and daemon, for at"
+    " most 32 of them; a metric counts all.",
+)
+CALLERS_LIMITED = _event(
+    520,
     "callers-limited",
     Level.WARNING,
     "A limit for all callers together refused a request or closed a connection;"
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -8,7 +8,8 @@
 import random
 import secrets
 import signal
-from collections.abc import Awaitable, Callable
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 
 from dogwoodhook.clock import Clock, SystemClock
@@ -18,6 +19,9 @@
     DaemonHello,
     FleetMessage,
     LoadReport,
+    QuotaAnswer,
+    QuotaAsk,
+    QuotaReport,
     StoreUpdate,
     SuspectStates,
     TargetEnded,
@@ -27,6 +31,7 @@
 from dogwoodhook.coordination.fleet_quarantine import FleetQuarantine
 from dogwoodhook.coordination.fleet_snapshot import FleetSnapshot
 from dogwoodhook.coordination.load_sharing import LoadSharing
+from dogwoodhook.coordination.quota_sharing import QuotaSharing
 from dogwoodhook.coordination.run_claims import RunClaims
 from dogwoodhook.coordination.store import Store
 from dogwoodhook.coordination.store_reading import RowDecoder, wait_for
@@ -57,11 +62,21 @@
 from dogwoodhook.state.daemon_stop import DaemonStop
 from dogwoodhook.state.fleet_budget import FleetBudget
 from dogwoodhook.state.fleet_load import FleetLoad
+from dogwoodhook.state.load_estimate import LoadEstimator
+from dogwoodhook.state.load_spread import load_spreads
 from dogwoodhook.state.placement import Placement
 from dogwoodhook.state.quarantine import CONFIRMED_CRASHES_POLICY, Quarantine
 from dogwoodhook.state.route_policy import CallerLimits
 from dogwoodhook.state.suspicion import FailureReport, Suspicion
 from dogwoodhook.state.target_directory import TargetDirectory, TargetEntry
+from dogwoodhook.state.typical_latency import TypicalLatency
+from dogwoodhook.state.workspace_access import ConfigurationAge
+from dogwoodhook.state.workspace_policy import WorkspacePolicy
+from dogwoodhook.state.workspace_quota import (
+    FleetQuota,
+    QuotaCoordinator,
+    QuotaTolerance,
+)
 from dogwoodhook.transport.caller_pressure import CallerPressure
 from dogwoodhook.transport.crash_checks import CrashChecks
 from dogwoodhook.transport.datagrams import DatagramPeers
@@ -72,7 +87,7 @@
 from dogwoodhook.transport.route_forwarder import RouteForwarder
 from dogwoodhook.transport.stop_timeouts import StopTimeouts
 from dogwoodhook.transport.target_connections import TargetConnections
-from dogwoodhook.vm_settings import VmSettings
+from dogwoodhook.vm_settings import ServiceBounds, VmSettings
 
 STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
 """Signals that stop a daemon."""
@@ -138,6 +153,9 @@
             on_era=lambda era: self._joining.notice_era(era),
         )
         self._load = FleetLoad()
+        typical_latencies: defaultdict[str, TypicalLatency] = defaultdict(
+            TypicalLatency
+        )
         self._connections = TargetConnections(clock)
         self.peers = DatagramPeers(
             self._receive,
@@ -146,6 +164,11 @@
             data_centre=settings.data_centre,
             rng=rng,
         )
+        estimator = LoadEstimator(
+            self._load,
+            news_age_s=self.peers.news_age.median_s,
+            work_s=lambda service: typical_latencies[service].median_s,
+        )
         self._exchange = PeerExchange(self.peers, settings.peer_address, clock)
         self._configuration = ConfigurationFollower(
             platform.store,
@@ -220,8 +243,23 @@
             rng=rng,
             started_s=clock.now_s(),
         )
+        tolerance = _quota_tolerance(bounds)
+        self._fleet_quota = FleetQuota(tolerance, rng=rng, started_s=clock.now_s())
+        self._quota_coordinator = QuotaCoordinator(
+            tolerance, rng=rng, started_s=clock.now_s()
+        )
+        self._quota_sharing = QuotaSharing(
+            self._fleet_quota,
+            self._quota_coordinator,
+            self.peers,
+            clock,
+            daemon=settings.vm_name,
+            rng=rng,
+            policies=self._workspace_policies,
+        )
         fleet = FleetView(
             configuration=lambda: self._configuration.in_force,
+            configuration_age=self._configuration_age,
             directory=self._directory,
             targets_age_s=lambda: self._targets.age_s,
             suspicion=self._suspicion,
@@ -234,8 +272,10 @@
                 has_joined_recently=lambda name, now_s: (
                     self._directory.has_joined_recently(name, now_s=now_s)
                 ),
+                estimator=estimator,
             ),
             budget=self._budget,
+            quota_sharing=self._quota_sharing,
             connections=self._connections,
             crash_checks=self._crash_checks,
             quarantine=self._quarantine,
@@ -244,8 +284,11 @@
             notify_fleet=self.peers.broadcast,
             notify_neighbours=self.peers.notify_neighbours,
             load_sharing=LoadSharing(self._load, self.peers, daemon=settings.vm_name),
+            typical_latencies=typical_latencies,
             receive_pending=self.peers.receive_pending,
             count_daemons=lambda: len(self.peers) + 1,
+            is_stopping=lambda: self._stop.has_begun,
+            has_competing_load=settings.has_competing_load,
         )
         self._metrics.watch_peer_bytes(lambda: self.peers.sent_bytes)
         self._metrics.watch_configuration(
@@ -253,6 +296,14 @@
             age_s=lambda: self._configuration.age_s,
         )
         self._metrics.watch_targets(age_s=lambda: self._targets.age_s)
+        self._metrics.watch_load(
+            spread=lambda: load_spreads(
+                self._directory.all_serving(now_s=clock.now_s()),
+                self._load.by_target(now_s=clock.now_s()),
+                data_centre=settings.data_centre,
+            ),
+            news_age_s=lambda: self.peers.news_age.median_s(now_s=clock.now_s()),
+        )
         detached_tasks = DetachedTasks()
         forwarder = RouteForwarder(
             fleet,
@@ -329,6 +380,16 @@
         """Return whether a target is listed and does not drain."""
         return self._directory.is_serving(name)
 
+    def _configuration_age(self) -> ConfigurationAge:
+        bounds = self._settings.bounds
+        return ConfigurationAge(
+            age_s=self._configuration.age_s,
+            is_newer_known=self._configuration.is_newer_known,
+            configuration_s=bounds.configuration_s,
+            revoke_s=bounds.revoke_s,
+            fails_closed=bounds.fails_closed,
+        )
+
     async def start(self) -> None:
         """Open the listeners and start the background tasks."""
         await self.peers.start(self._settings.peer_address)
@@ -365,6 +426,7 @@
             await listener.close()
         for task in self._tasks:
             task.cancel()
+        self._quota_sharing.close()
         await self._connections.close()
         await self._exchange.close()
         await self._platform.store.close()
@@ -388,6 +450,8 @@
             extra=bounds.retry_extra,
             window_s=bounds.retry_window_s,
         )
+        tolerance = _quota_tolerance(bounds)
+        self._fleet_quota.tolerance = self._quota_coordinator.tolerance = tolerance
         log(SETTINGS_IN_FORCE, bounds=bounds, store=settings.store_address)
 
     async def _watch_settings(self) -> None:
@@ -425,6 +489,12 @@
         in_force = self._configuration.in_force
         return in_force.limits if in_force else CallerLimits()
 
+    def _workspace_policies(self) -> Mapping[str, WorkspacePolicy]:
+        in_force = self._configuration.in_force
+        if in_force is None or in_force.workspaces is None:
+            return {}
+        return in_force.workspaces.by_name
+
     def _handle_adoption(self, since_announced_s: float) -> None:
         """Update metrics and readiness after a configuration was put in force."""
         self._metrics.record_adoption(since_announced_s * 1000)
@@ -490,6 +560,8 @@
                 self._quarantine.receive(message)
             case TargetEnded():
                 self._target_ends.receive(message)
+            case QuotaAsk() | QuotaAnswer() | QuotaReport():
+                self._quota_sharing.receive(message)
             case _:
                 return
 
@@ -530,6 +602,14 @@
         self._tasks.add(task)
 
 
+def _quota_tolerance(bounds: ServiceBounds) -> QuotaTolerance:
+    return QuotaTolerance(
+        window_s=bounds.quota_window_s,
+        overshoot=bounds.quota_overshoot,
+        slack=bounds.quota_slack,
+    )
+
+
 async def serve(platform: PlatformAdapter) -> float:
     """Run a daemon until a stop signal; return the seconds left for the process."""
     return await Gateway(platform, SystemClock()).run()
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -6,8 +6,9 @@
 attributes; ``max_series`` gives the bound.
 """
 
+import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -16,6 +17,7 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
 
+from dogwoodhook.state.load_spread import LoadSpread
 from dogwoodhook.state.outcomes import NotRunReason, UnknownReason
 
 LATENCY_BUCKETS_MS = (1.0, 2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 1000.0, 5000.0)
@@ -27,18 +29,38 @@
 CLOSING_REASONS = 5
 """Reasons for which a caller's connection is closed."""
 
+KEY_PROBLEMS = 5
+"""Problems with the key of a request whose workspace is not known."""
+
+HOLDER_PROBLEMS = 2
+"""Problems with a key that a workspace held, or holds for all that is known."""
+
+ROOM_OUTCOMES = 5
+"""Outcomes of a request that asks for room at its service."""
+
+QUOTA_OUTCOMES = 2
+"""Whether a refusal over a quota was decided by the quota's coordinator or not."""
+
 CALLER_REFUSAL_REASONS = 4
 """Reasons for which a limit for all callers refuses a request."""
 
 DAEMON_SERIES = (
-    2 * (len(LATENCY_BUCKETS_MS) + 3) + 7 + CLOSING_REASONS + CALLER_REFUSAL_REASONS
+    2 * (len(LATENCY_BUCKETS_MS) + 3)
+    + 9
+    + CLOSING_REASONS
+    + KEY_PROBLEMS
+    + ROOM_OUTCOMES
+    + CALLER_REFUSAL_REASONS
 )
-"""Series of the daemon: two histograms, four gauges and five counters.
+"""Series of the daemon: two histograms, five gauges and eight counters.
 
-One of the counters has one series for each closing reason, and one for each reason of
-a refusal.
+Four of the counters have one series for each closing reason, for each problem of a
+key, for each outcome and for each reason of a refusal.
 """
 
+LOAD_BOUNDS = 2
+"""Gauges of the targets' load for each service: the largest and the smallest."""
+
 MIN_QUEUEING_MS = 0.5
 """Time up to which choosing a target does not count as waiting for one."""
 
@@ -58,6 +80,23 @@
         return {"closed_by": self.closed_by}
 
 
+class _KeyRefusalSeries(NamedTuple):
+    problem: str
+    workspace: str
+
+    def attributes(self) -> dict[str, str]:
+        return {"problem": self.problem, "workspace": self.workspace}
+
+
+class _QuotaSeries(NamedTuple):
+    workspace: str
+    is_reached: bool
+
+    def attributes(self) -> dict[str, str]:
+        reached = "yes" if self.is_reached else "no"
+        return {"workspace": self.workspace, "coordinator_reached": reached}
+
+
 class _RefusalSeries(NamedTuple):
     reason: str
 
@@ -72,6 +111,13 @@
         return {"kind": self.kind}
 
 
+class _RoomSeries(NamedTuple):
+    outcome: str
+
+    def attributes(self) -> dict[str, str]:
+        return {"outcome": self.outcome}
+
+
 class _RequestSeries(NamedTuple):
     service: str
     request_class: str
@@ -89,13 +135,14 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    14977
+    15995
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
     per_class = 3 * histogram + outcomes + 1
-    by_service = (services + 1) * REQUEST_CLASSES * per_class
-    return by_service + (workspaces + 1) * histogram + DAEMON_SERIES
+    by_service = (services + 1) * (REQUEST_CLASSES * per_class + LOAD_BOUNDS)
+    per_workspace = histogram + HOLDER_PROBLEMS + QUOTA_OUTCOMES
+    return by_service + (workspaces + 1) * per_workspace + DAEMON_SERIES
 
 
 class BoundedLabels:
@@ -171,6 +218,8 @@
         self._target_crashes = 0
         self._quarantine_refusals = 0
         self._target_announcements: Counter[_AnnouncementSeries] = Counter()
+        self._key_refusals: Counter[_KeyRefusalSeries] = Counter()
+        self._quota_refusals: Counter[_QuotaSeries] = Counter()
         meter.create_observable_counter(
             "dogwoodhook_requests",
             callbacks=[lambda options: _observations(self._requests)],
@@ -187,6 +236,19 @@
             description="requests whose connection was closed before a whole answer",
         )
 
+        self._room_waits: Counter[_RoomSeries] = Counter()
+        self._room_wait_s = 0.0
+        meter.create_observable_counter(
+            "dogwoodhook_room",
+            callbacks=[lambda options: _observations(self._room_waits)],
+            description="requests by whether their service had room for them",
+        )
+        meter.create_observable_counter(
+            "dogwoodhook_room_wait",
+            callbacks=[lambda options: [Observation(self._room_wait_s)]],
+            unit="s",
+            description="time that requests were held back for want of room",
+        )
         meter.create_observable_counter(
             "dogwoodhook_caller_refusals",
             callbacks=[lambda options: _observations(self._caller_refusals)],
@@ -207,6 +269,16 @@
             callbacks=[lambda options: _observations(self._target_announcements)],
             description="changes that targets announced in their answers, by kind",
         )
+        meter.create_observable_counter(
+            "dogwoodhook_key_refusals",
+            callbacks=[lambda options: _observations(self._key_refusals)],
+            description="requests refused because of their key, by problem",
+        )
+        meter.create_observable_counter(
+            "dogwoodhook_quota_refusals",
+            callbacks=[lambda options: _observations(self._quota_refusals)],
+            description="requests refused because their workspace is over its quota",
+        )
 
     def watch_peer_bytes(self, read_total: Callable[[], int]) -> None:
         """Expose the bytes sent to peers; the total is read at each exposition."""
@@ -242,6 +314,46 @@
             description="time since the list of targets was certainly the newest",
         )
 
+    def watch_load(
+        self,
+        *,
+        spread: Callable[[], Mapping[str, LoadSpread]],
+        news_age_s: Callable[[], float | None],
+    ) -> None:
+        """Expose the spread of the targets' load, and the age of neighbours' reports.
+
+        The load is in requests in flight for each slot, by service.
+        """
+
+        def observe_spread() -> list[Observation]:
+            smallest: dict[str, float] = {}
+            largest: dict[str, float] = {}
+            for name, each in spread().items():
+                service = self._services.label(name)
+                smallest[service] = min(each.smallest, smallest.get(service, math.inf))
+                largest[service] = max(each.largest, largest.get(service, 0.0))
+            return [
+                Observation(load, {"service": service, "bound": bound})
+                for bound, loads in (("smallest", smallest), ("largest", largest))
+                for service, load in loads.items()
+            ]
+
+        self._meter.create_observable_gauge(
+            "dogwoodhook_target_load",
+            callbacks=[lambda options: observe_spread()],
+            description="largest and smallest load of a target of the own data centre",
+        )
+        self._meter.create_observable_gauge(
+            "dogwoodhook_load_report_age",
+            callbacks=[
+                lambda options: [
+                    Observation(age_s) for age_s in (news_age_s(),) if age_s is not None
+                ]
+            ],
+            unit="s",
+            description="usual age of neighbours' reports of load, if it is measured",
+        )
+
     def watch_caller_memory(self, read_bytes: Callable[[], int]) -> None:
         """Expose the bytes that are held for callers."""
         self._meter.create_observable_gauge(
@@ -271,10 +383,35 @@
         """Record a request that was refused because of its quarantine."""
         self._quarantine_refusals += 1
 
+    def record_room_wait(self, outcome: str, waited_s: float) -> None:
+        """Record whether a request got room at its service.
+
+        ``outcome`` is ``at-once``, ``waited``, ``elsewhere`` (in another data centre),
+        ``too-late`` or ``no-room``.
+        """
+        self._room_waits[_RoomSeries(outcome)] += 1
+        self._room_wait_s += waited_s
+
     def record_target_announcement(self, kind: str) -> None:
         """Record that a target announced something in an answer."""
         self._target_announcements[_AnnouncementSeries(kind)] += 1
 
+    def record_key_refusal(self, problem: str, *, workspace: str = "") -> None:
+        """Record a request that was refused because of its key.
+
+        ``workspace`` is the holder of the key, if one is known.
+        """
+        label = self._workspaces.label(workspace) if workspace else ""
+        self._key_refusals[_KeyRefusalSeries(problem, label)] += 1
+
+    def record_quota_refusal(self, workspace: str, *, is_reached: bool) -> None:
+        """Record a request that was refused because of its workspace's quota.
+
+        ``is_reached`` tells whether a coordinator of the quota decided.
+        """
+        label = self._workspaces.label(workspace)
+        self._quota_refusals[_QuotaSeries(label, is_reached)] += 1
+
     def record_unanswered(self, closed_by: str) -> None:
         """Record a request whose connection closed before its answer was complete."""
         self._unanswered[_ClosingSeries(closed_by)] += 1
@@ -324,6 +461,9 @@
     | Counter[_RetrySeries]
     | Counter[_ClosingSeries]
     | Counter[_RefusalSeries]
-    | Counter[_AnnouncementSeries],
+    | Counter[_AnnouncementSeries]
+    | Counter[_RoomSeries]
+    | Counter[_KeyRefusalSeries]
+    | Counter[_QuotaSeries],
 ) -> list[Observation]:
     return [Observation(count, series.attributes()) for series, count in counts.items()]
--- a/dogwoodhook/state/placement.py
+++ b/dogwoodhook/state/placement.py
@@ -11,21 +11,21 @@
 Each therefore compares a few: those to which it has idle connections, and some chosen
 at random for each request (Mitzenmacher, The power of two choices in randomized load
 balancing, 2001). It compares all of them if none of these few is sound and has a free
-slot.
+slot. While the neighbours' counts are old, which ``load_estimate`` decides, it compares
+all only if these few have failed requests.
 """
 
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from dogwoodhook.state.crowding import ServiceRoom
 from dogwoodhook.state.fleet_load import FleetLoad
+from dogwoodhook.state.load_estimate import LoadEstimator
+from dogwoodhook.state.remote_choice import REMOTE_COST
 from dogwoodhook.state.suspicion import Standing, Suspicion
 from dogwoodhook.state.target_directory import TargetEntry
 
-REMOTE_COST = 3.0
-"""Requests in flight by which a target of the own data centre may be busier than one
-of another data centre before the latter is chosen: the usual number of slots."""
-
 TYPICAL_SLOTS = 3.0
 """Slots of a target at which a request in flight costs 1; with more it costs less."""
 
@@ -63,18 +63,24 @@
 """Targets of the own data centre that are chosen at random for each request, in
 addition to those with idle connections."""
 
+SAMPLED_TARGETS_OF_OLD = 2
+"""The same while the neighbours' counts are old: of more, the daemons that choose in
+the meantime would find the same target to be the best."""
+
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
     """A target and its cost; the target with the lowest cost is chosen.
 
-    ``has_free_slot`` considers only requests from the own data centre.
+    ``has_free_slot`` considers only requests from the own data centre. A target in
+    another data centre ``is_elsewhere``.
     """
 
     target: TargetEntry
     cost: float
     standing: Standing
     has_free_slot: bool
+    is_elsewhere: bool = False
 
 
 class Placement:
@@ -89,6 +95,7 @@
         rng: random.Random,
         has_idle_connection: Callable[[TargetEntry], bool],
         has_joined_recently: Callable[[str, float], bool],
+        estimator: LoadEstimator | None = None,
     ) -> None:
         self._suspicion = suspicion
         self._data_centre = data_centre
@@ -96,6 +103,7 @@
         self._has_idle_connection = has_idle_connection
         self._has_joined_recently = has_joined_recently
         self._load = load
+        self._estimator = estimator or LoadEstimator(load)
         self._used_recently_joined: set[str] = set()
 
     def start(self, target: TargetEntry, *, now_s: float) -> None:
@@ -120,6 +128,26 @@
         busy = sum(in_flight[each.name] for each in counted)
         return busy < FREE_SLOTS_SHARE * sum(each.slots for each in counted)
 
+    def room(self, targets: Iterable[TargetEntry], *, now_s: float) -> ServiceRoom:
+        """Return the known load of the targets.
+
+        A target that refused a request a moment ago is full, whatever is known of its
+        load: other data centres send requests to it, too. One in doubt has no room.
+        """
+        in_flight = self._load.by_target(now_s=now_s)
+        room = ServiceRoom(slots=0, in_flight=0, places=0)
+        for each in targets:
+            avoidance = self._suspicion.avoidance(
+                each.name, is_idempotent=True, now_s=now_s
+            )
+            room = room.with_target(
+                slots=each.slots,
+                in_flight=in_flight[each.name],
+                is_near=each.data_centre == self._data_centre,
+                is_sound=avoidance.standing is Standing.SOUND,
+            )
+        return room
+
     def choose(
         self,
         targets: Iterable[TargetEntry],
@@ -127,9 +155,15 @@
         tried: frozenset[str],
         is_idempotent: bool,
         now_s: float,
+        cost_elsewhere: float = REMOTE_COST,
     ) -> Candidate | None:
-        """Return the best target that was not tried yet, or ``None``."""
-        in_flight = self._load.by_target(now_s=now_s)
+        """Return the best target that was not tried yet, or ``None``.
+
+        ``cost_elsewhere`` is the cost of targets of other data centres.
+        """
+        untried = [each for each in targets if each.name not in tried]
+        estimate = self._estimator.estimate(untried, now_s=now_s)
+        in_flight = estimate.in_flight
 
         def best_of(compared: Iterable[TargetEntry]) -> Candidate | None:
             candidates = (
@@ -138,45 +172,54 @@
                     in_flight=in_flight[target.name],
                     is_idempotent=is_idempotent,
                     now_s=now_s,
+                    cost_elsewhere=cost_elsewhere,
                 )
                 for target in compared
             )
             return min(candidates, key=lambda each: each.cost, default=None)
 
-        untried = [each for each in targets if each.name not in tried]
-        sampled = self._sample(untried)
+        sampled = self._sample(untried, is_old=estimate.is_old)
         if len(sampled) < len(untried):
             best = best_of(sampled)
             if best is not None and best.has_free_slot:
                 if best.standing is Standing.SOUND:
                     return best
+        if estimate.is_old:
+            # All daemons would find the same target to be the best of all.
+            remote = [each for each in untried if each.data_centre != self._data_centre]
+            best = best_of([*sampled, *remote])
+            if best is not None and best.standing <= Standing.SLOW:
+                return best
         return best_of(untried)
 
-    def _sample(self, targets: list[TargetEntry]) -> list[TargetEntry]:
+    def _sample(self, targets: list[TargetEntry], *, is_old: bool) -> list[TargetEntry]:
         """Return a few targets of the own data centre."""
         near = [each for each in targets if each.data_centre == self._data_centre]
-        if len(near) <= SAMPLED_TARGETS:
+        count = SAMPLED_TARGETS_OF_OLD if is_old else SAMPLED_TARGETS
+        if len(near) <= count:
             return near
         is_idle = {each.name: self._has_idle_connection(each) for each in near}
         others = [each for each in near if not is_idle[each.name]]
-        chosen = self._rng.sample(others, min(SAMPLED_TARGETS, len(others)))
+        chosen = self._rng.sample(others, min(count, len(others)))
         return chosen + [each for each in near if is_idle[each.name]]
 
     def _evaluate(
         self,
         target: TargetEntry,
         *,
-        in_flight: int,
+        in_flight: float,
         is_idempotent: bool,
         now_s: float,
+        cost_elsewhere: float = REMOTE_COST,
     ) -> Candidate:
         avoidance = self._suspicion.avoidance(
             target.name, is_idempotent=is_idempotent, now_s=now_s
         )
         cost = in_flight * TYPICAL_SLOTS / target.slots
         cost += self._rng.uniform(0, RANDOM_COST)
-        if target.data_centre != self._data_centre:
-            cost += REMOTE_COST
+        is_elsewhere = target.data_centre != self._data_centre
+        if is_elsewhere:
+            cost += cost_elsewhere
         if target.warmup_s > 0:
             cost += WARMUP_COST
         if not self._has_idle_connection(target) and not self._is_untried(
@@ -194,7 +237,13 @@
                 cost += SLOW_COST
             case Standing.SOUND:
                 pass
-        return Candidate(target, cost, avoidance.standing, in_flight < target.slots)
+        return Candidate(
+            target,
+            cost,
+            avoidance.standing,
+            has_free_slot=in_flight < target.slots,
+            is_elsewhere=is_elsewhere,
+        )
 
     def _is_untried(self, target: TargetEntry, now_s: float) -> bool:
         """Return whether a target joined recently and was not used by this daemon."""
--- a/dogwoodhook/transport/own_answers.py
+++ b/dogwoodhook/transport/own_answers.py
@@ -12,11 +12,21 @@
     RefusalCause,
     retry_after_s,
 )
+from dogwoodhook.state.route_policy import CallerLimits
+from dogwoodhook.transport.bounded_requests import HEAD_TOO_LARGE_STATUS, head_bytes
 from dogwoodhook.transport.request_uris import logged_path
 
 UNAVAILABLE_STATUS = 503
 """Status by which an answer promises that the request has not run and will not run."""
 
+BODY_TOO_LARGE_STATUS = 413
+
+OVER_QUOTA_STATUS = 429
+"""Status with the same promise, for a workspace that is over its quota."""
+
+UNAUTHORIZED_STATUS = 401
+"""Status for a request whose key no workspace holds; it has not run."""
+
 BODY_LATE_STATUS = 408
 """Status with the same promise, for a caller that sent its request too slowly."""
 
@@ -44,8 +54,15 @@
         """Return an answer that promises that the request has not run."""
         answer = self.failure(request, UNAVAILABLE_STATUS, detail)
         retry_s = retry_after_s(cause, rng=self._rng)
-        # Rounded up, so that no caller returns before the first pause ends.
-        answer.headers["Retry-After"] = f"{math.ceil(retry_s * 100) / 100:.2f}"
+        answer.headers["Retry-After"] = _rounded_up(retry_s)
+        return answer
+
+    def over_quota(
+        self, request: web.BaseRequest, detail: str, *, retry_after_s: float
+    ) -> web.Response:
+        """Refuse a request as not run, until its workspace's quota has room."""
+        answer = self.failure(request, OVER_QUOTA_STATUS, detail)
+        answer.headers["Retry-After"] = _rounded_up(retry_after_s)
         return answer
 
     def quarantined(
@@ -70,6 +87,25 @@
         answer.headers["Retry-After"] = "0"
         return answer
 
+    def over_limit(
+        self, request: web.BaseRequest, limits: CallerLimits
+    ) -> web.Response | None:
+        """Refuse a request whose head or announced body is too large."""
+        if head_bytes(request) > limits.max_header_bytes:
+            detail = f"a head over {limits.max_header_bytes} bytes"
+            return self.denial(request, HEAD_TOO_LARGE_STATUS, detail)
+        if (request.content_length or 0) > limits.max_body_bytes:
+            detail = f"a body over {limits.max_body_bytes} bytes"
+            return self.denial(request, BODY_TOO_LARGE_STATUS, detail)
+        return None
+
+    def unauthorized(self, request: web.BaseRequest, detail: str) -> web.Response:
+        """Refuse a request without a valid key; what is logged is up to the caller."""
+        answer = self.failure(request, UNAUTHORIZED_STATUS, detail)
+        # A challenge is needed (RFC 9110, section 15.5.2).
+        answer.headers["WWW-Authenticate"] = self._conventions.key_header
+        return answer
+
     def body_late(self, request: web.BaseRequest) -> web.Response:
         """Refuse a request as not run: its body did not arrive in time."""
         detail = "the body did not come in time"
@@ -93,3 +129,8 @@
             status=status,
             detail=detail,
         )
+
+
+def _rounded_up(retry_after_s: float) -> str:
+    """Return a time in hundredths of a second, after which no caller is too early."""
+    return f"{math.ceil(retry_after_s * 100) / 100:.2f}"
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-from collections import defaultdict
 from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import replace
@@ -36,17 +35,13 @@
 from dogwoodhook.state.daemon_stop import DaemonStop
 from dogwoodhook.state.placement import Candidate
 from dogwoodhook.state.quarantine import Admission, Admit, Refuse, RunAlone
-from dogwoodhook.state.retry_after import (
-    NoTargetKnown,
-    RefusalCause,
-    TargetsPaused,
-    TargetsRefused,
-    TargetsShed,
+from dogwoodhook.state.route_policy import (
+    CallerLimits,
+    RoutePolicy,
+    RoutingConfiguration,
 )
-from dogwoodhook.state.route_policy import RoutePolicy, RoutingConfiguration
 from dogwoodhook.state.suspicion import Standing, Symptom
 from dogwoodhook.state.target_directory import TargetEntry
-from dogwoodhook.state.typical_latency import TypicalLatency
 from dogwoodhook.state.unanswered_runs import UnansweredRun
 from dogwoodhook.transport.attempts import (
     Attempt,
@@ -55,20 +50,19 @@
     MayHaveRun,
     NotRunAtTarget,
     OpenAnswer,
+    connection_fields,
+    discard_attempt,
     send_attempt,
 )
 from dogwoodhook.transport.bodies import RequestBody
 from dogwoodhook.transport.body_intake import BodyIntake
-from dogwoodhook.transport.bounded_requests import (
-    BAD_REQUEST_STATUS,
-    HEAD_TOO_LARGE_STATUS,
-    head_bytes,
-)
+from dogwoodhook.transport.bounded_requests import BAD_REQUEST_STATUS
 from dogwoodhook.transport.crash_checks import SecondConnection
 from dogwoodhook.transport.detached_tasks import DetachedTasks
 from dogwoodhook.transport.fleet_reports import FleetReports
 from dogwoodhook.transport.fleet_view import FleetView
 from dogwoodhook.transport.held_answers import HeldAnswers, may_stream
+from dogwoodhook.transport.held_requests import HeldRequests
 from dogwoodhook.transport.own_answers import UNAVAILABLE_STATUS, OwnAnswers
 from dogwoodhook.transport.pipelining import (
     ClosingReason,
@@ -76,6 +70,7 @@
     start_streaming,
     waited_s,
 )
+from dogwoodhook.transport.quota_admission import QuotaAdmission
 from dogwoodhook.transport.request_uris import (
     headers_to_target,
     host_of,
@@ -86,6 +81,8 @@
 from dogwoodhook.transport.routed_request import RoutedRequest
 from dogwoodhook.transport.stop_timeouts import StopTimeouts
 from dogwoodhook.transport.target_announcements import AnnouncementRecorder
+from dogwoodhook.transport.target_shortage import refusal_cause, shortage_fields
+from dogwoodhook.transport.workspace_admission import WorkspaceAdmission
 
 REPLAY_BUFFER_BYTES = 512 * 1024
 """Bodies up to this size are buffered, so that they can be sent to another target."""
@@ -161,11 +158,16 @@
         self._fleet = fleet
         self._conventions = conventions
         self._own_answers = OwnAnswers(conventions, rng)
+        self._workspaces = WorkspaceAdmission(
+            fleet, conventions, clock, metrics, self._own_answers
+        )
+        self._quotas = QuotaAdmission(fleet, clock, metrics, self._own_answers)
         self._intake = BodyIntake(
             self._own_answers, clock, stop_timeouts, buffer_bytes=REPLAY_BUFFER_BYTES
         )
         self._clock = clock
         self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
+        self._held_requests = HeldRequests(fleet, self._reports, clock, metrics, rng)
         self._rng = rng
         self._announcements = AnnouncementRecorder(fleet.directory, clock, metrics, rng)
         self._held_answers = HeldAnswers(
@@ -175,9 +177,6 @@
         )
         self._running: set[RoutedRequest] = set()
         fleet.quarantine.on_stopped = self._recall
-        self._typical_latencies: defaultdict[str, TypicalLatency] = defaultdict(
-            TypicalLatency
-        )
 
     async def forward(self, request: web.BaseRequest) -> web.StreamResponse:
         """Forward a request, and return the answer for the caller."""
@@ -200,13 +199,9 @@
             return self._own_answers.denial(
                 request, 404, f"no route in version {configuration.version}"
             )
-        limits = configuration.limits
-        if head_bytes(request) > limits.max_header_bytes:
-            detail = f"a head over {limits.max_header_bytes} bytes"
-            return self._own_answers.denial(request, HEAD_TOO_LARGE_STATUS, detail)
-        if (request.content_length or 0) > limits.max_body_bytes:
-            detail = f"a body over {limits.max_body_bytes} bytes"
-            return self._own_answers.denial(request, 413, detail)
+        refusal = self._refusal_on_arrival(request, route, configuration.limits)
+        if refusal is not None:
+            return refusal
         deadline_s = arrived_s + self._time_limit_s(request, route)
         service = route.service_at(self._rng.random())
         if not self._stop_allows_sending(route, service, deadline_s=deadline_s):
@@ -224,11 +219,20 @@
             deadline_s=deadline_s,
         )
         routed.configuration_version = configuration.version
-        self._fleet.budget.record_request(routed.service, now_s=self._clock.now_s())
+        self._workspaces.admits(routed)
+        work = self._quotas.run(routed, self._run)
         if route.is_idempotent:
-            return await self._run(routed)
+            return await work
         # Runs to its end even if the caller disconnects: it may not be sent again.
-        return await self._detached_tasks.run(self._run(routed))
+        return await self._detached_tasks.run(work)
+
+    def _refusal_on_arrival(
+        self, request: web.BaseRequest, route: RoutePolicy, limits: CallerLimits
+    ) -> web.Response | None:
+        refusal = self._workspaces.refusal(request, route)
+        if refusal is not None:
+            return refusal
+        return self._own_answers.over_limit(request, limits)
 
     def _stop_allows_sending(
         self, route: RoutePolicy, service: str, *, deadline_s: float
@@ -236,7 +240,7 @@
         """Return whether a planned stop still allows a request to go to a target."""
         if not self._stop.has_begun:
             return True
-        expected_s = self._typical_latencies[service].overdue_s(
+        expected_s = self._fleet.typical_latencies[service].overdue_s(
             target_latency_s=route.target_latency_s
         )
         return self._stop.may_send(
@@ -326,6 +330,7 @@
 
     async def _run(self, routed: RoutedRequest) -> web.StreamResponse:
         pending: dict[asyncio.Task[AttemptResult], TargetEntry] = {}
+        self._fleet.budget.record_request(routed.service, now_s=self._clock.now_s())
         self._running.add(routed)
         try:
             answer = await self._send_until_answered(routed, pending)
@@ -334,7 +339,7 @@
             self._running.discard(routed)
             routed.body.release()
             for task in pending:
-                _discard_attempt(task)
+                discard_attempt(task)
             if routed.alone_run is not None:
                 has_arrived = bool(routed.arrivals or pending) or routed.may_have_run
                 self._fleet.quarantine.end_alone(
@@ -365,12 +370,12 @@
         duration_s = self._clock.now_s() - routed.arrived_s
         self._metrics.record_request(
             service=routed.service,
-            workspace=routed.route.name,
+            workspace=routed.workspace.name if routed.workspace else routed.route.name,
             request_class="idempotent" if routed.route.is_idempotent else "once",
             outcome=str(answer.status),
             duration_ms=duration_s * 1000,
             target_ms=routed.target_s * 1000,
-            queueing_ms=0.0,
+            queueing_ms=routed.waited_s * 1000,
             retries=max(0, len(routed.tried) - 1),
         )
 
@@ -387,7 +392,7 @@
         refused_until_s = await self._begin_if_admitted(routed)
         if refused_until_s is not None:
             return self._refuse_quarantined(routed, refused_until_s)
-        target = self._next_target(routed)
+        target = await self._first_target(routed)
         detail = "no target serves it"
         while True:
             if target is not None:
@@ -411,8 +416,8 @@
                 if isinstance(answer, web.StreamResponse):
                     return answer
                 detail = answer
-            if not pending and self._may_send_again(routed):
-                target = self._next_target(routed)
+            if not pending:
+                target = await self._target_after_failure(routed)
 
     def _admission(self, routed: RoutedRequest) -> Admission:
         quarantine = self._fleet.quarantine
@@ -490,6 +495,8 @@
         if candidate is None:
             return None
         routed.last_standing = candidate.standing
+        if candidate.is_elsewhere:
+            self._metrics.record_room_wait("elsewhere", 0.0)
         return candidate.target
 
     def _hedge_target(self, routed: RoutedRequest) -> TargetEntry | None:
@@ -519,15 +526,18 @@
         if not self._stop_allows_attempt(routed):
             return None
         self._fleet.receive_pending()
+        if not self._workspaces.admits(routed):
+            return None
         routed.directory_version = self._fleet.directory.version
         routed.directory_age_s = self._fleet.targets_age_s()
         return self._fleet.placement.choose(
             self._fleet.directory.available(
                 routed.service, turn=routed.turn, now_s=now_s
             ),
-            tried=frozenset(routed.tried),
+            tried=routed.excluded_targets,
             is_idempotent=routed.route.is_idempotent,
             now_s=now_s,
+            cost_elsewhere=self._held_requests.cost_elsewhere(routed),
         )
 
     def _time_to_hedge_s(self, routed: RoutedRequest, in_flight: int) -> float | None:
@@ -541,7 +551,7 @@
         )
         if not may_hedge:
             return None
-        hedge_delay_s = self._typical_latencies[routed.service].hedge_after_s(
+        hedge_delay_s = self._fleet.typical_latencies[routed.service].hedge_after_s(
             target_latency_s=routed.route.target_latency_s
         )
         return max(0.0, routed.started_s + hedge_delay_s - self._clock.now_s())
@@ -575,13 +585,14 @@
                 routed.refusals += 1
                 routed.unreachable += has_timed_out
                 routed.arrivals += has_arrived
-                connection = _connection_fields(result)
+                routed.sheds += symptom is Symptom.BUSY
+                connection = connection_fields(result)
                 self._record_failure(routed, target, symptom, detail, **connection)
                 return detail
             case MayHaveRun(detail, symptom):
                 routed.runs += 1
                 routed.arrivals += 1
-                connection = _connection_fields(result)
+                connection = connection_fields(result)
                 self._record_failure(routed, target, symptom, detail, **connection)
                 return detail
 
@@ -595,6 +606,7 @@
         self, routed: RoutedRequest, target: TargetEntry
     ) -> asyncio.Task[AttemptResult]:
         routed.tried.add(target.name)
+        routed.available_again.discard(target.name)
         routed.last_target = target.name
         return asyncio.ensure_future(self._send(routed, target))
 
@@ -618,11 +630,12 @@
         fleet = self._fleet
         now_s = self._clock.now_s()
         remaining_s = routed.deadline_s - now_s
-        typical_latency = self._typical_latencies[routed.service]
+        typical_latency = self._fleet.typical_latencies[routed.service]
         overdue_s = typical_latency.overdue_s(
             target_latency_s=routed.route.target_latency_s
         )
-        headers = routed.headers.copy()
+        label = self._workspaces.label(routed)
+        headers = self._workspaces.headers_to_target(routed, label)
         headers[self._conventions.remaining_ms_header] = str(int(remaining_s * 1000))
         attempt = Attempt(
             method=routed.request.method,
@@ -637,7 +650,12 @@
             ),
         )
         may_use_idle = fleet.suspicion.may_use_idle(target.name, now_s=now_s)
-        trace = AttemptTrace(lambda: self._announcements.obstacle(routed, target))
+        trace = AttemptTrace(
+            lambda: (
+                self._workspaces.obstacle(routed, label)
+                or self._announcements.obstacle(routed, target)
+            )
+        )
         overdue = asyncio.create_task(
             self._report_overdue(routed, target, trace, due_s=now_s + overdue_s)
         )
@@ -805,6 +823,8 @@
             return False
         if routed.has_caller_left or not self._stop_allows_attempt(routed):
             return False
+        if not self._workspaces.admits(routed):
+            return False
         if routed.may_have_run and not routed.route.is_idempotent:
             return False
         if routed.runs >= routed.route.max_targets:
@@ -813,6 +833,22 @@
             return False
         return not routed.arrivals or self._reports.take_retry(routed)
 
+    async def _first_target(self, routed: RoutedRequest) -> TargetEntry | None:
+        has_room = await self._held_requests.wait_on_arrival(routed)
+        return self._next_target(routed) if has_room else None
+
+    async def _target_after_failure(self, routed: RoutedRequest) -> TargetEntry | None:
+        """Return where the request goes next, maybe after a wait, or ``None``."""
+        # Before a retry is taken from the budget, there must be a target for it.
+        has_room = self._held_requests.may_retry_at_once(routed)
+        has_target = has_room and self._choose_candidate(routed) is not None
+        if has_target and self._may_send_again(routed):
+            return self._next_target(routed)
+        if not await self._held_requests.wait_after_shed(routed):
+            return None
+        is_admitted = isinstance(self._admission(routed), Admit)
+        return self._next_target(routed) if is_admitted else None
+
     def _deliver(
         self, routed: RoutedRequest, target: str, answer: CompleteAnswer
     ) -> web.Response:
@@ -873,72 +909,31 @@
         """Return the daemon's own answer: a refusal if the request has not run."""
         if not routed.may_have_run and not self._stop_allows_attempt(routed):
             return self._own_answers.stopping(routed.request)
+        if not routed.may_have_run:
+            refusal = self._workspaces.refusal(
+                routed.request, routed.route, earlier=routed.workspace
+            )
+            if refusal is not None:
+                return refusal
         fields = self._log_fields(routed)
         if not routed.may_have_run:
+            now_s = self._clock.now_s()
             log(
                 REQUEST_REFUSED,
                 **fields,
-                **self._unavailable_fields(routed),
+                **shortage_fields(self._fleet, routed, now_s=now_s),
                 status=UNAVAILABLE_STATUS,
                 detail=detail,
             )
-            cause = self._refusal_cause(routed)
+            cause = refusal_cause(self._fleet, routed, now_s=now_s)
             return self._own_answers.unavailable(routed.request, detail, cause)
         left_s = routed.deadline_s - self._clock.now_s()
         status = 504 if left_s <= MIN_ATTEMPT_S else 502
         log(REQUEST_UNANSWERED, **fields, status=status, detail=detail)
         return self._own_answers.failure(routed.request, status, detail)
 
-    def _unavailable_fields(self, routed: RoutedRequest) -> dict[str, object]:
-        """Return the log fields that tell how many targets are not to be used."""
-        directory, now_s = self._fleet.directory, self._clock.now_s()
-        pauses = directory.pauses(routed.service, turn=routed.turn, now_s=now_s)
-        return {
-            "targets_listed": len(directory.serving(routed.service, now_s=now_s)),
-            "targets_paused": len(pauses),
-            "targets_leaving": directory.count_leaving(routed.service, now_s=now_s),
-        }
-
-    def _refusal_cause(self, routed: RoutedRequest) -> RefusalCause:
-        now_s = self._clock.now_s()
-        directory, turn = self._fleet.directory, routed.turn
-        targets = directory.available(routed.service, turn=turn, now_s=now_s)
-        if not targets:
-            pauses = directory.pauses(routed.service, turn=turn, now_s=now_s)
-            if not pauses:
-                return NoTargetKnown()
-            first_s = min(pause.returns_s(turn) for pause in pauses)
-            return TargetsPaused(first_s - now_s)
-        if not routed.arrivals:
-            return NoTargetKnown()
-        if self._fleet.placement.has_free_slots(targets, now_s=now_s):
-            return TargetsShed()
-        return TargetsRefused(
-            self._fleet.budget.available_in_s(routed.service, now_s=now_s)
-        )
-
-
-def _connection_fields(result: NotRunAtTarget | MayHaveRun) -> dict[str, object]:
-    """Return the log fields that tell whether a refusal was believed, and why."""
-    fields = result.connection.log_fields()
-    match result:
-        case NotRunAtTarget(has_arrived=True):
-            return {"refusal": "believed", **fields}
-        case MayHaveRun(has_refusal=True):
-            return {"refusal": "doubted", **fields}
-        case _:
-            return fields
-
 
 def _route_of(
     configuration: RoutingConfiguration, request: web.BaseRequest, uri: RequestUri
 ) -> RoutePolicy | None:
     return configuration.match(host_of(request, uri), uri.path)
-
-
-def _discard_attempt(task: asyncio.Task[AttemptResult]) -> None:
-    """Cancel an attempt whose answer is no longer needed, or close its answer."""
-    if not task.cancel() and not task.cancelled() and task.exception() is None:
-        result = task.result()
-        if isinstance(result, OpenAnswer):
-            result.response.close()
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -13,10 +13,12 @@
     body_digest,
     fingerprint,
 )
+from dogwoodhook.state.retry_after import RoomExpected
 from dogwoodhook.state.route_policy import RoutePolicy, host_name
 from dogwoodhook.state.store_position import describe
 from dogwoodhook.state.suspicion import Standing
 from dogwoodhook.state.target_availability import Turn, turn_of
+from dogwoodhook.state.workspace_policy import WorkspacePolicy
 from dogwoodhook.transport.attempts import CompleteAnswer
 from dogwoodhook.transport.bodies import RequestBody
 from dogwoodhook.transport.request_uris import host_of
@@ -30,13 +32,17 @@
     connection comes from. ``runs`` counts the attempts that may have run, ``refusals``
     those that did not run, and ``unreachable`` those among the latter that got no
     connection in time. ``arrivals`` counts the attempts that reached a target.
+    ``sheds`` counts the refusals of full targets, and ``available_again`` names targets
+    that were tried before the request waited for room. ``room_in_s`` is when room is
+    expected, if the request is refused for want of it.
     ``has_answer_started`` is set once the start of a target's answer has been read,
     ``has_succeeded`` once a target has answered without an error.
     ``is_hedge_considered`` is set once the request was overdue and a hedge was
     considered, even if none was sent. ``failure`` is the error answer of
     ``failed_target``, kept in case no other target answers successfully. ``alone_run``
     is the request's run as a suspect. ``recalled`` is done once its attempts are to be
-    given up.
+    given up. ``workspace`` is the holder of the request's key, ``None`` if it needs
+    none.
     """
 
     request: web.BaseRequest
@@ -53,8 +59,12 @@
     refusals: int = 0
     unreachable: int = 0
     arrivals: int = 0
+    sheds: int = 0
+    waited_s: float = 0.0
+    room_in_s: float | None = None
     has_answer_started: bool = False
     tried: set[str] = field(default_factory=set)
+    available_again: set[str] = field(default_factory=set)
     last_target: str = ""
     started_s: float = 0.0
     is_hedge_considered: bool = False
@@ -68,20 +78,38 @@
     has_succeeded: bool = False
     alone_run: AloneRun | None = None
     recalled: asyncio.Future[None] = field(default_factory=asyncio.Future)
+    workspace: WorkspacePolicy | None = None
     _identity: RequestIdentity | None = None
 
+    @property
+    def priority(self) -> int:
+        """Return the priority of the workspace if it has one, else of the route."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
+
     @property
     def turn(self) -> Turn:
         """Return when the request returns to a target after a pause."""
-        return turn_of(
-            priority=self.route.priority, is_idempotent=self.route.is_idempotent
-        )
+        return turn_of(priority=self.priority, is_idempotent=self.route.is_idempotent)
 
     @property
     def may_have_run(self) -> bool:
         """Return whether the request may have run."""
         return self.runs > 0 or self.has_answer_started
 
+    @property
+    def excluded_targets(self) -> frozenset[str]:
+        """Return the targets that the request is not to be sent to again for now."""
+        return frozenset(self.tried - self.available_again)
+
+    @property
+    def expected_room(self) -> RoomExpected | None:
+        """Return when room is expected, if the request is refused for want of it."""
+        if self.room_in_s is None:
+            return None
+        return RoomExpected(self.room_in_s, self.priority)
+
     @property
     def identity(self) -> RequestIdentity:
         """Return the fingerprints, which are the same for each sending.
