--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -26,7 +26,7 @@
 """Classes of requests: idempotent and non-idempotent."""
 
 
-CLOSING_REASONS = 4
+CLOSING_REASONS = 5
 """Reasons for which a caller's connection is closed."""
 
 KEY_PROBLEMS = 5
@@ -38,17 +38,24 @@
 ROOM_OUTCOMES = 5
 """Outcomes of a request that asks for room at its service."""
 
+QUOTA_OUTCOMES = 2
+"""Whether a refusal over a quota was decided by the quota's coordinator or not."""
+
+CALLER_REFUSAL_REASONS = 4
+"""Reasons for which a limit for all callers refuses a request."""
+
 DAEMON_SERIES = (
     2 * (len(LATENCY_BUCKETS_MS) + 3)
-    + 8
+    + 9
     + CLOSING_REASONS
     + KEY_PROBLEMS
     + ROOM_OUTCOMES
+    + CALLER_REFUSAL_REASONS
 )
-"""Series of the daemon: two histograms, four gauges and seven counters.
+"""Series of the daemon: two histograms, five gauges and eight counters.
 
-Three of the counters have one series for each closing reason, for each problem of a
-key and for each outcome.
+Four of the counters have one series for each closing reason, for each problem of a
+key, for each outcome and for each reason of a refusal.
 """
 
 LOAD_BOUNDS = 2
@@ -81,6 +88,22 @@
         return {"problem": self.problem, "workspace": self.workspace}
 
 
+class _QuotaSeries(NamedTuple):
+    workspace: str
+    is_reached: bool
+
+    def attributes(self) -> dict[str, str]:
+        reached = "yes" if self.is_reached else "no"
+        return {"workspace": self.workspace, "coordinator_reached": reached}
+
+
+class _RefusalSeries(NamedTuple):
+    reason: str
+
+    def attributes(self) -> dict[str, str]:
+        return {"reason": self.reason}
+
+
 class _AnnouncementSeries(NamedTuple):
     kind: str
 
@@ -112,13 +135,13 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    15587
+    15995
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
     per_class = 3 * histogram + outcomes + 1
     by_service = (services + 1) * (REQUEST_CLASSES * per_class + LOAD_BOUNDS)
-    per_workspace = histogram + HOLDER_PROBLEMS
+    per_workspace = histogram + HOLDER_PROBLEMS + QUOTA_OUTCOMES
     return by_service + (workspaces + 1) * per_workspace + DAEMON_SERIES
 
 
@@ -191,10 +214,12 @@
         self._requests: Counter[_RequestSeries] = Counter()
         self._retries: Counter[_RetrySeries] = Counter()
         self._unanswered: Counter[_ClosingSeries] = Counter()
+        self._caller_refusals: Counter[_RefusalSeries] = Counter()
         self._target_crashes = 0
         self._quarantine_refusals = 0
         self._target_announcements: Counter[_AnnouncementSeries] = Counter()
         self._key_refusals: Counter[_KeyRefusalSeries] = Counter()
+        self._quota_refusals: Counter[_QuotaSeries] = Counter()
         meter.create_observable_counter(
             "dogwoodhook_requests",
             callbacks=[lambda options: _observations(self._requests)],
@@ -224,6 +249,11 @@
             unit="s",
             description="time that requests were held back for want of room",
         )
+        meter.create_observable_counter(
+            "dogwoodhook_caller_refusals",
+            callbacks=[lambda options: _observations(self._caller_refusals)],
+            description="requests and connections refused by a limit for all callers",
+        )
         meter.create_observable_counter(
             "dogwoodhook_target_crashes",
             callbacks=[lambda options: [Observation(self._target_crashes)]],
@@ -244,6 +274,11 @@
             callbacks=[lambda options: _observations(self._key_refusals)],
             description="requests refused because of their key, by problem",
         )
+        meter.create_observable_counter(
+            "dogwoodhook_quota_refusals",
+            callbacks=[lambda options: _observations(self._quota_refusals)],
+            description="requests refused because their workspace is over its quota",
+        )
 
     def watch_peer_bytes(self, read_total: Callable[[], int]) -> None:
         """Expose the bytes sent to peers; the total is read at each exposition."""
@@ -319,6 +354,19 @@
             description="usual age of neighbours' reports of load, if it is measured",
         )
 
+    def watch_caller_memory(self, read_bytes: Callable[[], int]) -> None:
+        """Expose the bytes that are held for callers."""
+        self._meter.create_observable_gauge(
+            "dogwoodhook_caller_memory",
+            callbacks=[lambda options: [Observation(read_bytes())]],
+            unit="By",
+            description="memory held for heads, bodies and answers of callers",
+        )
+
+    def record_caller_refusal(self, reason: str) -> None:
+        """Record a request or connection that a limit for all callers refused."""
+        self._caller_refusals[_RefusalSeries(reason)] += 1
+
     def record_adoption(self, duration_ms: float) -> None:
         """Record the time from another daemon's notice of a version to its use here."""
         self._adoption.record(duration_ms)
@@ -356,6 +404,14 @@
         label = self._workspaces.label(workspace) if workspace else ""
         self._key_refusals[_KeyRefusalSeries(problem, label)] += 1
 
+    def record_quota_refusal(self, workspace: str, *, is_reached: bool) -> None:
+        """Record a request that was refused because of its workspace's quota.
+
+        ``is_reached`` tells whether a coordinator of the quota decided.
+        """
+        label = self._workspaces.label(workspace)
+        self._quota_refusals[_QuotaSeries(label, is_reached)] += 1
+
     def record_unanswered(self, closed_by: str) -> None:
         """Record a request whose connection closed before its answer was complete."""
         self._unanswered[_ClosingSeries(closed_by)] += 1
@@ -404,8 +460,10 @@
     counts: Counter[_RequestSeries]
     | Counter[_RetrySeries]
     | Counter[_ClosingSeries]
+    | Counter[_RefusalSeries]
     | Counter[_AnnouncementSeries]
     | Counter[_RoomSeries]
-    | Counter[_KeyRefusalSeries],
+    | Counter[_KeyRefusalSeries]
+    | Counter[_QuotaSeries],
 ) -> list[Observation]:
     return [Observation(count, series.attributes()) for series, count in counts.items()]
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -54,7 +54,8 @@
     discard_attempt,
     send_attempt,
 )
-from dogwoodhook.transport.bodies import RequestBody, read_prelude
+from dogwoodhook.transport.bodies import RequestBody
+from dogwoodhook.transport.body_intake import BodyIntake
 from dogwoodhook.transport.bounded_requests import BAD_REQUEST_STATUS
 from dogwoodhook.transport.crash_checks import SecondConnection
 from dogwoodhook.transport.detached_tasks import DetachedTasks
@@ -69,6 +70,7 @@
     start_streaming,
     waited_s,
 )
+from dogwoodhook.transport.quota_admission import QuotaAdmission
 from dogwoodhook.transport.request_uris import (
     headers_to_target,
     host_of,
@@ -159,6 +161,10 @@
         self._workspaces = WorkspaceAdmission(
             fleet, conventions, clock, metrics, self._own_answers
         )
+        self._quotas = QuotaAdmission(fleet, clock, metrics, self._own_answers)
+        self._intake = BodyIntake(
+            self._own_answers, clock, stop_timeouts, buffer_bytes=REPLAY_BUFFER_BYTES
+        )
         self._clock = clock
         self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
         self._held_requests = HeldRequests(fleet, self._reports, clock, metrics, rng)
@@ -200,12 +206,9 @@
         service = route.service_at(self._rng.random())
         if not self._stop_allows_sending(route, service, deadline_s=deadline_s):
             return self._own_answers.stopping(request)
-        left_s = deadline_s - self._clock.now_s()
-        try:
-            async with self._stop_timeouts.until_intake_ends(left_s):
-                body = await read_prelude(request, buffer_bytes=REPLAY_BUFFER_BYTES)
-        except TimeoutError:
-            return self._refuse_late_body(request, deadline_s=deadline_s)
+        body = await self._intake.read(request, deadline_s=deadline_s)
+        if isinstance(body, web.StreamResponse):
+            return body
         routed = self._make_routed_request(
             request,
             uri,
@@ -217,11 +220,11 @@
         )
         routed.configuration_version = configuration.version
         self._workspaces.admits(routed)
-        self._fleet.budget.record_request(routed.service, now_s=self._clock.now_s())
+        work = self._quotas.run(routed, self._run)
         if route.is_idempotent:
-            return await self._run(routed)
+            return await work
         # Runs to its end even if the caller disconnects: it may not be sent again.
-        return await self._detached_tasks.run(self._run(routed))
+        return await self._detached_tasks.run(work)
 
     def _refusal_on_arrival(
         self, request: web.BaseRequest, route: RoutePolicy, limits: CallerLimits
@@ -231,14 +234,6 @@
             return refusal
         return self._own_answers.over_limit(request, limits)
 
-    def _refuse_late_body(
-        self, request: web.BaseRequest, *, deadline_s: float
-    ) -> web.StreamResponse:
-        """Refuse a request whose body did not arrive in time."""
-        if self._clock.now_s() < deadline_s:
-            return self._own_answers.stopping(request)
-        return self._own_answers.body_late(request)
-
     def _stop_allows_sending(
         self, route: RoutePolicy, service: str, *, deadline_s: float
     ) -> bool:
@@ -335,12 +330,14 @@
 
     async def _run(self, routed: RoutedRequest) -> web.StreamResponse:
         pending: dict[asyncio.Task[AttemptResult], TargetEntry] = {}
+        self._fleet.budget.record_request(routed.service, now_s=self._clock.now_s())
         self._running.add(routed)
         try:
             answer = await self._send_until_answered(routed, pending)
             routed.has_succeeded = answer.status < SERVER_ERROR_STATUS
         finally:
             self._running.discard(routed)
+            routed.body.release()
             for task in pending:
                 discard_attempt(task)
             if routed.alone_run is not None:
