--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -834,8 +834,12 @@
         return not routed.arrivals or self._reports.take_retry(routed)
 
     async def _first_target(self, routed: RoutedRequest) -> TargetEntry | None:
-        has_room = await self._held_requests.wait_on_arrival(routed)
-        return self._next_target(routed) if has_room else None
+        if not await self._held_requests.wait_on_arrival(routed):
+            return None
+        # Targets may have ended under the same request while this one waited.
+        if routed.waited_s and not isinstance(self._admission(routed), Admit):
+            return None
+        return self._next_target(routed)
 
     async def _target_after_failure(self, routed: RoutedRequest) -> TargetEntry | None:
         """Return where the request goes next, maybe after a wait, or ``None``."""
