--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -26,7 +26,7 @@
 """Classes of requests: idempotent and non-idempotent."""
 
 
-CLOSING_REASONS = 4
+CLOSING_REASONS = 5
 """Reasons for which a caller's connection is closed."""
 
 KEY_PROBLEMS = 5
@@ -35,23 +35,27 @@
 HOLDER_PROBLEMS = 2
 """Problems with a key that a workspace held, or holds for all that is known."""
 
-ROOM_OUTCOMES = 4
+ROOM_OUTCOMES = 5
 """Outcomes of a request that asks for room at its service."""
 
 QUOTA_OUTCOMES = 2
 """Whether a refusal over a quota was decided by the quota's coordinator or not."""
 
+CALLER_REFUSAL_REASONS = 4
+"""Reasons for which a limit for all callers refuses a request."""
+
 DAEMON_SERIES = (
     2 * (len(LATENCY_BUCKETS_MS) + 3)
-    + 8
+    + 9
     + CLOSING_REASONS
     + KEY_PROBLEMS
     + ROOM_OUTCOMES
+    + CALLER_REFUSAL_REASONS
 )
-"""Series of the daemon: two histograms, four gauges and seven counters.
+"""Series of the daemon: two histograms, five gauges and eight counters.
 
-Three of the counters have one series for each closing reason, for each problem of a
-key and for each outcome.
+Four of the counters have one series for each closing reason, for each problem of a
+key, for each outcome and for each reason of a refusal.
 """
 
 LOAD_BOUNDS = 2
@@ -93,6 +97,13 @@
         return {"workspace": self.workspace, "coordinator_reached": reached}
 
 
+class _RefusalSeries(NamedTuple):
+    reason: str
+
+    def attributes(self) -> dict[str, str]:
+        return {"reason": self.reason}
+
+
 class _AnnouncementSeries(NamedTuple):
     kind: str
 
@@ -124,7 +135,7 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    15988
+    15995
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
@@ -203,6 +214,7 @@
         self._requests: Counter[_RequestSeries] = Counter()
         self._retries: Counter[_RetrySeries] = Counter()
         self._unanswered: Counter[_ClosingSeries] = Counter()
+        self._caller_refusals: Counter[_RefusalSeries] = Counter()
         self._target_crashes = 0
         self._quarantine_refusals = 0
         self._target_announcements: Counter[_AnnouncementSeries] = Counter()
@@ -237,6 +249,11 @@
             unit="s",
             description="time that requests were held back for want of room",
         )
+        meter.create_observable_counter(
+            "dogwoodhook_caller_refusals",
+            callbacks=[lambda options: _observations(self._caller_refusals)],
+            description="requests and connections refused by a limit for all callers",
+        )
         meter.create_observable_counter(
             "dogwoodhook_target_crashes",
             callbacks=[lambda options: [Observation(self._target_crashes)]],
@@ -337,6 +354,19 @@
             description="usual age of neighbours' reports of load, if it is measured",
         )
 
+    def watch_caller_memory(self, read_bytes: Callable[[], int]) -> None:
+        """Expose the bytes that are held for callers."""
+        self._meter.create_observable_gauge(
+            "dogwoodhook_caller_memory",
+            callbacks=[lambda options: [Observation(read_bytes())]],
+            unit="By",
+            description="memory held for heads, bodies and answers of callers",
+        )
+
+    def record_caller_refusal(self, reason: str) -> None:
+        """Record a request or connection that a limit for all callers refused."""
+        self._caller_refusals[_RefusalSeries(reason)] += 1
+
     def record_adoption(self, duration_ms: float) -> None:
         """Record the time from another daemon's notice of a version to its use here."""
         self._adoption.record(duration_ms)
@@ -354,7 +384,11 @@
         self._quarantine_refusals += 1
 
     def record_room_wait(self, outcome: str, waited_s: float) -> None:
-        """Record whether a request got room: ``at-once``, ``waited``, ``too-late``."""
+        """Record whether a request got room at its service.
+
+        ``outcome`` is ``at-once``, ``waited``, ``elsewhere`` (in another data centre),
+        ``too-late`` or ``no-room``.
+        """
         self._room_waits[_RoomSeries(outcome)] += 1
         self._room_wait_s += waited_s
 
@@ -426,6 +460,7 @@
     counts: Counter[_RequestSeries]
     | Counter[_RetrySeries]
     | Counter[_ClosingSeries]
+    | Counter[_RefusalSeries]
     | Counter[_AnnouncementSeries]
     | Counter[_RoomSeries]
     | Counter[_KeyRefusalSeries]
--- a/dogwoodhook/state/retry_after.py
+++ b/dogwoodhook/state/retry_after.py
@@ -67,8 +67,17 @@
     priority: int
 
 
+class MemoryShort:
+    """The daemon has no memory for the request; others are likely to have some."""
+
+
 RefusalCause = (
-    RoomExpected | NoTargetKnown | TargetsPaused | TargetsRefused | TargetsShed
+    RoomExpected
+    | NoTargetKnown
+    | TargetsPaused
+    | TargetsRefused
+    | TargetsShed
+    | MemoryShort
 )
 
 
@@ -79,7 +88,7 @@
     True
     """
     match cause:
-        case NoTargetKnown():
+        case NoTargetKnown() | MemoryShort():
             return rng.uniform(NO_TARGET_RETRY_AFTER_S, 2 * NO_TARGET_RETRY_AFTER_S)
         case TargetsPaused(returns_in_s):
             spread_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, returns_in_s))
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -54,7 +54,8 @@
     discard_attempt,
     send_attempt,
 )
-from dogwoodhook.transport.bodies import RequestBody, read_prelude
+from dogwoodhook.transport.bodies import RequestBody
+from dogwoodhook.transport.body_intake import BodyIntake
 from dogwoodhook.transport.bounded_requests import BAD_REQUEST_STATUS
 from dogwoodhook.transport.crash_checks import SecondConnection
 from dogwoodhook.transport.detached_tasks import DetachedTasks
@@ -161,16 +162,12 @@
             fleet, conventions, clock, metrics, self._own_answers
         )
         self._quotas = QuotaAdmission(fleet, clock, metrics, self._own_answers)
+        self._intake = BodyIntake(
+            self._own_answers, clock, stop_timeouts, buffer_bytes=REPLAY_BUFFER_BYTES
+        )
         self._clock = clock
         self._reports = FleetReports(fleet, clock, daemon=daemon, rng=rng)
-        self._held_requests = HeldRequests(
-            fleet,
-            self._reports,
-            clock,
-            metrics,
-            rng,
-            holds_arrivals=fleet.has_competing_load,
-        )
+        self._held_requests = HeldRequests(fleet, self._reports, clock, metrics, rng)
         self._rng = rng
         self._announcements = AnnouncementRecorder(fleet.directory, clock, metrics, rng)
         self._held_answers = HeldAnswers(
@@ -209,14 +206,9 @@
         service = route.service_at(self._rng.random())
         if not self._stop_allows_sending(route, service, deadline_s=deadline_s):
             return self._own_answers.stopping(request)
-        left_s = deadline_s - self._clock.now_s()
-        try:
-            async with self._stop_timeouts.until_intake_ends(left_s):
-                body = await read_prelude(request, buffer_bytes=REPLAY_BUFFER_BYTES)
-        except TimeoutError:
-            if self._clock.now_s() < deadline_s:
-                return self._own_answers.stopping(request)
-            return self._own_answers.body_late(request)
+        body = await self._intake.read(request, deadline_s=deadline_s)
+        if isinstance(body, web.StreamResponse):
+            return body
         routed = self._make_routed_request(
             request,
             uri,
@@ -345,6 +337,7 @@
             routed.has_succeeded = answer.status < SERVER_ERROR_STATUS
         finally:
             self._running.discard(routed)
+            routed.body.release()
             for task in pending:
                 discard_attempt(task)
             if routed.alone_run is not None:
@@ -502,6 +495,8 @@
         if candidate is None:
             return None
         routed.last_standing = candidate.standing
+        if candidate.is_elsewhere:
+            self._metrics.record_room_wait("elsewhere", 0.0)
         return candidate.target
 
     def _hedge_target(self, routed: RoutedRequest) -> TargetEntry | None:
@@ -542,6 +537,7 @@
             tried=routed.excluded_targets,
             is_idempotent=routed.route.is_idempotent,
             now_s=now_s,
+            cost_elsewhere=self._held_requests.cost_elsewhere(routed),
         )
 
     def _time_to_hedge_s(self, routed: RoutedRequest, in_flight: int) -> float | None:
@@ -843,10 +839,11 @@
 
     async def _target_after_failure(self, routed: RoutedRequest) -> TargetEntry | None:
         """Return where the request goes next, maybe after a wait, or ``None``."""
-        if self._may_send_again(routed):
-            target = self._next_target(routed)
-            if target is not None:
-                return target
+        # Before a retry is taken from the budget, there must be a target for it.
+        has_room = self._held_requests.may_retry_at_once(routed)
+        has_target = has_room and self._choose_candidate(routed) is not None
+        if has_target and self._may_send_again(routed):
+            return self._next_target(routed)
         if not await self._held_requests.wait_after_shed(routed):
             return None
         is_admitted = isinstance(self._admission(routed), Admit)
