Review case 9: the ends of a killed daemon's targets are counted by nobody

Cause: which requests are at a target is known to their daemon alone. If it is killed, the ends of its targets are attributed to no request, and the others need three of their own.

A server that is down no longer counts a further crash, and the stand-ins draw ports below those of outgoing connections: one run each of cases 8 and 9 could not start since a port was taken.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -62,6 +62,7 @@
         super().__init__(*arguments, **options)
         self._crashes = crashes
         self._writers: set[asyncio.StreamWriter] = set()
+        self._is_down = False
 
     async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
@@ -73,7 +74,10 @@
     async def handle(self, request, writer) -> None:
         """Run a request, or crash under it."""
         is_for_this = request.headers.get("expected-instance") == self.name
+        if self._is_down:
+            raise ConnectionResetError
         if DEADLY in request.start and is_for_this:
+            self._is_down = True
             request_id = request.headers["request-id"]
             self._crashes.append((time.monotonic(), request_id, self.name))
             self._record.say(f"crash {len(self._crashes)}: {self.name}, {request_id}")
@@ -90,6 +94,7 @@
         self._born = int(time.time() * 1000)
         self._busy = 0
         self._queue.clear()
+        self._is_down = False
         await self.start()
 
 
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -56,11 +56,26 @@
         self._file.close()
 
 
+_taken_ports: set[int] = set()
+
+PORTS = range(20_000, 32_000)
+"""Below the usual range of ports for outgoing connections, which may take any other."""
+
+
 def free_port(host: str = "127.0.0.1") -> int:
-    """Return a port that is free on a loopback address."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
+    """Return a port that is free on a loopback address, and not returned before."""
+    for _ in range(500):
+        port = random.choice(PORTS)
+        if port in _taken_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+        _taken_ports.add(port)
+        return port
+    raise CouldNotRunError(f"no port of {host} is free")
 
 
 def free_host(port: int) -> str:
