--- a/review/6/case.py
+++ b/review/6/case.py
@@ -21,7 +21,7 @@
 OTHER_PER_S = 100.0
 """Requests a second of the other tenant."""
 
-HOT_X, HOT_FOR_S, HOT_TIMES, HOT_GAP_S = 7.5, 6.5, 4, 1.0
+HOT_X, HOT_FOR_S, HOT_TIMES, HOT_GAP_S = 7.5, 6.5, 6, 1.0
 """The largest dose of the site file: 7.5 times the usual for 6.5 s; it may come more
 than once."""
 
