--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -555,9 +555,17 @@
     """Run ``case(files, record)`` with a time limit; return the exit code."""
     record = Record(folder / "record.txt")
     files = Path(tempfile.mkdtemp(prefix="case-"))
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        # The case then ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
         async with asyncio.timeout(seconds):
             return await case(files, record)
+    except asyncio.CancelledError:
+        record.say("could not run: ended by a signal")
+        return EXIT_COULD_NOT_RUN
     except (CouldNotRunError, TimeoutError, OSError) as error:
         record.say("could not run:", repr(error))
         return EXIT_COULD_NOT_RUN
