--- a/dogwoodhook/transport/bodies.py
+++ b/dogwoodhook/transport/bodies.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
+from typing import Self
 
 from aiohttp import web
 
@@ -21,6 +22,9 @@
     once. Otherwise it can be sent only while ``has_been_sent`` is false.
     ``identifying_bytes`` are the same for each sending of the same body, however it
     arrives: the complete body, or its first bytes and its declared length.
+
+    The bytes that were read count as held until the end of the body's context, which is
+    that of the request, in whichever way it ends.
     """
 
     prelude: bytes
@@ -36,8 +40,10 @@
         """Return whether a further attempt can send the body from its beginning."""
         return self.is_complete or not self.has_been_sent
 
-    def release(self) -> None:
-        """Stop counting the bytes that were read, since the request has ended."""
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
         held_bytes, self._held_bytes = self._held_bytes, 0
         self._count(-held_bytes)
 
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -54,7 +54,6 @@
     discard_attempt,
     send_attempt,
 )
-from dogwoodhook.transport.bodies import RequestBody
 from dogwoodhook.transport.body_intake import BodyIntake
 from dogwoodhook.transport.bounded_requests import BAD_REQUEST_STATUS
 from dogwoodhook.transport.crash_checks import SecondConnection
@@ -72,7 +71,6 @@
 )
 from dogwoodhook.transport.quota_admission import QuotaAdmission
 from dogwoodhook.transport.request_uris import (
-    headers_to_target,
     host_of,
     logged_path,
     uri_of,
@@ -209,23 +207,30 @@
         body = await self._intake.read(request, deadline_s=deadline_s)
         if isinstance(body, web.StreamResponse):
             return body
-        routed = self._make_routed_request(
-            request,
-            uri,
-            route,
-            service,
-            body,
+        routed = RoutedRequest(
+            request=request,
+            uri=uri,
+            request_id=request.headers.get(self._conventions.request_id_header, ""),
+            route=route,
+            service=service,
+            body=body,
             arrived_s=arrived_s,
             deadline_s=deadline_s,
+            caller=request.remote or "",
+            configuration_version=configuration.version,
         )
-        routed.configuration_version = configuration.version
-        self._workspaces.admits(routed)
-        work = self._quotas.run(routed, self._run)
+        work = self._serve(routed)
         if route.is_idempotent:
             return await work
         # Runs to its end even if the caller disconnects: it may not be sent again.
         return await self._detached_tasks.run(work)
 
+    async def _serve(self, routed: RoutedRequest) -> web.StreamResponse:
+        """Run a request if its quota allows it; its body is held for as long."""
+        with routed.body:
+            self._workspaces.admits(routed)
+            return await self._quotas.run(routed, self._run)
+
     def _refusal_on_arrival(
         self, request: web.BaseRequest, route: RoutePolicy, limits: CallerLimits
     ) -> web.Response | None:
@@ -304,30 +309,6 @@
             routed.route, routed.service, deadline_s=routed.deadline_s
         )
 
-    def _make_routed_request(
-        self,
-        request: web.BaseRequest,
-        uri: RequestUri,
-        route: RoutePolicy,
-        service: str,
-        body: RequestBody,
-        *,
-        arrived_s: float,
-        deadline_s: float,
-    ) -> RoutedRequest:
-        return RoutedRequest(
-            request=request,
-            uri=uri,
-            request_id=request.headers.get(self._conventions.request_id_header, ""),
-            route=route,
-            service=service,
-            headers=headers_to_target(request, uri),
-            body=body,
-            arrived_s=arrived_s,
-            deadline_s=deadline_s,
-            caller=request.remote or "",
-        )
-
     async def _run(self, routed: RoutedRequest) -> web.StreamResponse:
         pending: dict[asyncio.Task[AttemptResult], TargetEntry] = {}
         self._fleet.budget.record_request(routed.service, now_s=self._clock.now_s())
@@ -337,7 +318,6 @@
             routed.has_succeeded = answer.status < SERVER_ERROR_STATUS
         finally:
             self._running.discard(routed)
-            routed.body.release()
             for task in pending:
                 discard_attempt(task)
             if routed.alone_run is not None:
--- a/dogwoodhook/transport/routed_request.py
+++ b/dogwoodhook/transport/routed_request.py
@@ -21,7 +21,7 @@
 from dogwoodhook.state.workspace_policy import WorkspacePolicy
 from dogwoodhook.transport.attempts import CompleteAnswer
 from dogwoodhook.transport.bodies import RequestBody
-from dogwoodhook.transport.request_uris import host_of
+from dogwoodhook.transport.request_uris import headers_to_target, host_of
 
 
 @dataclass(slots=True, eq=False)
@@ -50,7 +50,6 @@
     request_id: str
     route: RoutePolicy
     service: str
-    headers: CIMultiDict[str]
     body: RequestBody
     arrived_s: float
     deadline_s: float
@@ -80,6 +79,7 @@
     recalled: asyncio.Future[None] = field(default_factory=asyncio.Future)
     workspace: WorkspacePolicy | None = None
     _identity: RequestIdentity | None = None
+    _headers: CIMultiDict[str] | None = None
 
     @property
     def priority(self) -> int:
@@ -88,6 +88,13 @@
             return self.route.priority
         return self.workspace.priority
 
+    @property
+    def headers(self) -> CIMultiDict[str]:
+        """Return the headers that are sent to targets."""
+        if self._headers is None:
+            self._headers = headers_to_target(self.request, self.uri)
+        return self._headers
+
     @property
     def turn(self) -> Turn:
         """Return when the request returns to a target after a pause."""
--- a/tests/test_request_identity.py
+++ b/tests/test_request_identity.py
@@ -3,7 +3,6 @@
 from types import SimpleNamespace
 
 import pytest
-from multidict import CIMultiDict
 
 from dogwoodhook.protocol.request_uri import RequestUri
 from dogwoodhook.state.model import Parameters
@@ -96,7 +95,6 @@
         request_id="a",
         route=None,
         service=sent["service"],
-        headers=CIMultiDict(),
         body=RequestBody(sent["body"], True, sent["body"], request),
         arrived_s=0.0,
         deadline_s=1.0,
