--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -33,8 +33,8 @@
 _ARRIVED_S = web.RequestKey("arrived_s", float)
 """Key of the time at which a request's head was complete, on the event loop's clock."""
 
-_ON_ANSWERED: web.RequestKey[Callable[[], None]] = web.RequestKey("on_answered")
-"""Key of a function that is called once the request's answer has been written."""
+_ON_ANSWERED: web.RequestKey[list[Callable[[], None]]] = web.RequestKey("on_answered")
+"""Key of the functions that are called once the request's answer has been written."""
 
 Forward = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 MayStart = Callable[[web.BaseRequest], bool]
@@ -210,7 +210,7 @@
         if self._is_stopping() and not self._started and not resp.prepared:
             resp.force_close()
         finished, is_reset = await super().finish_response(request, resp, start_time)
-        _run_answered_callback(request)
+        _run_answered_callbacks(request)
         self._is_streaming = False
         if self.is_open and not is_reset:
             self._unanswered.pop(id(request), None)
@@ -240,7 +240,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         for request in self._unanswered.values():
-            _run_answered_callback(request)
+            _run_answered_callbacks(request)
             self._on_unanswered(request, self._closing_reason or ClosingReason.CALLER)
         self._unanswered.clear()
         for started in self._started.values():
@@ -335,13 +335,11 @@
     if request.transport is None:
         callback()
     else:
-        request[_ON_ANSWERED] = callback
+        request.setdefault(_ON_ANSWERED, []).append(callback)
 
 
-def _run_answered_callback(request: web.BaseRequest) -> None:
-    callback = request.get(_ON_ANSWERED)
-    if callback is not None:
-        del request[_ON_ANSWERED]
+def _run_answered_callbacks(request: web.BaseRequest) -> None:
+    for callback in request.pop(_ON_ANSWERED, ()):
         callback()
 
 
--- a/tests/platform_adapter/test_pipelined_closings.py
+++ b/tests/platform_adapter/test_pipelined_closings.py
@@ -368,3 +368,28 @@
     assert [each.path for each in target.received] == ["/read/a"]
     assert answers[0].is_complete
     assert answers[1].status in (408, 503)
+
+
+async def test_a_large_answer_that_another_one_replaces_stays_held(
+    platform, monkeypatch
+):
+    monkeypatch.setattr(route_forwarder, "MAX_LARGE_ANSWER_BUFFERS", 1)
+    monkeypatch.setattr(large_answers, "LARGE_ROUTE_S", 0.0)
+    rounds = 2 * LARGE_ANSWER_BUFFER_BYTES // SIZE
+
+    async def fail_large(server, received, writer):
+        await asyncio.sleep(0.05)
+        if not received.path.startswith("/read/large"):
+            await behave.answer(server, received, writer)
+            return
+        head = behave.head("500 Error", received, length=SIZE, Server_Signature="s")
+        writer.write(head + b"x" * SIZE)
+
+    _, gateway = await start(platform, fail_large)
+    await platform.start_target("t2", fail_large)
+    await until(lambda: gateway.knows_target("t2"))
+    async with raw_caller(gateway) as caller:
+        for number in range(rounds):
+            caller.send(f"/read/large-{number}", f"/read/{number}")
+            answers = [await caller.answer() for _ in range(2)]
+            assert [each.status for each in answers] == [500, 200]
