--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -333,6 +333,10 @@
                 max_descriptors=settings.max_descriptors,
             ),
         )
+        self._metrics.watch_open_requests(
+            at_connections=self._callers.count_unanswered,
+            at_daemon=lambda: len(detached_tasks),
+        )
         self._operator_listeners = [
             OperatorListener(lambda: self.is_ready, self._metrics, address)
             for address in (settings.readiness_address, settings.metrics_address)
--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -46,14 +46,15 @@
 
 DAEMON_SERIES = (
     2 * (len(LATENCY_BUCKETS_MS) + 3)
-    + 9
+    + 12
     + CLOSING_REASONS
     + KEY_PROBLEMS
     + ROOM_OUTCOMES
     + CALLER_REFUSAL_REASONS
 )
-"""Series of the daemon: two histograms, five gauges and eight counters.
+"""Series of the daemon: two histograms, seven gauges and eight counters.
 
+One of the gauges has a series for each of two places of an open request.
 Four of the counters have one series for each closing reason, for each problem of a
 key, for each outcome and for each reason of a refusal.
 """
@@ -354,14 +355,44 @@
             description="usual age of neighbours' reports of load, if it is measured",
         )
 
-    def watch_caller_memory(self, read_bytes: Callable[[], int]) -> None:
-        """Expose the bytes that are held for callers."""
+    def watch_caller_memory(
+        self, *, held_bytes: Callable[[], int], body_bytes: Callable[[], int]
+    ) -> None:
+        """Expose the bytes that are held for callers, and those of bodies among them.
+
+        Bytes of bodies without an open request are held for nobody.
+        """
         self._meter.create_observable_gauge(
             "dogwoodhook_caller_memory",
-            callbacks=[lambda options: [Observation(read_bytes())]],
+            callbacks=[lambda options: [Observation(held_bytes())]],
             unit="By",
             description="memory held for heads, bodies and answers of callers",
         )
+        self._meter.create_observable_gauge(
+            "dogwoodhook_caller_body_memory",
+            callbacks=[lambda options: [Observation(body_bytes())]],
+            unit="By",
+            description="memory held for bodies that were read, of open requests",
+        )
+
+    def watch_open_requests(
+        self, *, at_connections: Callable[[], int], at_daemon: Callable[[], int]
+    ) -> None:
+        """Expose the requests that have not ended.
+
+        Those at connections have no complete answer yet. Those at the daemon may run
+        only once, so they go on if their connections close; they count in both.
+        """
+        self._meter.create_observable_gauge(
+            "dogwoodhook_open_requests",
+            callbacks=[
+                lambda options: [
+                    Observation(at_connections(), {"at": "connections"}),
+                    Observation(at_daemon(), {"at": "daemon"}),
+                ]
+            ],
+            description="requests that have not ended",
+        )
 
     def record_caller_refusal(self, reason: str) -> None:
         """Record a request or connection that a limit for all callers refused."""
--- a/dogwoodhook/state/caller_memory.py
+++ b/dogwoodhook/state/caller_memory.py
@@ -129,15 +129,24 @@
 
 @dataclass(slots=True)
 class CallerMemory:
-    """The bytes that are held for all callers together."""
+    """The bytes that are held for all callers together.
+
+    ``body_bytes`` are those of bodies that were read from their connections.
+    """
 
     limit_bytes: int
     held_bytes: int = 0
+    body_bytes: int = 0
 
     def change(self, difference_bytes: int) -> None:
         """Count bytes that are held from now on, or no longer if negative."""
         self.held_bytes += difference_bytes
 
+    def change_bodies(self, difference_bytes: int) -> None:
+        """Count bytes of bodies that were read, or no longer held if negative."""
+        self.body_bytes += difference_bytes
+        self.change(difference_bytes)
+
     def admits(self, cost_bytes: int) -> bool:
         """Return whether received bytes of this cost may be parsed now."""
         limit_bytes = float(self.limit_bytes)
--- a/dogwoodhook/transport/accounted_connections.py
+++ b/dogwoodhook/transport/accounted_connections.py
@@ -245,7 +245,7 @@
 
     def hold_body(self, size_bytes: int) -> None:
         """Count bytes of a body that were read from the connection."""
-        self._pressure.memory.change(size_bytes)
+        self._pressure.memory.change_bodies(size_bytes)
         self._body_bytes += size_bytes
         self._count()
 
--- a/dogwoodhook/transport/caller_pressure.py
+++ b/dogwoodhook/transport/caller_pressure.py
@@ -74,7 +74,10 @@
         self._refused_s = float("-inf")
         # When no connection to close was last found.
         self._searched_s = float("-inf")
-        metrics.watch_caller_memory(lambda: self.memory.held_bytes)
+        metrics.watch_caller_memory(
+            held_bytes=lambda: self.memory.held_bytes,
+            body_bytes=lambda: self.memory.body_bytes,
+        )
 
     def open(self, connection: CountedConnection) -> bool:
         """Count a new connection; return whether there is room for it."""
@@ -132,6 +135,7 @@
             reason=reason,
             refusals=self._refusals,
             held_bytes=self.memory.held_bytes,
+            body_bytes=self.memory.body_bytes,
             limit_bytes=self.memory.limit_bytes,
             waiting=len(self._waiting),
             connections=len(self._connections),
--- a/dogwoodhook/transport/detached_tasks.py
+++ b/dogwoodhook/transport/detached_tasks.py
@@ -13,10 +13,9 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[Any]] = set()
 
-    @property
-    def has_running(self) -> bool:
-        """Return whether any task is still running."""
-        return bool(self._tasks)
+    def __len__(self) -> int:
+        """Return the number of tasks that are still running."""
+        return len(self._tasks)
 
     async def run(self, work: Coroutine[Any, Any, Value]) -> Value:
         """Run ``work`` to its end even if this call is cancelled; return its result."""
--- a/dogwoodhook/transport/gateway_listener.py
+++ b/dogwoodhook/transport/gateway_listener.py
@@ -136,9 +136,13 @@
             answer.force_close()
         return answer
 
+    def count_unanswered(self) -> int:
+        """Return the number of requests without a complete answer."""
+        return 0 if self._server is None else self._server.count_unanswered()
+
     @property
     def _has_work(self) -> bool:
-        if self._detached_tasks.has_running:
+        if self._detached_tasks:
             return True
         return self._server is not None and self._server.has_unanswered
 
--- a/dogwoodhook/transport/pipelining.py
+++ b/dogwoodhook/transport/pipelining.py
@@ -12,7 +12,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from enum import StrEnum
 from typing import Any
 
@@ -134,6 +134,10 @@
             return True
         return self.has_unsent
 
+    def count_unanswered(self) -> int:
+        """Return the number of requests that were started without a complete answer."""
+        return len(self._unanswered)
+
     def start_streaming(self) -> None:
         """Start no further requests until the current answer has been streamed."""
         self._is_streaming = True
@@ -291,7 +295,16 @@
     @property
     def has_unanswered(self) -> bool:
         """Return whether any connection has a request without a complete answer."""
-        return any(map(self.has_unanswered_request, self.connections))
+        return any(each.has_unanswered for each in self._handlers())
+
+    def count_unanswered(self) -> int:
+        """Return the number of requests without a complete answer."""
+        return sum(each.count_unanswered() for each in self._handlers())
+
+    def _handlers(self) -> Iterator[_PipelinedHandler]:
+        for connection in self.connections:
+            assert isinstance(connection, _PipelinedHandler)
+            yield connection
 
     def has_unanswered_request(self, connection: RequestHandler) -> bool:
         """Return whether a connection has a request without a complete answer."""
--- a/tests/platform_adapter/test_caller_memory.py
+++ b/tests/platform_adapter/test_caller_memory.py
@@ -127,3 +127,26 @@
         answers = await caller.answers()
     assert answers[0].body == b"t1 ran /read/1"
     assert answers[1].closes
+
+
+def metric(gateway, name):
+    """Return the value of a series of a daemon's metrics."""
+    lines = gateway._metrics.exposition().decode().splitlines()
+    (value,) = (line.rpartition(" ")[2] for line in lines if line.startswith(name))
+    return float(value)
+
+
+async def test_bodies_of_open_requests_are_not_told_from_those_of_nobody(platform):
+    target, gateway, memory = await start(platform, behave.after(0.3))
+    body_bytes = "dogwoodhook_caller_body_memory_bytes"
+    at_connections = 'dogwoodhook_open_requests{at="connections"'
+    at_daemon = 'dogwoodhook_open_requests{at="daemon"'
+    names = (body_bytes, at_connections, at_daemon)
+    async with raw_caller(gateway) as caller:
+        caller.send("/post/1", body=b"x" * 300_000)
+        await until(lambda: bool(target.received))
+        assert [metric(gateway, each) for each in names] == [300_000, 1, 1]
+    await until(lambda: metric(gateway, at_connections) == 0)
+    assert [metric(gateway, each) for each in names] == [300_000, 0, 1]
+    await until(lambda: memory.held_bytes == 0)
+    assert [metric(gateway, each) for each in names] == [0, 0, 0]
