--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -316,6 +316,11 @@
             stop_timeouts=self._stop_timeouts,
             detached_tasks=detached_tasks,
         )
+        self._pressure = CallerPressure(
+            self._metrics,
+            memory_bytes=settings.memory_bytes,
+            max_descriptors=settings.max_descriptors,
+        )
         self._callers = CallerListener(
             forwarder.forward,
             settings.caller_address,
@@ -327,11 +332,7 @@
             on_unanswered=forwarder.report_unanswered,
             get_limits=self._caller_limits,
             detached_tasks=detached_tasks,
-            pressure=CallerPressure(
-                self._metrics,
-                memory_bytes=settings.memory_bytes,
-                max_descriptors=settings.max_descriptors,
-            ),
+            pressure=self._pressure,
         )
         self._metrics.watch_open_requests(
             at_connections=self._callers.count_unanswered,
@@ -509,6 +510,8 @@
             self._readiness.update("no configuration is known yet")
         elif not self._directory.version:
             self._readiness.update("no target is known yet")
+        elif self._pressure.is_short_of_memory():
+            self._readiness.update("no memory for requests")
         else:
             self._has_been_ready.set()
             self._readiness.update(None)
--- a/dogwoodhook/state/caller_memory.py
+++ b/dogwoodhook/state/caller_memory.py
@@ -59,6 +59,11 @@
 CLOSED_SHARE = 0.01
 """Share of the connections that are closed at once to make room for others."""
 
+SHORTAGE_S = 2.0
+"""Time without any admission, while connections wait for memory, after which the
+daemon asks for no new connections. Callers that hold most are refused each 50 ms, so a
+shortage that callers cause ends sooner."""
+
 FEW_LINES = 128
 """Lines of received bytes that are always parsed at once: more than an ordinary
 request has."""
@@ -165,6 +170,46 @@
         return self.held_bytes <= READ_SHARE * self.limit_bytes
 
 
+@dataclass(slots=True)
+class MemoryShortage:
+    """Whether connections wait for memory, and none has been admitted for long.
+
+    Designed for: an account that does not fall, whatever fills it. While it does not,
+    callers that connect would wait for nothing. In a crowd of large requests, small
+    ones are still admitted, so that there is no shortage.
+
+    >>> memory = CallerMemory(limit_bytes=1_000_000, held_bytes=1_125_000)
+    >>> shortage = MemoryShortage()
+    >>> shortage.record_wait(now_s=1.0)
+    >>> shortage.lasts(memory, now_s=2.0), shortage.lasts(memory, now_s=3.0)
+    (False, True)
+    >>> memory.change(-500_000)
+    >>> shortage.lasts(memory, now_s=3.1)
+    False
+    """
+
+    _waits_since_s: float | None = None
+    _has_lasted: bool = False
+
+    def record_wait(self, *, now_s: float) -> None:
+        """Record that connections wait and none could be admitted."""
+        if self._waits_since_s is None:
+            self._waits_since_s = now_s
+
+    def record_admission(self) -> None:
+        """Record that received bytes were admitted."""
+        self._waits_since_s = None
+
+    def lasts(self, memory: CallerMemory, *, now_s: float) -> bool:
+        """Return whether the shortage is long; it ends once there is room again."""
+        since_s = self._waits_since_s
+        if since_s is not None and now_s - since_s >= SHORTAGE_S:
+            self._has_lasted = True
+        if memory.admits(SMALL_BYTES):
+            self._has_lasted = False
+        return self._has_lasted
+
+
 @dataclass(slots=True)
 class ParsingPass:
     """The lines that are parsed in one pass of the event loop.
--- a/dogwoodhook/transport/caller_pressure.py
+++ b/dogwoodhook/transport/caller_pressure.py
@@ -10,6 +10,7 @@
 from dogwoodhook.state.caller_memory import (
     CallerMemory,
     Holding,
+    MemoryShortage,
     ParsingPass,
     choose_closed,
     choose_refused,
@@ -66,6 +67,7 @@
         self._metrics = metrics
         self._connections: dict[CountedConnection, None] = {}
         self._waiting: deque[CountedConnection] = deque()
+        self._shortage = MemoryShortage()
         self._pass = ParsingPass()
         self._pass_timer: asyncio.Handle | None = None
         self._timer: asyncio.Handle | None = None
@@ -112,11 +114,17 @@
         """Return whether a received part may be parsed now, and count its lines."""
         if not self.memory.admits(cost_bytes) or not self._pass.take(lines):
             return False
+        self._shortage.record_admission()
         if self._pass.lines and self._pass_timer is None:
             loop = asyncio.get_running_loop()
             self._pass_timer = loop.call_soon(self._begin_pass)
         return True
 
+    def is_short_of_memory(self) -> bool:
+        """Return whether none has been admitted for long, while some wait."""
+        now_s = asyncio.get_running_loop().time()
+        return self._shortage.lasts(self.memory, now_s=now_s)
+
     def wait(self, connection: CountedConnection) -> None:
         """Let a connection wait until its received bytes may be parsed."""
         self._waiting.append(connection)
@@ -148,6 +156,7 @@
 
     def _parse_waiting(self) -> None:
         self._timer = None
+        loop = asyncio.get_running_loop()
         needs_memory = has_parsed = False
         for _ in range(len(self._waiting)):
             connection = self._waiting.popleft()
@@ -166,9 +175,10 @@
             needs_memory = True
         if needs_memory:
             self._refuse_largest()
+        if needs_memory and not has_parsed:
+            self._shortage.record_wait(now_s=loop.time())
         if not self._waiting or self._timer is not None:
             return
-        loop = asyncio.get_running_loop()
         if has_parsed:
             self._timer = loop.call_soon(self._parse_waiting)
         else:
--- a/tests/platform_adapter/test_caller_memory.py
+++ b/tests/platform_adapter/test_caller_memory.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from dogwoodhook.state.caller_memory import CONNECTION_BYTES
+from dogwoodhook.state.caller_memory import CONNECTION_BYTES, SHORTAGE_S
 from tests.exchanges import until
 from tests.platform_adapter import target_server as behave
 from tests.platform_adapter.hostile_callers import (
@@ -14,7 +14,7 @@
     head,
     running_chunked_target,
 )
-from tests.platform_adapter.raw_caller import raw_caller
+from tests.platform_adapter.raw_caller import raw_caller, request_text
 
 FULL_BYTES = 1024 * 1024 * 1024
 
@@ -150,3 +150,33 @@
     assert [metric(gateway, each) for each in names] == [300_000, 0, 1]
     await until(lambda: memory.held_bytes == 0)
     assert [metric(gateway, each) for each in names] == [0, 0, 0]
+
+
+async def wait_for_memory(gateway, text):
+    """Send a request, and wait until the daemon closes the connection."""
+    async with raw_caller(gateway) as caller:
+        caller.writer.write(text)
+        assert await caller.answer() is None
+
+
+async def test_a_daemon_without_memory_for_requests_says_that_it_is_ready(platform):
+    _, gateway, memory = await start(platform)
+    memory.change(FULL_BYTES)
+    async with asyncio.timeout(10.0):
+        while gateway.is_ready:
+            await wait_for_memory(gateway, request_text("/read/1"))
+    memory.change(-FULL_BYTES)
+    await until(lambda: gateway.is_ready)
+    assert (await platform.send("/read/2")).status == 200
+
+
+async def test_a_daemon_that_admits_small_requests_asks_for_no_connections(platform):
+    _, gateway, memory = await start(platform)
+    memory.change(memory.limit_bytes - memory.held_bytes)
+    large = head(*(f"X-{number}: " for number in range(200)))
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + 2 * SHORTAGE_S
+    while loop.time() < until_s:
+        await wait_for_memory(gateway, large)
+        assert (await platform.send("/read/1")).status == 200
+        assert gateway.is_ready
