--- a/dogwoodhook/coordination/fleet_quarantine.py
+++ b/dogwoodhook/coordination/fleet_quarantine.py
@@ -130,7 +130,8 @@
         self._decode_row = decode_row
         self._store = store
         self._encode_row = encode_row
-        self._unstored: dict[str, QuarantineRow] = {}
+        # The rows that the store lacks, with the requests that they are of.
+        self._unstored: dict[str, str] = {}
         self._quarantine = quarantine
         self._links = links
         self._clock = clock
@@ -308,8 +309,7 @@
                 status=status,
             )
             if state.quarantines:
-                ended = QuarantineRow(state.fingerprint, state.service, 0.0, 0)
-                self._unstored[_row_key(state.fingerprint)] = ended
+                self._unstored[_row_key(state.fingerprint)] = state.fingerprint
         if cleared:
             self._share(cleared)
 
@@ -368,14 +368,29 @@
             self.repeat()
 
     async def store_decisions(self) -> None:
-        """Write quarantines that the store lacks; those it refuses wait."""
-        for key, row in tuple(self._unstored.items()):
-            value = self._encode_row(row)
+        """Write quarantines that the store lacks; those it refuses wait.
+
+        What is written is known now: another daemon may have decided again meanwhile.
+        """
+        for key, fingerprint in tuple(self._unstored.items()):
+            del self._unstored[key]
+            value = self._encode_row(self._row_of(fingerprint))
             written = await self._store.put_row(Table.DAEMONS, key, value)
             if written.is_error():
+                self._unstored.setdefault(key, fingerprint)
                 return
-            if self._unstored.get(key) == row:
-                del self._unstored[key]
+
+    def _row_of(self, fingerprint: str) -> QuarantineRow:
+        """Return the row of a quarantine, or of one that a success has ended."""
+        now_s = self._clock.now_s()
+        known = self._quarantine.state(fingerprint, now_s)
+        if known is None or not known.quarantines:
+            return QuarantineRow(fingerprint, "", 0.0, 0)
+        until_s = now_s + known.refused_for_s
+        return to_row(
+            Quarantined(known.service, fingerprint, until_s, known.quarantines),
+            self._clock,
+        )
 
     def store_again(self) -> None:
         """Store the quarantines again that a copy of the store may lack."""
@@ -385,21 +400,12 @@
             for each in self._quarantine.changed_fingerprints(now_s, within_s=RECENT_S)
         ]
         rows = {
-            _row_key(each.fingerprint): to_row(
-                Quarantined(
-                    each.service,
-                    each.fingerprint,
-                    now_s + each.refused_for_s,
-                    each.quarantines,
-                ),
-                self._clock,
-            )
+            _row_key(each.fingerprint): each.fingerprint
             for each in known
             if each is not None
             and each.quarantines
             and may_be_missing(each.decided_age_s)
         }
-        # Those that wait to be stored are newer.
         self._unstored = {**rows, **self._unstored}
         if rows:
             log(QUARANTINES_RESTORED, rows=len(rows))
@@ -448,8 +454,7 @@
                 for_s=round(each.until_s - now_s, 1),
             )
             if self._is_to_store(each):
-                row = to_row(each, self._clock)
-                self._unstored[_row_key(each.fingerprint)] = row
+                self._unstored[_row_key(each.fingerprint)] = each.fingerprint
         if decided:
             self._share(each.fingerprint for each in decided)
 
--- a/tests/test_fleet_quarantine.py
+++ b/tests/test_fleet_quarantine.py
@@ -383,6 +383,23 @@
     assert isinstance(start_again(fleet).check(HARMFUL), Refuse)
 
 
+async def test_a_quarantine_that_waited_for_the_store_replaces_a_later_one():
+    fleet = Fleet(1)
+    end_targets(fleet, 3)
+    fleet.store.is_away = True
+    fleet.wait(2.0)
+    first, second = fleet.daemons["vm-0"], fleet.start("vm-1")
+    fleet.wait(2.0)
+    run = await second.begin_alone(HARMFUL, for_s=RUN_S)
+    second.record_crash("payouts", HARMFUL, "t9/1")
+    await end_run(second, run)
+    fleet.store.is_away = False
+    for daemon in (second, first):
+        await daemon.store_decisions()
+    admission = start_again(fleet).check(HARMFUL)
+    assert admission.until_s >= fleet.clock.now_s() + 59.0
+
+
 async def test_a_request_that_was_cleared_is_not_refused_after_a_start():
     fleet = Fleet(3)
     await store_until_quarantined(fleet)
