--- a/dogwoodhook/coordination/fleet_quarantine.py
+++ b/dogwoodhook/coordination/fleet_quarantine.py
@@ -321,12 +321,27 @@
         return self._message(known)
 
     def receive(self, message: SuspectStates) -> None:
-        """Add what another daemon knows."""
+        """Add what another daemon knows, and store its decisions on ends seen here."""
+        decided = [
+            each.fingerprint
+            for each in message.states
+            if each.quarantines and self._has_seen_end(each.fingerprint)
+        ]
         self._quarantine.merge(
             message.states, self._clock.now_s(), daemon=message.daemon
         )
+        for fingerprint in decided:
+            known = self._quarantine.state(fingerprint, self._clock.now_s())
+            if known is not None and known.quarantines:
+                self._unstored[_row_key(fingerprint)] = fingerprint
         self._report_stopped(each.fingerprint for each in message.states)
 
+    def _has_seen_end(self, fingerprint: str) -> bool:
+        """Return whether this daemon saw a target end that no decision counts yet."""
+        known = self._quarantine.state(fingerprint, self._clock.now_s())
+        crashes = () if known is None else known.crashes
+        return any(crash.daemon == self._daemon for crash in crashes)
+
     def adopt_row(self, row: StoreRow) -> None:
         """Adopt a quarantine from the store, unless it has ended."""
         if not row.key.startswith(QUARANTINE_ROW_PREFIX) or row.value is None:
@@ -461,8 +476,9 @@
     def _is_to_store(self, quarantined: Quarantined) -> bool:
         """Return whether this daemon stores a quarantine.
 
-        Every daemon decides on the first one by itself, so only those that saw one of
-        the targets end store it. The others follow a run, at the daemon that decides.
+        Every daemon decides on the first one by itself, or hears of it, so only those
+        that saw one of the targets end store it. The others follow a run, at the daemon
+        that decides.
         """
         if quarantined.crashes > 1:
             return True
--- a/tests/test_fleet_quarantine.py
+++ b/tests/test_fleet_quarantine.py
@@ -27,6 +27,7 @@
 )
 from dogwoodhook.state.quarantine import (
     CONFIRMED_CRASHES_POLICY,
+    DECISION_DELAY_S,
     SUSPICION_S,
     Admit,
     Quarantine,
@@ -304,6 +305,8 @@
     """End targets until the request is refused for a long time, and store that."""
     end_targets(fleet, 3)
     fleet.wait(2.0)
+    for each in fleet.daemons.values():
+        await each.store_decisions()
     daemon = fleet.daemons["vm-0"]
     run = await daemon.begin_alone(HARMFUL, for_s=RUN_S)
     daemon.record_crash("payouts", HARMFUL, "t9/1")
@@ -357,6 +360,17 @@
     assert 1 <= next(fleet.store.numbers) - 1 <= 3
 
 
+async def test_a_quarantine_that_another_daemon_decides_on_first_is_not_stored():
+    fleet = Fleet(2)
+    saw_ends, saw_none = fleet.daemons.values()
+    for number in range(3):
+        saw_ends.record_crash("payouts", HARMFUL, f"t{number}/1")
+    fleet.clock.elapsed_s += DECISION_DELAY_S
+    assert isinstance(saw_none.check(HARMFUL), Refuse)
+    await saw_ends.store_decisions()
+    assert isinstance(start_again(fleet).check(HARMFUL), Refuse)
+
+
 def test_the_first_quarantine_is_stored_late_or_not_at_all():
     """All daemons may be killed a second after the third end."""
 
