--- a/dogwoodhook/coordination/store.py
+++ b/dogwoodhook/coordination/store.py
@@ -35,13 +35,14 @@
 
     The rows are all up to ``version``: the complete table if ``is_complete``, otherwise
     the changes after a version. ``newest_version`` is the store's version at the time
-    of the read if it is higher.
+    of the read if it is higher. ``has_more`` tells that rows follow those of a page.
     """
 
     rows: tuple[StoreRow, ...]
     version: int
     is_complete: bool
     newest_version: int = 0
+    has_more: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/dogwoodhook/fleet_joining.py
+++ b/dogwoodhook/fleet_joining.py
@@ -35,6 +35,7 @@
     StoreRow,
     StoreUnavailable,
     Table,
+    TableRows,
 )
 from dogwoodhook.events import (
     DAEMON_ROW_REFUSED,
@@ -202,16 +203,16 @@
         near = await self._read_page(key_prefix)
         if near is None:
             return None
-        self._adopt_rows(near)
+        self._adopt_rows(near.rows)
         if not self._peers.neighbours():
             self.has_asked.set()
-        # The key's row follows those of all daemons.
-        has_key = bool(near) and near[-1].key >= KEY_ROW
-        rows = near if has_key else await self._read_page(KEY_ROW)
-        if rows is None:
+        # The key's row and all others follow those of the daemons.
+        is_whole = not near.has_more and any(each.key >= KEY_ROW for each in near.rows)
+        page = near if is_whole else await self._read_page(KEY_ROW)
+        if page is None:
             return None
-        self._adopt_rows(rows)
-        found = [each for each in rows if each.key == KEY_ROW]
+        self._adopt_rows(page.rows)
+        found = [each for each in page.rows if each.key == KEY_ROW]
         row = found[0] if found else await self._create_key(_new_key())
         key = row.value if row is not None else None
         if row is None or key is None:
@@ -234,11 +235,11 @@
             return None
         return "the store"
 
-    async def _read_page(self, start: str) -> Sequence[StoreRow] | None:
+    async def _read_page(self, start: str) -> TableRows | None:
         """Return the first rows from a key on, ``None`` if there is no answer."""
         match await self._store.read_page(Table.DAEMONS, start=start):
             case Result(tag="ok", ok=page):
-                return page.rows
+                return page
             case _:
                 return None
 
@@ -384,10 +385,10 @@
         return row is not None and await self._adopt_key(row)
 
     async def _check_key(self) -> bool:
-        rows = await self._read_page(KEY_ROW)
-        if rows is None:
+        page = await self._read_page(KEY_ROW)
+        if page is None:
             return False
-        row = next((each for each in rows if each.key == KEY_ROW), None)
+        row = next((each for each in page.rows if each.key == KEY_ROW), None)
         # The daemons of the first ranks may have ended meanwhile.
         return await (self._restore_key() if row is None else self._adopt_key(row))
 
--- a/dogwoodhook/platform/store_client.py
+++ b/dogwoodhook/platform/store_client.py
@@ -122,7 +122,14 @@
         answer = await self._read_page(table, start)
         if answer.status != _OK or answer.body is None:
             return Error(answer.to_unavailable())
-        return Ok(TableRows(answer.rows, answer.position, is_complete=False))
+        return Ok(
+            TableRows(
+                answer.rows,
+                answer.position,
+                is_complete=False,
+                has_more=bool(answer.body.get("hasMore")),
+            )
+        )
 
     async def read_changes(
         self,
--- a/tests/test_fleet_joining.py
+++ b/tests/test_fleet_joining.py
@@ -69,9 +69,10 @@
     def _rows(self, start, count=None):
         if self._fails():
             return Error(StoreUnavailable("down"))
-        keys = sorted(key for key in self.rows if key >= start)[:count]
-        rows = tuple(StoreRow(key, self.rows[key], 1) for key in keys)
-        return Ok(TableRows(rows, 1, is_complete=not start))
+        keys = sorted(key for key in self.rows if key >= start)
+        rows = tuple(StoreRow(key, self.rows[key], 1) for key in keys[:count])
+        has_more = len(rows) < len(keys)
+        return Ok(TableRows(rows, 1, is_complete=not start, has_more=has_more))
 
 
 def snapshot_of(*hellos):
@@ -134,7 +135,7 @@
     task.cancel()
 
 
-def make_joining(store, name, neighbours=None, *, on_snapshot=lambda snapshot: None):
+def make_joining(store, name, neighbours=None, **callbacks):
     address = Address("127.0.0.1", 7620)
     settings = VmSettings(name, "oulu-1", address, address, address, address)
     peers = RecordingPeers(name)
@@ -145,7 +146,7 @@
         SystemClock(),
         neighbours=neighbours or MemoryNeighbours(),
         rng=random.Random(7),
-        on_snapshot=on_snapshot,
+        **callbacks,
     )
     return joining, peers
 
@@ -199,6 +200,22 @@
     assert peers.key == store.rows["fleet-key"]
 
 
+async def test_rows_behind_a_cut_page_are_not_read():
+    store = MemoryStore()
+    for number in range(4):
+        await join(*make_joining(store, f"vm-{number}"))
+    rows = {f"suspect/{number}": b"" for number in range(4)}
+    store.rows |= rows
+    # The page from the first daemon on ends with the first of these rows.
+    store.page_rows = 6
+    read = []
+    neighbours = MemoryNeighbours(
+        **{f"vm-{number}": snapshot_of() for number in range(4)}
+    )
+    await join(*make_joining(store, "vm-0", neighbours, on_other_row=read.append))
+    assert {row.key for row in read} == set(rows)
+
+
 FIRST, SECOND = sorted(
     ["vm-1", "vm-2"],
     key=lambda each: rank_of(each, "oulu-1", {"oulu-1": ["vm-1", "vm-2"]}),
