--- a/dogwoodhook/coordination/suspect_row.py
+++ b/dogwoodhook/coordination/suspect_row.py
@@ -9,7 +9,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StoredSuspect:
+class SuspectRecord:
     """A request under which targets ended, with their ages at its row's time."""
 
     fingerprint: str
@@ -24,7 +24,7 @@
     """Suspects as they were known at ``written_at_s`` of the wall clock."""
 
     written_at_s: float
-    suspects: tuple[StoredSuspect, ...] = ()
+    suspects: tuple[SuspectRecord, ...] = ()
 
 
 def to_row(suspects: Iterable[SuspectState], clock: Clock) -> SuspectRow:
@@ -32,7 +32,7 @@
     return SuspectRow(
         clock.wall_s(),
         tuple(
-            StoredSuspect(
+            SuspectRecord(
                 fingerprint=each.fingerprint,
                 service=each.service,
                 crashes=each.crashes,
@@ -49,7 +49,7 @@
 
     >>> from dogwoodhook.clock import ManualClock
     >>> crash = Crash("t1", "vm-1", 0.5)
-    >>> row = SuspectRow(90.0, (StoredSuspect("f", "payouts", (crash,)),))
+    >>> row = SuspectRow(90.0, (SuspectRecord("f", "payouts", (crash,)),))
     >>> to_suspects(row, ManualClock(epoch_s=100.0))[0].crashes[0].age_s
     10.5
     """
--- a/dogwoodhook/coordination/suspect_storing.py
+++ b/dogwoodhook/coordination/suspect_storing.py
@@ -27,7 +27,7 @@
 from dogwoodhook.state.stored_suspects import (
     SUSPECT_ROW_PREFIX,
     StoredSuspects,
-    is_stored,
+    is_storable,
 )
 
 STORE_DELAY_S = 0.25
@@ -76,7 +76,10 @@
 
     def record_success(self, cleared: SuspectState) -> None:
         """Record that a suspect succeeded at this daemon; it may have been stored."""
-        if any(crash.age_s >= STORE_DELAY_S for crash in cleared.crashes):
+        oldest_age_s = max((each.age_s for each in cleared.crashes), default=0.0)
+        may_be_stored = is_storable(cleared) and oldest_age_s >= STORE_DELAY_S
+        # The ends before a quarantine were stored, too.
+        if may_be_stored or cleared.quarantines:
             self._rows.record_outdated(cleared.fingerprint)
             self._has_due.set()
 
@@ -112,7 +115,7 @@
         """Store the suspects again that a copy of the store may lack."""
         for suspect in self._known():
             latest_age_s = min((each.age_s for each in suspect.crashes), default=0.0)
-            if is_stored(suspect) and may_be_missing(latest_age_s):
+            if is_storable(suspect) and may_be_missing(latest_age_s):
                 self._rows.record_outdated(suspect.fingerprint)
         self._has_due.set()
 
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -310,6 +310,12 @@
     "A suspect is sent to a target, alone; `for_s` is the time for which the other"
     " daemons do not run it, unless they hear of its end.",
 )
+REQUEST_HELD = _event(
+    704,
+    "request-held",
+    Level.INFO,
+    "A suspect is refused for a moment, since the daemon `holder` runs it.",
+)
 SUSPECTS_STORED = _event(
     705,
     "suspects-stored",
@@ -324,12 +330,6 @@
     "A daemon that starts knows from the store that `targets` ended under a request,"
     " the last of them `age_s` ago.",
 )
-REQUEST_HELD = _event(
-    704,
-    "request-held",
-    Level.INFO,
-    "A suspect is refused for a moment, since the daemon `holder` runs it.",
-)
 
 # 800: peers
 PEER_CONNECTED = _event(
--- a/dogwoodhook/protocol/quarantine_rows.py
+++ b/dogwoodhook/protocol/quarantine_rows.py
@@ -10,7 +10,7 @@
 
 from dogwoodhook.coordination.quarantine_row import QuarantineRow
 from dogwoodhook.coordination.run_claims import MAX_CLAIM_S, ClaimRow
-from dogwoodhook.coordination.suspect_row import StoredSuspect, SuspectRow
+from dogwoodhook.coordination.suspect_row import SuspectRecord, SuspectRow
 from dogwoodhook.state.quarantine import MAX_CALLERS_KEPT, MAX_CRASHES_KEPT
 from dogwoodhook.state.stored_suspects import MAX_SUSPECTS
 
@@ -67,7 +67,7 @@
     """Return the row, or what is wrong with it.
 
     >>> from dogwoodhook.state.quarantine import Crash
-    >>> suspect = StoredSuspect("f", "payouts", (Crash("t1", "vm-1", 0.3),))
+    >>> suspect = SuspectRecord("f", "payouts", (Crash("t1", "vm-1", 0.3),))
     >>> row = SuspectRow(1_790_000_000.0, (suspect,))
     >>> decode_suspect_row(encode_suspect_row(row)).ok == row
     True
@@ -84,7 +84,7 @@
     return Error(problem) if problem else decoded
 
 
-def _problem(suspect: StoredSuspect) -> str:
+def _problem(suspect: SuspectRecord) -> str:
     """Return what is wrong with a stored suspect, an empty text if nothing is."""
     if not 1 <= len(suspect.crashes) <= MAX_CRASHES_KEPT:
         return f"crashes: needed are 1..{MAX_CRASHES_KEPT}"
--- a/dogwoodhook/state/stored_suspects.py
+++ b/dogwoodhook/state/stored_suspects.py
@@ -39,7 +39,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _StoredSuspect:
+class _WrittenSuspect:
     """A suspect in a row that this daemon wrote, which counts until ``expires_s``."""
 
     suspect: SuspectState
@@ -69,7 +69,7 @@
         self._ended: set[str] = set()
         # The rows that are written whatever they are to hold.
         self._outdated: set[str] = set()
-        self._stored: dict[str, tuple[_StoredSuspect, ...]] = {}
+        self._stored: dict[str, tuple[_WrittenSuspect, ...]] = {}
 
     @property
     def is_due(self) -> bool:
@@ -142,12 +142,12 @@
         self, key: str, suspects: Iterable[SuspectState], now_s: float
     ) -> None:
         stored = [
-            _StoredSuspect(each, now_s + SUSPICION_S - _latest_age_s(each))
+            _WrittenSuspect(each, now_s + SUSPICION_S - _latest_age_s(each))
             for each in suspects
         ]
         self._keep(key, stored)
 
-    def _keep(self, key: str, stored: Iterable[_StoredSuspect]) -> None:
+    def _keep(self, key: str, stored: Iterable[_WrittenSuspect]) -> None:
         kept = tuple(stored)
         if kept:
             self._stored[key] = kept
@@ -166,7 +166,7 @@
     """Return the suspects that each row keeps."""
     by_row: defaultdict[str, list[SuspectState]] = defaultdict(list)
     for state in known:
-        if is_stored(state):
+        if is_storable(state):
             by_row[row_key(state.fingerprint)].append(state)
     return {
         key: tuple(nlargest(MAX_SUSPECTS, suspects, key=_rank))
@@ -174,8 +174,8 @@
     }
 
 
-def is_stored(state: SuspectState) -> bool:
-    """Return whether a state is to be kept as a suspect.
+def is_storable(state: SuspectState) -> bool:
+    """Return whether a row is to keep a suspect in this state.
 
     Quarantines have rows of their own. A fingerprint that leaves the caller out counts
     from its second caller on.
--- a/tests/test_suspect_storing.py
+++ b/tests/test_suspect_storing.py
@@ -210,6 +210,20 @@
     assert set(play(clear)) == {0}
 
 
+def test_a_request_that_was_cleared_after_a_quarantine_is_suspected_after_a_start():
+    async def clear(start):
+        fleet = start(3)
+        for number in range(3):
+            await fleet.send(f"t{number}/1")
+            await asyncio.sleep(5.0)
+        fleet.any_daemon().record_success(HARMFUL)
+        await asyncio.sleep(RETRIED_S)
+        await fleet.restart()
+        return [len(each) for each in fleet.daemons.values()]
+
+    assert set(play(clear)) == {0}
+
+
 def test_a_success_whose_report_is_lost_leaves_the_row():
     async def lose_report(start):
         fleet = start(3)
