--- a/dogwoodhook/state/load_estimate.py
+++ b/dogwoodhook/state/load_estimate.py
@@ -37,6 +37,9 @@
 """Time in which the usual time of unhindered work may double: bursts last seconds, and
 a service whose work has become longer is followed within minutes."""
 
+MAX_DOUBLINGS = 64.0
+"""Doublings after which a service counts as unknown; more exceed a number's range."""
+
 RECENT_ECHOES = 9
 """Echoes over which the median age is taken; one that was lost does not change it."""
 
@@ -167,7 +170,8 @@
         Requests that queue at busy targets take longer, but no fewer are started.
         """
         known_s, at_s = self._calm_work.get(service, (work_s, now_s))
-        grown_s = known_s * 2 ** ((now_s - at_s) / CALM_WORK_DOUBLING_S)
+        doublings = min(MAX_DOUBLINGS, (now_s - at_s) / CALM_WORK_DOUBLING_S)
+        grown_s = known_s * 2**doublings
         calm_work_s = min(work_s, grown_s)
         self._calm_work[service] = calm_work_s, now_s
         return calm_work_s
--- a/tests/test_load_estimate.py
+++ b/tests/test_load_estimate.py
@@ -62,6 +62,17 @@
     assert not estimator.estimate(TARGETS, now_s=600.0).is_old
 
 
+@pytest.mark.parametrize("idle_s", [61_500.0, 1e6, 1e9])
+def test_a_service_without_requests_for_hours_overflows(load, idle_s):
+    estimator = LoadEstimator(
+        load,
+        news_age_s=lambda *, now_s: 0.5,
+        work_s=lambda service: WORK_S,
+    )
+    estimator.estimate(TARGETS, now_s=0.0)
+    assert estimator.estimate(TARGETS, now_s=idle_s).is_old
+
+
 def test_old_counts_differ_less_and_own_requests_count_in_full(load):
     counts = [
         estimate(load, age_s=age_s).in_flight for age_s in (0.1, 0.3, 100 * WORK_S)
