--- a/dogwoodhook/transport/held_answers.py
+++ b/dogwoodhook/transport/held_answers.py
@@ -3,8 +3,9 @@
 import asyncio
 
 from dogwoodhook.clock import Clock
-from dogwoodhook.state.large_answers import HeldBytes, LargeAnswerRoutes
+from dogwoodhook.state.large_answers import LargeAnswerRoutes
 from dogwoodhook.state.route_policy import RoutePolicy
+from dogwoodhook.transport.answer_room import AnswerRoom
 from dogwoodhook.transport.attempts import (
     AttemptResult,
     CompleteAnswer,
@@ -20,6 +21,10 @@
 from dogwoodhook.transport.routed_request import RoutedRequest
 from dogwoodhook.transport.stop_timeouts import StopTimeouts
 
+ROOM_WAIT_SHARE = 0.5
+"""Share of the time left to a request for which its answer waits for room. The rest is
+for passing the answer on as it comes, if there is still none."""
+
 
 def may_stream(routed: RoutedRequest) -> bool:
     """Return whether a large answer may be passed on before it is complete.
@@ -39,7 +44,7 @@
     ) -> None:
         self._clock = clock
         self._stop_timeouts = stop_timeouts
-        self._held = HeldBytes(limit_bytes)
+        self._room = AnswerRoom(limit_bytes=limit_bytes)
         self._routes = LargeAnswerRoutes()
 
     def may_be_large(self, route: RoutePolicy) -> bool:
@@ -51,7 +56,8 @@
     ) -> AttemptResult:
         """Buffer a large answer completely if later requests have been started.
 
-        Otherwise return it as it is, and also if too many bytes would be held.
+        Otherwise return it as it is, and also if too many bytes would be held. An
+        answer that must not be given up waits for room first, without being read.
         """
         self._routes.record(routed.route.name, now_s=self._clock.now_s())
         try:
@@ -74,18 +80,21 @@
 
         The bytes of a complete answer count as held until the caller has got them.
         """
-        held, taken = self._held, 0
+        room, length = self._room, opened.response.content_length
+        taken = len(opened.body) if length is None else length
+        may_wait = length is not None and not routed.route.is_idempotent
+        left_s = routed.deadline_s - self._clock.now_s()
+        timeout_s = ROOM_WAIT_SHARE * left_s if may_wait else 0.0
+        if not await room.take(taken, timeout_s=timeout_s):
+            return opened
 
         def may_hold(count: int) -> bool:
             nonlocal taken
-            if not held.try_take(count):
+            if not room.try_take(count):
                 return False
             taken += count
             return True
 
-        length = opened.response.content_length
-        if not may_hold(len(opened.body) if length is None else length):
-            return opened
         result: AttemptResult | None = None
         try:
             result = await read_rest(
@@ -95,6 +104,6 @@
             return result
         finally:
             if isinstance(result, CompleteAnswer):
-                call_when_answered(routed.request, lambda: held.give_back(taken))
+                call_when_answered(routed.request, lambda: room.give_back(taken))
             else:
-                held.give_back(taken)
+                room.give_back(taken)
--- a/tests/platform_adapter/test_pipelined_closings.py
+++ b/tests/platform_adapter/test_pipelined_closings.py
@@ -393,3 +393,39 @@
             caller.send(f"/read/large-{number}", f"/read/{number}")
             answers = [await caller.answer() for _ in range(2)]
             assert [each.status for each in answers] == [500, 200]
+
+
+async def test_a_request_behind_a_large_answer_without_room_that_breaks_off_is_lost(
+    platform, monkeypatch
+):
+    """The answers are to requests that may run once only, so none is given up."""
+    monkeypatch.setattr(route_forwarder, "MAX_LARGE_ANSWER_BUFFERS", 1)
+    count = 3 * LARGE_ANSWER_BUFFER_BYTES // SIZE
+
+    async def behaviour(server, received, writer):
+        if not received.path.startswith("/post/large"):
+            await behave.answer(server, received, writer)
+            return
+        await asyncio.sleep(0.3)
+        writer.write(behave.head("200 OK", received, length=SIZE, Server_Signature="s"))
+        writer.write(b"x" * (SIZE - 1))
+        await writer.drain()
+        if received.path.endswith("cut"):
+            await asyncio.sleep(0.1)
+            behave.reset_connection(writer)
+        else:
+            writer.write(b"x")
+
+    _, gateway = await start(platform, behaviour)
+
+    async def call(number):
+        ending = "cut" if number % 3 == 0 else "whole"
+        async with raw_caller(gateway) as caller:
+            caller.send(f"/post/large-{number}-{ending}", f"/read/{number}")
+            return [await caller.answer() for _ in range(2)]
+
+    results = await asyncio.gather(*map(call, range(count)))
+    assert all(behind and behind.status == 200 for _, behind in results)
+    assert sorted(front.status for front, _ in results) == (
+        [200] * (2 * count // 3) + [502] * (count // 3)
+    )
