--- a/dogwoodhook/metrics.py
+++ b/dogwoodhook/metrics.py
@@ -136,7 +136,7 @@
     """Return the largest number of series for these limits.
 
     >>> max_series(services=100, workspaces=200)
-    15995
+    15998
     """
     histogram = len(LATENCY_BUCKETS_MS) + 3
     outcomes = 1 + len(NotRunReason) + len(UnknownReason)
