--- a/dogwoodhook/coordination/fleet_messages.py
+++ b/dogwoodhook/coordination/fleet_messages.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Literal
 
+from dogwoodhook.state.open_attempts import OpenRequest
 from dogwoodhook.state.quarantine import SuspectState
 from dogwoodhook.state.suspicion import Symptom
 from dogwoodhook.state.target_directory import TargetChange
@@ -131,6 +132,21 @@
     kind: Literal["ended"] = "ended"
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptReport:
+    """Requests of a daemon at targets, in case it is killed before it is answered.
+
+    Each request replaces what earlier numbers of the ``run`` told of it; one without
+    processes has been answered. ``run`` changes when the daemon restarts.
+    """
+
+    daemon: str
+    run: int
+    number: int
+    requests: tuple[OpenRequest, ...]
+    kind: Literal["attempts"] = "attempts"
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaAsk:
     """Asks a workspace's coordinator for a token of its quota.
@@ -243,6 +259,7 @@
     | LoadReport
     | SuspectStates
     | TargetEnded
+    | AttemptReport
     | QuotaAsk
     | QuotaAnswer
     | QuotaReport
--- a/dogwoodhook/coordination/fleet_quarantine.py
+++ b/dogwoodhook/coordination/fleet_quarantine.py
@@ -295,6 +295,12 @@
         self._report_stopped(identity)
         self._suspect_storing.record_end(identity)
 
+    def has_counted(self, identity: RequestIdentity, target: str) -> bool:
+        """Return whether the end of a target counts already for a request."""
+        known = self._quarantine.state(identity.fingerprint, self._clock.now_s())
+        crashes = () if known is None else known.crashes
+        return any(crash.target.partition("#")[0] == target for crash in crashes)
+
     def record_success(
         self, identity: RequestIdentity, *, target: str = "", status: int = 0
     ) -> None:
--- a/dogwoodhook/events.py
+++ b/dogwoodhook/events.py
@@ -248,8 +248,10 @@
     323,
     "target-crashed",
     Level.WARNING,
-    "A target ended with a request at it, as `evidence` shows. `unanswered_ms` is the"
-    " time since its connection broke or it was given up.",
+    "A target ended with a request at it, as `evidence` shows. `sender` is the daemon"
+    " that sent the request there; another one records the end if that daemon was"
+    " killed. `unanswered_ms` is the time since the request's connection broke or it"
+    " was given up.",
 )
 
 TARGET_LIVES = _event(
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -13,8 +13,10 @@
 from dataclasses import dataclass
 
 from dogwoodhook.clock import Clock, SystemClock
+from dogwoodhook.coordination.attempt_sharing import AttemptSharing
 from dogwoodhook.coordination.configuration_following import ConfigurationFollower
 from dogwoodhook.coordination.fleet_messages import (
+    AttemptReport,
     ConfigurationNotice,
     DaemonHello,
     FleetMessage,
@@ -220,11 +222,19 @@
         self._metrics = Metrics(
             daemon=settings.vm_name, max_workspace_series=MAX_ROUTE_SERIES
         )
+        self._attempt_sharing = AttemptSharing(
+            self.peers,
+            clock,
+            daemon=settings.vm_name,
+            rng=rng,
+            is_suspect=self._quarantine.is_watched,
+        )
         self._target_ends = TargetEnds(
             self._quarantine,
             self.peers,
             clock,
             daemon=settings.vm_name,
+            attempt_sharing=self._attempt_sharing,
             on_crash=self._metrics.record_target_crash,
         )
         self._crash_checks = CrashChecks(
@@ -291,6 +301,7 @@
             crash_checks=self._crash_checks,
             quarantine=self._quarantine,
             target_ends=self._target_ends,
+            attempt_sharing=self._attempt_sharing,
             is_ready=self._has_been_ready,
             notify_fleet=self.peers.broadcast,
             notify_neighbours=self.peers.notify_neighbours,
@@ -418,6 +429,7 @@
         self._spawn(self._follow_targets)
         self._spawn(self._follow_configuration)
         self._spawn(self._quarantine.run)
+        self._spawn(self._attempt_sharing.run)
         self._spawn(self._keep_ready)
         self._spawn(self._watch_settings)
         self._spawn(self._watch_event_loop)
@@ -578,6 +590,8 @@
                 self._quarantine.receive(message)
             case TargetEnded():
                 self._target_ends.receive(message)
+            case AttemptReport():
+                self._attempt_sharing.receive(message)
             case QuotaAsk() | QuotaAnswer() | QuotaReport():
                 self._quota_sharing.receive(message)
             case _:
--- a/dogwoodhook/state/unanswered_runs.py
+++ b/dogwoodhook/state/unanswered_runs.py
@@ -9,7 +9,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from dogwoodhook.state.quarantine import RequestIdentity
+from dogwoodhook.state.attempted_request import AttemptedRequest, TargetProcess
 
 KEPT_S = 15.0
 """Time for which a run is kept: more than it takes until the entry of a target that
@@ -21,18 +21,14 @@
 
 @dataclass(frozen=True, slots=True)
 class UnansweredRun:
-    """A request at an incarnation of a target, without an answer since ``at_s``.
+    """A request at a process of a target, without an answer since ``at_s``.
 
     ``has_lost_connection`` tells that its connection broke then, as opposed to an
     attempt that was given up.
     """
 
-    target: str
-    incarnation: int
-    service: str
-    identity: RequestIdentity
-    request_id: str
-    caller: str
+    request: AttemptedRequest
+    process: TargetProcess
     at_s: float
     has_lost_connection: bool
 
@@ -52,26 +48,23 @@
     def has_any_at(self, target: str, *, now_s: float) -> bool:
         """Return whether a run at a target is kept."""
         return any(
-            run.target == target and now_s - run.at_s <= KEPT_S for run in self._runs
+            run.process.target == target and now_s - run.at_s <= KEPT_S
+            for run in self._runs
         )
 
     def lost_targets(self, *, since_s: float) -> frozenset[str]:
         """Return the targets to which connections broke since then."""
         return frozenset(
-            run.target
+            run.process.target
             for run in self._runs
             if run.has_lost_connection and run.at_s >= since_s
         )
 
     def take(
-        self, target: str, incarnation: int, *, now_s: float
+        self, process: TargetProcess, *, now_s: float
     ) -> tuple[UnansweredRun, ...]:
-        """Return the runs at an incarnation of a target, and keep them no longer."""
-        taken = tuple(
-            run
-            for run in self._runs
-            if (run.target, run.incarnation) == (target, incarnation)
-        )
+        """Return the runs at a process, and keep them no longer."""
+        taken = tuple(run for run in self._runs if run.process == process)
         if taken:
             self._runs = deque(
                 (run for run in self._runs if run not in taken), maxlen=MAX_RUNS
--- a/dogwoodhook/transport/fleet_view.py
+++ b/dogwoodhook/transport/fleet_view.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from dogwoodhook.coordination.attempt_sharing import AttemptSharing
 from dogwoodhook.coordination.fleet_messages import TargetFailure, TargetSuccess
 from dogwoodhook.coordination.fleet_quarantine import FleetQuarantine
 from dogwoodhook.coordination.load_sharing import LoadSharing
@@ -46,6 +47,7 @@
     crash_checks: CrashChecks
     quarantine: FleetQuarantine
     target_ends: TargetEnds
+    attempt_sharing: AttemptSharing
     is_ready: asyncio.Event
     notify_fleet: Callable[[TargetFailure | TargetSuccess], None]
     notify_neighbours: Callable[[TargetFailure], None]
--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -20,7 +20,6 @@
 from dogwoodhook.events import (
     ATTEMPT_FAILED,
     CALLER_LEFT,
-    EXTRA_ANSWER_DROPPED,
     REQUEST_ANSWERED,
     REQUEST_CUT,
     REQUEST_REFUSED,
@@ -43,6 +42,11 @@
 from dogwoodhook.state.suspicion import Standing, Symptom
 from dogwoodhook.state.target_directory import TargetEntry
 from dogwoodhook.state.unanswered_runs import UnansweredRun
+from dogwoodhook.transport.attempt_records import (
+    log_extra_answers,
+    to_attempted_request,
+    to_process,
+)
 from dogwoodhook.transport.attempts import (
     Attempt,
     AttemptResult,
@@ -639,6 +643,9 @@
         overdue = asyncio.create_task(
             self._report_overdue(routed, target, trace, due_s=now_s + overdue_s)
         )
+        attempted = to_attempted_request(routed)
+        number = fleet.attempt_sharing.begin(attempted, to_process(target))
+        is_unanswered = False
         fleet.placement.start(target, now_s=now_s)
         fleet.load_sharing.report_start()
         fleet.connections.record_use(target)
@@ -650,24 +657,19 @@
                 self._conventions,
                 trace,
             )
+            is_unanswered = isinstance(result, MayHaveRun)
         except asyncio.CancelledError:
             if trace.is_connected and not routed.has_succeeded:
+                is_unanswered = True
                 self._record_unanswered(routed, target, has_lost_connection=False)
             raise
         finally:
             routed.target_s += self._clock.now_s() - now_s
             fleet.placement.finish(target)
             fleet.load_sharing.report_end()
+            fleet.attempt_sharing.end(attempted, number, is_unanswered=is_unanswered)
             overdue.cancel()
-        if trace.extra_answers:
-            log(
-                EXTRA_ANSWER_DROPPED,
-                request=routed.request_id,
-                target=target.name,
-                address=target.address,
-                **trace.use.log_fields(),
-                count=trace.extra_answers,
-            )
+        log_extra_answers(routed, target, trace)
         if isinstance(result, CompleteAnswer):
             if may_use_idle:
                 fleet.connections.record_idle(target)
@@ -737,18 +739,13 @@
     def _record_unanswered(
         self, routed: RoutedRequest, target: TargetEntry, *, has_lost_connection: bool
     ) -> None:
-        self._fleet.target_ends.record_unanswered(
-            UnansweredRun(
-                target=target.name,
-                incarnation=target.incarnation,
-                service=routed.service,
-                identity=routed.identity,
-                request_id=routed.request_id,
-                caller=routed.caller,
-                at_s=self._clock.now_s(),
-                has_lost_connection=has_lost_connection,
-            )
+        run = UnansweredRun(
+            to_attempted_request(routed),
+            to_process(target),
+            at_s=self._clock.now_s(),
+            has_lost_connection=has_lost_connection,
         )
+        self._fleet.target_ends.record_unanswered(run)
 
     async def _report_overdue(
         self,
--- a/tests/test_target_ends.py
+++ b/tests/test_target_ends.py
@@ -5,8 +5,10 @@
 import pytest
 
 from dogwoodhook.clock import ManualClock
+from dogwoodhook.coordination.attempt_sharing import AttemptSharing
 from dogwoodhook.coordination.fleet_messages import TargetEnded
 from dogwoodhook.coordination.target_ends import EndEvidence, TargetEnds
+from dogwoodhook.state.attempted_request import AttemptedRequest, TargetProcess
 from dogwoodhook.state.quarantine import Admit, Refuse, RequestIdentity
 from dogwoodhook.state.unanswered_runs import KEPT_S, UnansweredRun
 from tests.test_fleet_quarantine import make_fleet_quarantine
@@ -39,6 +41,13 @@
             self.links,
             self.clock,
             daemon="vm-1",
+            attempt_sharing=AttemptSharing(
+                self.links,
+                self.clock,
+                daemon="vm-1",
+                rng=random.Random(1),
+                is_suspect=self.quarantine.is_watched,
+            ),
             on_crash=self.count_crash,
         )
 
@@ -48,12 +57,8 @@
     def give_up(self, target, *, has_lost_connection=False):
         self.ends.record_unanswered(
             UnansweredRun(
-                target=target,
-                incarnation=1,
-                service="payouts",
-                identity=IDENTITY,
-                request_id="1",
-                caller="10.0.0.9",
+                AttemptedRequest("payouts", IDENTITY, "1", "10.0.0.9"),
+                TargetProcess(target, 1),
                 at_s=self.clock.now_s(),
                 has_lost_connection=has_lost_connection,
             )
