--- a/dogwoodhook/coordination/target_following.py
+++ b/dogwoodhook/coordination/target_following.py
@@ -2,7 +2,8 @@
 
 One daemon of the fleet is the store reader (see ``state.store_reader``); the others
 receive store updates from it. A daemon that receives an update with a gap after
-the version that it knows reads the store itself.
+the version that it knows reads the store itself. If nothing has changed in the gap, it
+takes the store's version as known.
 
 When the store comes back from a copy, the store reader reads the complete table, and
 its next update tells what has changed since the version that it knew before. A daemon
@@ -12,6 +13,7 @@
 import asyncio
 import random
 from collections import deque
+from dataclasses import dataclass, replace
 
 from expression import Result
 
@@ -83,6 +85,8 @@
         self._started_s = clock.now_s()
         self._store_version = 0
         self._missed_version = 0
+        # The latest answer without changes after the version that is known.
+        self._unchanged: _UnchangedAnswer | None = None
         # What was known of the older era when the current one became known.
         self._older_version = 0
         # The newest era of which another daemon's update told the beginning.
@@ -252,6 +256,7 @@
                 self._read_s = started_s
                 newest_version = max(rows.version, rows.newest_version)
                 self._store_version = max(self._store_version, newest_version)
+                rows = self._confirm_unchanged(rows)
                 hold_s = self._apply(rows, now_s, age_s=now_s - started_s)
                 if before and may_notify:
                     self._send_update(before, rows.version, hold_s)
@@ -260,6 +265,21 @@
                 self._availability.record_failure(problem.detail, now_s=now_s)
                 return False
 
+    def _confirm_unchanged(self, rows: TableRows) -> TableRows:
+        """Return rows with the version up to which two answers show no change.
+
+        The version that this daemon knows is then no longer behind that of daemons that
+        read the complete table later, whose updates it would take for a gap. A change
+        that was written during the first answer shows in the second one.
+        """
+        earlier, self._unchanged = self._unchanged, None
+        if rows.rows or rows.is_complete or self._missed_version <= rows.version:
+            return rows
+        self._unchanged = _UnchangedAnswer(rows.version, rows.newest_version)
+        if earlier is None or earlier.after_version != rows.version:
+            return rows
+        return replace(rows, version=max(rows.version, earlier.newest_version))
+
     def _apply(self, rows: TableRows, now_s: float, *, age_s: float) -> float:
         """Apply rows; return how long removals are delayed."""
         changes = [
@@ -331,6 +351,14 @@
         return before, self._directory.changes_after(before)
 
 
+@dataclass(frozen=True, slots=True)
+class _UnchangedAnswer:
+    """An answer of the store without changes between two of its versions."""
+
+    after_version: int
+    newest_version: int
+
+
 class _ReceivedParts:
     """The parts of the latest store update that have been received."""
 
--- a/tests/test_target_following.py
+++ b/tests/test_target_following.py
@@ -36,8 +36,16 @@
     def __init__(self):
         self.rows = []
         self.table_reads = 0
+        self.reads = 0
+        self.other_writes = 0
+        self.hides_next_change = False
         self.is_down = False
 
+    @property
+    def version(self):
+        """Return the store's version; writes to other tables increase it, too."""
+        return len(self.rows) + self.other_writes
+
     def add(self, count):
         for _ in range(count):
             version = len(self.rows) + 1
@@ -47,15 +55,20 @@
         if self.is_down:
             return Error(StoreUnavailable("down"))
         self.table_reads += 1
-        return Ok(TableRows(tuple(self.rows), len(self.rows), is_complete=True))
+        return Ok(TableRows(tuple(self.rows), self.version, is_complete=True))
 
     async def read_changes(
         self, table, *, after_version, wait_s=0.0, on_long_answer=None
     ):
         if self.is_down:
             return Error(StoreUnavailable("down"))
+        self.reads += 1
         newer = tuple(self.rows[after_version:])
-        return Ok(TableRows(newer, len(self.rows), is_complete=False))
+        if newer and self.hides_next_change:
+            # It was written while the answer was made.
+            self.hides_next_change, newer = False, ()
+        version = newer[-1].version if newer else self.version
+        return Ok(TableRows(newer, version, is_complete=False))
 
 
 class RecordingLinks:
@@ -142,6 +155,36 @@
         assert links.sent == []
 
 
+async def test_a_daemon_behind_a_version_without_changes_reads_for_ever(monkeypatch):
+    """The reader knows a later version from a complete read of its own."""
+    monkeypatch.setattr(
+        "dogwoodhook.coordination.target_following.rank_of", lambda daemon, *_: 3
+    )
+    async with following("vm-1", "vm-9") as (store, _, directory, follower):
+        store.other_writes = 8
+        for _ in range(20):
+            follower.receive(empty_update(7, 7, store_version=9))
+            await asyncio.sleep(0.02)
+        assert store.reads == 2
+        assert store.table_reads == 1
+        assert directory.version == 9
+
+
+async def test_a_change_written_during_an_empty_answer_is_lost(monkeypatch):
+    monkeypatch.setattr(
+        "dogwoodhook.coordination.target_following.rank_of", lambda daemon, *_: 3
+    )
+    async with following("vm-1", "vm-9") as (store, _, directory, follower):
+        store.add(1)
+        store.other_writes = 7
+        store.hides_next_change = True
+        for _ in range(20):
+            follower.receive(empty_update(9, 9))
+            await asyncio.sleep(0.02)
+        assert directory.get("t2") is not None
+        assert directory.version == 9
+
+
 async def test_changes_in_a_neighbours_update_are_applied_despite_a_gap(monkeypatch):
     monkeypatch.setattr(
         "dogwoodhook.coordination.target_following.rank_of", lambda daemon, *_: 3
