--- a/dogwoodhook/fleet_joining.py
+++ b/dogwoodhook/fleet_joining.py
@@ -37,6 +37,7 @@
     Table,
     TableRows,
 )
+from dogwoodhook.coordination.store_reading import wait_for
 from dogwoodhook.events import (
     DAEMON_ROW_REFUSED,
     DAEMONS_NOT_LISTED,
@@ -103,10 +104,11 @@
     """Joins the fleet as soon as the store answers, and sends periodic hellos.
 
     ``on_snapshot`` is called with the snapshot that a neighbour sent. ``has_asked`` is
-    set once one has arrived or none is to be expected, ``has_joined`` once the other
-    daemons are known. ``on_other_row`` is called with
-    each row of the daemons' table that is neither a daemon nor the fleet's key,
-    ``on_missing_quarantines`` when this daemon is to write quarantines again.
+    set once one has arrived or none is to be expected, ``has_read_rows`` once the rows
+    of the fleet are known, and ``has_joined`` once the other daemons are.
+    ``on_other_row`` is called with each row of the daemons' table that is neither a
+    daemon nor the fleet's key, ``on_missing_quarantines`` when this daemon is to write
+    quarantines again.
     """
 
     def __init__(
@@ -123,7 +125,9 @@
         on_missing_quarantines: Callable[[], None] = lambda: None,
     ) -> None:
         self.has_asked = asyncio.Event()
+        self.has_read_rows = False
         self.has_joined = False
+        self._is_retry_due = asyncio.Event()
         self._on_snapshot = on_snapshot
         self._on_other_row = on_other_row
         self._store = store
@@ -162,8 +166,11 @@
         pause_s = MIN_RETRY_S
         while not await self._join():
             self.has_asked.set()
-            await asyncio.sleep(pause_s)
+            await wait_for(self._is_retry_due, pause_s)
             pause_s = min(MAX_RETRY_S, pause_s * 2)
+            if self._is_retry_due.is_set():
+                self._is_retry_due.clear()
+                pause_s = MIN_RETRY_S
         for pause_s in FIRST_HELLO_PAUSES_S:
             await asyncio.sleep(pause_s)
             await self._greet_all()
@@ -174,6 +181,10 @@
             else:
                 await self._greet_all()
 
+    def retry(self) -> None:
+        """Try again at once, since the store answers."""
+        self._is_retry_due.set()
+
     @property
     def hello(self) -> DaemonHello:
         """Return this daemon's hello."""
@@ -212,6 +223,7 @@
         if page is None:
             return None
         self._adopt_rows(page.rows)
+        self.has_read_rows = True
         found = [each for each in page.rows if each.key == KEY_ROW]
         row = found[0] if found else await self._create_key(_new_key())
         key = row.value if row is not None else None
--- a/dogwoodhook/gateway.py
+++ b/dogwoodhook/gateway.py
@@ -108,8 +108,8 @@
 
 MAX_START_WAIT_S = 2.0
 """Longest time for which a daemon that starts waits for a neighbour's snapshot before
-it reads the targets and the configuration from the store: that of a write without an
-answer, and of requests to neighbours."""
+it reads the targets and the configuration from the store, and for the fleet's rows
+before it serves: that of a write without an answer, and of requests to neighbours."""
 
 SETTINGS_INTERVAL_S = 2.0
 """Interval at which the settings are checked, which may change without a signal."""
@@ -150,6 +150,7 @@
         self._stop = DaemonStop()
         self._stop_timeouts = StopTimeouts(self._stop, clock)
         self._has_been_ready = asyncio.Event()
+        self._rows_awaited_since_s: float | None = None
         self._suspicion = Suspicion(daemon=settings.vm_name, rng=rng)
         self._directory = TargetDirectory(
             on_restart=self._suspicion.record_restart,
@@ -533,12 +534,28 @@
             self._readiness.update("no configuration is known yet")
         elif not self._directory.version:
             self._readiness.update("no target is known yet")
+        elif self._awaits_rows():
+            self._readiness.update("what the fleet refuses is not known yet")
         elif self._pressure.is_short_of_memory():
             self._readiness.update("no memory for requests")
         else:
             self._has_been_ready.set()
             self._readiness.update(None)
 
+    def _awaits_rows(self) -> bool:
+        """Return whether the rows of the fleet are to be known soon.
+
+        A daemon that starts while the store is away could otherwise serve what the
+        others refuse, until it joins.
+        """
+        if self._joining.has_read_rows or self._has_been_ready.is_set():
+            return False
+        now_s = self._clock.now_s()
+        if self._rows_awaited_since_s is None:
+            self._rows_awaited_since_s = now_s
+            self._joining.retry()
+        return now_s - self._rows_awaited_since_s < MAX_START_WAIT_S
+
     def _has_usable_connection(self, target: TargetEntry) -> bool:
         now_s = self._clock.now_s()
         return self._connections.has_idle(target) and self._suspicion.may_use_idle(
--- a/tests/platform_adapter/test_gateway_store.py
+++ b/tests/platform_adapter/test_gateway_store.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from dogwoodhook.fleet_joining import FleetJoining
 from dogwoodhook.state.daemon_stop import MAX_INTAKE_SHARE
 from dogwoodhook.state.target_directory import EXPIRY_HOLD_S
 from tests.exchanges import until
@@ -33,6 +34,19 @@
     assert reply.status == 200
 
 
+async def test_a_daemon_that_cannot_read_the_fleets_rows_never_serves(
+    platform, monkeypatch
+):
+    async def no_page(joining, start):
+        return None
+
+    monkeypatch.setattr(FleetJoining, "_read_page", no_page)
+    await platform.configure()
+    await platform.start_target("t1")
+    await platform.start_gateway()
+    assert (await platform.send("/post/1", data=b"x")).status == 200
+
+
 async def test_an_unknown_route_is_denied_by_a_known_configuration(platform):
     await platform.configure()
     await platform.start_target("t1")
--- a/tests/platform_adapter/test_harmful_requests.py
+++ b/tests/platform_adapter/test_harmful_requests.py
@@ -149,6 +149,28 @@
     assert count_later_arrivals(targets) <= MAX_LATER_ARRIVALS
 
 
+async def test_a_daemon_that_starts_without_the_store_sends_what_others_refuse(
+    platform,
+):
+    """It has no way to learn of it, and serves nothing until it has joined."""
+    targets = await start(platform)
+    caller = Caller(platform, CALLER_HOST)
+    for _ in range(12):
+        await caller.send("/post/bad", body=BODY)
+        await asyncio.sleep(INTERVAL_S)
+    received = sum(len(target.arrived_s) for target in targets)
+    platform.store.faults.refused = 503
+    starting = await platform.start_gateway("vm-late", is_ready=False)
+    for path in ("/post/bad", "/post/sound"):
+        assert (await caller.send(path, body=BODY, gateway=starting))[0] == 503
+    assert not starting.is_ready
+    assert sum(len(target.arrived_s) for target in targets) == received
+    platform.store.faults.refused = 0
+    await until(lambda: starting.is_ready)
+    assert (await caller.send("/post/bad", body=BODY, gateway=starting))[0] == 503
+    assert sum(len(target.arrived_s) for target in targets) == received
+
+
 async def test_a_refused_harmful_request_is_not_told_when_to_come_back(platform):
     targets = await start(platform)
     caller = Caller(platform, CALLER_HOST)
--- a/tests/test_fleet_joining.py
+++ b/tests/test_fleet_joining.py
@@ -192,6 +192,27 @@
     assert joining.has_joined
 
 
+async def test_a_daemon_joins_late_although_the_store_answers_again(monkeypatch):
+    """Its pauses have grown while the store was away."""
+    monkeypatch.setattr(fleet_joining, "MIN_RETRY_S", 60.0)
+    store = MemoryStore()
+    joining, peers = make_joining(store, "vm-1")
+    monkeypatch.setattr(joining, "_read_page", no_page)
+    task = asyncio.create_task(joining.run())
+    await until(joining.has_asked.is_set)
+    assert not joining.has_read_rows
+    monkeypatch.undo()
+    joining.retry()
+    await until(lambda: peers.sent)
+    task.cancel()
+    assert joining.has_read_rows
+    assert joining.has_joined
+
+
+async def no_page(start):
+    return None
+
+
 async def test_a_key_beyond_the_first_page_is_found():
     store = MemoryStore(page_rows=1)
     await join(*make_joining(store, "vm-1"))
