--- a/dogwoodhook/transport/route_forwarder.py
+++ b/dogwoodhook/transport/route_forwarder.py
@@ -84,6 +84,7 @@
 from dogwoodhook.transport.stop_timeouts import StopTimeouts
 from dogwoodhook.transport.target_announcements import AnnouncementRecorder
 from dogwoodhook.transport.target_shortage import refusal_cause, shortage_fields
+from dogwoodhook.transport.time_limits import answer_limit_s, streaming_limit_s
 from dogwoodhook.transport.workspace_admission import WorkspaceAdmission
 
 REPLAY_BUFFER_BYTES = 512 * 1024
@@ -128,10 +129,6 @@
 
 CRASHED_DETAIL = "targets crashed under this request"
 
-CALLER_MARGIN_S = 0.1
-"""How long before its deadline a caller is answered, so that the answer has time to
-reach the caller."""
-
 
 class _AttemptsGivenUpError(Exception):
     """The attempts of a request are given up; the text says why."""
@@ -204,7 +201,7 @@
         refusal = self._refusal_on_arrival(request, route, configuration.limits)
         if refusal is not None:
             return refusal
-        deadline_s = arrived_s + self._time_limit_s(request, route)
+        deadline_s = arrived_s + answer_limit_s(route, self._remaining_ms(request))
         service = route.service_at(self._rng.random())
         if not self._stop_allows_sending(route, service, deadline_s=deadline_s):
             return self._own_answers.stopping(request)
@@ -296,17 +293,8 @@
         route = _route_of(configuration, request, uri)
         return route is not None and self._held_answers.may_be_large(route)
 
-    def _time_limit_s(self, request: web.BaseRequest, route: RoutePolicy) -> float:
-        """Return the time from a request's arrival within which targets may answer it.
-
-        Until the route's timeout a target may still do so; the caller's own deadline
-        has to leave time for the answer to arrive.
-        """
-        allowed_s = route.timeout_s
-        remaining_ms = request.headers.get(self._conventions.remaining_ms_header, "")
-        if remaining_ms.isascii() and remaining_ms.isdigit():
-            allowed_s = min(allowed_s, int(remaining_ms) / 1000 - CALLER_MARGIN_S)
-        return allowed_s
+    def _remaining_ms(self, request: web.BaseRequest) -> str:
+        return request.headers.get(self._conventions.remaining_ms_header, "")
 
     def _stop_allows_attempt(self, routed: RoutedRequest) -> bool:
         return self._stop_allows_sending(
@@ -853,13 +841,15 @@
         self, routed: RoutedRequest, target: TargetEntry, opened: OpenAnswer
     ) -> web.StreamResponse:
         """Stream a large answer to the caller; abort the connection on an error."""
+        remaining_ms = self._remaining_ms(routed.request)
+        ends_s = routed.arrived_s + streaming_limit_s(routed.route, remaining_ms)
         answer = web.StreamResponse(
             status=opened.status,
             reason=opened.reason,
             headers=self._headers_to_caller(opened.headers),
         )
         try:
-            async with asyncio.timeout(routed.deadline_s - self._clock.now_s()):
+            async with asyncio.timeout(ends_s - self._clock.now_s()):
                 start_streaming(routed.request)
                 await answer.prepare(routed.request)
                 await answer.write(opened.body)
--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -7,7 +7,7 @@
 
 from dogwoodhook.clock import SystemClock
 from dogwoodhook.state.suspicion import Standing, Symptom
-from dogwoodhook.transport import route_forwarder, target_connections
+from dogwoodhook.transport import route_forwarder, target_connections, time_limits
 from dogwoodhook.transport.attempts import BUFFERED_ANSWER_BYTES, NotRunAtTarget
 from dogwoodhook.transport.route_forwarder import REPLAY_BUFFER_BYTES
 from tests.exchanges import until
@@ -496,3 +496,24 @@
     reply = await platform.send("/read/1", method=method)
     assert reply.status == 200
     assert sum(len(each.received) for each in targets) == 2
+
+
+async def test_a_streamed_answer_breaks_off_before_its_callers_deadline(
+    platform, monkeypatch
+):
+    """The margin for the answer's way is over, the caller's deadline is not."""
+    monkeypatch.setattr(time_limits, "CALLER_MARGIN_S", 1.0)
+    size = 4 * BUFFERED_ANSWER_BYTES
+
+    async def end_late(server, received, writer):
+        writer.write(
+            behave.head("200 OK", received, length=size, Server_Signature="t1")
+        )
+        writer.write(b"x" * (size // 2))
+        await asyncio.sleep(1.7)
+        writer.write(b"x" * (size // 2))
+
+    await start(platform, end_late)
+    reply = await platform.send("/read/1", headers={"Deadline-Ms": "2500"})
+    assert reply.status == 200
+    assert len(reply.body) == size
