--- a/dogwoodhook/transport/time_limits.py
+++ b/dogwoodhook/transport/time_limits.py
@@ -32,5 +32,6 @@
     (1.5, inf)
     """
     if remaining_ms.isascii() and remaining_ms.isdigit():
-        return int(remaining_ms) / 1000
+        # A float has no limit of digits.
+        return float(remaining_ms) / 1000
     return float("inf")
--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -517,3 +517,10 @@
     reply = await platform.send("/read/1", headers={"Deadline-Ms": "2500"})
     assert reply.status == 200
     assert len(reply.body) == size
+
+
+@pytest.mark.parametrize("digits", [400, 5000])
+async def test_a_deadline_beyond_any_number_fails_the_request(platform, digits):
+    await start(platform)
+    reply = await platform.send("/read/1", headers={"Deadline-Ms": "9" * digits})
+    assert reply.status == 200
