--- a/dogwoodhook/state/open_attempts.py
+++ b/dogwoodhook/state/open_attempts.py
@@ -37,12 +37,9 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenRequest:
-    """The processes that have a request of one daemon and have not answered it.
+    """The processes that have a request of one daemon and have not answered it."""
 
-    The request is the latest copy.
-    """
-
-    request: AttemptedRequest
+    latest_copy: AttemptedRequest
     processes: tuple[TargetProcess, ...] = ()
 
 
@@ -54,9 +51,9 @@
 
 @dataclass(slots=True)
 class _Attempts:
-    """The attempts of all copies of a request; some were given up at a time."""
+    """The attempts of all copies of a request, and when some of them were given up."""
 
-    latest: AttemptedRequest
+    latest_copy: AttemptedRequest
     open: dict[int, _Attempt] = field(default_factory=dict)
     given_up_s: dict[int, float] = field(default_factory=dict)
     is_shared: bool = False
@@ -65,7 +62,7 @@
 
     @property
     def fingerprint(self) -> str:
-        return self.latest.identity.fingerprint
+        return self.latest_copy.identity.fingerprint
 
     @property
     def copies(self) -> int:
@@ -90,7 +87,7 @@
         processes = dict.fromkeys(
             attempt.process for attempt in reversed(self.open.values())
         )
-        return OpenRequest(self.latest, tuple(processes)[:MAX_PROCESSES])
+        return OpenRequest(self.latest_copy, tuple(processes)[:MAX_PROCESSES])
 
 
 class OpenAttempts:
@@ -127,7 +124,7 @@
         """Add an attempt, and return its number."""
         attempts = self._get_or_add(request)
         attempts.remove_old(now_s)
-        attempts.latest = request
+        attempts.latest_copy = request
         number = next(self._numbers)
         attempts.open[number] = _Attempt(request.request_id, process)
         if is_suspect or attempts.copies >= MIN_COPIES:
--- a/dogwoodhook/state/reported_attempts.py
+++ b/dogwoodhook/state/reported_attempts.py
@@ -83,7 +83,7 @@
         answered everywhere.
         """
         for request in requests:
-            key = daemon, run, request.request.identity.fingerprint
+            key = daemon, run, request.latest_copy.identity.fingerprint
             known = self._reported.get(key)
             if known is None:
                 self._reported[key] = _Reported(number, request, now_s)
@@ -115,7 +115,7 @@
                 if now_s < max(end.known_s, reported.received_s) + GRACE_S:
                     continue
                 reported.attributed |= {process}
-                request = reported.request.request
+                request = reported.request.latest_copy
                 taken.append(UnattributedEnd(daemon, request, process, end.at_s))
         return tuple(taken)
 
