--- a/dogwoodhook/testing/relay.py
+++ b/dogwoodhook/testing/relay.py
@@ -4,7 +4,8 @@
         relay.is_cut_to_client = True  # requests arrive, answers do not
 
 Data sent in a cut direction is lost; the connections stay open, as in a network that
-drops packets. ``silence_open_connections`` does the same permanently to the connections
+drops packets. A connection that lost data delivers nothing more in that direction, as
+TCP does. ``silence_open_connections`` does the same permanently to the connections
 that are open at that moment, while new ones work. ``reset_open_connections`` closes
 the open connections with a reset, and ``close_port`` the port too, as if the process
 behind it had ended; no other socket gets the port until the relay has ended.
@@ -135,14 +136,20 @@
         *,
         is_to_server: bool,
     ) -> None:
+        has_lost_data = False
         while data := await source.read(READ_BYTES):
             is_cut = self.is_cut_to_server if is_to_server else self.is_cut_to_client
             await asyncio.sleep(self.delay_s)
             if self.bytes_per_s is not None:
                 await asyncio.sleep(len(data) / self.bytes_per_s)
-            if not is_cut and connection not in self._silenced_tasks:
+            has_lost_data |= is_cut or connection in self._silenced_tasks
+            if not has_lost_data:
                 sink.write(data)
                 await sink.drain()
+        if has_lost_data:
+            # The end of the stream is behind what was lost.
+            _reset_on_close(sink)
+            return
         # The other direction stays open: a server may read on after its last answer.
         if not sink.is_closing():
             sink.write_eof()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,6 +6,7 @@
 import pytest
 
 from dogwoodhook.testing.relay import Relay
+from dogwoodhook.testing.serving import LOOPBACK
 from tests.platform_adapter.target_server import reset_connection
 
 
@@ -130,3 +131,39 @@
             await _keep_sending(writer)
         writer.close()
     server.close()
+
+
+@pytest.mark.parametrize("is_to_server", [True, False])
+async def test_a_connection_goes_on_behind_data_that_was_lost(is_to_server):
+    """TCP delivers nothing behind a gap."""
+    received = asyncio.Queue()
+    accepted = asyncio.get_running_loop().create_future()
+
+    async def accept(reader, writer):
+        accepted.set_result((reader, writer))
+
+    async def read(reader):
+        while data := await reader.read(100):
+            received.put_nowait(data)
+
+    server = await asyncio.start_server(accept, LOOPBACK, 0)
+    async with Relay(port=server.sockets[0].getsockname()[1]) as relay:
+        client = await asyncio.open_connection(LOOPBACK, relay.port)
+        sender, receiver = client, await accepted
+        if not is_to_server:
+            sender, receiver = receiver, sender
+        reading = asyncio.create_task(read(receiver[0]))
+        cut = "is_cut_to_server" if is_to_server else "is_cut_to_client"
+        sender[1].write(b"before")
+        assert await received.get() == b"before"
+        setattr(relay, cut, True)
+        sender[1].write(b"lost")
+        await asyncio.sleep(0.1)
+        setattr(relay, cut, False)
+        sender[1].write(b"behind")
+        await asyncio.sleep(0.1)
+        assert received.empty()
+        reading.cancel()
+        for _, writer in (sender, receiver):
+            writer.close()
+    server.close()
