--- a/tests/platform_adapter/test_gateway_requests.py
+++ b/tests/platform_adapter/test_gateway_requests.py
@@ -483,6 +483,7 @@
     assert sum(len(each.received) for each in targets) == 1
 
 
+@pytest.mark.usefixtures("slow_connections")
 @pytest.mark.parametrize("method", ["PUT", "DELETE", "POST"])
 async def test_an_idempotent_route_retries_any_method(platform, method):
     await platform.configure()
