--- a/tests/platform_adapter/soak/world.py
+++ b/tests/platform_adapter/soak/world.py
@@ -216,7 +216,10 @@
     except ProcessLookupError:
         return time.monotonic()
     try:
-        select.select([descriptor], [], [])
+        # Unlike select(), it takes descriptors of any number.
+        exits = select.poll()
+        exits.register(descriptor, select.POLLIN)
+        exits.poll()
         return time.monotonic()
     finally:
         os.close(descriptor)
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -1,6 +1,8 @@
 """Tests of the soak's checks, and short soaks."""
 
 import asyncio
+import os
+import resource
 import time
 from dataclasses import replace
 from types import SimpleNamespace
@@ -60,6 +62,9 @@
     echoed_id="a",
     signature="t1",
 )
+SELECT_LIMIT = 1024
+"""Descriptors that select() takes."""
+
 RUN = RunRecord("a", "t1", 1.5)
 
 FAILED_SEEDS = (
@@ -649,6 +654,21 @@
     server.close()
 
 
+async def test_an_exit_is_missed_by_a_soak_with_many_open_files():
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    count = min(SELECT_LIMIT + 1, limit - 100)
+    held = [os.open(os.devnull, os.O_RDONLY) for _ in range(count)]
+    try:
+        process = await asyncio.create_subprocess_exec("sleep", "0.2")
+        started_s = time.monotonic()
+        exited_s = await asyncio.to_thread(wait_for_exit, process.pid)
+        assert exited_s - started_s > 0.1
+        await process.wait()
+    finally:
+        for each in held:
+            os.close(each)
+
+
 async def test_a_later_end_of_a_target_hides_the_one_that_cut_an_answer(soak_target):
     run = replace(RUN, ended_s=time.monotonic())
     soak_target.runs.append(run)
